--- /dev/null
+++ b/crates/core/benches/decision.rs
@@ -0,0 +1,3 @@
+//! Cost of a decision.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions of the scheduler.
+//!
+//! This package performs no input or output. It owns no clock, socket, thread,
+//! global, or random source: the current time and every event are arguments,
+//! and every effect is a returned action. The same code therefore runs in the
+//! daemon, in the differential tests, and in the experiment tool.
+//!
+//! - [`pool`] ranks waiting requests and grants them to runners (pool owner).
+//! - [`entry`] holds the life cycle of each request on the host that accepted
+//!   it, and is the only place that decides whether a request is dispatched.
+//! - [`cluster`] decides who is alive and who owns a pool.
+//! - [`config`] is the operators' configuration, its validation and merging.
+
+pub mod cluster;
+pub mod config;
+pub mod entry;
+pub mod ids;
+pub mod outcome;
+pub mod pool;
+pub mod request;
+pub mod time;
--- /dev/null
+++ b/crates/core/src/pool/settings.rs
@@ -0,0 +1,56 @@
+//! Settings of one pool owner.
+
+use std::time::Duration;
+
+use crate::ids::{Epoch, PoolId};
+
+/// Settings of one pool owner.
+#[derive(Clone, Debug)]
+pub struct PoolSettings {
+    /// The pool.
+    pub pool: PoolId,
+    /// Term of this owner, written on every grant.
+    pub epoch: Epoch,
+    /// Lifetime of a grant at the entry.
+    pub grant_lifetime: Duration,
+    /// Most waiting requests.
+    pub max_waiting: usize,
+    /// Most bytes of the bodies of waiting requests, over all entries.
+    pub max_waiting_bytes: u64,
+}
+
+impl PoolSettings {
+    /// Default lifetime of a grant.
+    pub const GRANT_LIFETIME: Duration = Duration::from_millis(1_000);
+    /// Default limit on waiting requests.
+    pub const MAX_WAITING: usize = 100_000;
+    /// Default limit on the bytes of waiting bodies.
+    pub const MAX_WAITING_BYTES: u64 = 4 << 30;
+
+    /// Settings with default limits.
+    #[must_use]
+    pub fn new(pool: PoolId, epoch: Epoch) -> Self {
+        Self {
+            pool,
+            epoch,
+            grant_lifetime: Self::GRANT_LIFETIME,
+            max_waiting: Self::MAX_WAITING,
+            max_waiting_bytes: Self::MAX_WAITING_BYTES,
+        }
+    }
+
+    /// Replaces the lifetime of a grant.
+    #[must_use]
+    pub fn with_grant_lifetime(mut self, lifetime: Duration) -> Self {
+        self.grant_lifetime = lifetime;
+        self
+    }
+
+    /// Replaces the limits on waiting requests.
+    #[must_use]
+    pub fn with_max_waiting(mut self, count: usize, bytes: u64) -> Self {
+        self.max_waiting = count;
+        self.max_waiting_bytes = bytes;
+        self
+    }
+}
--- /dev/null
+++ b/crates/core/src/request.rs
@@ -0,0 +1,102 @@
+//! The small record that stands for a request between entry and pool owner.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{ClassName, Epoch, HostId, RequestId, RunnerName, Tier, WorkspaceName};
+
+/// Hash of a chain of prompt blocks. Equal hashes mean equal prefixes.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct BlockHash(pub u64);
+
+/// Targets of a request's class, as durations from its arrival at the entry.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Target {
+    /// A streamed answer: time to the first token, and between tokens.
+    Stream {
+        /// Longest time to the first token.
+        first_token: Duration,
+        /// Longest time between two tokens.
+        between_tokens: Duration,
+    },
+    /// Longest time to the whole answer.
+    Whole(Duration),
+}
+
+impl Target {
+    /// Time within which the request has to start answering or be answered.
+    #[must_use]
+    pub fn limit(self) -> Duration {
+        match self {
+            Self::Stream { first_token, .. } => first_token,
+            Self::Whole(limit) => limit,
+        }
+    }
+}
+
+/// What a pool owner knows of a waiting request. Holds no body.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestRecord {
+    /// Identity of the request.
+    pub id: RequestId,
+    /// The host that holds the caller's connection and the body.
+    pub entry: HostId,
+    /// Workspace that the request belongs to.
+    pub workspace: WorkspaceName,
+    /// Class of the request.
+    pub class: ClassName,
+    /// Tier of the class at the time of arrival.
+    pub tier: Tier,
+    /// Target of the class at the time of arrival.
+    pub target: Target,
+    /// Time already spent since arrival, when the record was sent.
+    pub age: Duration,
+    /// Prompt length in tokens; zero for a plain service.
+    pub prefill_tokens: u32,
+    /// Limit on generated tokens that the caller set, if any.
+    pub max_decode_tokens: Option<u32>,
+    /// Chained hashes of the prompt's blocks, shortest prefix first.
+    pub prefix: Vec<BlockHash>,
+    /// Body size in bytes.
+    pub body_bytes: u32,
+}
+
+/// Permission to dispatch one request to one runner for a short time.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Grant {
+    /// The request.
+    pub id: RequestId,
+    /// The runner that the request may be sent to.
+    pub runner: RunnerName,
+    /// Epoch of the owner that gave the grant.
+    pub epoch: Epoch,
+    /// Time from receipt within which the request may be dispatched.
+    pub valid_for: Duration,
+}
+
+/// What the entry observed of a finished dispatch.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// Prompt tokens that the engine processed.
+    pub prefill_tokens: u32,
+    /// Prompt tokens that the engine took from its prefix cache.
+    pub cached_tokens: u32,
+    /// Tokens that the engine generated.
+    pub decode_tokens: u32,
+    /// Time from dispatch to the first token or byte.
+    pub first_token: Duration,
+    /// Time from dispatch to the end.
+    pub total: Duration,
+}
+
+/// How a dispatch ended, as the entry reports it to the owner.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum DispatchEnd {
+    /// The upstream answered to the end.
+    Complete(Usage),
+    /// The upstream failed or broke off after the dispatch.
+    Failed,
+    /// The stream was cancelled because its caller left.
+    Cancelled,
+}
--- /dev/null
+++ b/crates/node/src/control/handle.rs
@@ -0,0 +1,68 @@
+//! The workers' side of the control thread.
+
+use comfreyway_core::ids::RequestId;
+use quick_error::quick_error;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::{Progress, Submission};
+
+quick_error! {
+    /// The control thread has ended.
+    #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+    pub enum ControlClosed {
+        /// Its queue is closed.
+        Closed {
+            display("the control thread has ended")
+        }
+    }
+}
+
+/// One message from a worker.
+#[derive(Debug)]
+pub enum WorkerMessage {
+    /// A request was received.
+    Submit(Submission),
+    /// A request made progress.
+    Progress {
+        /// The request.
+        id: RequestId,
+        /// What was observed.
+        progress: Progress,
+    },
+}
+
+/// Sends messages to the control thread. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct ControlHandle {
+    tx: UnboundedSender<WorkerMessage>,
+}
+
+impl ControlHandle {
+    /// A handle that writes to the control thread's queue.
+    #[must_use]
+    pub fn new(tx: UnboundedSender<WorkerMessage>) -> Self {
+        Self { tx }
+    }
+
+    /// Submits a request. Decisions arrive at `submission.decisions`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the control thread has ended.
+    pub fn submit(&self, submission: Submission) -> Result<(), ControlClosed> {
+        self.send(WorkerMessage::Submit(submission))
+    }
+
+    /// Reports progress of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the control thread has ended.
+    pub fn report(&self, id: RequestId, progress: Progress) -> Result<(), ControlClosed> {
+        self.send(WorkerMessage::Progress { id, progress })
+    }
+
+    fn send(&self, message: WorkerMessage) -> Result<(), ControlClosed> {
+        self.tx.send(message).map_err(|_| ControlClosed::Closed)
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,7 @@
+//! The library under the daemon.
+//!
+//! One control thread holds the decisions' state ([`control`]); the HTTP
+//! workers carry traffic. They meet in typed messages only: a worker asks once
+//! per request and reports once per outcome, never per token.
+
+pub mod control;
--- /dev/null
+++ b/crates/proto/src/peer/mod.rs
@@ -0,0 +1,9 @@
+//! Messages between daemons: CBOR in binary WebSocket frames.
+
+mod codec;
+mod message;
+
+pub use self::{
+    codec::{CodecError, MAX_FRAME_BYTES, decode, encode},
+    message::PeerMessage,
+};
--- /dev/null
+++ b/src/bin/comfreywayd.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests with real processes.
+
+fn main() {}
