Drive entry and pools from one control actor

Cause: the traffic workers had a queue to the control thread and nothing read it. Change: Control is an actix actor that feeds workers' messages and configuration changes to the decisions, and carries out their effects. The step loop between entry and pools is free of input and output. A single host owns every pool for now.

--- /dev/null
+++ b/crates/node/src/control/actor.rs
@@ -0,0 +1,251 @@
+//! The actor that runs on the control thread.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use actix::{Actor, ActorContext, AsyncContext, Context, SpawnHandle, StreamHandler};
+use comfreyway_core::{
+    config::Document,
+    entry::{EntryInput, OwnerView},
+    ids::{Epoch, HostId, PoolId, RequestId, RunnerName},
+    outcome::RetryReason,
+    request::RequestRecord,
+    time::MonoTime,
+};
+use futures_util::stream;
+use tokio::sync::{
+    mpsc::{UnboundedReceiver, UnboundedSender},
+    watch,
+};
+
+use super::{
+    Clock, ControlStatus, Decision, PoolStatus, Progress, Submission, WorkerMessage,
+    decisions::Decisions, effect::Effect, runners::PoolRunners,
+};
+
+/// Epoch of a pool that a single host owns without a platform.
+const SINGLE_HOST_EPOCH: Epoch = Epoch { issued: 1, provisional: 0 };
+
+/// Holds the state of all decisions of this host.
+pub struct Control {
+    clock: Clock,
+    host: HostId,
+    config: watch::Receiver<Arc<Document>>,
+    document: Arc<Document>,
+    runners: PoolRunners,
+    decisions: Decisions,
+    epochs: HashMap<PoolId, Epoch>,
+    workers: HashMap<RequestId, UnboundedSender<Decision>>,
+    queue: Option<UnboundedReceiver<WorkerMessage>>,
+    effects: Vec<Effect>,
+    wake: Option<(MonoTime, SpawnHandle)>,
+}
+
+impl Control {
+    /// A control actor that reads workers' messages from `queue`.
+    #[must_use]
+    pub fn new(
+        host: HostId,
+        config: watch::Receiver<Arc<Document>>,
+        queue: UnboundedReceiver<WorkerMessage>,
+    ) -> Self {
+        Self {
+            clock: Clock::new(),
+            decisions: Decisions::new(host.clone()),
+            host,
+            config,
+            document: Arc::default(),
+            runners: PoolRunners::default(),
+            epochs: HashMap::new(),
+            workers: HashMap::new(),
+            queue: Some(queue),
+            effects: Vec::new(),
+            wake: None,
+        }
+    }
+
+    /// Takes the configuration in force into the pools.
+    fn apply_config(&mut self, cx: &mut Context<Self>) {
+        self.document = self.config.borrow_and_update().clone();
+        let now = self.clock.now();
+        let changes = self.runners.update(&self.document);
+        for pool in changes.new_pools {
+            self.own(now, &pool);
+        }
+        for (pool, input) in changes.inputs {
+            self.decisions.pool_input(now, &pool, input, &mut self.effects);
+        }
+        for pool in changes.removed_pools {
+            self.decisions.disown(&pool);
+        }
+        self.run_effects(cx);
+    }
+
+    fn own(&mut self, now: MonoTime, pool: &PoolId) {
+        let epoch = SINGLE_HOST_EPOCH;
+        self.decisions.own(pool, epoch);
+        self.epochs.insert(pool.clone(), epoch);
+        let view = OwnerView { owner: Some(self.host.clone()), epoch };
+        let input = EntryInput::OwnerChanged { pool: pool.clone(), view };
+        self.decisions.entry_input(now, input, &mut self.effects);
+    }
+
+    fn submit(&mut self, submission: Submission) {
+        let Submission { id, pool, decisions, .. } = &submission;
+        self.workers.insert(*id, decisions.clone());
+        let pool = pool.clone();
+        let record = RequestRecord {
+            id: *id,
+            entry: self.host.clone(),
+            workspace: submission.workspace,
+            class: submission.class,
+            tier: submission.tier,
+            target: submission.target,
+            age: Duration::ZERO,
+            prefill_tokens: submission.prefill_tokens,
+            max_decode_tokens: submission.max_decode_tokens,
+            prefix: submission.prefix,
+            body_bytes: submission.body_bytes,
+        };
+        let input = EntryInput::Received { record, pool };
+        self.decisions.entry_input(self.clock.now(), input, &mut self.effects);
+    }
+
+    fn progress(&mut self, id: RequestId, progress: Progress) {
+        let input = match progress {
+            Progress::NotSent(reason) => EntryInput::NotSent { id, reason },
+            Progress::FirstToken => EntryInput::FirstToken(id),
+            Progress::Ended(end) => {
+                self.workers.remove(&id);
+                EntryInput::Ended { id, end }
+            }
+            Progress::CallerGone => {
+                self.workers.remove(&id);
+                EntryInput::CallerGone(id)
+            }
+        };
+        self.decisions.entry_input(self.clock.now(), input, &mut self.effects);
+    }
+
+    fn status(&self) -> ControlStatus {
+        let entry = self.decisions.entry();
+        let owned = self.decisions.pools().map(|pool| PoolStatus {
+            pool: pool.settings().pool.clone(),
+            epoch: pool.settings().epoch,
+            waiting: pool.waiting(),
+            in_progress: pool.in_progress(),
+        });
+        ControlStatus {
+            host: self.host.clone(),
+            config_version: self.document.version,
+            waiting: entry.waiting(),
+            in_progress: entry.in_progress(),
+            owned: owned.collect(),
+        }
+    }
+
+    fn run_effects(&mut self, cx: &mut Context<Self>) {
+        let mut effects = std::mem::take(&mut self.effects);
+        while !effects.is_empty() {
+            for effect in effects.drain(..) {
+                self.run_effect(effect, cx);
+            }
+            std::mem::swap(&mut effects, &mut self.effects);
+        }
+        self.effects = effects;
+    }
+
+    fn run_effect(&mut self, effect: Effect, cx: &mut Context<Self>) {
+        match effect {
+            Effect::Dispatch { id, pool, runner } => self.dispatch(id, &pool, runner),
+            Effect::NotRun { id, reason, retry_after } => {
+                if let Some(tx) = self.workers.remove(&id) {
+                    // A closed channel means that the caller has gone already.
+                    let _ = tx.send(Decision::NotRun { reason, retry_after });
+                }
+            }
+            Effect::Remote { .. } => {}
+            Effect::WakeAt(at) => self.wake_at(at, cx),
+        }
+    }
+
+    fn dispatch(&mut self, id: RequestId, pool: &PoolId, runner: RunnerName) {
+        let address = self.runners.address(pool, &runner);
+        let worker = self.workers.get(&id);
+        let (Some(address), Some(tx)) = (address, worker) else {
+            let input = EntryInput::NotSent { id, reason: RetryReason::RunnerLeaving };
+            self.decisions.entry_input(self.clock.now(), input, &mut self.effects);
+            return;
+        };
+        let epoch = self.epochs.get(pool).copied().unwrap_or_default();
+        if tx.send(Decision::Dispatch { runner, address, epoch }).is_err() {
+            let now = self.clock.now();
+            let reason = RetryReason::GrantExpired;
+            self.decisions.entry_input(now, EntryInput::NotSent { id, reason }, &mut self.effects);
+            self.decisions.entry_input(now, EntryInput::CallerGone(id), &mut self.effects);
+            self.workers.remove(&id);
+        }
+    }
+
+    fn wake_at(&mut self, at: MonoTime, cx: &mut Context<Self>) {
+        if self.wake.as_ref().is_some_and(|(earlier, _)| *earlier <= at) {
+            return;
+        }
+        if let Some((_, handle)) = self.wake.take() {
+            cx.cancel_future(handle);
+        }
+        let delay = at.since(self.clock.now());
+        let handle = cx.run_later(delay, |control, cx| {
+            control.wake = None;
+            control.decisions.tick(control.clock.now(), &mut control.effects);
+            control.run_effects(cx);
+        });
+        self.wake = Some((at, handle));
+    }
+}
+
+impl Actor for Control {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        if let Some(queue) = self.queue.take() {
+            let messages = stream::unfold(queue, |mut queue| async {
+                queue.recv().await.map(|message| (message, queue))
+            });
+            cx.add_stream(messages);
+        }
+        let changes = stream::unfold(self.config.clone(), |mut rx| async {
+            rx.changed().await.ok().map(|()| (ConfigChanged, rx))
+        });
+        cx.add_stream(changes);
+        self.apply_config(cx);
+    }
+}
+
+/// The configuration in force has changed.
+struct ConfigChanged;
+
+impl StreamHandler<ConfigChanged> for Control {
+    fn handle(&mut self, _: ConfigChanged, cx: &mut Self::Context) {
+        self.apply_config(cx);
+    }
+
+    fn finished(&mut self, _: &mut Self::Context) {}
+}
+
+impl StreamHandler<WorkerMessage> for Control {
+    fn handle(&mut self, message: WorkerMessage, cx: &mut Self::Context) {
+        match message {
+            WorkerMessage::Submit(submission) => self.submit(submission),
+            WorkerMessage::Progress { id, progress } => self.progress(id, progress),
+            WorkerMessage::Status(reply) => {
+                // A closed channel means that nobody waits for the status.
+                let _ = reply.send(self.status());
+            }
+        }
+        self.run_effects(cx);
+    }
+
+    fn finished(&mut self, cx: &mut Self::Context) {
+        cx.stop();
+    }
+}
--- a/crates/node/src/control/handle.rs
+++ b/crates/node/src/control/handle.rs
@@ -2,9 +2,9 @@
 
 use comfreyway_core::ids::RequestId;
 use quick_error::quick_error;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{mpsc::UnboundedSender, oneshot};
 
-use super::{Progress, Submission};
+use super::{ControlStatus, Progress, Submission};
 
 quick_error! {
     /// The control thread has ended.
@@ -29,6 +29,8 @@
         /// What was observed.
         progress: Progress,
     },
+    /// The state of this host is asked for.
+    Status(oneshot::Sender<ControlStatus>),
 }
 
 /// Sends messages to the control thread. Cheap to clone.
@@ -62,6 +64,17 @@
         self.send(WorkerMessage::Progress { id, progress })
     }
 
+    /// Asks for the state of this host.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the control thread has ended.
+    pub async fn status(&self) -> Result<ControlStatus, ControlClosed> {
+        let (tx, rx) = oneshot::channel();
+        self.send(WorkerMessage::Status(tx))?;
+        rx.await.map_err(|_| ControlClosed::Closed)
+    }
+
     fn send(&self, message: WorkerMessage) -> Result<(), ControlClosed> {
         self.tx.send(message).map_err(|_| ControlClosed::Closed)
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,9 +1,23 @@
 //! The control thread and the typed messages by which traffic reaches it.
+//!
+//! [`Control`] is the actor. It feeds workers' messages and configuration
+//! changes to [`decisions::Decisions`], which holds the entry and the owned
+//! pools, and carries out the resulting [`effect::Effect`]s.
 
+mod actor;
+mod clock;
+mod decisions;
+mod effect;
 mod handle;
 mod message;
+mod runners;
+mod status;
 
+use self::effect::{Effect, RemoteInput};
 pub use self::{
+    actor::Control,
+    clock::{Clock, incarnation_now},
     handle::{ControlClosed, ControlHandle, WorkerMessage},
     message::{CallerKey, Decision, Progress, Submission},
+    status::{ControlStatus, PoolStatus},
 };
