Read the daemon's settings from INI and check them as a whole

Cause: the daemon had no settings and no command line. A repeated section is refused: the first run of the tests showed that the library reads the first one only and passes over the other in silence.

--- /dev/null
+++ b/crates/node/src/settings/reader.rs
@@ -0,0 +1,196 @@
+//! Reads the typed settings from the text of a file.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use comfreyway_core::ids::HostName;
+use ini::{Ini, ParseOption};
+
+use super::{
+    KEYS, KeySpec, Limits, Listen, PEERS_SECTION, Place, Platform, Secret, SettingValue, Settings,
+    SettingsError,
+    check::{check_names, check_secret},
+    locate::line_of,
+    value::{Count, OptionalDuration, Size},
+};
+
+/// Longest accepted secret, in bytes.
+const MAX_SECRET_BYTES: usize = 4096;
+
+/// A parsed file with its text for messages.
+pub(super) struct Source<'a> {
+    pub(super) ini: Ini,
+    pub(super) text: &'a str,
+    pub(super) file: &'a Path,
+}
+
+pub(super) fn read(text: &str, file: &Path) -> Result<Settings, SettingsError> {
+    let source = Source { ini: parse(text, file)?, text, file };
+    check_names(&source)?;
+    let settings = Settings {
+        name: source.value("host", "name")?,
+        data_centre: source.value("host", "data-centre")?,
+        workers: source.value::<Count>("host", "workers")?.0,
+        listen: Listen {
+            callers: source.value("listen", "callers")?,
+            peers: source.value("listen", "peers")?,
+            operators: source.value("listen", "operators")?,
+        },
+        secret: source.secret()?,
+        platform: source.platform()?,
+        peers: source.peers()?,
+        limits: source.limits()?,
+    };
+    check_secret(&source, &settings)?;
+    Ok(settings)
+}
+
+fn parse(text: &str, file: &Path) -> Result<Ini, SettingsError> {
+    let options =
+        ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+    Ini::load_from_str_opt(text, options).map_err(|e| {
+        let line = (e.line + 1).min(text.lines().count().max(1));
+        let place = Place { file: file.to_owned(), line, key: String::new() };
+        SettingsError::Syntax(place, e.msg.into_owned())
+    })
+}
+
+impl Source<'_> {
+    fn value<T>(&self, section: &str, key: &str) -> Result<T, SettingsError>
+    where
+        T: SettingValue,
+    {
+        let text = self.text_of(section, key, T::EXPECTED)?;
+        T::parse(text).ok_or_else(|| self.bad_value(section, key, text, T::EXPECTED))
+    }
+
+    /// The value of a key that may be left empty.
+    fn optional<T>(&self, section: &str, key: &str) -> Result<Option<T>, SettingsError>
+    where
+        T: SettingValue,
+    {
+        if self.text_of(section, key, T::EXPECTED)?.is_empty() {
+            return Ok(None);
+        }
+        self.value(section, key).map(Some)
+    }
+
+    fn text_of(&self, section: &str, key: &str, expected: &str) -> Result<&str, SettingsError> {
+        let given = self.ini.get_from(Some(section), key).map(str::trim);
+        given.or_else(|| default_of(section, key)).ok_or_else(|| {
+            SettingsError::Missing(self.place(section, Some(key)), expected.to_owned())
+        })
+    }
+
+    fn secret(&self) -> Result<Option<Secret>, SettingsError> {
+        let Some(path) = self.existing_file("security", "secret-file")? else { return Ok(None) };
+        let bad = |expected: &str| {
+            self.bad_value("security", "secret-file", &path.display().to_string(), expected)
+        };
+        let text = fs::read_to_string(&path).map_err(|_| bad("a readable file of UTF-8 text"))?;
+        let secret = text.trim();
+        let visible = secret.bytes().all(|b| b.is_ascii_graphic() || b == b' ');
+        if secret.is_empty() || secret.len() > MAX_SECRET_BYTES || !visible {
+            return Err(bad("a file with one line of 1 to 4096 visible ASCII characters"));
+        }
+        Ok(Some(Secret::new(secret)))
+    }
+
+    fn platform(&self) -> Result<Platform, SettingsError> {
+        let kind = self.value::<String>("platform", "kind")?;
+        let initial = self.existing_file("platform", "initial-configuration")?;
+        let endpoints = self.endpoints()?;
+        let host_list = self.optional("platform", "host-list")?;
+        match kind.as_str() {
+            "embedded" => Ok(Platform::Embedded { initial_configuration: initial }),
+            "etcd" if endpoints.is_empty() => {
+                let expected = "IP numbers and ports of the gateway, as kind is etcd";
+                Err(self.bad_value("platform", "key-value", "", expected))
+            }
+            "etcd" if initial.is_some() => {
+                let expected = "no value, as kind is etcd";
+                Err(self.bad_value("platform", "initial-configuration", "a file", expected))
+            }
+            "etcd" => Ok(Platform::Etcd { endpoints, host_list }),
+            _ => Err(self.bad_value("platform", "kind", &kind, "embedded or etcd")),
+        }
+    }
+
+    fn endpoints(&self) -> Result<Vec<SocketAddr>, SettingsError> {
+        let list = self.value::<String>("platform", "key-value")?;
+        let parts = list.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let expected = SocketAddr::EXPECTED;
+        parts
+            .map(|part| {
+                SocketAddr::parse(part)
+                    .ok_or_else(|| self.bad_value("platform", "key-value", part, expected))
+            })
+            .collect()
+    }
+
+    fn peers(&self) -> Result<BTreeMap<HostName, SocketAddr>, SettingsError> {
+        let mut peers = BTreeMap::new();
+        let Some(section) = self.ini.section(Some(PEERS_SECTION)) else { return Ok(peers) };
+        for (key, value) in section.iter() {
+            let value = value.trim();
+            let bad = |expected| self.bad_value(PEERS_SECTION, key, value, expected);
+            let name = HostName::parse(key).ok_or_else(|| bad(HostName::EXPECTED))?;
+            let address = SocketAddr::parse(value).ok_or_else(|| bad(SocketAddr::EXPECTED))?;
+            peers.insert(name, address);
+        }
+        Ok(peers)
+    }
+
+    fn limits(&self) -> Result<Limits, SettingsError> {
+        let size = |key| self.value::<Size>("limits", key).map(|size| size.0);
+        Ok(Limits {
+            body_bytes: size("body-bytes")?,
+            header_bytes: size("header-bytes")?,
+            body_time: self.value("limits", "body-time")?,
+            connect_timeout: self.value("limits", "connect-timeout")?,
+            grant_waiting: self.value("limits", "grant-waiting")?,
+            upstream_idle: self.value("limits", "upstream-idle")?,
+            connections: self.value::<Count>("limits", "connections")?.0,
+            results_bytes: size("results-bytes")?,
+            results_time: self.value("limits", "results-time")?,
+            stop_limit: self.value::<OptionalDuration>("limits", "stop-limit")?.0,
+        })
+    }
+
+    fn existing_file(&self, section: &str, key: &str) -> Result<Option<PathBuf>, SettingsError> {
+        let Some(path) = self.optional::<String>(section, key)?.map(PathBuf::from) else {
+            return Ok(None);
+        };
+        if !path.is_file() {
+            let value = path.display().to_string();
+            return Err(self.bad_value(section, key, &value, "the path of an existing file"));
+        }
+        Ok(Some(path))
+    }
+
+    pub(super) fn bad_value(
+        &self,
+        section: &str,
+        key: &str,
+        value: &str,
+        expected: &str,
+    ) -> SettingsError {
+        let place = self.place(section, Some(key));
+        SettingsError::BadValue(place, value.to_owned(), expected.to_owned())
+    }
+
+    /// Where a key or its section stands.
+    pub(super) fn place(&self, section: &str, key: Option<&str>) -> Place {
+        let name = key.map_or_else(|| format!("[{section}]"), |key| format!("[{section}] {key}"));
+        Place { file: self.file.to_owned(), line: line_of(self.text, section, key), key: name }
+    }
+}
+
+fn default_of(section: &str, key: &str) -> Option<&'static str> {
+    let same = |spec: &&KeySpec| spec.section == section && spec.key == key;
+    KEYS.iter().find(same).and_then(|spec| spec.default)
+}
