--- /dev/null
+++ b/crates/core/src/config/change_id.rs
@@ -0,0 +1,86 @@
+//! Identity of a change.
+
+use std::{fmt, str::FromStr};
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+
+quick_error! {
+    /// A text that is not a change's identity.
+    #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+    pub enum ChangeIdError {
+        /// The form is wrong.
+        Form {
+            display("a change's identity looks like 12-0123456789abcdef")
+        }
+    }
+}
+
+/// Identity of a change, with the version that its author saw.
+///
+/// The base is part of the identity so that a repeat has the same base. A
+/// change is accepted only while the history covers every version after its
+/// base; so a repeat always meets its own first entry there, and an identity
+/// is never applied twice however short the history is.
+///
+/// # Examples
+///
+/// ```
+/// use comfreyway_core::config::ChangeId;
+///
+/// let id = ChangeId::new(12, 0xabcdef);
+/// assert_eq!(id.to_string(), "12-0000000000abcdef");
+/// assert_eq!("12-0000000000abcdef".parse(), Ok(id));
+/// ```
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ChangeId {
+    base: u64,
+    nonce: u64,
+}
+
+impl ChangeId {
+    /// An identity from the base version and a random number.
+    #[must_use]
+    pub fn new(base: u64, nonce: u64) -> Self {
+        Self { base, nonce }
+    }
+
+    /// The version that the author saw.
+    #[must_use]
+    pub fn base(self) -> u64 {
+        self.base
+    }
+}
+
+impl fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:016x}", self.base, self.nonce)
+    }
+}
+
+impl From<ChangeId> for String {
+    fn from(id: ChangeId) -> Self {
+        id.to_string()
+    }
+}
+
+impl FromStr for ChangeId {
+    type Err = ChangeIdError;
+
+    fn from_str(s: &str) -> Result<Self, ChangeIdError> {
+        let (base, nonce) = s.split_once('-').ok_or(ChangeIdError::Form)?;
+        let base = base.parse().map_err(|_| ChangeIdError::Form)?;
+        let nonce = u64::from_str_radix(nonce, 16).map_err(|_| ChangeIdError::Form)?;
+        let id = Self { base, nonce };
+        if id.to_string() == s { Ok(id) } else { Err(ChangeIdError::Form) }
+    }
+}
+
+impl TryFrom<String> for ChangeId {
+    type Error = ChangeIdError;
+
+    fn try_from(s: String) -> Result<Self, ChangeIdError> {
+        s.parse()
+    }
+}
--- a/crates/core/src/config/elements.rs
+++ b/crates/core/src/config/elements.rs
@@ -78,6 +78,40 @@
     pub runners: BTreeMap<RunnerName, Runner>,
 }
 
+/// What an operator says of an upstream as a whole. Its runners are elements of
+/// their own, so that two operators can change two runners at once.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UpstreamSpec {
+    /// Engine or plain service.
+    pub kind: UpstreamKind,
+    /// True if the runners refuse orders with an old fencing number.
+    pub checks_fencing: bool,
+    /// True if the runners can resume a broken stream.
+    pub resumes: bool,
+}
+
+impl Upstream {
+    /// The upstream without its runners.
+    #[must_use]
+    pub fn spec(&self) -> UpstreamSpec {
+        let Self { kind, checks_fencing, resumes, .. } = *self;
+        UpstreamSpec { kind, checks_fencing, resumes }
+    }
+
+    pub(super) fn set_spec(&mut self, spec: UpstreamSpec) {
+        self.kind = spec.kind;
+        self.checks_fencing = spec.checks_fencing;
+        self.resumes = spec.resumes;
+    }
+}
+
+impl From<UpstreamSpec> for Upstream {
+    fn from(spec: UpstreamSpec) -> Self {
+        let UpstreamSpec { kind, checks_fencing, resumes } = spec;
+        Self { kind, checks_fencing, resumes, runners: BTreeMap::new() }
+    }
+}
+
 /// A path prefix of a plain service.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
--- /dev/null
+++ b/crates/core/src/config/validate/reach.rs
@@ -0,0 +1,50 @@
+//! Targets that no runner can meet.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    config::{Document, Finding},
+    ids::UpstreamName,
+    request::Target,
+};
+
+/// Shortest times that any runner of an upstream was seen to need.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServiceTimes {
+    /// Time to the first token or byte.
+    pub first_token: Duration,
+    /// Time between two tokens; zero for a plain service.
+    pub between_tokens: Duration,
+    /// Time to the whole answer.
+    pub whole: Duration,
+}
+
+impl Document {
+    /// Warns of each class whose target is shorter than the shortest time that
+    /// any runner was seen to need.
+    #[must_use]
+    pub fn validate_reach(&self, seen: &BTreeMap<UpstreamName, ServiceTimes>) -> Vec<Finding> {
+        let mut findings = Vec::new();
+        for (name, class) in &self.classes {
+            let mut check = |key: &str, target: Duration, time: fn(&ServiceTimes) -> Duration| {
+                let best = seen.iter().map(|(upstream, times)| (time(times), upstream)).min();
+                if let Some((best, upstream)) = best.filter(|(best, _)| *best > target) {
+                    let text = format!(
+                        "the target is {} ms, but the fastest runner, of {upstream}, needs {} ms",
+                        target.as_millis(),
+                        best.as_millis()
+                    );
+                    findings.push(Finding::warning(format!("class {name}: {key}"), text));
+                }
+            };
+            match class.target {
+                Target::Stream { first_token, between_tokens } => {
+                    check("first-token", first_token, |t| t.first_token);
+                    check("between-tokens", between_tokens, |t| t.between_tokens);
+                }
+                Target::Whole(limit) => check("whole-answer", limit, |t| t.whole),
+            }
+        }
+        findings
+    }
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -120,6 +120,10 @@
     /// Name of a model that an engine serves.
     ModelName
 );
+name_type!(
+    /// Name of an operator, as the author of a change.
+    OperatorName
+);
 name_type!(
     /// Name of one runner of an upstream.
     RunnerName
