--- /dev/null
+++ b/crates/platform/src/embedded/mod.rs
@@ -0,0 +1,13 @@
+//! The platform in memory, for a first trial and for tests in one process.
+//!
+//! [`Store`] holds the keys, leases and history under a time that its caller
+//! passes in. [`EmbeddedKeyValue`] shares one store between clones and threads
+//! and reads the time from a clock.
+
+mod history;
+mod host_list;
+mod key_value;
+mod lease;
+mod store;
+
+pub use self::{host_list::EmbeddedHostList, key_value::EmbeddedKeyValue, store::Store};
--- a/crates/platform/src/kv.rs
+++ b/crates/platform/src/kv.rs
@@ -48,6 +48,26 @@
     },
 }
 
+impl KvEvent {
+    /// The key that changed.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(entry) => &entry.key,
+            Self::Delete { key, .. } => key,
+        }
+    }
+
+    /// Revision of the change.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        match self {
+            Self::Put(entry) => entry.revision,
+            Self::Delete { revision, .. } => *revision,
+        }
+    }
+}
+
 /// The key-value service. Implementations apply a time limit to each call.
 ///
 /// Every future may be dropped; a dropped call may still have its effect.
