--- /dev/null
+++ b/crates/testkit/tests/key_value.rs
@@ -0,0 +1,252 @@
+//! The clients of the key-value service: both keep the same contract, and the
+//! failures of the HTTP client are sorted by what is certain.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{net::TcpListener, rc::Rc, time::Duration};
+
+use comfreyway_platform::{
+    CasOutcome, EmbeddedKeyValue, EtcdConfig, EtcdKeyValue, KeyValue, KvEvent, PlatformError,
+    Revision,
+};
+use comfreyway_testkit::kv::{KvFaults, KvStandIn, Outage};
+use futures_util::StreamExt;
+use rstest::rstest;
+
+const LIMIT: Duration = Duration::from_millis(500);
+
+/// A client with the service behind it.
+struct Fixture {
+    kv: Rc<dyn KeyValue>,
+    _standin: Option<KvStandIn>,
+}
+
+fn embedded() -> Fixture {
+    Fixture { kv: Rc::new(EmbeddedKeyValue::new()), _standin: None }
+}
+
+fn etcd() -> Fixture {
+    let standin = KvStandIn::start().unwrap();
+    Fixture { kv: Rc::new(client(&standin)), _standin: Some(standin) }
+}
+
+fn client(standin: &KvStandIn) -> EtcdKeyValue {
+    EtcdKeyValue::new(EtcdConfig::new(vec![standin.address()]).with_time_limit(LIMIT))
+}
+
+fn refused_address() -> std::net::SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+async fn written(kv: &dyn KeyValue, key: &str, expected: Revision, value: &str) -> Revision {
+    match kv.compare_and_swap(key, expected, value.into(), None).await.unwrap() {
+        CasOutcome::Written(revision) => revision,
+        CasOutcome::Mismatch(present) => panic!("{key} is at {present:?}"),
+    }
+}
+
+#[rstest]
+#[case::embedded(embedded())]
+#[case::etcd(etcd())]
+#[actix_rt::test]
+async fn compare_and_swap_writes_only_at_the_expected_revision(#[case] fixture: Fixture) {
+    let kv = &*fixture.kv;
+    assert_eq!(kv.get("a").await, Ok(None));
+    let first = written(kv, "a", Revision(0), "1").await;
+    let second = written(kv, "a", first, "2").await;
+    assert!(second > first);
+    let stale = kv.compare_and_swap("a", first, b"3".to_vec(), None).await.unwrap();
+    let CasOutcome::Mismatch(Some(present)) = stale else { panic!("{stale:?}") };
+    assert_eq!((present.value.as_slice(), present.revision), (&b"2"[..], second));
+    let missing = kv.compare_and_swap("b", first, b"3".to_vec(), None).await;
+    assert_eq!(missing, Ok(CasOutcome::Mismatch(None)));
+    assert_eq!(kv.get("a").await.unwrap().unwrap().value, b"2");
+}
+
+#[rstest]
+#[case::embedded(embedded())]
+#[case::etcd(etcd())]
+#[actix_rt::test]
+async fn compare_and_delete_deletes_only_at_the_expected_revision(#[case] fixture: Fixture) {
+    let kv = &*fixture.kv;
+    let first = written(kv, "a", Revision(0), "1").await;
+    let second = written(kv, "a", first, "2").await;
+    let stale = kv.compare_and_delete("a", first).await.unwrap();
+    assert!(matches!(stale, CasOutcome::Mismatch(Some(_))));
+    let done = kv.compare_and_delete("a", second).await.unwrap();
+    assert!(matches!(done, CasOutcome::Written(r) if r > second));
+    assert_eq!(kv.get("a").await, Ok(None));
+}
+
+#[rstest]
+#[case::embedded(embedded())]
+#[case::etcd(etcd())]
+#[actix_rt::test]
+async fn list_returns_the_keys_of_the_prefix_in_order(#[case] fixture: Fixture) {
+    let kv = &*fixture.kv;
+    for key in ["x/b", "y/a", "x/a", "x"] {
+        written(kv, key, Revision(0), key).await;
+    }
+    let keys = |entries: Vec<comfreyway_platform::Versioned>| {
+        entries.into_iter().map(|e| e.key).collect::<Vec<_>>()
+    };
+    assert_eq!(keys(kv.list("x/").await.unwrap()), ["x/a", "x/b"]);
+    assert_eq!(keys(kv.list("").await.unwrap()), ["x", "x/a", "x/b", "y/a"]);
+}
+
+#[rstest]
+#[case::embedded(embedded())]
+#[case::etcd(etcd())]
+#[actix_rt::test]
+async fn watch_reports_past_and_later_changes_in_order(#[case] fixture: Fixture) {
+    let kv = &*fixture.kv;
+    let first = written(kv, "x/a", Revision(0), "1").await;
+    let second = written(kv, "x/a", first, "2").await;
+    written(kv, "y", Revision(0), "0").await;
+    let mut watch = kv.watch("x/", first);
+    let event = watch.next().await.unwrap().unwrap();
+    assert!(matches!(&event, KvEvent::Put(e) if e.value == b"2" && e.revision == second));
+    kv.compare_and_delete("x/a", second).await.unwrap();
+    let event = watch.next().await.unwrap().unwrap();
+    assert!(
+        matches!(&event, KvEvent::Delete { key, revision } if key == "x/a" && *revision > second)
+    );
+}
+
+#[rstest]
+#[case::embedded(embedded())]
+#[case::etcd(etcd())]
+#[actix_rt::test]
+async fn keys_end_with_their_lease(#[case] fixture: Fixture) {
+    let kv = &*fixture.kv;
+    let lease = kv.grant_lease(Duration::from_secs(1)).await.unwrap();
+    kv.compare_and_swap("a", Revision(0), b"1".to_vec(), Some(lease)).await.unwrap();
+    assert_eq!(kv.renew_lease(lease).await, Ok(Duration::from_secs(1)));
+    let written = kv.get("a").await.unwrap().unwrap().revision;
+    let event = kv.watch("a", written).next().await.unwrap().unwrap();
+    assert!(matches!(event, KvEvent::Delete { .. }));
+    assert_eq!(kv.renew_lease(lease).await, Err(PlatformError::LeaseLapsed));
+    let late = kv.compare_and_swap("a", Revision(0), b"2".to_vec(), Some(lease)).await;
+    assert_eq!(late, Err(PlatformError::LeaseLapsed));
+    assert_eq!(kv.get("a").await, Ok(None));
+}
+
+#[rstest]
+#[case::embedded(embedded())]
+#[case::etcd(etcd())]
+#[actix_rt::test]
+async fn revoked_lease_deletes_its_keys(#[case] fixture: Fixture) {
+    let kv = &*fixture.kv;
+    let lease = kv.grant_lease(Duration::from_secs(60)).await.unwrap();
+    kv.compare_and_swap("a", Revision(0), b"1".to_vec(), Some(lease)).await.unwrap();
+    kv.revoke_lease(lease).await.unwrap();
+    assert_eq!(kv.get("a").await, Ok(None));
+    assert_eq!(kv.revoke_lease(lease).await, Err(PlatformError::LeaseLapsed));
+}
+
+#[test]
+fn leases_follow_the_clock_that_is_passed_in() {
+    let time = std::sync::Arc::new(std::sync::atomic::AtomicU64::new(0));
+    let clock = time.clone();
+    let kv = EmbeddedKeyValue::with_clock(move || {
+        Duration::from_secs(clock.load(std::sync::atomic::Ordering::Relaxed))
+    });
+    actix_rt::System::new().block_on(async {
+        let lease = kv.grant_lease(Duration::from_secs(10)).await.unwrap();
+        kv.compare_and_swap("a", Revision(0), b"1".to_vec(), Some(lease)).await.unwrap();
+        time.store(9, std::sync::atomic::Ordering::Relaxed);
+        kv.renew_lease(lease).await.unwrap();
+        time.store(18, std::sync::atomic::Ordering::Relaxed);
+        assert!(kv.get("a").await.unwrap().is_some());
+        time.store(19, std::sync::atomic::Ordering::Relaxed);
+        assert_eq!(kv.get("a").await, Ok(None));
+    });
+}
+
+#[actix_rt::test]
+async fn refused_connection_is_certain() {
+    let config = EtcdConfig::new(vec![refused_address()]).with_time_limit(LIMIT);
+    let kv = EtcdKeyValue::new(config);
+    let result = kv.compare_and_swap("a", Revision(0), b"1".to_vec(), None).await;
+    assert!(matches!(result, Err(PlatformError::NotDone(_))), "{result:?}");
+}
+
+#[rstest]
+#[case::unavailable(Outage::Unavailable)]
+#[case::cut(Outage::Cut)]
+#[case::hang(Outage::Hang)]
+#[actix_rt::test]
+async fn outage_after_sending_is_uncertain(#[case] outage: Outage) {
+    let standin = KvStandIn::start().unwrap();
+    let kv = client(&standin);
+    standin.set_faults(KvFaults::new().with_outage(outage));
+    let result = kv.compare_and_swap("a", Revision(0), b"1".to_vec(), None).await;
+    assert!(matches!(result, Err(PlatformError::Uncertain(_))), "{result:?}");
+    standin.set_faults(KvFaults::new());
+    assert_eq!(kv.get("a").await, Ok(None));
+}
+
+#[actix_rt::test]
+async fn lost_reply_is_uncertain_and_its_effect_stays() {
+    let standin = KvStandIn::start().unwrap();
+    let kv = client(&standin);
+    standin.set_faults(KvFaults::new().with_lost_replies("epoch/", 1));
+    written(&kv, "other", Revision(0), "1").await;
+    let result = kv.compare_and_swap("epoch/a", Revision(0), b"1".to_vec(), None).await;
+    assert!(matches!(result, Err(PlatformError::Uncertain(_))), "{result:?}");
+    assert_eq!(kv.get("epoch/a").await.unwrap().unwrap().value, b"1");
+    assert_eq!(standin.calls().txn, 2);
+}
+
+#[actix_rt::test]
+async fn call_over_the_rate_is_certainly_not_done() {
+    let standin = KvStandIn::start().unwrap();
+    let kv = client(&standin);
+    standin.set_faults(KvFaults::new().with_writes_per_second(0));
+    let result = kv.compare_and_swap("a", Revision(0), b"1".to_vec(), None).await;
+    assert!(matches!(result, Err(PlatformError::NotDone(_))), "{result:?}");
+    assert_eq!(kv.get("a").await, Ok(None));
+}
+
+#[actix_rt::test]
+async fn next_endpoint_is_asked_only_where_a_repeat_is_safe() {
+    let first = KvStandIn::start().unwrap();
+    let second = KvStandIn::start().unwrap();
+    let endpoints = vec![refused_address(), first.address(), second.address()];
+    let kv = EtcdKeyValue::new(EtcdConfig::new(endpoints).with_time_limit(LIMIT));
+    first.set_faults(KvFaults::new().with_outage(Outage::Cut));
+    let result = kv.compare_and_swap("a", Revision(0), b"1".to_vec(), None).await;
+    assert!(matches!(result, Err(PlatformError::Uncertain(_))), "{result:?}");
+    assert_eq!((first.calls().txn, second.calls().txn), (1, 0));
+    assert_eq!(kv.get("a").await, Ok(None));
+    assert_eq!(second.calls().range, 1);
+}
+
+#[actix_rt::test]
+async fn watch_ends_with_an_error_in_an_outage_and_when_silent() {
+    let standin = KvStandIn::start().unwrap();
+    let kv = client(&standin);
+    written(&kv, "a", Revision(0), "1").await;
+    let mut watch = kv.watch("a", Revision(0));
+    watch.next().await.unwrap().unwrap();
+    assert_eq!(standin.calls().waiting_watches, 1);
+    standin.set_faults(KvFaults::new().with_outage(Outage::Cut));
+    assert!(watch.next().await.unwrap().is_err());
+    assert!(watch.next().await.is_none());
+    standin.set_faults(KvFaults::new());
+    let config = EtcdConfig::new(vec![standin.address()]).with_watch_silence(LIMIT);
+    let kv = EtcdKeyValue::new(config);
+    let mut watch = kv.watch("a", Revision(1));
+    assert!(watch.next().await.unwrap().is_err());
+}
+
+#[actix_rt::test]
+async fn keys_outlive_a_stop_of_the_service() {
+    let mut standin = KvStandIn::start().unwrap();
+    let kv = client(&standin);
+    written(&kv, "a", Revision(0), "1").await;
+    standin.stop();
+    assert!(kv.get("a").await.is_err());
+    standin.start_again().unwrap();
+    assert!(kv.get("a").await.unwrap().is_some());
+}
