Write down the protocol with upstreams and count prompts by one rule

Daemon and engines have to agree on resume, cancel, load, cache events and leaving, and on how a prompt is cut into blocks, or cache events are of no use. docs/design/upstream-protocol.md says what each side sends; the rule for tokens and blocks stands in comfreyway_core::prompt, where both sides read it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`entry`] holds the life cycle of each request on the host that accepted
 //!   it, and is the only place that decides whether a request is dispatched.
 //! - [`cluster`] decides who is alive and who owns a pool.
+//! - [`prompt`] counts a prompt's tokens and hashes its blocks.
 //! - [`config`] is the operators' configuration, its validation and merging.
 
 pub mod cluster;
@@ -17,5 +18,6 @@
 pub mod ids;
 pub mod outcome;
 pub mod pool;
+pub mod prompt;
 pub mod request;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/prompt.rs
@@ -0,0 +1,53 @@
+//! Blocks of a prompt, as engines and the scheduler both count them.
+//!
+//! Engines publish which blocks they cache. A block's hash covers all blocks
+//! before it, so equal hashes mean equal prefixes. The rule is part of the
+//! protocol with upstreams (`docs/design/upstream-protocol.md`).
+
+use crate::request::BlockHash;
+
+/// Bytes of prompt text that count as one token.
+pub const TOKEN_BYTES: usize = 4;
+/// Tokens of one block.
+pub const BLOCK_TOKENS: usize = 16;
+
+/// Number of tokens of a prompt.
+#[must_use]
+pub fn token_count(prompt: &str) -> u32 {
+    u32::try_from(prompt.len().div_ceil(TOKEN_BYTES)).unwrap_or(u32::MAX)
+}
+
+/// Chained hashes of the prompt's whole blocks, shortest prefix first.
+///
+/// # Examples
+///
+/// ```
+/// use comfreyway_core::prompt::block_hashes;
+///
+/// let shared = "x".repeat(64);
+/// let a = block_hashes(&format!("{shared}{}", "a".repeat(64)));
+/// let b = block_hashes(&format!("{shared}{}", "b".repeat(64)));
+/// assert_eq!(a.len(), 2);
+/// assert_eq!(a[0], b[0]);
+/// assert_ne!(a[1], b[1]);
+/// ```
+#[must_use]
+pub fn block_hashes(prompt: &str) -> Vec<BlockHash> {
+    let blocks = prompt.as_bytes().chunks_exact(TOKEN_BYTES * BLOCK_TOKENS);
+    let mut parent = 0_u64;
+    blocks
+        .map(|block| {
+            parent = chain(parent, block);
+            BlockHash(parent)
+        })
+        .collect()
+}
+
+fn chain(parent: u64, block: &[u8]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&parent.to_be_bytes());
+    hasher.update(block);
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_be_bytes(first)
+}
--- a/crates/proto/src/headers.rs
+++ b/crates/proto/src/headers.rs
@@ -16,3 +16,7 @@
 pub const FENCING: &str = "comfreyway-fencing";
 /// Secret of the peers' and operators' ports.
 pub const SECRET: &str = "comfreyway-secret";
+/// Number of the last event that a resuming reader has whole.
+pub const LAST_EVENT_ID: &str = "last-event-id";
+/// Set to `true` by an upstream that is leaving.
+pub const LEAVING: &str = "comfreyway-leaving";
