Add stand-ins of engines and plain services

Tests have to see what really ran. The engine batches continuously in order of arrival, caches prefixes, resumes and cancels streams, and reports load and cache events late; the plain service echoes and logs each call. Both log the identities of each run.

Ruled out: taking the end of a body from awc for the end of an answer. Its reader returns a body that was cut between two chunks as whole; the first run of the tests showed five such cases. The tests look for the end mark instead.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,14 +1,28 @@
 //! Stand-ins of everything that the scheduler talks to, and a fault proxy.
 //!
 //! Each stand-in runs on its own thread, listens on a port of the loopback
-//! address that the kernel chooses, and stops on drop.
+//! address that the kernel chooses, and stops on drop. Each logs what it ran
+//! with the identities of the requests, so that a test counts runs there and
+//! not in the daemon.
 //!
+//! - [`engine`]: a model engine with batching, cache, resume and cancel.
+//! - [`service`]: a plain service with a log of its calls.
 //! - [`kv`]: the key-value service with outage, delay, lost replies and rates.
 //! - [`hosts`]: the host list with a lag.
 
 mod cut;
+pub mod engine;
+pub mod gate;
 pub mod hosts;
 pub mod kv;
+pub mod leaving;
+pub mod run_log;
 pub mod server;
+pub mod service;
 
-pub use self::server::{ANY_PORT, LocalServer};
+pub use self::{
+    gate::Gate,
+    leaving::Leaving,
+    run_log::{Run, RunLog},
+    server::{ANY_PORT, LocalServer},
+};
