Add a TCP proxy that injects faults

Failures of links have to be made on purpose and at an exact place. The proxy stands on one link and delays, cuts after a number of bytes, swallows one direction, refuses, accepts in silence, or leaves a connection half open, each settable while it runs.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`service`]: a plain service with a log of its calls.
 //! - [`kv`]: the key-value service with outage, delay, lost replies and rates.
 //! - [`hosts`]: the host list with a lag.
+//! - [`proxy`]: a TCP proxy that injects faults on one link.
 
 mod cut;
 pub mod engine;
@@ -16,6 +17,7 @@
 pub mod hosts;
 pub mod kv;
 pub mod leaving;
+pub mod proxy;
 pub mod run_log;
 pub mod server;
 pub mod service;
