Write and spread configuration changes as state machines

The key-value service can be down or lose a reply after a write took effect, hosts restart and lose each other, and a configuration must not go back. The writer of one change swaps only against the revision that it read and looks for its own identity in what it reads back; it answers accepted, refused or unknown. An identity that the history may have forgotten is answered unknown, not refused. The spread takes the higher version only, passes changes down a tree with four children a host, announces versions in turn, and calls a host ready after the store was read or all connected peers were heard.

Leaving out the request after a gap in a delta is not noticed, since the next announcement repairs it.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -6,7 +6,9 @@
 //! on it: a change on top of a newer version than its author saw is merged
 //! element by element, checked as a whole, and refused where somebody else
 //! changed the same element. Whoever swaps the result into the key-value
-//! service has accepted it.
+//! service, as [`Writer`] does, has accepted it; [`sync`] spreads it to all hosts.
+
+pub mod sync;
 
 mod accepted;
 mod change;
@@ -20,6 +22,7 @@
 mod finding;
 mod touched;
 mod validate;
+mod writer;
 
 pub use self::{
     accepted::{Accepted, MAX_HISTORY, MAX_HISTORY_BYTES, Verdict},
@@ -34,4 +37,5 @@
     },
     finding::{Finding, Severity},
     validate::{MAX_NOTE_BYTES, MAX_PREFIX_BYTES, MAX_TIER, ServiceTimes},
+    writer::{ChangeOutcome, StoredConfig, SwapReply, UnknownCause, Writer, WriterStep},
 };
--- /dev/null
+++ b/crates/core/src/config/sync/peers.rs
@@ -0,0 +1,89 @@
+//! The peers of one host and the tree along which changes go.
+
+use std::collections::BTreeMap;
+
+use crate::ids::HostName;
+
+/// Most children of a host in the tree.
+pub const FAN_OUT: usize = 4;
+
+/// Most hosts of one neighbourhood that watch the key-value service.
+pub const MAX_WATCHERS: usize = 3;
+
+/// The peers with a session, and the last version that each announced.
+#[derive(Clone, Debug)]
+pub(super) struct Peers {
+    me: HostName,
+    versions: BTreeMap<HostName, Option<u64>>,
+    next_announced: usize,
+}
+
+impl Peers {
+    pub(super) fn new(me: HostName) -> Self {
+        Self { me, versions: BTreeMap::new(), next_announced: 0 }
+    }
+
+    pub(super) fn up(&mut self, peer: HostName) {
+        self.versions.insert(peer, None);
+    }
+
+    pub(super) fn down(&mut self, peer: &HostName) {
+        self.versions.remove(peer);
+    }
+
+    /// Notes a version of a peer with a session. Versions never fall.
+    pub(super) fn note(&mut self, peer: &HostName, version: u64) {
+        if let Some(known) = self.versions.get_mut(peer) {
+            *known = (*known).max(Some(version));
+        }
+    }
+
+    pub(super) fn versions(&self) -> &BTreeMap<HostName, Option<u64>> {
+        &self.versions
+    }
+
+    pub(super) fn names(&self) -> impl Iterator<Item = &HostName> {
+        self.versions.keys()
+    }
+
+    /// True if every peer has said its version.
+    pub(super) fn all_known(&self) -> bool {
+        self.versions.values().all(Option::is_some)
+    }
+
+    /// The highest version that a peer has said.
+    pub(super) fn highest(&self) -> u64 {
+        self.versions.values().flatten().copied().max().unwrap_or(0)
+    }
+
+    /// Place of this host among itself and its peers, in order of names.
+    fn place(&self) -> usize {
+        self.names().filter(|name| **name < self.me).count()
+    }
+
+    pub(super) fn is_watcher(&self) -> bool {
+        self.place() < MAX_WATCHERS
+    }
+
+    /// The hosts that a new version goes to: this host's children in the tree
+    /// and, from a host that is not among them, the watchers at its root.
+    pub(super) fn receivers(&self) -> Vec<HostName> {
+        let place = self.place();
+        let mut order: Vec<_> = self.names().collect();
+        order.insert(place, &self.me);
+        let first_child = place * FAN_OUT + 1;
+        let children = order.iter().skip(first_child).take(FAN_OUT);
+        let roots =
+            if place < MAX_WATCHERS { &[] } else { &order[..MAX_WATCHERS.min(order.len())] };
+        children.chain(roots).map(|name| (*name).clone()).collect()
+    }
+
+    /// The next `count` peers in turn.
+    pub(super) fn in_turn(&mut self, count: usize) -> Vec<HostName> {
+        let len = self.versions.len();
+        let count = count.min(len);
+        let start = self.next_announced % len.max(1);
+        self.next_announced = start + count;
+        self.versions.keys().cycle().skip(start).take(count).cloned().collect()
+    }
+}
