Rank, place and shed requests by targets, tiers and learned rates

Cause: the pool granted first in, first out to the runner with the fewest requests, under a fixed limit, and scanned all waiting requests for each timer.

Change: tiers strictly first; within a tier least slack with a virtual time per workspace; a separate budget for long prefill; limits in sequences and cache tokens learned per runner; placement by one formula in time; refusal from the lowest tier up; a retry budget; unconfirmed grants come back after their lifetime; the load of lost entries counts until a bound passes. All state is in ordered sets or heaps, so no decision scans the waiting requests or the runners. Views and counters for status pages.

--- /dev/null
+++ b/crates/core/src/pool/departure.rs
@@ -0,0 +1,54 @@
+//! Entries and runners that are gone.
+
+use std::time::Duration;
+
+use crate::{
+    ids::{HostId, RequestId, RunnerName},
+    time::MonoTime,
+};
+
+use super::{Pool, timers::Timer};
+
+/// Shortest time for which the load of a lost entry's request is counted.
+const MIN_ORPHAN_TIME: Duration = Duration::from_secs(5);
+
+/// Longest time for which the load of a lost entry's request is counted.
+const MAX_ORPHAN_TIME: Duration = Duration::from_secs(120);
+
+/// Factor on the expected time of an answer for such a request.
+const ORPHAN_FACTOR: u32 = 2;
+
+impl Pool {
+    /// Drops what a lost entry had waiting. What it may have dispatched runs on
+    /// at the engine, so its load counts until a bound has passed.
+    pub(super) fn entry_gone(&mut self, now: MonoTime, entry: &HostId) {
+        let Some(ids) = self.entries.remove(entry) else { return };
+        for id in ids {
+            if self.drop_waiting(id).is_none() {
+                self.orphan(now, id);
+            }
+        }
+    }
+
+    pub(super) fn runner_gone(&mut self, now: MonoTime, name: &RunnerName) {
+        if let Some(ix) = self.runners.find(name) {
+            self.prefixes.forget_runner(ix);
+        }
+        self.runners.remove(now, name, &mut self.timers);
+    }
+
+    fn orphan(&mut self, now: MonoTime, id: RequestId) {
+        let Some(flight) = self.flights.get_mut(&id) else { return };
+        if let Some((at, timer)) = flight.timer.take() {
+            self.timers.cancel(at, timer);
+        }
+        let runner = flight.runner.and_then(|ix| self.runners.get(ix));
+        let between = runner.map_or(0, |r| r.rates.between_us(f64::from(r.load())));
+        let decode = Duration::from_micros(between * u64::from(flight.request.decode_tokens));
+        let bound = (decode * ORPHAN_FACTOR).clamp(MIN_ORPHAN_TIME, MAX_ORPHAN_TIME);
+        let at = now + bound;
+        let timer = Timer::OrphanBound(id);
+        flight.timer = Some((at, timer));
+        self.timers.set(at, timer);
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/estimate.rs
@@ -0,0 +1,93 @@
+//! Expected length of answers, learned per class and workspace.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    ids::{ClassName, WorkspaceName},
+    request::RequestRecord,
+};
+
+/// Work of one generated token, in prefill tokens.
+pub(super) const WORK_PER_DECODE_TOKEN: u64 = 12;
+
+/// Answer length assumed before anything was learned.
+const DEFAULT_DECODE_TOKENS: f64 = 128.0;
+
+/// Weight of a new observation.
+const WEIGHT: f64 = 0.1;
+
+/// Most pairs of class and workspace that are learned apart.
+const MAX_PAIRS: usize = 16_384;
+
+/// Most classes that are learned.
+const MAX_CLASSES: usize = 1_024;
+
+/// A running mean with its mean absolute error.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Estimate {
+    /// Mean of the observations, recent ones weighing more.
+    pub mean: f64,
+    /// Mean absolute difference between estimate and observation.
+    pub error: f64,
+    /// Number of observations.
+    pub samples: u64,
+}
+
+impl Estimate {
+    pub(super) fn observe(&mut self, value: f64) {
+        self.samples += 1;
+        if self.samples == 1 {
+            self.mean = value;
+            return;
+        }
+        self.error += WEIGHT * ((value - self.mean).abs() - self.error);
+        self.mean += WEIGHT * (value - self.mean);
+    }
+}
+
+/// Learned answer lengths.
+#[derive(Debug, Default)]
+pub(super) struct DecodeEstimates {
+    pairs: BTreeMap<(ClassName, WorkspaceName), Estimate>,
+    classes: BTreeMap<ClassName, Estimate>,
+    overall: Estimate,
+}
+
+impl DecodeEstimates {
+    /// Expected tokens of the answer, capped by the caller's own limit.
+    pub(super) fn expect(&self, record: &RequestRecord) -> u32 {
+        if record.prefill_tokens == 0 {
+            return 0;
+        }
+        let pair = (record.class.clone(), record.workspace.clone());
+        let known = self.pairs.get(&pair).or_else(|| self.classes.get(&record.class));
+        let mean = known.map_or(DEFAULT_DECODE_TOKENS, |e| e.mean);
+        let expected = mean.ceil() as u32;
+        record.max_decode_tokens.map_or(expected, |max| expected.min(max))
+    }
+
+    pub(super) fn observe(&mut self, record: &RequestRecord, decode_tokens: u32) {
+        let value = f64::from(decode_tokens);
+        self.overall.observe(value);
+        observe_bounded(&mut self.classes, record.class.clone(), value, MAX_CLASSES);
+        let pair = (record.class.clone(), record.workspace.clone());
+        observe_bounded(&mut self.pairs, pair, value, MAX_PAIRS);
+    }
+
+    pub(super) fn classes(&self) -> &BTreeMap<ClassName, Estimate> {
+        &self.classes
+    }
+}
+
+fn observe_bounded<K>(map: &mut BTreeMap<K, Estimate>, key: K, value: f64, max: usize)
+where
+    K: Ord,
+{
+    if let Some(estimate) = map.get_mut(&key) {
+        estimate.observe(value);
+    } else if map.len() < max {
+        let mut estimate = Estimate::default();
+        estimate.observe(value);
+        map.insert(key, estimate);
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/foreign.rs
@@ -0,0 +1,63 @@
+//! Load that a runner has but this owner did not grant.
+//!
+//! A report is compared with what this owner had in progress when the report
+//! was made. The difference stems from an earlier owner or from entries that
+//! are gone. It corrects the owner's own count with a weight that falls with
+//! the report's age.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::time::MonoTime;
+
+use super::input::LoadReport;
+
+/// Length of one interval of the history.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Number of intervals kept.
+const INTERVALS: usize = 24;
+
+/// Age at which a report weighs half.
+const HALF_WEIGHT_AGE: Duration = Duration::from_secs(1);
+
+/// Load of others at one runner.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ForeignLoad {
+    /// Most sequences of this owner in each recent interval.
+    history: VecDeque<(MonoTime, u32)>,
+    estimate: f64,
+}
+
+impl ForeignLoad {
+    pub(super) fn sequences(&self) -> u32 {
+        self.estimate.round() as u32
+    }
+
+    /// Notes this owner's own sequences in progress.
+    pub(super) fn note_own(&mut self, now: MonoTime, own: u32) {
+        match self.history.back_mut() {
+            Some((start, most)) if now.since(*start) < INTERVAL => *most = own.max(*most),
+            _ => {
+                let before = self.history.back().map_or(0, |&(_, most)| most);
+                self.history.push_back((now, own.max(before.min(own + 1))));
+            }
+        }
+        if self.history.len() > INTERVALS {
+            self.history.pop_front();
+        }
+    }
+
+    pub(super) fn report(&mut self, now: MonoTime, report: &LoadReport, own: u32) {
+        let made = now - report.age;
+        let near =
+            |start: MonoTime| start <= made + INTERVAL && made <= start + INTERVAL + INTERVAL;
+        let then = self.history.iter().filter(|&&(start, _)| near(start)).map(|&(_, most)| most);
+        let before = self.history.iter().rfind(|&&(start, _)| start <= made).map_or(own, |h| h.1);
+        let own_then = then.max().unwrap_or(0).max(before);
+        let reported = report.running.saturating_add(report.queued);
+        let surplus = f64::from(reported.saturating_sub(own_then));
+        let half = HALF_WEIGHT_AGE.as_secs_f64();
+        let weight = half / (half + report.age.as_secs_f64());
+        self.estimate += weight * (surplus - self.estimate);
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/limit.rs
@@ -0,0 +1,119 @@
+//! Limits of one runner in sequences and cache tokens.
+//!
+//! Limits fall at once when a runner is seen to be slower than the targets
+//! allow, and come back by one sequence at a time while the runner is busy.
+
+use std::time::Duration;
+
+use crate::time::MonoTime;
+
+use super::input::LoadReport;
+
+/// Cache tokens per sequence before anything was observed.
+const INITIAL_TOKENS_PER_SEQUENCE: f64 = 8_192.0;
+
+/// Most sequences at one runner.
+const MAX_SEQUENCES: f64 = 1_024.0;
+
+/// Most cache tokens at one runner.
+const MAX_TOKENS: f64 = 1e9;
+
+/// Smallest factor of one reduction.
+const LARGEST_CUT: f64 = 0.7;
+
+/// Shortest time between two reductions.
+const CUT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Shortest time between two increases.
+const RAISE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time without increases after a report of queued sequences.
+const HOLD_AFTER_QUEUE: Duration = Duration::from_secs(10);
+
+/// Share of the limit that has to be in use before the limit grows.
+const BUSY_SHARE: f64 = 0.8;
+
+/// Share of the most running sequences below which a queue in the engine means
+/// that its cache memory is full.
+const FULL_SHARE: f64 = 0.8;
+
+/// Growth of the token limit per increase.
+const TOKEN_GROWTH: f64 = 1.02;
+
+/// Reports older than this are ignored.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(5);
+
+/// Learned limits of one runner.
+#[derive(Clone, Debug)]
+pub(super) struct Limit {
+    sequences: f64,
+    tokens: f64,
+    last_cut: MonoTime,
+    raise_at: MonoTime,
+    /// Most running sequences that the engine ever reported.
+    most_running: f64,
+}
+
+impl Limit {
+    pub(super) fn new(initial: u32) -> Self {
+        let sequences = f64::from(initial.max(1));
+        Self {
+            sequences,
+            tokens: sequences * INITIAL_TOKENS_PER_SEQUENCE,
+            last_cut: MonoTime::ZERO,
+            raise_at: MonoTime::ZERO,
+            most_running: 0.0,
+        }
+    }
+
+    pub(super) fn sequences(&self) -> u32 {
+        self.sequences as u32
+    }
+
+    pub(super) fn tokens(&self) -> u64 {
+        self.tokens as u64
+    }
+
+    /// Moves the limit towards what the observed rates allow.
+    pub(super) fn follow(&mut self, now: MonoTime, ideal: f64, in_progress: usize) {
+        let ideal = ideal.clamp(1.0, MAX_SEQUENCES);
+        if ideal < self.sequences {
+            self.cut(now, ideal);
+            return;
+        }
+        let busy = in_progress as f64 >= BUSY_SHARE * self.sequences;
+        if !busy || now < self.raise_at {
+            return;
+        }
+        self.raise_at = now + RAISE_INTERVAL;
+        self.sequences = (self.sequences + 1.0).min(ideal);
+        self.tokens = (self.tokens * TOKEN_GROWTH).min(MAX_TOKENS);
+    }
+
+    /// Takes in a report of the engine's own queue. Older reports weigh less.
+    pub(super) fn report(&mut self, now: MonoTime, report: &LoadReport) {
+        let running = f64::from(report.running);
+        self.most_running = self.most_running.max(running);
+        if report.queued == 0 || report.age >= MAX_REPORT_AGE {
+            return;
+        }
+        self.raise_at = now + HOLD_AFTER_QUEUE;
+        let weight = 1.0 - report.age.as_secs_f64() / MAX_REPORT_AGE.as_secs_f64();
+        let held = report.tokens as f64;
+        if running < FULL_SHARE * self.most_running {
+            self.tokens += weight * (held - self.tokens).min(0.0);
+        } else {
+            self.sequences += weight * (running - self.sequences).min(0.0);
+            self.sequences = self.sequences.max(1.0);
+        }
+    }
+
+    fn cut(&mut self, now: MonoTime, ideal: f64) {
+        if now.since(self.last_cut) < CUT_INTERVAL {
+            return;
+        }
+        self.last_cut = now;
+        self.raise_at = now + RAISE_INTERVAL;
+        self.sequences = ideal.max(self.sequences * LARGEST_CUT).max(1.0);
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/prefix.rs
@@ -0,0 +1,157 @@
+//! Hints on which runner holds which prompt prefix.
+//!
+//! Engines publish cache events late and with gaps, so an entry is a hint that
+//! expires. A chain of block hashes is stored at a few depths only, which bounds
+//! the cost of a grant; a lookup is a binary search over the same depths.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::{
+    request::{BlockHash, RequestRecord},
+    time::MonoTime,
+};
+
+use super::{hash::StableMap, input::CacheEvent, runner::RunnerIx};
+
+/// Time after which a hint is forgotten.
+const HINT_LIFETIME: Duration = Duration::from_secs(120);
+
+/// Most hints of one pool.
+const MAX_HINTS: usize = 400_000;
+
+/// Most runners remembered for one block.
+const MAX_HOLDERS: usize = 6;
+
+/// Depths up to this one are all stored; deeper ones grow by a quarter.
+const DENSE_DEPTHS: usize = 8;
+
+/// Most depths of one chain.
+const MAX_DEPTHS: usize = 40;
+
+/// A runner that is believed to hold a block.
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    runner: RunnerIx,
+    since: MonoTime,
+}
+
+/// Tokens of a prompt that a runner probably holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct PrefixHit {
+    pub(super) runner: RunnerIx,
+    pub(super) tokens: u32,
+}
+
+/// Holders by block.
+#[derive(Debug, Default)]
+pub(super) struct PrefixIndex {
+    holders: StableMap<BlockHash, Vec<Holder>>,
+    order: VecDeque<(MonoTime, BlockHash, RunnerIx)>,
+}
+
+impl PrefixIndex {
+    /// Notes that a runner was sent this prompt.
+    pub(super) fn note(&mut self, now: MonoTime, record: &RequestRecord, runner: RunnerIx) {
+        for depth in depths(record.prefix.len()) {
+            self.insert(now, record.prefix[depth - 1], runner);
+        }
+        self.expire(now);
+    }
+
+    /// Takes in a cache event of a runner.
+    pub(super) fn event(&mut self, now: MonoTime, runner: RunnerIx, event: &CacheEvent) {
+        match event {
+            CacheEvent::Stored(blocks) => {
+                blocks.iter().for_each(|&block| self.insert(now, block, runner));
+            }
+            CacheEvent::Evicted(blocks) => {
+                blocks.iter().for_each(|&block| self.remove(block, runner, None));
+            }
+            CacheEvent::Reset => self.forget_runner(runner),
+        }
+        self.expire(now);
+    }
+
+    /// Forgets every hint on a runner. Costs a pass over all hints.
+    pub(super) fn forget_runner(&mut self, runner: RunnerIx) {
+        let order = std::mem::take(&mut self.order);
+        let (gone, kept): (VecDeque<_>, _) = order.into_iter().partition(|&(.., r)| r == runner);
+        self.order = kept;
+        gone.into_iter().for_each(|(_, block, _)| self.remove(block, runner, None));
+    }
+
+    /// Runners that hold a prefix of the prompt, the longest prefix first.
+    pub(super) fn lookup(&self, record: &RequestRecord, hits: &mut Vec<PrefixHit>) {
+        hits.clear();
+        let len = record.prefix.len();
+        let depths: Vec<usize> = depths(len).collect();
+        let (mut low, mut high) = (0, depths.len());
+        while low < high {
+            let middle = low + (high - low) / 2;
+            let depth = depths[middle];
+            let Some(holders) = self.holders.get(&record.prefix[depth - 1]) else {
+                high = middle;
+                continue;
+            };
+            low = middle + 1;
+            let tokens = u64::from(record.prefill_tokens) * depth as u64 / len as u64;
+            for holder in holders {
+                add_hit(hits, holder.runner, tokens as u32);
+            }
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    fn insert(&mut self, now: MonoTime, block: BlockHash, runner: RunnerIx) {
+        let holders = self.holders.entry(block).or_default();
+        if let Some(holder) = holders.iter_mut().find(|h| h.runner == runner) {
+            if now.since(holder.since) < HINT_LIFETIME / 4 {
+                return;
+            }
+            holder.since = now;
+        } else {
+            if holders.len() == MAX_HOLDERS {
+                holders.remove(0);
+            }
+            holders.push(Holder { runner, since: now });
+        }
+        self.order.push_back((now, block, runner));
+    }
+
+    fn remove(&mut self, block: BlockHash, runner: RunnerIx, until: Option<MonoTime>) {
+        let Some(holders) = self.holders.get_mut(&block) else { return };
+        let outdated = |h: &Holder| until.is_none_or(|until| h.since <= until);
+        holders.retain(|h| h.runner != runner || !outdated(h));
+        if holders.is_empty() {
+            self.holders.remove(&block);
+        }
+    }
+
+    fn expire(&mut self, now: MonoTime) {
+        while let Some(&(since, block, runner)) = self.order.front() {
+            let old = now.since(since) > HINT_LIFETIME;
+            if !old && self.order.len() <= MAX_HINTS {
+                return;
+            }
+            self.order.pop_front();
+            self.remove(block, runner, Some(since));
+        }
+    }
+}
+
+fn add_hit(hits: &mut Vec<PrefixHit>, runner: RunnerIx, tokens: u32) {
+    match hits.iter_mut().find(|hit| hit.runner == runner) {
+        Some(hit) => hit.tokens = hit.tokens.max(tokens),
+        None => hits.push(PrefixHit { runner, tokens }),
+    }
+}
+
+/// Depths at which a chain of `len` blocks is stored, the shallowest first.
+fn depths(len: usize) -> impl Iterator<Item = usize> {
+    let next = |&depth: &usize| Some(if depth < DENSE_DEPTHS { depth + 1 } else { depth * 5 / 4 });
+    let regular = std::iter::successors(Some(1), next).take(MAX_DEPTHS);
+    regular.take_while(move |&depth| depth < len).chain((len > 0).then_some(len))
+}
--- /dev/null
+++ b/crates/core/src/pool/queues.rs
@@ -0,0 +1,116 @@
+//! All waiting requests of a pool.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{RequestId, Tier};
+
+use super::{
+    drain::DrainRate,
+    fair::FairQueue,
+    hash::StableMap,
+    request::{Length, Request},
+};
+
+/// Queue of one tier and length class.
+#[derive(Debug)]
+pub(super) struct TierQueue {
+    pub(super) fair: FairQueue,
+    pub(super) drain: DrainRate,
+}
+
+/// All waiting requests of a pool, by identity, by order, and by arrival.
+#[derive(Debug)]
+pub(super) struct Queues {
+    share_window: u64,
+    requests: StableMap<RequestId, Box<Request>>,
+    queues: BTreeMap<(Tier, Length), TierQueue>,
+    /// Requests by tier and arrival; the last one is shed first.
+    arrivals: BTreeSet<(Tier, u64, RequestId)>,
+    bytes: u64,
+}
+
+impl TierQueue {
+    fn new(share_window: u64) -> Self {
+        Self { fair: FairQueue::new(share_window), drain: DrainRate::default() }
+    }
+}
+
+impl Queues {
+    pub(super) fn new(share_window: u64) -> Self {
+        Self {
+            share_window,
+            requests: StableMap::default(),
+            queues: BTreeMap::new(),
+            arrivals: BTreeSet::new(),
+            bytes: 0,
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    pub(super) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    pub(super) fn contains(&self, id: RequestId) -> bool {
+        self.requests.contains_key(&id)
+    }
+
+    pub(super) fn get(&self, id: RequestId) -> Option<&Request> {
+        self.requests.get(&id).map(Box::as_ref)
+    }
+
+    pub(super) fn insert(&mut self, request: Box<Request>) {
+        let record = &request.record;
+        let rank = (request.latest_start, record.id);
+        let key = (record.tier, request.length);
+        let window = self.share_window;
+        let queue = self.queues.entry(key).or_insert_with(|| TierQueue::new(window));
+        queue.fair.insert(&record.workspace, rank, request.work());
+        self.arrivals.insert((record.tier, request.sequence, record.id));
+        self.bytes += u64::from(record.body_bytes);
+        self.requests.insert(record.id, request);
+    }
+
+    /// Takes a request out without counting it as granted.
+    pub(super) fn remove(&mut self, id: RequestId) -> Option<Box<Request>> {
+        self.take(id, false)
+    }
+
+    /// Takes a request out in order to grant it.
+    pub(super) fn grant(&mut self, id: RequestId) -> Option<Box<Request>> {
+        self.take(id, true)
+    }
+
+    fn take(&mut self, id: RequestId, charge: bool) -> Option<Box<Request>> {
+        let request = self.requests.remove(&id)?;
+        let record = &request.record;
+        if let Some(queue) = self.queues.get_mut(&(record.tier, request.length)) {
+            let rank = (request.latest_start, id);
+            queue.fair.remove(&record.workspace, rank, request.work(), charge);
+        }
+        self.arrivals.remove(&(record.tier, request.sequence, id));
+        self.bytes -= u64::from(record.body_bytes);
+        Some(request)
+    }
+
+    /// The newest request of the lowest tier that has waiting requests.
+    pub(super) fn last(&self) -> Option<(Tier, RequestId)> {
+        self.arrivals.last().map(|&(tier, _, id)| (tier, id))
+    }
+
+    /// The queues by tier and length class.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (Tier, Length, &TierQueue)> {
+        self.queues.iter().map(|(&(tier, length), queue)| (tier, length, queue))
+    }
+
+    pub(super) fn queue(&self, tier: Tier, length: Length) -> Option<&TierQueue> {
+        self.queues.get(&(tier, length))
+    }
+
+    pub(super) fn queue_mut(&mut self, tier: Tier, length: Length) -> Option<&mut TierQueue> {
+        self.queues.get_mut(&(tier, length))
+    }
+}
--- a/crates/core/src/pool/settings.rs
+++ b/crates/core/src/pool/settings.rs
@@ -17,6 +17,9 @@
     pub max_waiting: usize,
     /// Most bytes of the bodies of waiting requests, over all entries.
     pub max_waiting_bytes: u64,
+    /// Work by which one workspace may run ahead of the others of its tier, in
+    /// prefill-token equivalents.
+    pub share_window: u64,
 }
 
 impl PoolSettings {
@@ -26,6 +29,8 @@
     pub const MAX_WAITING: usize = 100_000;
     /// Default limit on the bytes of waiting bodies.
     pub const MAX_WAITING_BYTES: u64 = 4 << 30;
+    /// Default work by which one workspace may run ahead.
+    pub const SHARE_WINDOW: u64 = 200_000;
 
     /// Settings with default limits.
     #[must_use]
@@ -36,6 +41,7 @@
             grant_lifetime: Self::GRANT_LIFETIME,
             max_waiting: Self::MAX_WAITING,
             max_waiting_bytes: Self::MAX_WAITING_BYTES,
+            share_window: Self::SHARE_WINDOW,
         }
     }
 
@@ -53,4 +59,11 @@
         self.max_waiting_bytes = bytes;
         self
     }
+
+    /// Replaces the work by which one workspace may run ahead.
+    #[must_use]
+    pub fn with_share_window(mut self, work: u64) -> Self {
+        self.share_window = work;
+        self
+    }
 }
--- /dev/null
+++ b/crates/core/src/pool/shed.rs
@@ -0,0 +1,108 @@
+//! Refusal of requests for capacity, from the lowest tier up.
+
+use std::time::Duration;
+
+use crate::{
+    ids::{RequestId, Tier},
+    outcome::NotRunReason,
+    time::MonoTime,
+};
+
+use super::{Pool, PoolAction, request::Request, state::MIN_RETRY_AFTER};
+
+/// Time for which lower tiers are refused after a tier was shed.
+const CLOSED_FOR: Duration = Duration::from_secs(1);
+
+/// The highest tier that was shed lately. Lower tiers are not admitted, so that
+/// a higher tier is never shed while a lower one is being admitted.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ClosedTiers {
+    shed: Option<(Tier, MonoTime)>,
+}
+
+impl ClosedTiers {
+    pub(super) fn is_closed(&self, now: MonoTime, tier: Tier) -> bool {
+        self.shed.is_some_and(|(shed, until)| now < until && tier > shed)
+    }
+
+    fn close_below(&mut self, now: MonoTime, tier: Tier) {
+        let until = now + CLOSED_FOR;
+        let tier = match self.shed {
+            Some((shed, old)) if now < old => shed.min(tier),
+            _ => tier,
+        };
+        self.shed = Some((tier, until));
+    }
+}
+
+impl Pool {
+    /// Refuses a new request for capacity if it has to be, and makes room for
+    /// it otherwise. Returns the request if it is admitted.
+    pub(super) fn admit(
+        &mut self,
+        now: MonoTime,
+        request: Box<Request>,
+        out: &mut Vec<PoolAction>,
+    ) -> Option<Box<Request>> {
+        let tier = request.record.tier;
+        if self.closed.is_closed(now, tier) {
+            self.refuse(&request, NotRunReason::Shed, CLOSED_FOR, out);
+            return None;
+        }
+        if let Some(wait) = self.hopeless_wait(now, &request) {
+            self.closed.close_below(now, tier);
+            self.refuse(&request, NotRunReason::Shed, wait, out);
+            return None;
+        }
+        self.make_room(now, request, out)
+    }
+
+    /// Displaces lower tiers until the request fits into the queue, the newest
+    /// one of the lowest tier first. Refuses the request if it still doesn't fit.
+    pub(super) fn make_room(
+        &mut self,
+        now: MonoTime,
+        request: Box<Request>,
+        out: &mut Vec<PoolAction>,
+    ) -> Option<Box<Request>> {
+        let tier = request.record.tier;
+        let bytes = u64::from(request.record.body_bytes);
+        while !self.fits(bytes) {
+            let Some(last) = self.queues.last().filter(|&(lowest, _)| lowest > tier) else {
+                self.closed.close_below(now, tier);
+                self.refuse(&request, NotRunReason::QueueFull, MIN_RETRY_AFTER, out);
+                return None;
+            };
+            self.displace(last.1, out);
+        }
+        Some(request)
+    }
+
+    fn fits(&self, bytes: u64) -> bool {
+        let count_fits = self.queues.len() < self.settings.max_waiting;
+        count_fits && self.queues.bytes() + bytes <= self.settings.max_waiting_bytes
+    }
+
+    fn displace(&mut self, id: RequestId, out: &mut Vec<PoolAction>) {
+        if let Some(request) = self.drop_waiting(id) {
+            self.refuse(&request, NotRunReason::QueueFull, MIN_RETRY_AFTER, out);
+        }
+    }
+
+    /// The expected wait of a request that can't be reached in time behind the
+    /// work before it. Only the lowest waiting tier is judged this way.
+    fn hopeless_wait(&mut self, now: MonoTime, request: &Request) -> Option<Duration> {
+        let record = &request.record;
+        if self.queues.last().is_some_and(|(lowest, _)| lowest > record.tier) {
+            return None;
+        }
+        let queue = self.queues.queue_mut(record.tier, request.length)?;
+        if queue.fair.is_empty() {
+            return None;
+        }
+        let work = queue.fair.work_ahead(&record.workspace);
+        let wait = queue.drain.time_for(now, work)?;
+        let left = request.latest_start.since(now);
+        (wait > left).then(|| wait - left)
+    }
+}
--- a/crates/core/src/pool/state.rs
+++ b/crates/core/src/pool/state.rs
@@ -1,36 +1,52 @@
-//! State and decisions of a pool owner.
+//! State of a pool owner and its dispatch of inputs.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use crate::{
-    ids::{RequestId, RunnerName, Tier},
+    ids::{HostId, RequestId},
     outcome::NotRunReason,
-    request::{Grant, RequestRecord},
     time::MonoTime,
 };
 
-use super::{PoolAction, PoolInput, PoolSettings, runner::Runner};
-
-/// Time after which a refused caller may try again.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+use super::{
+    PoolAction, PoolCounters, PoolInput, PoolSettings,
+    budget::RetryBudget,
+    estimate::DecodeEstimates,
+    flight::Flight,
+    hash::StableMap,
+    prefix::{PrefixHit, PrefixIndex},
+    queues::Queues,
+    request::Request,
+    runner::RunnerIx,
+    shed::ClosedTiers,
+    table::RunnerTable,
+    tightest::TightestTarget,
+    timers::{Timer, Timers},
+};
 
-/// A waiting request.
-#[derive(Clone, Debug)]
-struct Waiting {
-    record: RequestRecord,
-    deadline: MonoTime,
-}
+/// Shortest time after which a refused caller may try again.
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The owner's view of one pool.
 pub struct Pool {
-    settings: PoolSettings,
-    runners: BTreeMap<RunnerName, Runner>,
-    queues: BTreeMap<Tier, VecDeque<RequestId>>,
-    waiting: BTreeMap<RequestId, Waiting>,
-    granted: BTreeMap<RequestId, (RunnerName, RequestRecord)>,
+    pub(super) settings: PoolSettings,
+    pub(super) runners: RunnerTable,
+    pub(super) queues: Queues,
+    pub(super) flights: StableMap<RequestId, Flight>,
+    /// Waiting and granted requests of each entry.
+    pub(super) entries: BTreeMap<HostId, BTreeSet<RequestId>>,
+    pub(super) timers: Timers,
+    pub(super) decode: DecodeEstimates,
+    pub(super) prefixes: PrefixIndex,
+    pub(super) budget: RetryBudget,
+    pub(super) closed: ClosedTiers,
+    pub(super) tightest: TightestTarget,
+    pub(super) counters: PoolCounters,
+    pub(super) hits: Vec<PrefixHit>,
+    pub(super) next_sequence: u64,
 }
 
 impl Pool {
@@ -38,11 +54,20 @@
     #[must_use]
     pub fn new(settings: PoolSettings) -> Self {
         Self {
+            queues: Queues::new(settings.share_window),
             settings,
-            runners: BTreeMap::new(),
-            queues: BTreeMap::new(),
-            waiting: BTreeMap::new(),
-            granted: BTreeMap::new(),
+            runners: RunnerTable::default(),
+            flights: StableMap::default(),
+            entries: BTreeMap::new(),
+            timers: Timers::default(),
+            decode: DecodeEstimates::default(),
+            prefixes: PrefixIndex::default(),
+            budget: RetryBudget::new(),
+            closed: ClosedTiers::default(),
+            tightest: TightestTarget::default(),
+            counters: PoolCounters::default(),
+            hits: Vec::new(),
+            next_sequence: 0,
         }
     }
 
@@ -55,128 +80,146 @@
     /// Number of waiting requests.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.queues.len()
     }
 
     /// Number of granted requests whose end is not known yet.
     #[must_use]
     pub fn in_progress(&self) -> usize {
-        self.granted.len()
+        self.flights.len()
+    }
+
+    /// Counters since the owner started.
+    #[must_use]
+    pub fn counters(&self) -> &PoolCounters {
+        &self.counters
     }
 
     /// Decides on one input and appends the resulting actions to `out`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use comfreyway_core::{
+    ///     ids::{Epoch, PoolId},
+    ///     pool::{Pool, PoolInput, PoolSettings},
+    ///     time::MonoTime,
+    /// };
+    ///
+    /// let id = PoolId { upstream: "llm".parse().unwrap(), region: "almaty".parse().unwrap() };
+    /// let mut pool = Pool::new(PoolSettings::new(id, Epoch::default()));
+    /// let mut actions = Vec::new();
+    /// pool.handle(MonoTime::ZERO, PoolInput::Tick, &mut actions);
+    /// assert!(actions.is_empty());
+    /// ```
     pub fn handle(&mut self, now: MonoTime, input: PoolInput, out: &mut Vec<PoolAction>) {
+        self.take_in(now, input, out);
+        self.run_timers(now, out);
+        self.grant_all(now, out);
+        if let Some(at) = self.timers.rearm(now) {
+            out.push(PoolAction::SetTimer(at));
+        }
+    }
+
+    fn take_in(&mut self, now: MonoTime, input: PoolInput, out: &mut Vec<PoolAction>) {
         match input {
             PoolInput::Submit(record) => self.submit(now, record, out),
-            PoolInput::Withdraw(id) => {
-                self.waiting.remove(&id);
-                self.release(id);
+            PoolInput::Withdraw(id) => self.withdraw(now, id),
+            PoolInput::GrantUnused { id, reason } => self.grant_unused(now, id, reason, out),
+            PoolInput::Dispatched(id) => self.dispatched(id),
+            PoolInput::FirstToken(id) => self.first_token(now, id),
+            PoolInput::Ended { id, end } => self.ended(now, id, end),
+            PoolInput::Adopt { record, runner } => self.adopt(now, record, &runner),
+            PoolInput::EntryGone(entry) => self.entry_gone(now, &entry),
+            PoolInput::RunnerUp(spec) => {
+                let ix = self.runners.up(spec);
+                self.refresh(now, ix);
             }
-            PoolInput::GrantUnused { id, .. } => self.requeue(now, id),
-            PoolInput::Dispatched(_) | PoolInput::FirstToken(_) => {}
-            PoolInput::Ended { id, .. } => {
-                self.release(id);
-            }
-            PoolInput::Adopt { record, runner } => self.adopt(record, runner),
-            PoolInput::EntryGone(entry) => self.waiting.retain(|_, w| w.record.entry != entry),
-            PoolInput::RunnerUp(spec) => match self.runners.get_mut(&spec.name) {
-                Some(runner) => {
-                    runner.spec = spec;
-                    runner.leaving = false;
-                }
-                None => {
-                    self.runners.insert(spec.name.clone(), Runner::new(spec));
-                }
-            },
             PoolInput::RunnerLeaving(name) => {
-                if let Some(runner) = self.runners.get_mut(&name) {
+                let Some(ix) = self.runners.find(&name) else { return };
+                if let Some(runner) = self.runners.get_mut(ix) {
                     runner.leaving = true;
                 }
+                self.refresh(now, ix);
             }
-            PoolInput::RunnerGone(name) => {
-                self.runners.remove(&name);
+            PoolInput::RunnerGone(name) => self.runner_gone(now, &name),
+            PoolInput::Load { runner, report } => self.load_report(now, &runner, &report),
+            PoolInput::Cache { runner, event } => {
+                if let Some(ix) = self.runners.find(&runner) {
+                    self.prefixes.event(now, ix, &event);
+                }
             }
-            PoolInput::Load { .. } | PoolInput::Cache { .. } | PoolInput::Tick => {}
-        }
-        self.expire(now, out);
-        self.grant(out);
-        if let Some(next) = self.waiting.values().map(|w| w.deadline).min() {
-            out.push(PoolAction::SetTimer(next));
+            PoolInput::Tick => {}
         }
     }
 
-    fn submit(&mut self, now: MonoTime, record: RequestRecord, out: &mut Vec<PoolAction>) {
-        if self.waiting.contains_key(&record.id) || self.granted.contains_key(&record.id) {
-            return;
-        }
-        if self.waiting.len() >= self.settings.max_waiting {
-            out.push(refuse(&record, NotRunReason::QueueFull));
-            return;
+    fn run_timers(&mut self, now: MonoTime, out: &mut Vec<PoolAction>) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            match timer {
+                Timer::Unreachable(id) => self.unreachable(id, out),
+                Timer::GrantExpiry(id) => self.grant_expired(now, id, out),
+                Timer::OrphanBound(id) => {
+                    self.release(now, id);
+                }
+                Timer::Reopen(ix) => self.refresh(now, ix),
+            }
         }
-        let left = record.target.limit().saturating_sub(record.age);
-        let deadline = now + left;
-        self.queues.entry(record.tier).or_default().push_back(record.id);
-        self.waiting.insert(record.id, Waiting { record, deadline });
     }
 
-    fn release(&mut self, id: RequestId) -> Option<RequestRecord> {
-        let (name, record) = self.granted.remove(&id)?;
-        if let Some(runner) = self.runners.get_mut(&name) {
-            runner.in_progress.remove(&id);
-        }
-        Some(record)
+    pub(super) fn refresh(&mut self, now: MonoTime, ix: RunnerIx) {
+        self.runners.refresh(now, ix, &mut self.timers);
     }
 
-    fn requeue(&mut self, now: MonoTime, id: RequestId) {
-        if let Some(record) = self.release(id) {
-            let left = record.target.limit().saturating_sub(record.age);
-            self.queues.entry(record.tier).or_default().push_front(id);
-            self.waiting.insert(id, Waiting { record, deadline: now + left });
-        }
+    /// Puts a request into its queue and sets its timer.
+    pub(super) fn enqueue(&mut self, request: Box<Request>) {
+        let id = request.record.id;
+        self.timers.set(request.unreachable_at, Timer::Unreachable(id));
+        self.note_entry(&request.record.entry, id);
+        self.queues.insert(request);
     }
 
-    fn adopt(&mut self, record: RequestRecord, name: RunnerName) {
-        self.waiting.remove(&record.id);
-        if let Some(runner) = self.runners.get_mut(&name) {
-            runner.in_progress.insert(record.id);
-        }
-        self.granted.insert(record.id, (name, record));
+    /// Takes a waiting request out for good.
+    pub(super) fn drop_waiting(&mut self, id: RequestId) -> Option<Box<Request>> {
+        let request = self.queues.remove(id)?;
+        self.timers.cancel(request.unreachable_at, Timer::Unreachable(id));
+        self.forget_entry(&request.record.entry, id);
+        Some(request)
     }
 
-    fn expire(&mut self, now: MonoTime, out: &mut Vec<PoolAction>) {
-        let late = |w: &Waiting| w.deadline <= now;
-        let expired = self.waiting.values().filter(|w| late(w));
-        out.extend(expired.map(|w| refuse(&w.record, NotRunReason::TargetUnreachable)));
-        self.waiting.retain(|_, w| !late(w));
+    pub(super) fn refuse(
+        &mut self,
+        request: &Request,
+        reason: NotRunReason,
+        retry_after: Duration,
+        out: &mut Vec<PoolAction>,
+    ) {
+        let record = &request.record;
+        self.counters.refuse(record.tier, reason);
+        let retry_after = retry_after.max(MIN_RETRY_AFTER);
+        let entry = record.entry.clone();
+        out.push(PoolAction::Refuse { entry, id: record.id, reason, retry_after });
     }
 
-    fn grant(&mut self, out: &mut Vec<PoolAction>) {
-        for queue in self.queues.values_mut() {
-            while let Some(&id) = queue.front() {
-                if !self.waiting.contains_key(&id) {
-                    queue.pop_front();
-                    continue;
-                }
-                let free = self.runners.values_mut().filter(|r| r.has_room());
-                let Some(runner) = free.min_by_key(|r| r.in_progress.len()) else { return };
-                queue.pop_front();
-                let Some(waiting) = self.waiting.remove(&id) else { continue };
-                runner.in_progress.insert(id);
-                let name = runner.spec.name.clone();
-                let grant = Grant {
-                    id,
-                    runner: name.clone(),
-                    epoch: self.settings.epoch,
-                    valid_for: self.settings.grant_lifetime,
-                };
-                out.push(PoolAction::Grant { entry: waiting.record.entry.clone(), grant });
-                self.granted.insert(id, (name, waiting.record));
-            }
+    pub(super) fn note_entry(&mut self, entry: &HostId, id: RequestId) {
+        self.entries.entry(entry.clone()).or_default().insert(id);
+    }
+
+    pub(super) fn forget_entry(&mut self, entry: &HostId, id: RequestId) {
+        let Some(ids) = self.entries.get_mut(entry) else { return };
+        ids.remove(&id);
+        if ids.is_empty() {
+            self.entries.remove(entry);
         }
     }
-}
 
-fn refuse(record: &RequestRecord, reason: NotRunReason) -> PoolAction {
-    let entry = record.entry.clone();
-    PoolAction::Refuse { entry, id: record.id, reason, retry_after: RETRY_AFTER }
+    fn unreachable(&mut self, id: RequestId, out: &mut Vec<PoolAction>) {
+        if let Some(request) = self.drop_waiting(id) {
+            let reason = if self.runners.len() == 0 {
+                NotRunReason::NoRunner
+            } else {
+                NotRunReason::TargetUnreachable
+            };
+            self.refuse(&request, reason, MIN_RETRY_AFTER, out);
+        }
+    }
 }
--- /dev/null
+++ b/crates/core/src/pool/views.rs
@@ -0,0 +1,130 @@
+//! Read-only views of a pool for status pages.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    ids::{ClassName, RequestId, RunnerName},
+    time::MonoTime,
+};
+
+use super::{
+    Estimate, Explanation, Length, Pool, PoolSizes, Rank, RunnerView, Standing, TierView,
+    WaitCause,
+    flight::Progress,
+    grant::access_of,
+    request::Request,
+    runner::{Runner, RunnerIx},
+};
+
+impl Pool {
+    /// Waiting requests by tier.
+    #[must_use]
+    pub fn tiers(&self) -> Vec<TierView> {
+        let mut views: Vec<TierView> = Vec::new();
+        for (tier, length, queue) in self.queues.iter() {
+            if views.last().is_none_or(|view| view.tier != tier) {
+                views.push(TierView { tier, waiting: 0, waiting_long: 0 });
+            }
+            let Some(view) = views.last_mut() else { continue };
+            view.waiting += queue.fair.len();
+            if length == Length::Long {
+                view.waiting_long += queue.fair.len();
+            }
+        }
+        views
+    }
+
+    /// The known runners in order of name.
+    #[must_use]
+    pub fn runners(&self, now: MonoTime) -> Vec<RunnerView> {
+        self.runners.iter().map(|runner| view_of(now, runner)).collect()
+    }
+
+    /// Learned answer lengths by class.
+    #[must_use]
+    pub fn decode_estimates(&self) -> &BTreeMap<ClassName, Estimate> {
+        self.decode.classes()
+    }
+
+    /// Retries that the pool's budget still allows.
+    #[must_use]
+    pub fn retries_left(&self) -> u32 {
+        self.budget.saved() as u32
+    }
+
+    /// Sizes of the pool's state.
+    #[must_use]
+    pub fn sizes(&self) -> PoolSizes {
+        PoolSizes {
+            waiting: self.queues.len(),
+            waiting_bytes: self.queues.bytes(),
+            in_progress: self.flights.len(),
+            timers: self.timers.len(),
+            prefix_hints: self.prefixes.len(),
+            workspaces: self.queues.iter().map(|(_, _, queue)| queue.fair.spaces()).sum(),
+        }
+    }
+
+    /// Where a request stands, or none if it is neither waiting nor granted.
+    #[must_use]
+    pub fn explain(&self, id: RequestId) -> Option<Explanation> {
+        if let Some(flight) = self.flights.get(&id) {
+            let runner = flight.runner.and_then(|ix| self.runner_name(ix));
+            let standing = match flight.progress {
+                Progress::Granted => Standing::Granted(runner),
+                Progress::Answering | Progress::Dispatched => Standing::Dispatched(runner),
+            };
+            return Some(Explanation { rank: rank_of(&flight.request), standing });
+        }
+        let request = self.queues.get(id)?;
+        let standing = Standing::Waiting(self.wait_cause(request));
+        Some(Explanation { rank: rank_of(request), standing })
+    }
+
+    fn wait_cause(&self, request: &Request) -> WaitCause {
+        let tier = request.record.tier;
+        if self.runners.len() == 0 {
+            return WaitCause::NoRunner;
+        }
+        let queue = self.queues.queue(tier, request.length);
+        if queue.is_some_and(|queue| queue.fair.is_over_share(&request.record.workspace)) {
+            return WaitCause::OverShare;
+        }
+        if !self.runners.has_open(access_of(tier), request.length) {
+            return WaitCause::NoRoom;
+        }
+        WaitCause::LessSlackFirst
+    }
+
+    fn runner_name(&self, ix: RunnerIx) -> Option<RunnerName> {
+        self.runners.get(ix).map(|runner| runner.spec.name.clone())
+    }
+}
+
+fn rank_of(request: &Request) -> Rank {
+    Rank {
+        tier: request.record.tier,
+        length: request.length,
+        latest_start: request.latest_start,
+        unreachable_at: request.unreachable_at,
+        work: request.work(),
+    }
+}
+
+fn view_of(now: MonoTime, runner: &Runner) -> RunnerView {
+    let per_token_ns = runner.rates.prefill_us_per_token() * 1e3;
+    RunnerView {
+        name: runner.spec.name.clone(),
+        leaving: runner.leaving,
+        paused: now < runner.paused_until,
+        in_progress: runner.in_progress,
+        foreign: runner.foreign.sequences(),
+        sequence_limit: runner.limit.sequences(),
+        tokens: runner.tokens,
+        token_limit: runner.limit.tokens(),
+        prefill_per_token: Duration::from_nanos(per_token_ns as u64),
+        between_tokens: Duration::from_micros(runner.rates.between_us(f64::from(runner.load()))),
+        wait: runner.wait(now),
+        pending_prefill: runner.pending.len(),
+    }
+}
