Read and write the configuration as INI

Each element is one section named by kind and name. A fault gives one line with line, section, key and what was expected. Notes and path prefixes are checked so that what is accepted can be written to a file and read back.

--- a/crates/core/src/config/validate/limits.rs
+++ b/crates/core/src/config/validate/limits.rs
@@ -19,6 +19,10 @@
             let text = too_long("note", workspace.note.len(), MAX_NOTE_BYTES);
             findings.push(Finding::error(format!("workspace {name}: note"), text));
         }
+        if workspace.note.chars().any(char::is_control) || workspace.note.trim() != workspace.note {
+            let text = "the note must be one line without space around it";
+            findings.push(Finding::error(format!("workspace {name}: note"), text));
+        }
     }
     for prefix in document.routes.keys().filter(|p| p.len() > MAX_PREFIX_BYTES) {
         let place = format!("route {}…", prefix.chars().take(32).collect::<String>());
--- a/crates/core/src/config/validate/names.rs
+++ b/crates/core/src/config/validate/names.rs
@@ -30,6 +30,10 @@
             let text = "the path prefix must start with /";
             findings.push(Finding::error(format!("route {prefix}"), text));
         }
+        if !prefix.chars().all(|c| c.is_ascii_graphic() && !"[]".contains(c)) {
+            let text = "the path prefix must be visible ASCII without [ and ]; percent-encode it";
+            findings.push(Finding::error(format!("route {}", prefix.escape_debug()), text));
+        }
         if !document.upstreams.contains_key(&route.upstream) {
             findings.push(unknown(format!("route {prefix}: upstream"), &route.upstream));
         }
--- /dev/null
+++ b/crates/proto/src/ini/mod.rs
@@ -0,0 +1,18 @@
+//! The configuration as an INI file for people.
+//!
+//! Each element is a section named by its kind and name, such as
+//! `[class quote]` or `[runner llm r1]`. [`read`] and [`write()`] are inverse to
+//! each other but for the version, which a file does not carry.
+
+mod error;
+mod reader;
+mod section;
+mod value;
+mod writer;
+
+pub use self::{
+    error::IniError,
+    reader::read,
+    value::{DurationText, YesNo},
+    writer::write,
+};
--- /dev/null
+++ b/crates/proto/src/ini/reader.rs
@@ -0,0 +1,190 @@
+//! Reads a configuration file.
+
+use std::{collections::BTreeSet, net::SocketAddr, str::FromStr};
+
+use comfreyway_core::{
+    config::{
+        Class, DataCentre, Document, Edit, Element, Model, Route, Runner, UpstreamKind,
+        UpstreamSpec, Workspace,
+    },
+    ids::Tier,
+    request::Target,
+};
+use ini::{Ini, ParseOption};
+
+use super::{DurationText, IniError, YesNo, section::Section};
+
+const NAME: &str = "a name of letters, digits and . _ - / @ :";
+const DURATION: &str = "a whole number with us, ms, s, m or h, such as 1300ms";
+const YES_NO: &str = "yes or no";
+const TIER: &str = "a tier from 0 (gives way last) to 15";
+const ADDRESS: &str = "an IP number and port";
+const KIND: &str = "engine or service";
+const TEXT: &str = "text";
+const SECTIONS: &str = "class, data-centre, model, route, upstream or workspace with a name, \
+                        or runner with the names of its upstream and its own";
+
+/// Reads a configuration file. The version is zero.
+///
+/// # Errors
+///
+/// Fails with the first fault found. Whether names refer to elements of the
+/// file is left to [`Document::validate`].
+///
+/// # Examples
+///
+/// ```
+/// use comfreyway_proto::ini::read;
+///
+/// let text = "[class quote]\ntier = 0\nwhole-answer = 2s\nidempotent = no\n";
+/// assert_eq!(read(text).unwrap().classes.len(), 1);
+/// let error = read("[class quote]\ntier = top\n").unwrap_err();
+/// assert!(error.to_string().starts_with("line 1: [class quote] tier: bad value"));
+/// ```
+pub fn read(text: &str) -> Result<Document, IniError> {
+    let ini = parse(text)?;
+    let mut seen = BTreeSet::new();
+    let mut elements = Vec::new();
+    for (name, properties) in &ini {
+        let Some(name) = name else {
+            if let Some((key, _)) = properties.iter().next() {
+                return Err(IniError::Section(1, key.into(), SECTIONS.into()));
+            }
+            continue;
+        };
+        let section = Section { name, line: line_of(text, name), properties };
+        if !seen.insert(name.to_owned()) {
+            return Err(IniError::Duplicate(section.line, name.into()));
+        }
+        elements.push((section.line, element(&section)?));
+    }
+    build(elements)
+}
+
+fn parse(text: &str) -> Result<Ini, IniError> {
+    let options =
+        ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+    Ini::load_from_str_opt(text, options)
+        .map_err(|e| IniError::Syntax(e.line + 1, e.msg.into_owned()))
+}
+
+/// Line of a section, from 1.
+fn line_of(text: &str, section: &str) -> usize {
+    let is_section = |line: &str| {
+        let name = line.trim().strip_prefix('[').and_then(|rest| rest.split(']').next());
+        name.map(str::trim) == Some(section.trim())
+    };
+    text.lines().position(is_section).map_or(1, |index| index + 1)
+}
+
+/// Puts the elements together, each upstream before its runners.
+fn build(mut elements: Vec<(usize, Element)>) -> Result<Document, IniError> {
+    elements.sort_by_key(|(_, element)| matches!(element, Element::Runner(..)));
+    let mut document = Document::default();
+    for (line, element) in elements {
+        let name = element.key().to_string();
+        document.apply(&Edit::Set(element)).map_err(|finding| {
+            IniError::Section(line, name, format!("the section [{}] as well", finding.place))
+        })?;
+    }
+    Ok(document)
+}
+
+fn element(section: &Section<'_>) -> Result<Element, IniError> {
+    let words: Vec<_> = section.name.split_whitespace().collect();
+    match words[..] {
+        ["class", name] => Ok(Element::Class(id(section, name)?, class(section)?)),
+        ["data-centre", name] => {
+            section.check_keys(&["region"])?;
+            let value = DataCentre { region: section.required("region", NAME)? };
+            Ok(Element::DataCentre(id(section, name)?, value))
+        }
+        ["model", name] => {
+            section.check_keys(&["upstream"])?;
+            let value = Model { upstream: section.required("upstream", NAME)? };
+            Ok(Element::Model(id(section, name)?, value))
+        }
+        ["route", prefix] => Ok(Element::Route(prefix.to_owned(), route(section)?)),
+        ["runner", upstream, name] => {
+            Ok(Element::Runner(id(section, upstream)?, id(section, name)?, runner(section)?))
+        }
+        ["upstream", name] => Ok(Element::Upstream(id(section, name)?, upstream(section)?)),
+        ["workspace", name] => {
+            section.check_keys(&["note"])?;
+            let note = section.optional("note", TEXT)?.unwrap_or_default();
+            Ok(Element::Workspace(id(section, name)?, Workspace { note }))
+        }
+        _ => Err(IniError::Section(section.line, section.name.into(), SECTIONS.into())),
+    }
+}
+
+fn id<T>(section: &Section<'_>, name: &str) -> Result<T, IniError>
+where
+    T: FromStr,
+{
+    name.parse().map_err(|_| IniError::Section(section.line, section.name.into(), NAME.into()))
+}
+
+fn class(section: &Section<'_>) -> Result<Class, IniError> {
+    let keys =
+        ["tier", "first-token", "between-tokens", "whole-answer", "idempotent", "cancellable"];
+    section.check_keys(&keys)?;
+    Ok(Class {
+        tier: Tier(section.required("tier", TIER)?),
+        target: target(section)?,
+        idempotent: flag(section, "idempotent", true)?,
+        cancellable: flag(section, "cancellable", true)?,
+    })
+}
+
+fn target(section: &Section<'_>) -> Result<Target, IniError> {
+    let duration = |key| section.optional::<DurationText>(key, DURATION);
+    let first = duration("first-token")?;
+    let between = duration("between-tokens")?;
+    match (duration("whole-answer")?, first, between) {
+        (Some(whole), None, None) => Ok(Target::Whole(whole.0)),
+        (None, Some(first), Some(between)) => {
+            Ok(Target::Stream { first_token: first.0, between_tokens: between.0 })
+        }
+        _ => {
+            Err(section.missing("target", "either whole-answer, or first-token and between-tokens"))
+        }
+    }
+}
+
+fn route(section: &Section<'_>) -> Result<Route, IniError> {
+    section.check_keys(&["upstream", "class"])?;
+    let upstream = section.required("upstream", NAME)?;
+    Ok(Route { upstream, class: section.optional("class", NAME)? })
+}
+
+fn runner(section: &Section<'_>) -> Result<Runner, IniError> {
+    section.check_keys(&["address", "data-centre", "leaving"])?;
+    Ok(Runner {
+        address: section.required::<SocketAddr>("address", ADDRESS)?,
+        data_centre: section.required("data-centre", NAME)?,
+        leaving: flag(section, "leaving", false)?,
+    })
+}
+
+fn upstream(section: &Section<'_>) -> Result<UpstreamSpec, IniError> {
+    section.check_keys(&["kind", "checks-fencing", "resumes"])?;
+    let kind: String = section.required("kind", KIND)?;
+    let kind = match kind.as_str() {
+        "engine" => UpstreamKind::Engine,
+        "service" => UpstreamKind::Service,
+        _ => {
+            let (name, key) = (section.name.into(), "kind".into());
+            return Err(IniError::Value(section.line, name, key, kind, KIND.into()));
+        }
+    };
+    Ok(UpstreamSpec {
+        kind,
+        checks_fencing: flag(section, "checks-fencing", false)?,
+        resumes: flag(section, "resumes", false)?,
+    })
+}
+
+fn flag(section: &Section<'_>, key: &str, default: bool) -> Result<bool, IniError> {
+    Ok(section.optional::<YesNo>(key, YES_NO)?.map_or(default, |flag| flag.0))
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -1,7 +1,9 @@
 //! Types at the border and messages between processes.
 //!
 //! - [`headers`] names the HTTP headers that the scheduler reads and writes.
+//! - [`ini`] reads and writes the configuration as a file for people.
 //! - [`peer`] holds the messages between daemons.
 
 pub mod headers;
+pub mod ini;
 pub mod peer;
