Start, watch and end real daemon processes from the test kit

Integration tests and the capacity measurement both need daemons with a settings file, a readiness to wait for, and an end by process number. Addresses are reserved on a loopback address of their own each, so that no outgoing connection takes the port before the daemon binds it.

--- /dev/null
+++ b/crates/testkit/src/daemon/address.rs
@@ -0,0 +1,32 @@
+//! Addresses for daemons that have to be known before they start.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    process,
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+/// An address that nothing listens on, with a port that the kernel chose.
+///
+/// The port is free again when this returns. No other process takes it in
+/// between, since each call takes a loopback address of its own.
+///
+/// # Errors
+///
+/// Fails if no port can be bound.
+///
+/// # Examples
+///
+/// ```
+/// use comfreyway_testkit::daemon::unused_address;
+///
+/// assert_ne!(unused_address().unwrap().ip(), unused_address().unwrap().ip());
+/// ```
+pub fn unused_address() -> io::Result<SocketAddr> {
+    static CALLS: AtomicU32 = AtomicU32::new(0);
+    let call = CALLS.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let pid = process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 1 + (pid[2] & 0x7f), pid[3], 1 + call[3] % 250);
+    TcpListener::bind((ip, 0))?.local_addr()
+}
--- /dev/null
+++ b/crates/testkit/src/daemon/settings.rs
@@ -0,0 +1,151 @@
+//! Settings files of daemons.
+
+use std::{
+    fmt::Write as _,
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use super::unused_address;
+
+/// Where a daemon finds its platform.
+#[derive(Clone, Debug)]
+enum PlatformSettings {
+    Embedded { initial_configuration: PathBuf },
+    Etcd { key_value: SocketAddr, host_list: Option<SocketAddr> },
+}
+
+/// What differs between the settings of daemons in one test.
+#[derive(Clone, Debug)]
+pub struct DaemonSettings {
+    /// Name of the host.
+    pub name: String,
+    /// Data centre of the host.
+    pub data_centre: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    workers: usize,
+    platform: PlatformSettings,
+    known_peers: Vec<(String, SocketAddr)>,
+    limits: Vec<(String, String)>,
+}
+
+impl DaemonSettings {
+    /// A daemon with the platform in its own process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub fn with_embedded(name: &str, initial_configuration: &Path) -> io::Result<Self> {
+        let initial_configuration = initial_configuration.to_owned();
+        Self::new(name, PlatformSettings::Embedded { initial_configuration })
+    }
+
+    /// A daemon that reaches the platform over HTTP.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub fn with_etcd(
+        name: &str,
+        key_value: SocketAddr,
+        host_list: Option<SocketAddr>,
+    ) -> io::Result<Self> {
+        Self::new(name, PlatformSettings::Etcd { key_value, host_list })
+    }
+
+    fn new(name: &str, platform: PlatformSettings) -> io::Result<Self> {
+        Ok(Self {
+            name: name.to_owned(),
+            data_centre: "medeu".to_owned(),
+            callers: unused_address()?,
+            peers: unused_address()?,
+            operators: unused_address()?,
+            workers: 2,
+            platform,
+            known_peers: Vec::new(),
+            limits: Vec::new(),
+        })
+    }
+
+    /// Sets the data centre.
+    #[must_use]
+    pub fn in_data_centre(mut self, name: &str) -> Self {
+        name.clone_into(&mut self.data_centre);
+        self
+    }
+
+    /// Sets the number of threads that carry callers' traffic.
+    #[must_use]
+    pub fn with_workers(mut self, workers: usize) -> Self {
+        self.workers = workers;
+        self
+    }
+
+    /// Names a peer that is known from the start.
+    #[must_use]
+    pub fn with_peer(mut self, name: &str, address: SocketAddr) -> Self {
+        self.known_peers.push((name.to_owned(), address));
+        self
+    }
+
+    /// Sets a key of the section `limits`.
+    #[must_use]
+    pub fn with_limit(mut self, key: &str, value: &str) -> Self {
+        self.limits.push((key.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// The text of the settings file.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        // Writing to a string can't fail.
+        let _ = self.write(&mut out);
+        out
+    }
+
+    fn write(&self, out: &mut String) -> std::fmt::Result {
+        writeln!(out, "[host]")?;
+        writeln!(out, "name = {}", self.name)?;
+        writeln!(out, "data-centre = {}", self.data_centre)?;
+        writeln!(out, "workers = {}", self.workers)?;
+        writeln!(out, "[listen]")?;
+        writeln!(out, "callers = {}", self.callers)?;
+        writeln!(out, "peers = {}", self.peers)?;
+        writeln!(out, "operators = {}", self.operators)?;
+        writeln!(out, "[platform]")?;
+        self.write_platform(out)?;
+        writeln!(out, "[limits]")?;
+        for (key, value) in &self.limits {
+            writeln!(out, "{key} = {value}")?;
+        }
+        writeln!(out, "[peers]")?;
+        for (name, address) in &self.known_peers {
+            writeln!(out, "{name} = {address}")?;
+        }
+        Ok(())
+    }
+
+    fn write_platform(&self, out: &mut String) -> std::fmt::Result {
+        match &self.platform {
+            PlatformSettings::Embedded { initial_configuration } => {
+                writeln!(out, "kind = embedded")?;
+                writeln!(out, "initial-configuration = {}", initial_configuration.display())
+            }
+            PlatformSettings::Etcd { key_value, host_list } => {
+                writeln!(out, "kind = etcd")?;
+                writeln!(out, "key-value = {key_value}")?;
+                match host_list {
+                    Some(address) => writeln!(out, "host-list = {address}"),
+                    None => Ok(()),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/daemon/signal.rs
@@ -0,0 +1,36 @@
+//! Signals to the processes that this one started.
+
+use std::io;
+
+/// A signal to a daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// Begins a planned stop.
+    Terminate,
+    /// Ends the process at once.
+    Kill,
+    /// Freezes the process.
+    Stop,
+    /// Lets a frozen process go on.
+    Continue,
+}
+
+impl Signal {
+    fn number(self) -> libc::c_int {
+        match self {
+            Self::Terminate => libc::SIGTERM,
+            Self::Kill => libc::SIGKILL,
+            Self::Stop => libc::SIGSTOP,
+            Self::Continue => libc::SIGCONT,
+        }
+    }
+}
+
+/// Sends a signal to a child process that has not been waited for.
+pub(super) fn send(pid: u32, signal: Signal) -> io::Result<()> {
+    let pid = libc::pid_t::try_from(pid).map_err(io::Error::other)?;
+    #[allow(unsafe_code)]
+    // SAFETY: `kill` takes two numbers and touches no memory of this process.
+    let result = unsafe { libc::kill(pid, signal.number()) };
+    if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,9 +9,11 @@
 //! - [`service`]: a plain service with a log of its calls.
 //! - [`kv`]: the key-value service with outage, delay, lost replies and rates.
 //! - [`hosts`]: the host list with a lag.
+//! - [`daemon`]: real daemon processes.
 //! - [`proxy`]: a TCP proxy that injects faults on one link.
 
 mod cut;
+pub mod daemon;
 pub mod engine;
 pub mod gate;
 pub mod hosts;
