Make load and measure what it costs

CAPACITY.md has to rest on measured slopes. The test kit gets a load generator with open and closed pace, a reader of processor time by thread and of memory from /proc, a reader of the metrics page, a least-squares fit and tables.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`hosts`]: the host list with a lag.
 //! - [`daemon`]: real daemon processes.
 //! - [`proxy`]: a TCP proxy that injects faults on one link.
+//! - [`load`] and [`measure`]: load, and what it costs.
 
 mod cut;
 pub mod daemon;
@@ -19,6 +20,8 @@
 pub mod hosts;
 pub mod kv;
 pub mod leaving;
+pub mod load;
+pub mod measure;
 pub mod proxy;
 pub mod run_log;
 pub mod server;
