Store, change and spread the configuration on each host

The store's layout had to stay under a megabyte a value and let a fresh host read little, with compare-and-swap of single keys only. An actor on the control thread carries out the writer's steps, the watch of a few hosts and the messages between peers. Peers may speak before the session towards them is up, so versions are noted apart from sessions.

--- a/crates/core/src/config/accepted.rs
+++ b/crates/core/src/config/accepted.rs
@@ -168,19 +168,24 @@
         Self { document, history }
     }
 
-    /// Applies a change that is known to be accepted as the next version.
-    /// Returns none if it is not the next one or its edits were not kept.
+    /// Applies changes that are known to be accepted as the next versions.
+    /// Returns none if they are not the next ones in order, or if the edits of
+    /// one were not kept.
     #[must_use]
-    pub fn follow(&self, change: &AcceptedChange) -> Option<Self> {
-        if change.version != self.version() + 1 {
-            return None;
-        }
-        let mut document = self.document.clone();
-        for edit in change.edits.as_ref()? {
-            document.apply(edit).ok()?;
+    pub fn follow(&self, changes: &[AcceptedChange]) -> Option<Self> {
+        let mut next = self.clone();
+        for change in changes {
+            if change.version != next.version() + 1 {
+                return None;
+            }
+            for edit in change.edits.as_ref()? {
+                next.document.apply(edit).ok()?;
+            }
+            next.document.version = change.version;
+            next.history.push_back(change.clone());
         }
-        document.version = change.version;
-        Some(self.with_entry(document, change.clone()))
+        trim(&mut next.history);
+        Some(next)
     }
 
     /// The changes after `version`, if the history has all of them whole.
--- a/crates/core/src/config/sync/peers.rs
+++ b/crates/core/src/config/sync/peers.rs
@@ -1,6 +1,6 @@
 //! The peers of one host and the tree along which changes go.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::ids::HostName;
 
@@ -10,50 +10,57 @@
 /// Most hosts of one neighbourhood that watch the key-value service.
 pub const MAX_WATCHERS: usize = 3;
 
-/// The peers with a session, and the last version that each announced.
+/// The peers with a session, and the last version that each has said.
 #[derive(Clone, Debug)]
 pub(super) struct Peers {
     me: HostName,
-    versions: BTreeMap<HostName, Option<u64>>,
+    up: BTreeSet<HostName>,
+    /// A peer may speak before the session towards it is up.
+    heard: BTreeMap<HostName, u64>,
     next_announced: usize,
 }
 
 impl Peers {
     pub(super) fn new(me: HostName) -> Self {
-        Self { me, versions: BTreeMap::new(), next_announced: 0 }
+        Self { me, up: BTreeSet::new(), heard: BTreeMap::new(), next_announced: 0 }
     }
 
     pub(super) fn up(&mut self, peer: HostName) {
-        self.versions.insert(peer, None);
+        self.up.insert(peer);
     }
 
     pub(super) fn down(&mut self, peer: &HostName) {
-        self.versions.remove(peer);
+        self.up.remove(peer);
+        self.heard.remove(peer);
     }
 
-    /// Notes a version of a peer with a session. Versions never fall.
+    /// Notes a version that a peer has. Versions never fall.
     pub(super) fn note(&mut self, peer: &HostName, version: u64) {
-        if let Some(known) = self.versions.get_mut(peer) {
-            *known = (*known).max(Some(version));
-        }
+        let known = self.heard.entry(peer.clone()).or_default();
+        *known = version.max(*known);
     }
 
-    pub(super) fn versions(&self) -> &BTreeMap<HostName, Option<u64>> {
-        &self.versions
+    /// The last version that a peer has said.
+    pub(super) fn version(&self, peer: &HostName) -> Option<u64> {
+        self.heard.get(peer).copied()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.up.len()
     }
 
     pub(super) fn names(&self) -> impl Iterator<Item = &HostName> {
-        self.versions.keys()
+        self.up.iter()
     }
 
     /// True if every peer has said its version.
     pub(super) fn all_known(&self) -> bool {
-        self.versions.values().all(Option::is_some)
+        self.up.iter().all(|peer| self.heard.contains_key(peer))
     }
 
     /// The highest version that a peer has said.
     pub(super) fn highest(&self) -> u64 {
-        self.versions.values().flatten().copied().max().unwrap_or(0)
+        self.up.iter().filter_map(|peer| self.version(peer)).max().unwrap_or(0)
     }
 
     /// Place of this host among itself and its peers, in order of names.
@@ -80,10 +87,10 @@
 
     /// The next `count` peers in turn.
     pub(super) fn in_turn(&mut self, count: usize) -> Vec<HostName> {
-        let len = self.versions.len();
+        let len = self.up.len();
         let count = count.min(len);
         let start = self.next_announced % len.max(1);
         self.next_announced = start + count;
-        self.versions.keys().cycle().skip(start).take(count).cloned().collect()
+        self.up.iter().cycle().skip(start).take(count).cloned().collect()
     }
 }
--- a/crates/core/src/config/sync/state.rs
+++ b/crates/core/src/config/sync/state.rs
@@ -68,8 +68,8 @@
 
     /// The peers with a session, and the last version that each announced.
     #[must_use]
-    pub fn peer_versions(&self) -> &BTreeMap<HostName, Option<u64>> {
-        self.peers.versions()
+    pub fn peer_versions(&self) -> BTreeMap<HostName, Option<u64>> {
+        self.peers.names().map(|name| (name.clone(), self.peers.version(name))).collect()
     }
 
     /// Decides on one input and appends the resulting actions to `out`.
@@ -131,15 +131,14 @@
     ) {
         let Some(last) = changes.last().map(|change| change.version) else { return };
         self.peers.note(&from, last);
-        let mut next = self.accepted.clone();
-        for change in changes.iter().filter(|c| c.version > self.accepted.version()) {
-            let Some(followed) = next.follow(change) else {
-                self.request(now, from, last, out);
-                return;
-            };
-            next = Arc::new(followed);
+        if last <= self.accepted.version() {
+            return;
+        }
+        let known = changes.partition_point(|c| c.version <= self.accepted.version());
+        match self.accepted.follow(&changes[known..]) {
+            Some(next) => self.take(Arc::new(next), Some(&from), out),
+            None => self.request(now, from, last, out),
         }
-        self.take(next, Some(&from), out);
     }
 
     /// Puts a newer configuration in force and passes it on.
@@ -157,10 +156,10 @@
         out.push(SyncAction::Apply(self.accepted.clone()));
         let receivers = self.peers.receivers();
         for peer in receivers.iter().filter(|peer| Some(*peer) != from) {
-            let known = self.peers.versions().get(peer).copied().flatten();
-            out.extend(self.update_for(peer.clone(), known.unwrap_or(previous)));
+            let known = self.peers.version(peer).unwrap_or(previous);
+            out.extend(self.update_for(peer.clone(), known));
         }
-        if self.peers.versions().len() <= MAX_ANNOUNCED_AT_ONCE {
+        if self.peers.len() <= MAX_ANNOUNCED_AT_ONCE {
             let others = self.peers.names().filter(|peer| !receivers.contains(peer));
             out.extend(others.cloned().map(|peer| self.announce(peer)));
         }
@@ -206,7 +205,7 @@
         if self.ready {
             return;
         }
-        let connected = now.since(self.started) >= START_GRACE && !self.peers.versions().is_empty();
+        let connected = now.since(self.started) >= START_GRACE && self.peers.len() > 0;
         let from_peers = connected && self.peers.all_known();
         if (self.stored || from_peers) && self.accepted.version() >= self.peers.highest() {
             self.ready = true;
--- a/crates/core/tests/config_changes.rs
+++ b/crates/core/tests/config_changes.rs
@@ -6,9 +6,8 @@
 
 use comfreyway_core::{
     config::{
-        Accepted, AcceptedChange, Change, ChangeId, Class, DataCentre, Document, Edit, Element,
-        ElementKey, MAX_HISTORY, Refusal, Runner, Severity, UpstreamKind, UpstreamSpec, Verdict,
-        Workspace,
+        Accepted, Change, ChangeId, Class, DataCentre, Document, Edit, Element, ElementKey,
+        MAX_HISTORY, Refusal, Runner, Severity, UpstreamKind, UpstreamSpec, Verdict, Workspace,
     },
     ids::Tier,
     request::Target,
@@ -196,9 +195,8 @@
         let name = format!("class-{i}");
         new = accept(&new, &change(new.version(), i, vec![class(&name, 1)]));
     }
-    let follow = |a: Accepted, c: &AcceptedChange| a.follow(c).unwrap();
     let deltas = new.since(old.version()).unwrap();
-    assert_eq!(deltas.iter().fold(old, follow), new);
+    assert_eq!(old.follow(&deltas), Some(new));
 }
 
 #[test]
--- a/crates/core/tests/config_schedules/host.rs
+++ b/crates/core/tests/config_schedules/host.rs
@@ -58,8 +58,8 @@
                     assert_eq!(accepted.document(), written.document());
                 }
                 SyncAction::Ready => {
-                    let highest = self.sync.peer_versions().values().flatten().max();
-                    assert!(self.in_force >= highest.copied().unwrap_or(0));
+                    let highest = self.sync.peer_versions().into_values().flatten().max();
+                    assert!(self.in_force >= highest.unwrap_or(0));
                 }
                 SyncAction::Send { to, message } => sent.push((to, message)),
                 SyncAction::Watch(_) => {}
--- /dev/null
+++ b/crates/node/src/config/actor.rs
@@ -0,0 +1,269 @@
+//! The actor that holds the configuration in force.
+//!
+//! It runs on the control thread beside [`crate::control::Control`], feeds
+//! [`ConfigSync`] with what the store and the peers say, and carries out its
+//! actions. Changes run one after another, so that the writers of one host
+//! don't lose swaps to each other.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use actix::{
+    Actor, ActorContext, ActorFutureExt, AsyncContext, Context, Handler, Message,
+    ResponseActFuture, SpawnHandle, StreamHandler, WrapFuture,
+};
+use comfreyway_core::{
+    config::{
+        Accepted, Change, ChangeOutcome, Document,
+        sync::{ANNOUNCE_INTERVAL, ConfigSync, SyncAction, SyncInput},
+    },
+    ids::HostName,
+};
+use comfreyway_platform::{KeyValue, KvEvent};
+use comfreyway_proto::peer::ConfigMessage;
+use futures_util::{StreamExt, stream};
+use tokio::sync::{Mutex, watch};
+
+use crate::control::{Clock, incarnation_now};
+
+use super::{
+    ConfigHandle, ConfigLinks, ConfigStatus,
+    store::{ConfigStore, HEAD_KEY},
+    wire::{from_wire, to_wire},
+    write::write_change,
+};
+
+/// Time between two reads of the key-value service by a host that watches it
+/// or is not ready. Bounds the effect of a watch that went silent.
+const POLL_INTERVAL: Duration = Duration::from_millis(2_000);
+
+/// Wait before a broken watch is started again.
+const WATCH_RETRY_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Holds the configuration in force.
+pub struct ConfigActor {
+    clock: Clock,
+    sync: ConfigSync,
+    store: Rc<ConfigStore>,
+    writing: Rc<Mutex<()>>,
+    links: Rc<dyn ConfigLinks>,
+    accepted: watch::Sender<Arc<Accepted>>,
+    document: watch::Sender<Arc<Document>>,
+    ready: watch::Sender<bool>,
+    watching: Option<SpawnHandle>,
+    reading: bool,
+    store_reachable: bool,
+}
+
+/// An event of a peer that bears on the configuration.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub enum ConfigPeerEvent {
+    /// Messages can be sent to the peer.
+    Up(HostName),
+    /// The link to the peer broke.
+    Down(HostName),
+    /// The peer sent a message.
+    Message {
+        /// The sender.
+        from: HostName,
+        /// Its message.
+        message: ConfigMessage,
+    },
+}
+
+/// Asks to write a change.
+#[derive(Message)]
+#[rtype(result = "ChangeOutcome")]
+pub(super) struct SubmitChange(pub(super) Change);
+
+/// Ends the actor.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub(super) struct Stop;
+
+impl ConfigActor {
+    /// Starts the actor on the present arbiter.
+    #[must_use]
+    pub fn start_on_control(
+        host: HostName,
+        kv: Rc<dyn KeyValue>,
+        links: Rc<dyn ConfigLinks>,
+    ) -> ConfigHandle {
+        let clock = Clock::new();
+        let (accepted, accepted_rx) = watch::channel(Arc::default());
+        let (document, document_rx) = watch::channel(Arc::default());
+        let (ready, ready_rx) = watch::channel(false);
+        let actor = Self {
+            sync: ConfigSync::new(host, clock.now()),
+            clock,
+            store: Rc::new(ConfigStore::new(kv)),
+            writing: Rc::default(),
+            links,
+            accepted,
+            document,
+            ready,
+            watching: None,
+            reading: false,
+            store_reachable: false,
+        };
+        let actor = actor.start();
+        ConfigHandle { actor, accepted: accepted_rx, document: document_rx, ready: ready_rx }
+    }
+
+    pub(super) fn status(&self) -> ConfigStatus {
+        ConfigStatus {
+            version: self.sync.accepted().version(),
+            ready: self.sync.is_ready(),
+            peers: self.sync.peer_versions(),
+            store_reachable: self.store_reachable,
+        }
+    }
+
+    fn input(&mut self, input: SyncInput, cx: &mut Context<Self>) {
+        let mut actions = Vec::new();
+        self.sync.handle(self.clock.now(), input, &mut actions);
+        for action in actions {
+            self.run(action, cx);
+        }
+    }
+
+    fn run(&mut self, action: SyncAction, cx: &mut Context<Self>) {
+        match action {
+            SyncAction::Apply(accepted) => {
+                self.document.send_replace(Arc::new(accepted.document().clone()));
+                self.accepted.send_replace(accepted);
+            }
+            SyncAction::Ready => {
+                self.ready.send_replace(true);
+            }
+            SyncAction::Send { to, message } => {
+                if let Ok(message) = to_wire(&message) {
+                    self.links.send(&to, message);
+                }
+            }
+            SyncAction::Watch(true) => {
+                self.watch(cx);
+                self.read(cx);
+            }
+            SyncAction::Watch(false) => {
+                if let Some(watching) = self.watching.take() {
+                    cx.cancel_future(watching);
+                }
+            }
+        }
+    }
+
+    /// Reads the store unless a read is on its way.
+    fn read(&mut self, cx: &mut Context<Self>) {
+        if std::mem::replace(&mut self.reading, true) {
+            return;
+        }
+        let store = self.store.clone();
+        let read = async move { store.read().await }.into_actor(self);
+        cx.spawn(read.map(|read, actor: &mut Self, cx| {
+            actor.reading = false;
+            actor.store_reachable = read.is_ok();
+            if let Ok(read) = read {
+                actor.input(SyncInput::Stored(Arc::new(read.accepted)), cx);
+            }
+        }));
+    }
+
+    fn watch(&mut self, cx: &mut Context<Self>) {
+        let store = self.store.clone();
+        let heads = stream::unfold(store, |store| async {
+            let read = next_watched(&store).await;
+            Some((StoreChanged(read), store))
+        });
+        self.watching = Some(cx.add_stream(heads));
+    }
+}
+
+/// Waits for a change of the head and reads it.
+async fn next_watched(store: &ConfigStore) -> Option<Arc<Accepted>> {
+    let after = store.revision();
+    let mut events = store.kv().watch(HEAD_KEY, after);
+    match events.next().await {
+        Some(Ok(KvEvent::Put(head))) => {
+            let read = store.rebuild(&head).await.ok()?;
+            Some(Arc::new(read.accepted))
+        }
+        Some(Ok(KvEvent::Delete { .. })) => None,
+        Some(Err(_)) | None => {
+            tokio::time::sleep(WATCH_RETRY_WAIT).await;
+            None
+        }
+    }
+}
+
+/// The watch saw a new head, or broke.
+struct StoreChanged(Option<Arc<Accepted>>);
+
+impl StreamHandler<StoreChanged> for ConfigActor {
+    fn handle(&mut self, StoreChanged(read): StoreChanged, cx: &mut Context<Self>) {
+        if let Some(accepted) = read {
+            self.input(SyncInput::Stored(accepted), cx);
+        }
+    }
+
+    fn finished(&mut self, _: &mut Context<Self>) {}
+}
+
+impl Actor for ConfigActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Context<Self>) {
+        self.input(SyncInput::Tick, cx);
+        self.read(cx);
+        cx.run_interval(ANNOUNCE_INTERVAL, |actor, cx| actor.input(SyncInput::Tick, cx));
+        cx.run_interval(POLL_INTERVAL, |actor, cx| {
+            if actor.watching.is_some() || !actor.sync.is_ready() {
+                actor.read(cx);
+            }
+        });
+    }
+}
+
+impl Handler<ConfigPeerEvent> for ConfigActor {
+    type Result = ();
+
+    fn handle(&mut self, event: ConfigPeerEvent, cx: &mut Context<Self>) {
+        match event {
+            ConfigPeerEvent::Up(peer) => self.input(SyncInput::PeerUp(peer), cx),
+            ConfigPeerEvent::Down(peer) => self.input(SyncInput::PeerDown(peer), cx),
+            ConfigPeerEvent::Message { from, message } => {
+                if let Ok(Some(message)) = from_wire(message) {
+                    self.input(SyncInput::Message { from, message }, cx);
+                }
+            }
+        }
+    }
+}
+
+impl Handler<Stop> for ConfigActor {
+    type Result = ();
+
+    fn handle(&mut self, _: Stop, cx: &mut Context<Self>) {
+        cx.stop();
+    }
+}
+
+impl Handler<SubmitChange> for ConfigActor {
+    type Result = ResponseActFuture<Self, ChangeOutcome>;
+
+    fn handle(
+        &mut self,
+        SubmitChange(change): SubmitChange,
+        _: &mut Context<Self>,
+    ) -> Self::Result {
+        let (store, writing) = (self.store.clone(), self.writing.clone());
+        let now_ms = incarnation_now() / 1_000;
+        let write = async move { write_change(&store, &writing, change, now_ms).await };
+        Box::pin(write.into_actor(self).map(|outcome, actor, cx| {
+            if let ChangeOutcome::Accepted { newest, .. } = &outcome {
+                actor.input(SyncInput::Stored(Arc::new(Accepted::clone(newest))), cx);
+            }
+            outcome
+        }))
+    }
+}
--- /dev/null
+++ b/crates/node/src/config/mod.rs
@@ -0,0 +1,23 @@
+//! The operators' configuration on one host.
+//!
+//! [`ConfigActor`] runs on the control thread. It reads and swaps the stored
+//! configuration ([`store`]), passes versions between peers by the decisions of
+//! [`comfreyway_core::config::sync`], and publishes the document in force.
+//! Everything else reads it through a [`ConfigHandle`].
+//! `docs/design/configuration.md` weighs the store's layout and the protocol.
+
+mod actor;
+pub mod codec;
+mod handle;
+mod links;
+mod status;
+mod store;
+mod wire;
+mod write;
+
+pub use self::{
+    actor::{ConfigActor, ConfigPeerEvent},
+    handle::ConfigHandle,
+    links::{ConfigLinks, NoLinks},
+    status::ConfigStatus,
+};
--- /dev/null
+++ b/crates/node/src/config/store.rs
@@ -0,0 +1,231 @@
+//! The configuration in the key-value service.
+//!
+//! One key, the head, is the only one that changes swap: it holds the version,
+//! the latest changes, and the name of a snapshot that they start from. A
+//! reader that knows a recent version reads the head alone; a fresh one reads
+//! the head and the snapshot. Snapshots are split into values under the
+//! service's limit and are written before the head that names them, so a head
+//! never names a snapshot that was not written.
+
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc};
+
+use comfreyway_core::config::{Accepted, AcceptedChange, Document, StoredConfig, SwapReply};
+use comfreyway_platform::{CasOutcome, KeyValue, PlatformError, Revision, Versioned};
+use quick_error::quick_error;
+
+use super::codec::{
+    CodecError, Head, SnapshotRef, decode_head, decode_snapshot, encode_head, encode_snapshot,
+};
+
+/// Key that every change swaps.
+pub(crate) const HEAD_KEY: &str = "config/head";
+
+/// Prefix of the snapshots' keys.
+pub(crate) const SNAPSHOT_PREFIX: &str = "config/snapshot/";
+
+/// Changes after which a new snapshot is written.
+const SNAPSHOT_INTERVAL: usize = 64;
+
+/// Largest part of a snapshot, in bytes.
+const MAX_PART_BYTES: usize = 512 << 10;
+
+/// Reads of a head whose snapshot was replaced meanwhile.
+const MAX_READS: usize = 3;
+
+quick_error! {
+    /// Why the stored configuration can't be read.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum StoreError {
+        /// The service failed.
+        Platform(cause: PlatformError) {
+            from()
+            display("{cause}")
+        }
+        /// A value can't be used.
+        Codec(cause: CodecError) {
+            from()
+            display("{cause}")
+        }
+        /// The head names a snapshot that is not there.
+        NoSnapshot(name: String) {
+            display("the snapshot {name} is missing; apply a saved configuration again")
+        }
+    }
+}
+
+/// Reads and swaps the stored configuration.
+pub(crate) struct ConfigStore {
+    kv: Rc<dyn KeyValue>,
+    seen: RefCell<Seen>,
+}
+
+/// What was last read or written.
+#[derive(Default)]
+struct Seen {
+    accepted: Arc<Accepted>,
+    revision: Revision,
+    snapshot: Option<SnapshotRef>,
+}
+
+impl ConfigStore {
+    pub(crate) fn new(kv: Rc<dyn KeyValue>) -> Self {
+        Self { kv, seen: RefCell::default() }
+    }
+
+    pub(crate) fn kv(&self) -> &Rc<dyn KeyValue> {
+        &self.kv
+    }
+
+    /// Revision of the head that was last read or written.
+    pub(crate) fn revision(&self) -> Revision {
+        self.seen.borrow().revision
+    }
+
+    /// Reads the configuration.
+    pub(crate) async fn read(&self) -> Result<StoredConfig, StoreError> {
+        let mut result = self.read_once().await;
+        for _ in 1..MAX_READS {
+            if !matches!(result, Err(StoreError::NoSnapshot(_))) {
+                break;
+            }
+            result = self.read_once().await;
+        }
+        result
+    }
+
+    async fn read_once(&self) -> Result<StoredConfig, StoreError> {
+        match self.kv.get(HEAD_KEY).await? {
+            Some(head) => self.rebuild(&head).await,
+            None => {
+                *self.seen.borrow_mut() = Seen::default();
+                Ok(StoredConfig { accepted: Accepted::default(), revision: 0 })
+            }
+        }
+    }
+
+    /// Builds the configuration from a head that was read or watched.
+    pub(crate) async fn rebuild(&self, stored: &Versioned) -> Result<StoredConfig, StoreError> {
+        let head = decode_head(&stored.value)?;
+        let known = self.seen.borrow().accepted.clone();
+        let accepted = match follow_known(&known, &head) {
+            Some(accepted) => accepted,
+            None => self.read_snapshot(&head).await?,
+        };
+        let seen = Seen {
+            accepted: Arc::new(accepted.clone()),
+            revision: stored.revision,
+            snapshot: head.snapshot,
+        };
+        *self.seen.borrow_mut() = seen;
+        Ok(StoredConfig { accepted, revision: stored.revision.0 })
+    }
+
+    async fn read_snapshot(&self, head: &Head) -> Result<Accepted, StoreError> {
+        let base = match &head.snapshot {
+            Some(snapshot) => self.read_document(snapshot).await?,
+            None => Document::default(),
+        };
+        let malformed = || CodecError::Malformed("head", "its history has gaps".to_owned());
+        let changes = head.since(base.version).ok_or_else(malformed)?;
+        let base = Accepted::new(base, Default::default());
+        let newest = base.follow(&changes).ok_or_else(malformed)?;
+        Ok(Accepted::new(newest.document().clone(), head.history.clone()))
+    }
+
+    async fn read_document(&self, snapshot: &SnapshotRef) -> Result<Document, StoreError> {
+        let parts = self.kv.list(&parts_prefix(&snapshot.name)).await?;
+        if parts.len() != snapshot.parts {
+            return Err(StoreError::NoSnapshot(snapshot.name.clone()));
+        }
+        let buf: Vec<u8> = parts.into_iter().flat_map(|part| part.value).collect();
+        Ok(decode_snapshot(&buf)?)
+    }
+
+    /// Swaps the configuration that was read at `expected` for `next`.
+    pub(crate) async fn swap(&self, expected: u64, next: &Accepted) -> SwapReply {
+        let (revision, snapshot) = {
+            let seen = self.seen.borrow();
+            (seen.revision, seen.snapshot.clone())
+        };
+        if revision.0 != expected {
+            return SwapReply::Mismatch;
+        }
+        match self.try_swap(revision, snapshot, next).await {
+            Ok(reply) => reply,
+            Err(_) => SwapReply::Failed,
+        }
+    }
+
+    async fn try_swap(
+        &self,
+        expected: Revision,
+        old: Option<SnapshotRef>,
+        next: &Accepted,
+    ) -> Result<SwapReply, StoreError> {
+        let due = snapshot_due(old.as_ref(), next);
+        let snapshot = if due { Some(self.write_snapshot(next).await?) } else { old };
+        let value = encode_head(&Head::new(next, snapshot.clone()))?;
+        let outcome = self.kv.compare_and_swap(HEAD_KEY, expected, value, None).await?;
+        let CasOutcome::Written(revision) = outcome else { return Ok(SwapReply::Mismatch) };
+        *self.seen.borrow_mut() = Seen { accepted: Arc::new(next.clone()), revision, snapshot };
+        if due {
+            self.remove_snapshots_before(next.version()).await;
+        }
+        Ok(SwapReply::Written)
+    }
+
+    /// Writes the snapshot of `next`. Two writers of one name write the same
+    /// values: the name holds the version and the change that makes it.
+    async fn write_snapshot(&self, next: &Accepted) -> Result<SnapshotRef, StoreError> {
+        let version = next.version();
+        let change = next.history().back().map(|change| change.id.to_string());
+        let name = format!("{version:020}-{}", change.unwrap_or_default());
+        let buf = encode_snapshot(next.document())?;
+        let chunks: Vec<_> = buf.chunks(MAX_PART_BYTES).collect();
+        for (i, chunk) in chunks.iter().enumerate() {
+            let key = format!("{}{i:04}", parts_prefix(&name));
+            self.kv.compare_and_swap(&key, Revision(0), chunk.to_vec(), None).await?;
+        }
+        Ok(SnapshotRef { name, version, parts: chunks.len() })
+    }
+
+    /// Removes the snapshots of versions before `version`, which is accepted. A
+    /// swap that would name one of them can't take effect any more. What is
+    /// left by a failure goes with the next snapshot.
+    async fn remove_snapshots_before(&self, version: u64) {
+        let first_kept = format!("{SNAPSHOT_PREFIX}{version:020}");
+        let Ok(parts) = self.kv.list(SNAPSHOT_PREFIX).await else { return };
+        let old: BTreeSet<_> = parts
+            .into_iter()
+            .filter(|part| part.key < first_kept)
+            .map(|part| (part.key, part.revision))
+            .collect();
+        for (key, revision) in old {
+            if self.kv.compare_and_delete(&key, revision).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn parts_prefix(name: &str) -> String {
+    format!("{SNAPSHOT_PREFIX}{name}/")
+}
+
+/// The head's configuration from a known one that it descends from.
+fn follow_known(known: &Accepted, head: &Head) -> Option<Accepted> {
+    let last_known = known.history().back()?;
+    let same: Option<&AcceptedChange> =
+        head.history.iter().find(|change| change.version == known.version());
+    if same?.id != last_known.id {
+        return None;
+    }
+    let newest = known.follow(&head.since(known.version())?)?;
+    Some(Accepted::new(newest.document().clone(), head.history.clone()))
+}
+
+/// True if the head would name a snapshot that is too old to start from.
+fn snapshot_due(snapshot: Option<&SnapshotRef>, next: &Accepted) -> bool {
+    let base = snapshot.map_or(0, |snapshot| snapshot.version);
+    next.since(base).is_none_or(|changes| changes.len() > SNAPSHOT_INTERVAL)
+}
--- /dev/null
+++ b/crates/node/src/config/write.rs
@@ -0,0 +1,55 @@
+//! Carries out the steps of one change at the key-value service.
+
+use std::time::Duration;
+
+use comfreyway_core::config::{Change, ChangeId, ChangeOutcome, UnknownCause, Writer, WriterStep};
+use tokio::{
+    sync::Mutex,
+    time::{sleep, timeout},
+};
+
+use super::store::ConfigStore;
+
+/// Time after which a change that is not decided is answered as unknown.
+pub(crate) const CHANGE_TIME_LIMIT: Duration = Duration::from_secs(5);
+
+/// Wait after a failed call.
+const RETRY_WAIT: Duration = Duration::from_millis(150);
+
+/// Writes a change, for [`CHANGE_TIME_LIMIT`] at most. `turn` lets one change
+/// of this host pass at a time.
+pub(crate) async fn write_change(
+    store: &ConfigStore,
+    turn: &Mutex<()>,
+    change: Change,
+    now_ms: u64,
+) -> ChangeOutcome {
+    let id = change.id;
+    let steps = async {
+        let _turn = turn.lock().await;
+        run_steps(store, Writer::new(change, now_ms)).await
+    };
+    timeout(CHANGE_TIME_LIMIT, steps).await.unwrap_or(timed_out(id))
+}
+
+async fn run_steps(store: &ConfigStore, mut writer: Writer) -> ChangeOutcome {
+    let mut step = writer.start();
+    loop {
+        step = match step {
+            WriterStep::Read { after_failure } => {
+                if after_failure {
+                    sleep(RETRY_WAIT).await;
+                }
+                writer.on_read(store.read().await.ok())
+            }
+            WriterStep::Swap { expected, next } => {
+                writer.on_swap(store.swap(expected, &next).await)
+            }
+            WriterStep::Done(outcome) => return outcome,
+        };
+    }
+}
+
+fn timed_out(id: ChangeId) -> ChangeOutcome {
+    ChangeOutcome::Unknown { id, cause: UnknownCause::ServiceDown }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,5 +6,6 @@
 //! holds what differs from host to host, [`cli`] the daemon's command line.
 
 pub mod cli;
+pub mod config;
 pub mod control;
 pub mod settings;
--- /dev/null
+++ b/crates/node/tests/config_store/writes.rs
@@ -0,0 +1,119 @@
+//! Changes with a fault at each call.
+
+use std::rc::Rc;
+
+use comfreyway_core::config::{ChangeOutcome, Refusal};
+use comfreyway_node::config::{ConfigActor, ConfigHandle, NoLinks};
+use comfreyway_platform::{EmbeddedKeyValue, KeyValue};
+use futures_util::future::join_all;
+use rstest::rstest;
+
+use crate::{
+    faults::{Fault, FaultyKeyValue},
+    hosts::{change, class, name, wait_for},
+};
+
+/// Changes before the one under test, so that it has to write a snapshot.
+const BEFORE: u64 = 64;
+
+/// More calls than one change with a snapshot makes.
+const CALLS: u32 = 12;
+
+fn start(kv: Rc<dyn KeyValue>) -> ConfigHandle {
+    ConfigActor::start_on_control(name(0), kv, Rc::new(NoLinks))
+}
+
+async fn store_with_changes(count: u64) -> EmbeddedKeyValue {
+    let kv = EmbeddedKeyValue::new();
+    let host = start(Rc::new(kv.clone()));
+    for i in 0..count {
+        let edits = vec![class(&format!("class-{}", i % 5), (i % 3) as u8)];
+        let outcome = host.change(change(i, i, edits)).await;
+        assert!(matches!(outcome, ChangeOutcome::Accepted { .. }), "{outcome:?}");
+    }
+    kv
+}
+
+/// Writes one change with the fault and repeats it after the fault. Returns
+/// the first outcome.
+async fn write_and_repeat(fault: Fault, first: u32, count: u32) -> ChangeOutcome {
+    let kv = store_with_changes(BEFORE).await;
+    let faulty = start(Rc::new(FaultyKeyValue::new(&kv, fault, first, count)));
+    let mine = change(BEFORE, 1_000, vec![class("mine", 1)]);
+    let outcome = faulty.change(mine.clone()).await;
+    let healed = start(Rc::new(kv));
+    let again = healed.change(mine.clone()).await;
+    let ChangeOutcome::Accepted { version, newest, .. } = again else { panic!("{again:?}") };
+    assert_eq!(version, BEFORE + 1);
+    assert_eq!(newest.history().iter().filter(|change| change.id == mine.id).count(), 1);
+    outcome
+}
+
+#[rstest]
+#[case(Fault::LostReply)]
+#[case(Fault::LostCall)]
+#[case(Fault::Refused)]
+#[actix_rt::test]
+async fn one_failed_call_at_any_step_still_ends_in_acceptance(#[case] fault: Fault) {
+    let runs = (0..CALLS).map(|call| write_and_repeat(fault, call, 1));
+    for (call, outcome) in join_all(runs).await.into_iter().enumerate() {
+        assert!(matches!(outcome, ChangeOutcome::Accepted { .. }), "call {call}: {outcome:?}");
+    }
+}
+
+#[rstest]
+#[case(Fault::LostReply)]
+#[case(Fault::LostCall)]
+#[case(Fault::Refused)]
+#[actix_rt::test]
+async fn an_outage_from_any_step_on_is_never_told_as_refused(#[case] fault: Fault) {
+    let runs = (0..CALLS).map(|call| write_and_repeat(fault, call, u32::MAX));
+    let outcomes = join_all(runs).await;
+    assert!(matches!(outcomes[0], ChangeOutcome::Unknown { .. }), "{:?}", outcomes[0]);
+    for (call, outcome) in outcomes.into_iter().enumerate() {
+        let told = matches!(
+            outcome,
+            ChangeOutcome::Accepted { version, .. } if version == BEFORE + 1
+        );
+        assert!(told || matches!(outcome, ChangeOutcome::Unknown { .. }), "call {call}");
+    }
+}
+
+#[actix_rt::test]
+async fn ten_writers_of_different_elements_all_land() {
+    let kv = store_with_changes(1).await;
+    let hosts: Vec<_> = (0..10).map(|_| start(Rc::new(kv.clone()))).collect();
+    let writes = hosts.iter().enumerate().map(|(i, host)| {
+        host.change(change(1, i as u64 + 10, vec![class(&format!("mine-{i}"), 0)]))
+    });
+    for outcome in join_all(writes).await {
+        assert!(matches!(outcome, ChangeOutcome::Accepted { .. }), "{outcome:?}");
+    }
+    let reader = start(Rc::new(kv));
+    wait_for(&reader, 11).await;
+    assert_eq!(reader.document().borrow().classes.len(), 11);
+}
+
+#[actix_rt::test]
+async fn of_two_writers_of_one_element_one_is_shown_the_other() {
+    let kv = store_with_changes(1).await;
+    let hosts = [start(Rc::new(kv.clone())), start(Rc::new(kv))];
+    let writes = hosts.iter().enumerate().map(|(i, host)| {
+        host.change(change(1, i as u64 + 10, vec![class("class-0", i as u8 + 4)]))
+    });
+    let outcomes = join_all(writes).await;
+    let accepted = |o: &&ChangeOutcome| matches!(o, ChangeOutcome::Accepted { .. });
+    assert_eq!(outcomes.iter().filter(accepted).count(), 1);
+    let conflict = |o: &&ChangeOutcome| matches!(o, ChangeOutcome::Refused(Refusal::Conflict(c)) if c[0].theirs.is_some());
+    assert_eq!(outcomes.iter().filter(conflict).count(), 1);
+}
+
+#[actix_rt::test]
+async fn old_snapshots_are_removed_and_a_fresh_host_reads_the_newest() {
+    let kv = store_with_changes(3 * BEFORE).await;
+    let parts = kv.list("config/snapshot/").await.unwrap();
+    assert_eq!(parts.len(), 1, "one snapshot of one part is left");
+    let fresh = start(Rc::new(kv));
+    wait_for(&fresh, 3 * BEFORE).await;
+    assert_eq!(fresh.accepted().history().len() as u64, 3 * BEFORE);
+}
--- a/crates/proto/src/peer/message.rs
+++ b/crates/proto/src/peer/message.rs
@@ -3,6 +3,8 @@
 use comfreyway_core::ids::HostId;
 use serde::{Deserialize, Serialize};
 
+use super::ConfigMessage;
+
 /// A message between two daemons. Unknown fields are ignored by older readers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "kind")]
@@ -12,6 +14,8 @@
         /// The sender.
         host: HostId,
     },
+    /// A message on the spread of the configuration.
+    Config(ConfigMessage),
     /// A message of a kind that this version does not know.
     #[serde(other)]
     Unknown,
