--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -1,9 +1,11 @@
 //! Types at the border and messages between processes.
 //!
+//! - [`caller`] holds the border types of the callers' interface.
 //! - [`headers`] names the HTTP headers that the scheduler reads and writes.
 //! - [`ini`] reads and writes the configuration as a file for people.
 //! - [`peer`] holds the messages between daemons.
 
+pub mod caller;
 pub mod headers;
 pub mod ini;
 pub mod peer;
