Number the log events and count every reason from zero

Cause: nothing showed what the daemon does. Change: an enum of log events with a catalogue and a test that both agree; the instruments of the traffic path by OpenTelemetry, each reason of the closed lists exported at zero from the start.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,4 +7,6 @@
 
 pub mod cli;
 pub mod control;
+pub mod events;
+pub mod metrics;
 pub mod settings;
--- /dev/null
+++ b/crates/node/src/metrics/mod.rs
@@ -0,0 +1,10 @@
+//! Counters and histograms of one process, served as Prometheus text.
+//!
+//! Every reason of the closed lists has its counter at zero from the start, so
+//! that an alert on a reason needs no first occurrence.
+
+mod error;
+mod registry;
+mod traffic;
+
+pub use self::{error::MetricsError, registry::Metrics, traffic::TrafficMetrics};
--- /dev/null
+++ b/crates/node/src/metrics/traffic.rs
@@ -0,0 +1,146 @@
+//! Instruments of the traffic path.
+
+use std::time::Duration;
+
+use comfreyway_core::{
+    ids::ClassName,
+    outcome::{NotRunReason, RetryReason, UnknownReason},
+};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram, Meter, UpDownCounter},
+};
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const BUCKETS_S: [f64; 16] = [
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+    120.0,
+];
+
+/// Instruments of the traffic path. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct TrafficMetrics {
+    answered: Counter<u64>,
+    not_run: Counter<u64>,
+    unknown: Counter<u64>,
+    retries: Counter<u64>,
+    repeats: Counter<u64>,
+    wasted_prefill: Counter<u64>,
+    in_progress: UpDownCounter<i64>,
+    waiting: Histogram<f64>,
+    first_byte: Histogram<f64>,
+    whole: Histogram<f64>,
+    control_queue: Histogram<f64>,
+}
+
+impl TrafficMetrics {
+    pub(super) fn new(meter: &Meter) -> Self {
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        let histogram = |name, text| {
+            meter
+                .f64_histogram(name)
+                .with_description(text)
+                .with_unit("s")
+                .with_boundaries(BUCKETS_S.to_vec())
+                .build()
+        };
+        let metrics = Self {
+            answered: counter("comfreyway_answered", "Requests answered whole, by class"),
+            not_run: counter("comfreyway_not_run", "Requests not run, by reason"),
+            unknown: counter("comfreyway_unknown", "Requests of unknown outcome, by reason"),
+            retries: counter("comfreyway_retries", "Grants that were not used, by reason"),
+            repeats: counter("comfreyway_repeats", "Requests answered from an earlier attempt"),
+            wasted_prefill: counter(
+                "comfreyway_wasted_prefill_tokens",
+                "Prompt tokens sent to an upstream whose answer was not delivered whole",
+            ),
+            in_progress: meter
+                .i64_up_down_counter("comfreyway_in_progress")
+                .with_description("Requests that are neither answered nor refused yet")
+                .build(),
+            waiting: histogram("comfreyway_waiting", "Time from arrival to dispatch"),
+            first_byte: histogram("comfreyway_first_byte", "Time from arrival to the first byte"),
+            whole: histogram("comfreyway_whole_answer", "Time from arrival to the answer's end"),
+            control_queue: histogram(
+                "comfreyway_control_queue",
+                "Time that a message waits for the control thread",
+            ),
+        };
+        metrics.start_at_zero();
+        metrics
+    }
+
+    fn start_at_zero(&self) {
+        for reason in NotRunReason::ALL {
+            self.not_run.add(0, &[reason_of(reason.as_str())]);
+        }
+        for reason in UnknownReason::ALL {
+            self.unknown.add(0, &[reason_of(reason.as_str())]);
+        }
+        for reason in RetryReason::ALL {
+            self.retries.add(0, &[reason_of(reason.as_str())]);
+        }
+        self.repeats.add(0, &[]);
+        self.wasted_prefill.add(0, &[]);
+        self.in_progress.add(0, &[]);
+    }
+
+    /// Counts a request that was answered whole.
+    pub fn answered(&self, class: &ClassName) {
+        self.answered.add(1, &[KeyValue::new("class", class.as_str().to_owned())]);
+    }
+
+    /// Counts a request that was not run.
+    pub fn not_run(&self, reason: NotRunReason) {
+        self.not_run.add(1, &[reason_of(reason.as_str())]);
+    }
+
+    /// Counts a request of unknown outcome.
+    pub fn unknown(&self, reason: UnknownReason) {
+        self.unknown.add(1, &[reason_of(reason.as_str())]);
+    }
+
+    /// Counts a grant that was not used.
+    pub fn retried(&self, reason: RetryReason) {
+        self.retries.add(1, &[reason_of(reason.as_str())]);
+    }
+
+    /// Counts a request that is answered from an earlier attempt.
+    pub fn repeated(&self) {
+        self.repeats.add(1, &[]);
+    }
+
+    /// Counts prompt tokens whose answer was not delivered whole.
+    pub fn wasted_prefill(&self, tokens: u32) {
+        self.wasted_prefill.add(u64::from(tokens), &[]);
+    }
+
+    /// Counts a request that begins (1) or ends (-1).
+    pub fn in_progress(&self, change: i64) {
+        self.in_progress.add(change, &[]);
+    }
+
+    /// Records the time from arrival to dispatch.
+    pub fn waited(&self, time: Duration) {
+        self.waiting.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records the time from arrival to the first byte of the answer.
+    pub fn first_byte(&self, time: Duration) {
+        self.first_byte.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records the time from arrival to the end of the answer.
+    pub fn whole(&self, time: Duration) {
+        self.whole.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records the time that a message waited for the control thread.
+    pub fn control_queue(&self, time: Duration) {
+        self.control_queue.record(time.as_secs_f64(), &[]);
+    }
+}
+
+fn reason_of(reason: &'static str) -> KeyValue {
+    KeyValue::new("reason", reason)
+}
