Carry requests from callers to upstreams

Cause: there was no traffic path. Change: the callers' interface by actix-web (chat completions, streamed or not, and plain services by path prefix), the client of upstreams by awc, and kept answers for repeats on the same host. A request is sent by a task of its own, so that a caller that leaves does not cut it off. A failure counts as not sent only if no connection was established. A chunked body of another kind has no proof of its end, so its connection is broken at the end and its outcome is unknown.

--- /dev/null
+++ b/crates/node/src/http/body.rs
@@ -0,0 +1,153 @@
+//! Carries an answer to its caller.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use actix_web::{
+    body::{BodySize, MessageBody},
+    web::Data,
+};
+use bytes::Bytes;
+use comfreyway_core::{
+    ids::RequestId,
+    outcome::{Outcome, UnknownReason},
+};
+use comfreyway_proto::headers;
+use quick_error::quick_error;
+
+use super::{
+    exchange::{Exchange, Step},
+    worker::Worker,
+};
+
+quick_error! {
+    /// Breaks a caller's connection, so that a short answer never looks whole.
+    #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+    #[allow(unreachable_pub, reason = "the macro knows no narrower visibility")]
+    pub enum BodyError {
+        /// The rest of the answer can't be had.
+        Broken(reason: UnknownReason) {
+            display("the answer ends before its end: {reason}")
+        }
+    }
+}
+
+/// An exchange with a caller. If the caller leaves, the worker takes over.
+pub(super) struct Attended {
+    exchange: Option<Exchange>,
+    worker: Data<Worker>,
+}
+
+impl Attended {
+    pub(super) fn new(exchange: Exchange, worker: Data<Worker>) -> Self {
+        Self { exchange: Some(exchange), worker }
+    }
+
+    pub(super) fn exchange(&self) -> Option<&Exchange> {
+        self.exchange.as_ref()
+    }
+
+    pub(super) fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
+        let Some(exchange) = &mut self.exchange else {
+            return Poll::Ready(Step::Broken(UnknownReason::UpstreamBroke));
+        };
+        let step = ready!(exchange.poll_step(cx));
+        if !matches!(step, Step::Data(_)) {
+            self.exchange = None;
+        }
+        Poll::Ready(step)
+    }
+}
+
+impl Drop for Attended {
+    fn drop(&mut self) {
+        if let Some(exchange) = self.exchange.take() {
+            self.worker.abandon(exchange);
+        }
+    }
+}
+
+/// How far the body has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Progress {
+    Running,
+    /// What was written goes out before the connection breaks.
+    Flushing(UnknownReason),
+    Breaking(UnknownReason),
+}
+
+/// The body of an answer that is still arriving.
+pub(super) struct AnswerBody {
+    id: RequestId,
+    size: BodySize,
+    first: Option<Bytes>,
+    source: Attended,
+    is_event_stream: bool,
+    progress: Progress,
+}
+
+impl AnswerBody {
+    /// A body that begins with `first` and goes on with the rest of `source`.
+    pub(super) fn new(
+        id: RequestId,
+        size: BodySize,
+        first: Option<Bytes>,
+        source: Attended,
+    ) -> Self {
+        let is_event_stream = source.exchange().is_some_and(Exchange::is_event_stream);
+        Self { id, size, first, source, is_event_stream, progress: Progress::Running }
+    }
+
+    fn broken(&mut self, cx: &mut Context<'_>, reason: UnknownReason) -> Poll<Option<Bytes>> {
+        self.progress = Progress::Flushing(reason);
+        if self.is_event_stream {
+            return Poll::Ready(Some(outcome_event(self.id, reason)));
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+}
+
+impl MessageBody for AnswerBody {
+    type Error = BodyError;
+
+    fn size(&self) -> BodySize {
+        self.size
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, BodyError>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(first)));
+        }
+        match self.progress {
+            Progress::Running => match ready!(self.source.poll_step(cx)) {
+                Step::Data(chunk) => Poll::Ready(Some(Ok(chunk))),
+                Step::Whole => Poll::Ready(None),
+                Step::Broken(reason) => self.broken(cx, reason).map(|chunk| chunk.map(Ok)),
+            },
+            Progress::Flushing(reason) => {
+                self.progress = Progress::Breaking(reason);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Progress::Breaking(reason) => Poll::Ready(Some(Err(BodyError::Broken(reason)))),
+        }
+    }
+}
+
+/// Last event of a stream that broke. It stands in place of the end mark. The
+/// leading line feeds end an event that was cut off.
+pub(super) fn outcome_event(id: RequestId, reason: UnknownReason) -> Bytes {
+    let outcome = Outcome::Unknown(reason);
+    let data = format!(
+        r#"{{"outcome":"{}","reason":"{}","request_id":"{id}"}}"#,
+        outcome.as_str(),
+        outcome.reason(),
+    );
+    Bytes::from(format!("\n\nevent: {}\ndata: {data}\n\n", headers::OUTCOME))
+}
--- /dev/null
+++ b/crates/node/src/http/respond.rs
@@ -0,0 +1,122 @@
+//! Builds the answer to a caller from an upstream's answer.
+
+use std::{
+    future::poll_fn,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use actix_web::{
+    HttpResponse, HttpResponseBuilder,
+    body::{BodySize, MessageBody},
+    http::{
+        StatusCode,
+        header::{self, HeaderName, HeaderValue},
+    },
+    web::Data,
+};
+use bytes::{Bytes, BytesMut};
+use comfreyway_core::{ids::RequestId, outcome::Outcome};
+use comfreyway_proto::headers;
+
+use crate::upstream::Framing;
+
+use super::{
+    answer::set_outcome,
+    body::{AnswerBody, Attended},
+    exchange::{Exchange, Step},
+    handler::unknown,
+    worker::Worker,
+};
+
+/// Longest answer that is read whole before its head goes out, in bytes. Its
+/// outcome is then known in front.
+const COLLECT_BYTES: usize = 64 << 10;
+
+/// Answers with an exchange that has begun.
+pub(super) async fn respond(exchange: Exchange, worker: &Data<Worker>) -> HttpResponse {
+    let id = exchange.id();
+    let framing = exchange.head.framing;
+    let is_event_stream = exchange.is_event_stream();
+    let collected = match framing {
+        Framing::Empty => true,
+        Framing::Length(length) => !is_event_stream && length <= COLLECT_BYTES as u64,
+        Framing::Open => exchange.is_open_json(),
+    };
+    let declared = exchange.declared_length();
+    let mut response = build(id, exchange.head.status, &exchange.head.headers, !is_event_stream);
+    let mut source = Attended::new(exchange, worker.clone());
+    let first = match collected {
+        true => match collect(&mut source).await {
+            Collected::Whole(_) if framing == Framing::Empty => {
+                return response.body(NoBody(declared));
+            }
+            Collected::Whole(body) => return response.body(body),
+            Collected::Broken(answer) => return unknown(id, answer),
+            Collected::TooLong(first) => Some(first),
+        },
+        false => None,
+    };
+    let size = match framing {
+        Framing::Length(length) => BodySize::Sized(length),
+        Framing::Empty | Framing::Open => BodySize::Stream,
+    };
+    response.body(AnswerBody::new(id, size, first, source))
+}
+
+/// Begins an answer with an upstream's status and headers.
+pub(super) fn build(
+    id: RequestId,
+    status: StatusCode,
+    passing: &[(HeaderName, HeaderValue)],
+    outcome_is_known: bool,
+) -> HttpResponseBuilder {
+    let mut response = HttpResponse::build(status);
+    for (name, value) in passing.iter().filter(|(name, _)| *name != header::CONTENT_LENGTH) {
+        response.append_header((name.clone(), value.clone()));
+    }
+    if outcome_is_known {
+        set_outcome(&mut response, id, Outcome::Answered);
+    } else {
+        response.insert_header((headers::REQUEST_ID, id.to_string()));
+    }
+    response
+}
+
+enum Collected {
+    Whole(Bytes),
+    Broken(comfreyway_core::outcome::UnknownReason),
+    TooLong(Bytes),
+}
+
+async fn collect(source: &mut Attended) -> Collected {
+    let mut body = BytesMut::new();
+    loop {
+        match poll_fn(|cx| source.poll_step(cx)).await {
+            Step::Data(chunk) => body.extend_from_slice(&chunk),
+            Step::Whole => return Collected::Whole(body.freeze()),
+            Step::Broken(reason) => return Collected::Broken(reason),
+        }
+        if body.len() > COLLECT_BYTES {
+            return Collected::TooLong(body.freeze());
+        }
+    }
+}
+
+/// The absent body of an answer to `HEAD`, with the length that it would have.
+struct NoBody(Option<u64>);
+
+impl MessageBody for NoBody {
+    type Error = std::convert::Infallible;
+
+    fn size(&self) -> BodySize {
+        self.0.map_or(BodySize::None, BodySize::Sized)
+    }
+
+    fn poll_next(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Poll::Ready(None)
+    }
+}
--- /dev/null
+++ b/crates/node/src/http/traffic.rs
@@ -0,0 +1,122 @@
+//! What all workers share.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use comfreyway_core::{
+    config::Document,
+    ids::{DataCentreName, RequestId},
+};
+use tokio::sync::{Notify, watch};
+
+use crate::{
+    control::ControlHandle,
+    metrics::TrafficMetrics,
+    results::ResultStore,
+    settings::{Limits, Settings},
+};
+
+use super::Phase;
+
+/// Time after which a caller may try again where nothing better is known.
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What all workers share: settings, configuration in force, the way to the
+/// control thread, metrics and kept answers.
+#[derive(Debug)]
+pub struct Traffic {
+    pub(crate) data_centre: DataCentreName,
+    pub(crate) limits: Limits,
+    pub(crate) config: watch::Receiver<Arc<Document>>,
+    pub(crate) control: ControlHandle,
+    pub(crate) metrics: TrafficMetrics,
+    pub(crate) results: ResultStore,
+    phase: watch::Sender<Phase>,
+    in_progress: AtomicUsize,
+    idle: Notify,
+}
+
+impl Traffic {
+    /// The shared state of a process that is ready to serve.
+    #[must_use]
+    pub fn new(
+        settings: &Settings,
+        config: watch::Receiver<Arc<Document>>,
+        control: ControlHandle,
+        metrics: TrafficMetrics,
+    ) -> Self {
+        let limits = settings.limits.clone();
+        Self {
+            data_centre: settings.data_centre.clone(),
+            results: ResultStore::new(limits.results_bytes, limits.results_time),
+            limits,
+            config,
+            control,
+            metrics,
+            phase: watch::Sender::new(Phase::Serving),
+            in_progress: AtomicUsize::new(0),
+            idle: Notify::new(),
+        }
+    }
+
+    /// The present phase.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Moves to a later phase. Never moves back.
+    pub fn set_phase(&self, phase: Phase) {
+        self.phase.send_if_modified(|current| {
+            let later = (phase as u8) > (*current as u8);
+            if later {
+                *current = phase;
+            }
+            later
+        });
+    }
+
+    /// Requests that are neither answered nor refused yet.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::SeqCst)
+    }
+
+    /// Waits until no request is in progress.
+    pub async fn wait_idle(&self) {
+        loop {
+            let changed = self.idle.notified();
+            if self.in_progress() == 0 {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// A new identity for a request.
+    pub(crate) fn new_request_id(&self) -> RequestId {
+        RequestId::new(rand::random())
+    }
+
+    pub(super) fn begin(&self) {
+        self.in_progress.fetch_add(1, Ordering::SeqCst);
+        self.metrics.in_progress(1);
+    }
+
+    pub(super) fn end(&self) {
+        self.metrics.in_progress(-1);
+        if self.in_progress.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.idle.notify_waiters();
+        }
+    }
+
+    /// Signals changes of the phase.
+    pub(super) fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,9 +4,13 @@
 //! workers carry traffic. They meet in typed messages only: a worker asks once
 //! per request and reports once per outcome, never per token. [`settings`]
 //! holds what differs from host to host, [`cli`] the daemon's command line.
+//! [`http`] is the callers' interface, [`metrics`] and [`events`] show what it does.
 
 pub mod cli;
 pub mod control;
 pub mod events;
+pub mod http;
 pub mod metrics;
+mod results;
 pub mod settings;
+mod upstream;
--- /dev/null
+++ b/crates/node/src/results/mod.rs
@@ -0,0 +1,17 @@
+//! Answers kept for repeats.
+//!
+//! A request with an identity has a [`Recording`]: its answer as it arrives, or
+//! the reason why there is none. A repeat reads the recording while the first
+//! request waits, runs or is finished. [`ResultStore`] bounds what is kept by
+//! time and bytes; a recording that had to go leaves nothing behind, and a
+//! repeat is then told that the result has expired.
+
+mod reader;
+mod recording;
+mod store;
+
+pub(crate) use self::{
+    reader::{Recorded, RecordingReader},
+    recording::{RecordedEnd, RecordedHead, Recording},
+    store::ResultStore,
+};
--- /dev/null
+++ b/crates/node/src/results/reader.rs
@@ -0,0 +1,64 @@
+//! Reads a recording from its start.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use super::{RecordedEnd, RecordedHead, Recording, recording::Next};
+
+/// What a reader waits for.
+#[derive(Debug)]
+pub(crate) enum Recorded {
+    /// The next piece of the body.
+    Chunk(Bytes),
+    /// The end.
+    End(RecordedEnd),
+}
+
+/// Reads a recording from its start while it is written.
+#[derive(Debug)]
+pub(crate) struct RecordingReader {
+    recording: Arc<Recording>,
+    index: usize,
+}
+
+impl RecordingReader {
+    /// A reader at the start of `recording`.
+    pub(crate) fn new(recording: Arc<Recording>) -> Self {
+        Self { recording, index: 0 }
+    }
+
+    /// Waits for the head.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the end if the recording ended without a head.
+    pub(crate) async fn head(&self) -> Result<RecordedHead, RecordedEnd> {
+        loop {
+            let changed = self.recording.changed().notified();
+            if let Some(head) = self.recording.head() {
+                return Ok(head);
+            }
+            if let Some(end) = self.recording.end() {
+                return Err(end);
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits for the next piece of the body or the end.
+    pub(crate) async fn next(&mut self) -> Recorded {
+        let recording = Arc::clone(&self.recording);
+        loop {
+            let changed = recording.changed().notified();
+            match recording.next(self.index) {
+                Next::Chunk(chunk) => {
+                    self.index += 1;
+                    return Recorded::Chunk(chunk);
+                }
+                Next::End(end) => return Recorded::End(end),
+                Next::NotYet => changed.await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/results/recording.rs
@@ -0,0 +1,181 @@
+//! One answer as it arrives.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use actix_web::http::{
+    StatusCode,
+    header::{HeaderName, HeaderValue},
+};
+use bytes::Bytes;
+use comfreyway_core::outcome::{NotRunReason, UnknownReason};
+use tokio::sync::Notify;
+
+/// Head of a recorded answer.
+#[derive(Clone, Debug)]
+pub(crate) struct RecordedHead {
+    /// Status of the answer.
+    pub(crate) status: StatusCode,
+    /// End-to-end headers.
+    pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
+}
+
+/// How a recording ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RecordedEnd {
+    /// The answer is whole.
+    Answered,
+    /// The request was not run.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When to ask again.
+        retry_after: Option<Duration>,
+    },
+    /// The outcome is unknown.
+    Unknown(UnknownReason),
+}
+
+/// What a reader finds at its position.
+#[derive(Debug)]
+pub(super) enum Next {
+    /// The next piece of the body.
+    Chunk(Bytes),
+    /// Nothing yet.
+    NotYet,
+    /// The end.
+    End(RecordedEnd),
+}
+
+/// What a recording may hold.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RecordingLimits {
+    /// Bytes of this recording.
+    pub(super) own_bytes: usize,
+    /// Bytes of all recordings.
+    pub(super) all_bytes: usize,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    head: Option<RecordedHead>,
+    chunks: Vec<Bytes>,
+    bytes: usize,
+    end: Option<RecordedEnd>,
+    dropped: bool,
+}
+
+/// One answer as it arrives. Written by one worker, read by any.
+#[derive(Debug)]
+pub(crate) struct Recording {
+    limits: RecordingLimits,
+    total: Arc<AtomicUsize>,
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl Recording {
+    /// An empty recording that counts what it holds in `total`.
+    pub(super) fn new(limits: RecordingLimits, total: Arc<AtomicUsize>) -> Self {
+        Self { limits, total, state: Mutex::default(), changed: Notify::new() }
+    }
+
+    /// Takes the head of the answer.
+    pub(crate) fn start(&self, head: RecordedHead) {
+        self.state().head = Some(head);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes the next piece of the body. Returns false once the answer has
+    /// become too large to be kept.
+    pub(crate) fn push(&self, chunk: &Bytes) -> bool {
+        let mut state = self.state();
+        if state.dropped {
+            return false;
+        }
+        let own = state.bytes + chunk.len();
+        let all = self.total.load(Ordering::Relaxed) + chunk.len();
+        if own > self.limits.own_bytes || all > self.limits.all_bytes {
+            self.clear(&mut state);
+            drop(state);
+            self.changed.notify_waiters();
+            return false;
+        }
+        state.bytes += chunk.len();
+        self.total.fetch_add(chunk.len(), Ordering::Relaxed);
+        state.chunks.push(chunk.clone());
+        drop(state);
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// Takes the end. Only the first end counts.
+    pub(crate) fn finish(&self, end: RecordedEnd) {
+        let mut state = self.state();
+        let end = if state.dropped && end == RecordedEnd::Answered {
+            RecordedEnd::Unknown(UnknownReason::ResultExpired)
+        } else {
+            end
+        };
+        state.end.get_or_insert(end);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// How the recording ended, if it has.
+    pub(crate) fn end(&self) -> Option<RecordedEnd> {
+        self.state().end
+    }
+
+    /// The head, if it has arrived.
+    pub(super) fn head(&self) -> Option<RecordedHead> {
+        self.state().head.clone()
+    }
+
+    /// What stands at `index`.
+    pub(super) fn next(&self, index: usize) -> Next {
+        let state = self.state();
+        if state.dropped {
+            return Next::End(RecordedEnd::Unknown(UnknownReason::ResultExpired));
+        }
+        match (state.chunks.get(index), state.end) {
+            (Some(chunk), _) => Next::Chunk(chunk.clone()),
+            (None, Some(end)) => Next::End(end),
+            (None, None) => Next::NotYet,
+        }
+    }
+
+    /// Signals every change.
+    pub(super) fn changed(&self) -> &Notify {
+        &self.changed
+    }
+
+    /// Gives up what is kept.
+    pub(super) fn discard(&self) {
+        self.clear(&mut self.state());
+        self.changed.notify_waiters();
+    }
+
+    fn clear(&self, state: &mut State) {
+        self.total.fetch_sub(state.bytes, Ordering::Relaxed);
+        state.chunks = Vec::new();
+        state.bytes = 0;
+        state.dropped = true;
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Recording {
+    fn drop(&mut self) {
+        let bytes = self.state().bytes;
+        self.total.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/node/src/upstream/client.rs
@@ -0,0 +1,190 @@
+//! The client of one worker thread.
+
+use std::{net::SocketAddr, time::Duration};
+
+use actix_web::http::{
+    Method, StatusCode,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
+use awc::{
+    Client, ClientResponse, Connector,
+    error::{ConnectError, SendRequestError},
+};
+use comfreyway_core::{
+    ids::{Epoch, RequestId},
+    outcome::{RetryReason, UnknownReason},
+};
+use comfreyway_proto::headers;
+use quick_error::quick_error;
+
+use super::{Framing, Outbound, end_to_end, is_scheduler_header};
+
+/// Time after which an unused connection is closed. Below the five seconds
+/// after which common servers close theirs, so that both rarely meet.
+const IDLE_CONNECTION: Duration = Duration::from_secs(4);
+
+/// Time after which a connection is not used again.
+const CONNECTION_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Time for an upstream to take a cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+
+quick_error! {
+    /// Why an upstream gave no answer.
+    #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+    #[allow(unreachable_pub, reason = "the macro knows no narrower visibility")]
+    pub enum SendFailure {
+        /// No connection was established, so no byte was sent.
+        NotSent(reason: RetryReason) {
+            display("nothing was sent: {reason}")
+        }
+        /// The request may have arrived.
+        Unknown(reason: UnknownReason) {
+            display("the request may have run: {reason}")
+        }
+    }
+}
+
+/// Head of an upstream's answer, without the headers of the connection.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerHead {
+    /// Status of the answer.
+    pub(crate) status: StatusCode,
+    /// End-to-end headers, without the scheduler's own.
+    pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
+    /// What the length of the body is known by.
+    pub(crate) framing: Framing,
+}
+
+/// An answer whose body has not been read yet.
+pub(crate) struct UpstreamAnswer {
+    /// The head.
+    pub(crate) head: AnswerHead,
+    /// The head's headers as they came, and the body.
+    pub(crate) response: ClientResponse,
+}
+
+impl UpstreamAnswer {
+    fn new(method: &Method, response: ClientResponse) -> Self {
+        let status = response.status();
+        let framing = Framing::new(method == Method::HEAD, status, response.headers());
+        let passing = end_to_end(response.headers()).filter(|(name, _)| !is_scheduler_header(name));
+        let headers = passing.map(|(name, value)| (name.clone(), value.clone())).collect();
+        Self { head: AnswerHead { status, headers, framing }, response }
+    }
+
+    /// True if the upstream says that it is leaving.
+    pub(crate) fn is_leaving(&self) -> bool {
+        header_is_true(self.response.headers(), headers::LEAVING)
+    }
+}
+
+/// Sends requests to upstreams and keeps connections for reuse. One per worker
+/// thread; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct UpstreamClient {
+    client: Client,
+    idle: Duration,
+}
+
+impl UpstreamClient {
+    /// A client without connections.
+    pub(crate) fn new(connect_timeout: Duration, idle: Duration) -> Self {
+        let connector = Connector::new()
+            .timeout(connect_timeout)
+            .conn_keep_alive(IDLE_CONNECTION)
+            .conn_lifetime(CONNECTION_LIFETIME)
+            .limit(0);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Self { client, idle }
+    }
+
+    /// Sends a request. Called at most once per dispatch.
+    pub(crate) async fn send(
+        &self,
+        outbound: &Outbound,
+        address: SocketAddr,
+        epoch: Epoch,
+    ) -> Result<UpstreamAnswer, SendFailure> {
+        self.transmit(outbound, address, epoch, None).await
+    }
+
+    /// Asks for the rest of a stream after the event with this number. Runs
+    /// nothing anew.
+    pub(crate) async fn resume(
+        &self,
+        outbound: &Outbound,
+        address: SocketAddr,
+        epoch: Epoch,
+        after: u64,
+    ) -> Result<UpstreamAnswer, SendFailure> {
+        self.transmit(outbound, address, epoch, Some(after)).await
+    }
+
+    /// Asks an engine to stop a request. The result makes no difference.
+    pub(crate) async fn cancel(&self, id: RequestId, address: SocketAddr) {
+        let url = format!("http://{address}/v1/requests/{id}");
+        let request = self.client.delete(url).timeout(CANCEL_TIMEOUT).send();
+        if let Ok(mut response) = request.await {
+            // Reading the empty body gives the connection back for reuse.
+            let _ = response.body().await;
+        }
+    }
+
+    async fn transmit(
+        &self,
+        outbound: &Outbound,
+        address: SocketAddr,
+        epoch: Epoch,
+        resume_after: Option<u64>,
+    ) -> Result<UpstreamAnswer, SendFailure> {
+        let url = format!("http://{address}{}", outbound.path_and_query);
+        let mut request = self.client.request(outbound.method.clone(), url).no_decompress();
+        let map = request.headers_mut();
+        for (name, value) in &outbound.headers {
+            map.append(name.clone(), value.clone());
+        }
+        map.insert(HeaderName::from_static(headers::REQUEST_ID), text(&outbound.id.to_string()));
+        map.insert(HeaderName::from_static(headers::FENCING), text(&epoch.to_string()));
+        if let Some(after) = resume_after {
+            map.insert(HeaderName::from_static(headers::LAST_EVENT_ID), text(&after.to_string()));
+        }
+        let sending = match outbound.body.is_empty() {
+            true => request.send(),
+            false => request.send_body(outbound.body.clone()),
+        };
+        match tokio::time::timeout(self.idle, sending).await {
+            Ok(Ok(response)) => Ok(UpstreamAnswer::new(&outbound.method, response)),
+            Ok(Err(error)) => Err(classify(&error)),
+            Err(_) => Err(SendFailure::Unknown(UnknownReason::UpstreamTimeout)),
+        }
+    }
+}
+
+/// Tells a failure to connect from one that may have come later. `awc` reports
+/// a connection that was closed before the answer's head as disconnected, which
+/// therefore proves nothing.
+fn classify(error: &SendRequestError) -> SendFailure {
+    match error {
+        SendRequestError::Connect(ConnectError::Timeout) => {
+            SendFailure::NotSent(RetryReason::ConnectTimeout)
+        }
+        SendRequestError::Connect(ConnectError::Io(_)) => {
+            SendFailure::NotSent(RetryReason::ConnectRefused)
+        }
+        _ => SendFailure::Unknown(UnknownReason::UpstreamBroke),
+    }
+}
+
+fn header_is_true(map: &HeaderMap, name: &str) -> bool {
+    map.get(name).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"true"))
+}
+
+fn text(value: &str) -> HeaderValue {
+    HeaderValue::from_str(value).unwrap_or_else(|_| HeaderValue::from_static(""))
+}
--- /dev/null
+++ b/crates/node/src/upstream/outbound.rs
@@ -0,0 +1,41 @@
+//! A request as it goes to an upstream.
+
+use actix_web::http::{
+    Method,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
+use bytes::Bytes;
+use comfreyway_core::ids::RequestId;
+
+/// A request as it goes to an upstream: what the caller sent, without the
+/// headers of the connection. Cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct Outbound {
+    /// Identity of the request.
+    pub(crate) id: RequestId,
+    /// Method of the caller.
+    pub(crate) method: Method,
+    /// Path and query as the caller wrote them.
+    pub(crate) path_and_query: String,
+    /// End-to-end headers of the caller.
+    pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
+    /// Body of the caller.
+    pub(crate) body: Bytes,
+}
+
+impl Outbound {
+    /// Takes over what passes through of a caller's request.
+    pub(crate) fn new(
+        id: RequestId,
+        method: Method,
+        path_and_query: String,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Self {
+        let passing = super::end_to_end(headers)
+            .filter(|(name, _)| *name != actix_web::http::header::CONTENT_LENGTH)
+            .filter(|(name, _)| !super::is_scheduler_header(name));
+        let headers = passing.map(|(name, value)| (name.clone(), value.clone())).collect();
+        Self { id, method, path_and_query, headers, body }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/traffic/bad_input.rs
@@ -0,0 +1,130 @@
+//! Bad input: a clear answer, a counted reason, nothing dispatched.
+
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use crate::{
+    rig::{Rig, request},
+    scripted::{Reply, Scripted},
+};
+
+const CHAT: &str = "POST /v1/chat/completions";
+const WORKSPACE: &str = "comfreyway-workspace: acme";
+const CLASS: &str = "comfreyway-class: ask";
+const GOOD: &str = r#"{"model":"m","messages":[]}"#;
+
+fn chunked(chunks: &str) -> String {
+    format!(
+        "{CHAT} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n{WORKSPACE}\r\n{CLASS}\r\n\
+         transfer-encoding: chunked\r\n\r\n{chunks}"
+    )
+}
+
+#[rstest]
+#[case::malformed_json(request(CHAT, &[WORKSPACE, CLASS], "{\"model\":"), 400, "bad-request")]
+#[case::wrong_type(
+    request(CHAT, &[WORKSPACE, CLASS], r#"{"model":1,"messages":[]}"#),
+    400,
+    "bad-request"
+)]
+#[case::wrong_content(
+    request(CHAT, &[WORKSPACE, CLASS], r#"{"model":"m","messages":[{"role":"user","content":5}]}"#),
+    400,
+    "bad-request"
+)]
+#[case::no_body(request(CHAT, &[WORKSPACE, CLASS], ""), 400, "bad-request")]
+#[case::not_utf8(chunked("3\r\n{\"\r\r\n0\r\n\r\n"), 400, "bad-request")]
+#[case::no_workspace(request(CHAT, &[CLASS], GOOD), 400, "bad-request")]
+#[case::two_workspaces(request(CHAT, &[WORKSPACE, WORKSPACE, CLASS], GOOD), 400, "bad-request")]
+#[case::unknown_workspace(
+    request(CHAT, &["comfreyway-workspace: other", CLASS], GOOD),
+    403,
+    "unknown-workspace"
+)]
+#[case::bad_class_name(
+    request(CHAT, &[WORKSPACE, "comfreyway-class: a b"], GOOD),
+    400,
+    "bad-request"
+)]
+#[case::unknown_class(
+    request(CHAT, &[WORKSPACE, "comfreyway-class: other"], GOOD),
+    400,
+    "unknown-class"
+)]
+#[case::no_class(request("GET /bare/x", &[WORKSPACE], ""), 400, "unknown-class")]
+#[case::unknown_model(
+    request(CHAT, &[WORKSPACE, CLASS], r#"{"model":"other","messages":[]}"#),
+    404,
+    "unknown-model"
+)]
+#[case::unknown_route(request("GET /nowhere", &[WORKSPACE, CLASS], ""), 404, "unknown-route")]
+#[case::method(request("GET /v1/chat/completions", &[WORKSPACE], ""), 405, "method-not-allowed")]
+#[case::trace(request("TRACE /rack/1", &[WORKSPACE], ""), 405, "method-not-allowed")]
+#[case::no_identity(
+    request(CHAT, &[WORKSPACE, "comfreyway-class: once"], GOOD),
+    400,
+    "missing-identity"
+)]
+#[case::long_identity(
+    request(CHAT, &[WORKSPACE, CLASS, &format!("idempotency-key: {}", "k".repeat(300))], GOOD),
+    400,
+    "bad-request"
+)]
+#[case::large_header(
+    request(CHAT, &[WORKSPACE, CLASS, &format!("x: {}", "x".repeat(5000))], GOOD),
+    413,
+    "too-large"
+)]
+#[case::large_body(request(CHAT, &[WORKSPACE, CLASS], &"x".repeat(5000)), 413, "too-large")]
+#[case::large_chunked_body(
+    chunked(&format!("1388\r\n{}\r\n0\r\n\r\n", "x".repeat(5000))),
+    413,
+    "too-large"
+)]
+#[case::broken_chunking(chunked("zz\r\nabc"), 400, "bad-request")]
+#[actix_rt::test]
+async fn bad_input_is_refused_and_counted(
+    #[case] input: String,
+    #[case] status: u16,
+    #[case] reason: &str,
+) {
+    let upstream = Scripted::start(Vec::new()).await;
+    let rig = Rig::start(upstream.address, false);
+    let answer = rig.send(&input).await;
+    assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{answer}");
+    assert!(answer.contains("comfreyway-outcome: not-run\r\n"), "{answer}");
+    assert!(answer.contains(&format!("comfreyway-reason: {reason}\r\n")), "{answer}");
+    assert!(answer.contains("comfreyway-request-id: "), "{answer}");
+    assert!(answer.contains("content-type: application/problem+json"), "{answer}");
+    assert!(answer.contains(&format!(r#""status":{status}"#)), "{answer}");
+    assert_eq!(rig.metric(&format!("comfreyway_not_run_total{{reason=\"{reason}\"}}")), 1);
+    rig.wait_idle().await;
+    assert!(upstream.requests().is_empty());
+}
+
+#[actix_rt::test]
+async fn slow_body_is_refused() {
+    let upstream = Scripted::start(Vec::new()).await;
+    let rig = Rig::start(upstream.address, false);
+    let head = format!(
+        "{CHAT} HTTP/1.1\r\nhost: h\r\n{WORKSPACE}\r\n{CLASS}\r\ncontent-length: 100\r\n\r\n{{"
+    );
+    let mut stream = rig.open(&head).await;
+    let mut answer = vec![0; 12];
+    stream.read_exact(&mut answer).await.unwrap();
+    assert_eq!(answer, b"HTTP/1.1 408");
+    assert_eq!(rig.metric("comfreyway_not_run_total{reason=\"slow-body\"}"), 1);
+    assert!(upstream.requests().is_empty());
+}
+
+#[actix_rt::test]
+async fn daemon_serves_on_after_bad_input() {
+    let upstream = Scripted::start(vec![Reply::json("{}")]).await;
+    let rig = Rig::start(upstream.address, false);
+    let mut broken = rig.open("POST /v1/chat/completions HTTP/1.1\r\ncontent-le").await;
+    broken.shutdown().await.unwrap();
+    rig.send("\0\0 nonsense\r\n\r\n").await;
+    let answer = rig.send(&request(CHAT, &[WORKSPACE, CLASS], GOOD)).await;
+    assert!(answer.contains("comfreyway-outcome: answered\r\n"), "{answer}");
+    assert_eq!(upstream.requests().len(), 1);
+}
