--- /dev/null
+++ b/crates/node/src/health/mod.rs
@@ -0,0 +1,53 @@
+//! Liveness, readiness and metrics on the operators' port.
+//!
+//! These pages answer without the secret, so that the platform's balancer and
+//! a metrics collector need none. They tell nothing of requests or workspaces.
+
+use std::sync::Arc;
+
+use actix_web::{
+    HttpResponse, Responder,
+    http::header::ContentType,
+    web::{Data, ServiceConfig, get},
+};
+
+use crate::{
+    http::{Phase, Traffic},
+    metrics::Metrics,
+};
+
+/// Adds `/live`, `/ready` and `/metrics` to an app.
+pub fn configure(
+    traffic: Data<Traffic>,
+    metrics: Arc<Metrics>,
+) -> impl Fn(&mut ServiceConfig) + Clone {
+    move |cfg| {
+        cfg.app_data(traffic.clone())
+            .app_data(Data::from(metrics.clone()))
+            .route("/live", get().to(live))
+            .route("/ready", get().to(ready))
+            .route("/metrics", get().to(render));
+    }
+}
+
+async fn live() -> impl Responder {
+    HttpResponse::Ok().body("live\n")
+}
+
+/// Ready means: a configuration is in force and no stop has begun.
+async fn ready(traffic: Data<Traffic>) -> impl Responder {
+    if traffic.phase() != Phase::Serving {
+        return HttpResponse::ServiceUnavailable().body("stopping\n");
+    }
+    if traffic.config.borrow().version == 0 {
+        return HttpResponse::ServiceUnavailable().body("no configuration\n");
+    }
+    HttpResponse::Ok().body("ready\n")
+}
+
+async fn render(metrics: Data<Metrics>) -> impl Responder {
+    match metrics.render() {
+        Ok(text) => HttpResponse::Ok().insert_header(ContentType::plaintext()).body(text),
+        Err(e) => HttpResponse::InternalServerError().body(e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/run/daemon.rs
@@ -0,0 +1,95 @@
+//! Starts every part of a daemon and stops it.
+
+use std::sync::Arc;
+
+use actix_web::{App, HttpServer, dev::Server, web::Data};
+use comfreyway_core::ids::HostId;
+
+use crate::{
+    config::ConfigHandle,
+    control::incarnation_now,
+    events::{Event, log_event},
+    health,
+    http::{self, Traffic},
+    metrics::Metrics,
+    settings::{Platform, Settings},
+};
+
+use super::{
+    RunError,
+    control_thread::ControlThread,
+    initial::{read_initial, write_initial},
+    listeners::{Listeners, local_address},
+    stop::{StopEnd, StopSignals, drain},
+};
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if the daemon can't start.
+pub fn run(settings: Settings) -> Result<(), RunError> {
+    actix_rt::System::new().block_on(run_on_system(settings))
+}
+
+async fn run_on_system(settings: Settings) -> Result<(), RunError> {
+    let listeners = Listeners::bind(&settings.listen)?;
+    let mut signals = StopSignals::new()?;
+    let metrics = Arc::new(Metrics::new()?);
+    let host = HostId { name: settings.name.clone(), incarnation: incarnation_now() };
+    let thread = ControlThread::start(host, settings.platform.clone()).await?;
+    put_initial(&settings, &thread.config).await?;
+    let document = thread.config.document();
+    let traffic =
+        Data::new(Traffic::new(&settings, document, thread.control, metrics.traffic().clone()));
+    log_started(&settings, &listeners);
+    let operators = serve_operators(&listeners, traffic.clone(), metrics)?;
+    let callers = http::serve(&settings, traffic.clone(), listeners.callers)?;
+    let (callers_handle, operators_handle) = (callers.handle(), operators.handle());
+    actix_rt::spawn(callers);
+    actix_rt::spawn(operators);
+
+    signals.next().await;
+    log_event!(Event::Stopping, in_progress = traffic.in_progress());
+    let end = drain(&traffic, &mut signals, settings.limits.stop_limit).await;
+    if end != StopEnd::Drained {
+        log_event!(Event::StopCut, in_progress = traffic.in_progress());
+    }
+    callers_handle.stop(true).await;
+    operators_handle.stop(false).await;
+    log_event!(Event::Stopped, in_progress = traffic.in_progress());
+    thread.config.stop();
+    Ok(())
+}
+
+/// Writes the initial configuration of an embedded platform.
+async fn put_initial(settings: &Settings, config: &ConfigHandle) -> Result<(), RunError> {
+    let Platform::Embedded { initial_configuration: Some(file) } = &settings.platform else {
+        return Ok(());
+    };
+    let edits = read_initial(file)?;
+    write_initial(config, file, edits).await
+}
+
+fn serve_operators(
+    listeners: &Listeners,
+    traffic: Data<Traffic>,
+    metrics: Arc<Metrics>,
+) -> Result<Server, RunError> {
+    let listener = listeners.operators.try_clone()?;
+    let health = health::configure(traffic, metrics);
+    let server = HttpServer::new(move || App::new().configure(health.clone()))
+        .workers(1)
+        .disable_signals()
+        .listen(listener)?;
+    Ok(server.run())
+}
+
+fn log_started(settings: &Settings, listeners: &Listeners) {
+    log_event!(
+        Event::Started,
+        host = settings.name.as_str(),
+        callers = local_address(&listeners.callers),
+        operators = local_address(&listeners.operators)
+    );
+}
--- a/src/bin/comfreywayd.rs
+++ b/src/bin/comfreywayd.rs
@@ -1,3 +1,7 @@
-//! Entry point.
+//! The daemon. The work is done by `comfreyway-node`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    comfreyway_node::run::main()
+}
