Ask the runners of owned pools and the host list for their state

Cause: the pool owner had inputs for load, cache events and leaving runners, and nothing gave them: it learned only from its own dispatches. Change: an actor on the control thread asks each runner of the owned pools for load and cache events and reads the host list. A runner leaves when the configuration, the list or its own answer says so. The stand-in of the plain service reports its calls in progress; it reported one call for ever. Weighed: reading by every host, which costs calls in proportion to the hosts; reading only at dispatch, which hears of a leaving runner too late. Measured: four tests against stand-ins hear both ways of leaving, the way back, the host list, and each cache event once.

--- a/crates/node/src/control/actor.rs
+++ b/crates/node/src/control/actor.rs
@@ -1,22 +1,28 @@
 //! The actor that runs on the control thread.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
-use actix::{Actor, ActorContext, AsyncContext, Context, SpawnHandle, StreamHandler};
+use actix::{
+    Actor, ActorContext, Addr, AsyncContext, Context, Handler, SpawnHandle, StreamHandler,
+};
 use comfreyway_core::{
     config::Document,
     entry::{EntryInput, OwnerView},
     ids::{Epoch, HostId, PoolId, RequestId, RunnerName},
     outcome::RetryReason,
+    pool::PoolInput,
     request::RequestRecord,
     time::MonoTime,
 };
+use comfreyway_platform::HostList;
 use futures_util::stream;
 use tokio::sync::{
     mpsc::{UnboundedReceiver, UnboundedSender},
     watch,
 };
 
+use crate::reports::{ReportsActor, RunnerHeard, RunnerNews, WatchRunners};
+
 use super::{
     Clock, ControlStatus, Decision, PoolStatus, Progress, Submission, WorkerMessage,
     decisions::Decisions, effect::Effect, runners::PoolRunners,
@@ -38,6 +44,8 @@
     queue: Option<UnboundedReceiver<WorkerMessage>>,
     effects: Vec<Effect>,
     wake: Option<(MonoTime, SpawnHandle)>,
+    host_list: Option<Rc<dyn HostList>>,
+    reports: Option<Addr<ReportsActor>>,
 }
 
 impl Control {
@@ -60,9 +68,18 @@
             queue: Some(queue),
             effects: Vec::new(),
             wake: None,
+            host_list: None,
+            reports: None,
         }
     }
 
+    /// Hears of leaving runners from this host list.
+    #[must_use]
+    pub fn with_host_list(mut self, host_list: Rc<dyn HostList>) -> Self {
+        self.host_list = Some(host_list);
+        self
+    }
+
     /// Takes the configuration in force into the pools.
     fn apply_config(&mut self, cx: &mut Context<Self>) {
         self.document = self.config.borrow_and_update().clone();
@@ -77,9 +94,18 @@
         for pool in changes.removed_pools {
             self.decisions.disown(&pool);
         }
+        self.watch_runners();
         self.run_effects(cx);
     }
 
+    /// Asks for reports of the runners of the pools that this host owns.
+    fn watch_runners(&self) {
+        if let Some(reports) = &self.reports {
+            let owned = self.decisions.pools().map(|pool| &pool.settings().pool);
+            reports.do_send(WatchRunners(self.runners.watched(owned)));
+        }
+    }
+
     fn own(&mut self, now: MonoTime, pool: &PoolId) {
         let epoch = SINGLE_HOST_EPOCH;
         self.decisions.own(pool, epoch);
@@ -217,10 +243,29 @@
             rx.changed().await.ok().map(|()| (ConfigChanged, rx))
         });
         cx.add_stream(changes);
+        let owner = cx.address().recipient();
+        self.reports = Some(ReportsActor::new(self.host_list.take(), owner).start());
         self.apply_config(cx);
     }
 }
 
+impl Handler<RunnerHeard> for Control {
+    type Result = ();
+
+    fn handle(&mut self, heard: RunnerHeard, cx: &mut Self::Context) {
+        let RunnerHeard { pool, runner, news } = heard;
+        let inputs = match news {
+            RunnerNews::Load(report) => vec![PoolInput::Load { runner, report }],
+            RunnerNews::Cache(event) => vec![PoolInput::Cache { runner, event }],
+            RunnerNews::Leaving(leaving) => self.runners.hear_leaving(&pool, &runner, leaving),
+        };
+        for input in inputs {
+            self.decisions.pool_input(self.clock.now(), &pool, input, &mut self.effects);
+        }
+        self.run_effects(cx);
+    }
+}
+
 /// The configuration in force has changed.
 struct ConfigChanged;
 
--- a/crates/node/src/control/runners.rs
+++ b/crates/node/src/control/runners.rs
@@ -11,6 +11,8 @@
     pool::{PoolInput, RunnerSpec},
 };
 
+use crate::reports::WatchedRunner;
+
 /// Requests in progress at a runner of which nothing is known yet.
 const INITIAL_LIMIT: u32 = 4;
 
@@ -27,7 +29,10 @@
 struct KnownRunner {
     spec: RunnerSpec,
     address: SocketAddr,
+    /// The configuration says that the runner is leaving.
     leaving: bool,
+    /// The host list or the runner itself says that it is leaving.
+    heard_leaving: bool,
 }
 
 type Runners = BTreeMap<RunnerName, KnownRunner>;
@@ -44,9 +49,36 @@
         self.pools.get(pool)?.get(runner).map(|known| known.address)
     }
 
+    /// Every runner of the pools that `owned` names, as it is asked for reports.
+    pub(crate) fn watched<'a, I>(&self, owned: I) -> Vec<WatchedRunner>
+    where
+        I: IntoIterator<Item = &'a PoolId>,
+    {
+        let of_pool = |pool: &PoolId| {
+            let runners = self.pools.get(pool).into_iter().flatten();
+            runners.map(|(name, known)| watched(pool, name, known)).collect::<Vec<_>>()
+        };
+        owned.into_iter().flat_map(of_pool).collect()
+    }
+
+    /// Notes what the host list or the runner said, and returns the inputs that
+    /// tell the pool's owner of a change.
+    pub(crate) fn hear_leaving(
+        &mut self,
+        pool: &PoolId,
+        runner: &RunnerName,
+        leaving: bool,
+    ) -> Vec<PoolInput> {
+        let known = self.pools.get_mut(pool).and_then(|runners| runners.get_mut(runner));
+        let Some(known) = known else { return Vec::new() };
+        known.heard_leaving = leaving;
+        inputs_for(known)
+    }
+
     /// Takes a new configuration and returns what changed.
     pub(crate) fn update(&mut self, document: &Document) -> PoolChanges {
-        let new = pools_of(document);
+        let mut new = pools_of(document);
+        self.keep_heard(&mut new);
         let mut changes = PoolChanges::default();
         let old_keys: BTreeSet<_> = self.pools.keys().cloned().collect();
         let new_keys: BTreeSet<_> = new.keys().cloned().collect();
@@ -59,6 +91,26 @@
         self.pools = new;
         changes
     }
+
+    /// Carries over what was heard of runners that stay at their address.
+    fn keep_heard(&self, new: &mut BTreeMap<PoolId, Runners>) {
+        for (pool, runners) in new {
+            for (name, known) in runners {
+                let old = self.pools.get(pool).and_then(|runners| runners.get(name));
+                let same = old.filter(|old| old.address == known.address);
+                known.heard_leaving = same.is_some_and(|old| old.heard_leaving);
+            }
+        }
+    }
+}
+
+fn watched(pool: &PoolId, name: &RunnerName, known: &KnownRunner) -> WatchedRunner {
+    WatchedRunner {
+        pool: pool.clone(),
+        name: name.clone(),
+        address: known.address,
+        engine: known.spec.engine,
+    }
 }
 
 fn changed_runners(
@@ -82,7 +134,7 @@
 
 fn inputs_for(known: &KnownRunner) -> Vec<PoolInput> {
     let mut inputs = vec![PoolInput::RunnerUp(known.spec.clone())];
-    if known.leaving {
+    if known.leaving || known.heard_leaving {
         inputs.push(PoolInput::RunnerLeaving(known.spec.name.clone()));
     }
     inputs
@@ -113,5 +165,5 @@
         initial_limit: INITIAL_LIMIT,
         engine: upstream.kind == UpstreamKind::Engine,
     };
-    KnownRunner { spec, address: runner.address, leaving: runner.leaving }
+    KnownRunner { spec, address: runner.address, leaving: runner.leaving, heard_leaving: false }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod http;
 pub mod metrics;
+pub mod reports;
 mod results;
 pub mod run;
 pub mod settings;
--- /dev/null
+++ b/crates/node/src/reports/answer.rs
@@ -0,0 +1,92 @@
+//! The reports of a runner as they stand in its answers.
+
+use std::time::Duration;
+
+use comfreyway_core::{
+    pool::{CacheEvent, LoadReport},
+    request::BlockHash,
+};
+use serde::Deserialize;
+
+/// Body of `GET /v1/load`.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub(super) struct LoadAnswer {
+    #[serde(default)]
+    running: u32,
+    #[serde(default)]
+    waiting: u32,
+    #[serde(default)]
+    waiting_prefill_tokens: u64,
+    #[serde(default)]
+    age_ms: u64,
+}
+
+impl From<LoadAnswer> for LoadReport {
+    fn from(answer: LoadAnswer) -> Self {
+        Self {
+            running: answer.running,
+            queued: answer.waiting,
+            tokens: answer.waiting_prefill_tokens,
+            age: Duration::from_millis(answer.age_ms),
+        }
+    }
+}
+
+/// Body of `GET /v1/cache-events`.
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct CacheAnswer {
+    instance: u64,
+    last: u64,
+    #[serde(default)]
+    events: Vec<CacheAnswerEvent>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct CacheAnswerEvent {
+    seq: u64,
+    kind: String,
+    #[serde(default)]
+    blocks: Vec<String>,
+}
+
+/// Position in the cache events of one run of an engine.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct CacheCursor {
+    instance: u64,
+    /// Number of the last event that was read.
+    pub(super) last: u64,
+}
+
+impl CacheCursor {
+    /// Takes an answer: the events in order, with a reset for each gap and for
+    /// a restart of the engine.
+    pub(super) fn read(&mut self, answer: CacheAnswer) -> Vec<CacheEvent> {
+        let mut events = Vec::new();
+        if self.instance != answer.instance {
+            *self = Self { instance: answer.instance, last: 0 };
+            events.push(CacheEvent::Reset);
+        }
+        for event in answer.events {
+            if event.seq <= self.last {
+                continue;
+            }
+            if event.seq > self.last + 1 && self.last > 0 {
+                events.push(CacheEvent::Reset);
+            }
+            self.last = event.seq;
+            events.extend(cache_event(&event));
+        }
+        self.last = self.last.max(answer.last);
+        events
+    }
+}
+
+fn cache_event(event: &CacheAnswerEvent) -> Option<CacheEvent> {
+    let hash = |text: &String| u64::from_str_radix(text, 16).ok().map(BlockHash);
+    let blocks: Vec<_> = event.blocks.iter().filter_map(hash).collect();
+    match event.kind.as_str() {
+        "stored" => Some(CacheEvent::Stored(blocks)),
+        "evicted" => Some(CacheEvent::Evicted(blocks)),
+        _ => None,
+    }
+}
--- a/crates/node/src/run/control_thread.rs
+++ b/crates/node/src/run/control_thread.rs
@@ -13,7 +13,10 @@
     settings::Platform,
 };
 
-use super::{RunError, platform::key_value};
+use super::{
+    RunError,
+    platform::{host_list, key_value},
+};
 
 /// The other threads' ways to the control thread.
 pub(crate) struct ControlThread {
@@ -32,7 +35,11 @@
             let key_value = key_value(&platform);
             let name = host.name.clone();
             let config = ConfigActor::start_on_control(name, key_value, Rc::new(NoLinks));
-            Control::new(host, config.document(), queue).start();
+            let control = Control::new(host, config.document(), queue);
+            match host_list(&platform) {
+                Some(list) => control.with_host_list(list).start(),
+                None => control.start(),
+            };
             // A closed channel means that the start was given up.
             let _ = started.send(config);
         });
--- a/crates/testkit/src/engine/handlers.rs
+++ b/crates/testkit/src/engine/handlers.rs
@@ -100,7 +100,8 @@
 
 async fn load(engine: Engine) -> HttpResponse {
     let lag = engine.settings.load_lag;
-    HttpResponse::Ok().json(engine.batch().load.report(lag))
+    let mut res = HttpResponse::Ok();
+    engine.leaving().mark(&mut res).json(engine.batch().load.report(lag))
 }
 
 #[derive(Deserialize)]
--- a/crates/testkit/src/service/mod.rs
+++ b/crates/testkit/src/service/mod.rs
@@ -8,7 +8,10 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 use actix_web::{
@@ -33,6 +36,7 @@
     gate: Gate,
     leaving: Mutex<Leaving>,
     status: Mutex<StatusCode>,
+    running: AtomicU32,
 }
 
 /// A running plain service.
@@ -62,6 +66,7 @@
             gate: Gate::default(),
             leaving: Mutex::default(),
             status: Mutex::new(StatusCode::OK),
+            running: AtomicU32::new(0),
         });
         let data = Data::from(shared.clone());
         let server = LocalServer::start(address, move |cfg: &mut ServiceConfig| {
@@ -105,14 +110,17 @@
         return leaving.mark(&mut HttpResponse::ServiceUnavailable()).finish();
     }
     service.log.push(Run::new(&req, &body));
+    service.running.fetch_add(1, Ordering::Relaxed);
     service.gate.passed().await;
+    service.running.fetch_sub(1, Ordering::Relaxed);
     let status = *service.status.lock().unwrap_or_else(PoisonError::into_inner);
     let mut res = HttpResponse::build(status);
     leaving.mark(&mut res).json(Echo::new(&req, &body))
 }
 
 async fn load(service: Data<Shared>) -> HttpResponse {
-    let running = u32::try_from(service.log.count()).unwrap_or(u32::MAX);
-    // A plain service reports only that it is there; it has no batch.
-    HttpResponse::Ok().json(LoadReport { running: running.min(1), ..LoadReport::default() })
+    let running = service.running.load(Ordering::Relaxed);
+    let leaving = *service.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut res = HttpResponse::Ok();
+    leaving.mark(&mut res).json(LoadReport { running, ..LoadReport::default() })
 }
--- /dev/null
+++ b/crates/testkit/tests/reports.rs
@@ -0,0 +1,118 @@
+//! What the daemon hears of runners from stand-ins and the host list.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use actix::{Actor, Context, Handler};
+use comfreyway_core::ids::PoolId;
+use comfreyway_node::reports::{
+    ReportsActor, RunnerHeard, RunnerNews, WatchRunners, WatchedRunner,
+};
+use comfreyway_platform::{HostList, HostState, HttpHostList, ListedHost};
+use comfreyway_testkit::{
+    Leaving,
+    engine::{EngineSettings, EngineStandIn},
+    hosts::HostListStandIn,
+    service::ServiceStandIn,
+};
+use rstest::rstest;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// Passes on what it hears.
+struct Listener(UnboundedSender<RunnerHeard>);
+
+impl Actor for Listener {
+    type Context = Context<Self>;
+}
+
+impl Handler<RunnerHeard> for Listener {
+    type Result = ();
+
+    fn handle(&mut self, heard: RunnerHeard, _: &mut Self::Context) {
+        self.0.send(heard).unwrap();
+    }
+}
+
+fn runner(address: SocketAddr, engine: bool) -> WatchedRunner {
+    let pool = PoolId { upstream: "llm".parse().unwrap(), region: "almaty".parse().unwrap() };
+    WatchedRunner { pool, name: "r1".parse().unwrap(), address, engine }
+}
+
+fn listen(
+    runner: WatchedRunner,
+    host_list: Option<Rc<dyn HostList>>,
+) -> UnboundedReceiver<RunnerHeard> {
+    let (tx, rx) = unbounded_channel();
+    let owner = Listener(tx).start().recipient();
+    ReportsActor::new(host_list, owner).start().do_send(WatchRunners(vec![runner]));
+    rx
+}
+
+async fn next_presence(rx: &mut UnboundedReceiver<RunnerHeard>) -> bool {
+    loop {
+        if let RunnerNews::Leaving(leaving) = rx.recv().await.unwrap().news {
+            return leaving;
+        }
+    }
+}
+
+#[rstest]
+#[case::announced(Leaving::Announced)]
+#[case::refusing(Leaving::Refusing)]
+#[actix_rt::test]
+async fn leaving_runner_says_so_in_its_answers(#[case] leaving: Leaving) {
+    let service = ServiceStandIn::start().unwrap();
+    let mut heard = listen(runner(service.address(), false), None);
+    assert!(matches!(heard.recv().await.unwrap().news, RunnerNews::Load(_)));
+    service.set_leaving(leaving);
+    assert!(next_presence(&mut heard).await);
+    service.set_leaving(Leaving::No);
+    assert!(!next_presence(&mut heard).await);
+}
+
+#[actix_rt::test]
+async fn host_list_tells_of_a_leaving_runner() {
+    let engine = EngineStandIn::start(EngineSettings::new()).unwrap();
+    let listed = ListedHost {
+        name: "r1".parse().unwrap(),
+        address: engine.address(),
+        data_centre: "medeu".parse().unwrap(),
+        state: HostState::Live,
+    };
+    let list = HostListStandIn::start(vec![listed], Duration::ZERO).unwrap();
+    let client = HttpHostList::new(vec![list.address()], LIMIT);
+    let mut heard = listen(runner(engine.address(), true), Some(Rc::new(client)));
+    list.set_state("r1", HostState::Leaving);
+    assert!(next_presence(&mut heard).await);
+    list.set_state("r1", HostState::Live);
+    assert!(!next_presence(&mut heard).await);
+}
+
+#[actix_rt::test]
+async fn cache_events_of_an_engine_are_read_once() {
+    let engine = EngineStandIn::start(EngineSettings::new()).unwrap();
+    let url = format!("http://{}/v1/chat/completions", engine.address());
+    let chat = serde_json::json!({
+        "model": "m",
+        "messages": [{"role": "user", "content": "x".repeat(1_000)}],
+        "max_tokens": 1,
+    });
+    let mut heard = listen(runner(engine.address(), true), None);
+    awc::Client::default().post(url).send_json(&chat).await.unwrap();
+    let mut stored = 0;
+    let mut loads_after = 0;
+    while loads_after < 2 {
+        match heard.recv().await.unwrap().news {
+            RunnerNews::Cache(comfreyway_core::pool::CacheEvent::Stored(blocks)) => {
+                assert!(!blocks.is_empty());
+                stored += 1;
+            }
+            RunnerNews::Load(_) if stored > 0 => loads_after += 1,
+            _ => {}
+        }
+    }
+    assert_eq!(stored, 1);
+}
