Hold sessions between daemons

Cause: daemons had messages but no way to exchange them. Change: each daemon dials its peers and sends on the sessions that it dialled, shows the shared secret in the handshake (compared in constant time), greets with its incarnation, and counts messages and bytes per kind. A silent peer goes down after a second; a full queue ends the link. The greeting's address travels as text, since a tagged message is buffered before it is read and a buffered address can't be read from its compact form.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! per request and reports once per outcome, never per token. [`settings`]
 //! holds what differs from host to host, [`cli`] the daemon's command line.
 //! [`http`] is the callers' interface, [`metrics`] and [`events`] show what it does.
+//! [`peers`] holds the sessions between daemons.
 
 pub mod cli;
 pub mod config;
@@ -13,6 +14,7 @@
 pub mod health;
 pub mod http;
 pub mod metrics;
+pub mod peers;
 mod results;
 pub mod run;
 pub mod settings;
--- /dev/null
+++ b/crates/node/src/peers/backoff.rs
@@ -0,0 +1,29 @@
+//! Waits between two attempts to reach a peer.
+
+use std::time::Duration;
+
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const LONGEST_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Waits that double up to a limit, each shortened by a random part so that
+/// hosts that lost a peer together do not return together.
+#[derive(Debug)]
+pub(super) struct Backoff {
+    next: Duration,
+}
+
+impl Backoff {
+    pub(super) fn new() -> Self {
+        Self { next: FIRST_WAIT }
+    }
+
+    pub(super) fn reset(&mut self) {
+        self.next = FIRST_WAIT;
+    }
+
+    pub(super) fn wait(&mut self) -> Duration {
+        let wait = self.next.mul_f64(rand::random_range(0.5..1.0));
+        self.next = (self.next * 2).min(LONGEST_WAIT);
+        wait
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers/handle.rs
@@ -0,0 +1,153 @@
+//! Links to the peers and the sending side.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use comfreyway_core::ids::{HostId, HostName};
+use comfreyway_proto::peer::{Hello, PeerMessage, encode};
+use tokio::sync::mpsc;
+
+use super::{
+    PeerEvent, PeerTraffic, PeersSettings, TrafficKey, counters::Counters, dial::spawn_dialer,
+};
+
+/// An encoded message that waits for its session.
+#[derive(Debug)]
+pub(super) struct Outgoing {
+    pub(super) kind: &'static str,
+    pub(super) buf: Vec<u8>,
+}
+
+#[derive(Debug)]
+struct Link {
+    host: HostId,
+    address: SocketAddr,
+    tx: mpsc::Sender<Outgoing>,
+}
+
+/// Sends messages to peers. Cheap to clone; lives on the control thread.
+#[derive(Clone, Debug)]
+pub struct PeersHandle {
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: PeersSettings,
+    events: mpsc::Sender<PeerEvent>,
+    links: RefCell<BTreeMap<HostName, Link>>,
+    dialled: RefCell<BTreeSet<SocketAddr>>,
+    accepted: RefCell<BTreeMap<HostName, u64>>,
+    counters: RefCell<Counters>,
+}
+
+impl PeersHandle {
+    pub(super) fn new(settings: PeersSettings, events: mpsc::Sender<PeerEvent>) -> Self {
+        let shared = Shared {
+            settings,
+            events,
+            links: RefCell::default(),
+            dialled: RefCell::default(),
+            accepted: RefCell::default(),
+            counters: RefCell::default(),
+        };
+        Self { shared: Rc::new(shared) }
+    }
+
+    /// Queues a message. Returns false if there is no link to the peer, or its
+    /// queue is full; a full queue ends the link.
+    pub fn send(&self, to: &HostName, message: &PeerMessage) -> bool {
+        let mut links = self.shared.links.borrow_mut();
+        let Some(link) = links.get(to) else { return false };
+        let Ok(buf) = encode(message) else { return false };
+        let outgoing = Outgoing { kind: message.kind(), buf };
+        let queued = link.tx.try_send(outgoing).is_ok();
+        if !queued {
+            links.remove(to);
+        }
+        queued
+    }
+
+    /// Dials an address until the process ends, unless it is dialled already.
+    pub fn dial(&self, address: SocketAddr) {
+        if address == self.shared.settings.address {
+            return;
+        }
+        if self.shared.dialled.borrow_mut().insert(address) {
+            spawn_dialer(self.clone(), address);
+        }
+    }
+
+    /// Peers to which messages can be sent, with their addresses.
+    #[must_use]
+    pub fn links(&self) -> Vec<(HostId, SocketAddr)> {
+        let links = self.shared.links.borrow();
+        links.values().map(|link| (link.host.clone(), link.address)).collect()
+    }
+
+    /// Address of a peer to which there is a link.
+    #[must_use]
+    pub fn address(&self, host: &HostName) -> Option<SocketAddr> {
+        self.shared.links.borrow().get(host).map(|link| link.address)
+    }
+
+    /// Traffic counted so far.
+    #[must_use]
+    pub fn traffic(&self) -> BTreeMap<TrafficKey, PeerTraffic> {
+        self.shared.counters.borrow().snapshot()
+    }
+
+    pub(super) fn settings(&self) -> &PeersSettings {
+        &self.shared.settings
+    }
+
+    pub(super) fn hello(&self) -> Hello {
+        let settings = &self.shared.settings;
+        Hello::new(settings.host.clone(), settings.address)
+    }
+
+    pub(super) fn count(&self, sent: bool, kind: &'static str, bytes: usize) {
+        self.shared.counters.borrow_mut().count(sent, kind, bytes);
+    }
+
+    /// Forgets an address, so that it may be dialled again.
+    pub(super) fn forget(&self, address: SocketAddr) {
+        self.shared.dialled.borrow_mut().remove(&address);
+    }
+
+    /// Makes a link, replacing one to an earlier run of the host.
+    pub(super) fn add_link(&self, hello: &Hello, tx: mpsc::Sender<Outgoing>) {
+        let link = Link { host: hello.host.clone(), address: hello.address, tx };
+        self.shared.links.borrow_mut().insert(hello.host.name.clone(), link);
+    }
+
+    /// Drops the link of a session that ended, unless it was replaced.
+    pub(super) fn drop_link(&self, host: &HostId, tx: &mpsc::Sender<Outgoing>) {
+        let mut links = self.shared.links.borrow_mut();
+        if links.get(&host.name).is_some_and(|link| link.tx.same_channel(tx)) {
+            links.remove(&host.name);
+        }
+    }
+
+    /// Numbers an accepted session. A later session of the same host takes the
+    /// place of an earlier one.
+    pub(super) fn begin_accepted(&self, host: &HostName) -> u64 {
+        let mut accepted = self.shared.accepted.borrow_mut();
+        let number = accepted.entry(host.clone()).or_default();
+        *number += 1;
+        *number
+    }
+
+    pub(super) fn is_current(&self, host: &HostName, number: u64) -> bool {
+        self.shared.accepted.borrow().get(host) == Some(&number)
+    }
+
+    /// Reports to the control thread; waits while its queue is full.
+    pub(super) async fn report(&self, event: PeerEvent) -> bool {
+        self.shared.events.send(event).await.is_ok()
+    }
+}
--- a/crates/proto/src/peer/mod.rs
+++ b/crates/proto/src/peer/mod.rs
@@ -1,11 +1,14 @@
 //! Messages between daemons: CBOR in binary WebSocket frames.
 
+mod address_text;
 mod codec;
 mod config;
+mod hello;
 mod message;
 
 pub use self::{
     codec::{CodecError, MAX_FRAME_BYTES, decode, encode},
     config::{ConfigBody, ConfigMessage},
+    hello::{Hello, PROTOCOL_VERSION},
     message::PeerMessage,
 };
