Test repeats of a request over real sockets

Cause: nothing showed that a repeat gets the answer of the first request. The test of the oldest answers failed at first: a full store refused a new answer, as room was made only when an answer ended. A piece that does not fit now evicts finished answers, the oldest first.

--- a/crates/node/src/http/exchange.rs
+++ b/crates/node/src/http/exchange.rs
@@ -205,8 +205,8 @@
     }
 
     fn record(&mut self, chunk: &Bytes) {
-        let recording = self.ticket.recording().filter(|_| self.recording);
-        if recording.is_some_and(|recording| !recording.push(chunk)) {
+        let Some(recording) = self.ticket.recording().filter(|_| self.recording) else { return };
+        if !self.ticket.traffic().results.push(recording, chunk) {
             self.recording = false;
             log_event!(Event::ResultNotKept, id:% = self.ticket.id());
         }
--- a/crates/node/src/results/recording.rs
+++ b/crates/node/src/results/recording.rs
@@ -52,15 +52,6 @@
     End(RecordedEnd),
 }
 
-/// What a recording may hold.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct RecordingLimits {
-    /// Bytes of this recording.
-    pub(super) own_bytes: usize,
-    /// Bytes of all recordings.
-    pub(super) all_bytes: usize,
-}
-
 #[derive(Debug, Default)]
 struct State {
     head: Option<RecordedHead>,
@@ -73,16 +64,17 @@
 /// One answer as it arrives. Written by one worker, read by any.
 #[derive(Debug)]
 pub(crate) struct Recording {
-    limits: RecordingLimits,
+    max_bytes: usize,
     total: Arc<AtomicUsize>,
     state: Mutex<State>,
     changed: Notify,
 }
 
 impl Recording {
-    /// An empty recording that counts what it holds in `total`.
-    pub(super) fn new(limits: RecordingLimits, total: Arc<AtomicUsize>) -> Self {
-        Self { limits, total, state: Mutex::default(), changed: Notify::new() }
+    /// An empty recording that may hold `max_bytes` and adds what it holds to
+    /// `total`.
+    pub(super) fn new(max_bytes: usize, total: Arc<AtomicUsize>) -> Self {
+        Self { max_bytes, total, state: Mutex::default(), changed: Notify::new() }
     }
 
     /// Takes the head of the answer.
@@ -93,14 +85,12 @@
 
     /// Takes the next piece of the body. Returns false once the answer has
     /// become too large to be kept.
-    pub(crate) fn push(&self, chunk: &Bytes) -> bool {
+    pub(super) fn push(&self, chunk: &Bytes) -> bool {
         let mut state = self.state();
         if state.dropped {
             return false;
         }
-        let own = state.bytes + chunk.len();
-        let all = self.total.load(Ordering::Relaxed) + chunk.len();
-        if own > self.limits.own_bytes || all > self.limits.all_bytes {
+        if state.bytes + chunk.len() > self.max_bytes {
             self.clear(&mut state);
             drop(state);
             self.changed.notify_waiters();
--- a/crates/node/src/results/store.rs
+++ b/crates/node/src/results/store.rs
@@ -9,9 +9,10 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use comfreyway_core::ids::RequestId;
 
-use super::{Recording, recording::RecordingLimits};
+use super::Recording;
 
 /// Share of the whole memory that one answer may take, as a divisor.
 const LARGEST_SHARE: usize = 8;
@@ -39,15 +40,31 @@
 
     /// Begins the recording of a request.
     pub(crate) fn open(&self, id: RequestId) -> Arc<Recording> {
-        let own_bytes = self.max_bytes / LARGEST_SHARE;
-        let limits = RecordingLimits { own_bytes, all_bytes: self.max_bytes };
-        let recording = Arc::new(Recording::new(limits, Arc::clone(&self.total)));
+        let max_bytes = self.max_bytes / LARGEST_SHARE;
+        let recording = Arc::new(Recording::new(max_bytes, Arc::clone(&self.total)));
         let mut state = self.state();
         state.recordings.insert(id, Arc::clone(&recording));
         self.evict(&mut state);
         recording
     }
 
+    /// Adds a piece of an answer. Finished answers make room, the oldest first.
+    /// Returns false once the answer can't be kept.
+    pub(crate) fn push(&self, recording: &Recording, chunk: &Bytes) -> bool {
+        if !recording.push(chunk) {
+            return false;
+        }
+        if self.bytes() <= self.max_bytes {
+            return true;
+        }
+        self.evict(&mut self.state());
+        let fits = self.bytes() <= self.max_bytes;
+        if !fits {
+            recording.discard();
+        }
+        fits
+    }
+
     /// The recording of a request, if it is still kept.
     pub(crate) fn find(&self, id: RequestId) -> Option<Arc<Recording>> {
         self.state().recordings.get(&id).cloned()
@@ -62,11 +79,6 @@
         self.evict(&mut state);
     }
 
-    /// Bytes that are kept.
-    pub(crate) fn bytes(&self) -> usize {
-        self.total.load(Ordering::Relaxed)
-    }
-
     fn evict(&self, state: &mut State) {
         while let Some(&(since, id)) = state.finished.front() {
             if since.elapsed() <= self.keep && self.bytes() <= self.max_bytes {
@@ -79,6 +91,10 @@
         }
     }
 
+    fn bytes(&self) -> usize {
+        self.total.load(Ordering::Relaxed)
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/node/tests/traffic/main.rs
+++ b/crates/node/tests/traffic/main.rs
@@ -5,6 +5,7 @@
 
 mod bad_input;
 mod dispatch;
+mod repeats;
 mod rig;
 mod scripted;
 mod streams;
--- a/crates/node/tests/traffic/rig.rs
+++ b/crates/node/tests/traffic/rig.rs
@@ -12,7 +12,7 @@
     request::Target,
 };
 use comfreyway_node::{
-    control::{Control, ControlHandle},
+    control::{Control, ControlHandle, WorkerMessage},
     http::{Traffic, serve},
     metrics::Metrics,
     settings::Settings,
@@ -20,28 +20,40 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    sync::{mpsc::unbounded_channel, watch},
+    sync::{
+        mpsc::{UnboundedReceiver, unbounded_channel},
+        watch,
+    },
 };
 
 const SETTINGS: &str = "[host]\nname = h1\ndata-centre = medeu\nworkers = 1\n[limits]\n\
-    body-bytes = 4KiB\nheader-bytes = 4KiB\nbody-time = 300ms\nupstream-idle = 5s\n";
+    body-bytes = 4KiB\nheader-bytes = 4KiB\nbody-time = 300ms\nupstream-idle = 5s\nresults-bytes = 8KiB\n";
 
 /// A running daemon.
 pub(crate) struct Rig {
     pub(crate) address: SocketAddr,
     pub(crate) traffic: Data<Traffic>,
     metrics: Metrics,
-    _config: watch::Sender<Arc<Document>>,
+    config: watch::Sender<Arc<Document>>,
 }
 
 impl Rig {
     /// Starts a daemon before one runner that serves as engine and as service.
     pub(crate) fn start(runner: SocketAddr, resumes: bool) -> Self {
-        let settings = Settings::parse(SETTINGS, Path::new("test.ini")).unwrap();
-        let (tx, rx) = unbounded_channel();
-        let (config_tx, config_rx) = watch::channel(Arc::new(document(runner, resumes)));
+        let (rig, queue) = Self::with_open_queue(runner, resumes);
         let host = HostId { name: "h1".parse().unwrap(), incarnation: 1 };
-        Control::new(host, config_rx.clone(), rx).start();
+        Control::new(host, rig.config.subscribe(), queue).start();
+        rig
+    }
+
+    /// Starts a daemon whose decisions the test makes itself.
+    pub(crate) fn with_open_queue(
+        runner: SocketAddr,
+        resumes: bool,
+    ) -> (Self, UnboundedReceiver<WorkerMessage>) {
+        let settings = Settings::parse(SETTINGS, Path::new("test.ini")).unwrap();
+        let (tx, queue) = unbounded_channel();
+        let (config, config_rx) = watch::channel(Arc::new(document(runner, resumes)));
         let metrics = Metrics::new().unwrap();
         let control = ControlHandle::new(tx);
         let traffic = Traffic::new(&settings, config_rx, control, metrics.traffic().clone());
@@ -49,7 +61,7 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         actix_rt::spawn(serve(&settings, traffic.clone(), listener).unwrap());
-        Self { address, traffic, metrics, _config: config_tx }
+        (Self { address, traffic, metrics, config }, queue)
     }
 
     /// Sends raw bytes and reads until the daemon closes the connection.
--- a/crates/node/tests/traffic/streams.rs
+++ b/crates/node/tests/traffic/streams.rs
@@ -115,7 +115,7 @@
 #[actix_rt::test]
 async fn stream_of_a_class_that_may_not_be_cancelled_runs_on() {
     let signal = Arc::new(Notify::new());
-    let rest = "18\r\nid: 3\ndata: [DONE]\n\n    \n\r\n0\r\n\r\n";
+    let rest = "14\r\nid: 3\ndata: [DONE]\n\n\r\n0\r\n\r\n";
     let then = Then::WaitAndSend(Arc::clone(&signal), rest);
     let upstream = Scripted::start(vec![Reply::events(&[ONE], false, then)]).await;
     let rig = Rig::start(upstream.address, false);
