Tell the owner of a leaving runner, and ask the engine of a lost host

Cause: an upstream's own word that it is leaving reached nobody, and a repeat of a request whose host is gone had no way to its answer. Change: a worker reports a runner that says it is leaving; the entry tells the pool's owner. A request that an upstream turned away is handed back with the reason and then withdrawn, so that the owner learns of it and nothing is sent twice. A decision names the runner of a request whose host is gone; the worker asks it for the answer from the start and never sends the request itself.

--- a/crates/core/src/entry/input.rs
+++ b/crates/core/src/entry/input.rs
@@ -54,6 +54,8 @@
     },
     /// The first token or byte arrived.
     FirstToken(RequestId),
+    /// The runner of a dispatched request said that it is leaving.
+    RunnerLeaving(RequestId),
     /// The dispatch ended.
     Ended {
         /// The request.
--- a/crates/core/src/entry/state.rs
+++ b/crates/core/src/entry/state.rs
@@ -77,6 +77,12 @@
                     self.tell(&pool, PoolInput::FirstToken(id), out);
                 }
             }
+            EntryInput::RunnerLeaving(id) => {
+                let told = self.dispatched.get(&id).map(|d| (d.pool.clone(), d.runner.clone()));
+                if let Some((pool, runner)) = told {
+                    self.tell(&pool, PoolInput::RunnerLeaving(runner), out);
+                }
+            }
             EntryInput::Ended { id, end } => {
                 if let Some(dispatched) = self.dispatched.remove(&id) {
                     self.tell(&dispatched.pool, PoolInput::Ended { id, end }, out);
--- a/crates/node/src/control/actor.rs
+++ b/crates/node/src/control/actor.rs
@@ -114,6 +114,7 @@
         let input = match progress {
             Progress::NotSent(reason) => EntryInput::NotSent { id, reason },
             Progress::FirstToken => EntryInput::FirstToken(id),
+            Progress::RunnerLeaving => EntryInput::RunnerLeaving(id),
             Progress::Ended(end) => {
                 self.workers.remove(&id);
                 EntryInput::Ended { id, end }
--- a/crates/node/src/control/message.rs
+++ b/crates/node/src/control/message.rs
@@ -74,6 +74,18 @@
         /// Why.
         reason: UnknownReason,
     },
+    /// The same request was dispatched by a host that is gone: ask its runner
+    /// for the answer. Runs nothing anew.
+    Resume {
+        /// Identity of the first request.
+        id: RequestId,
+        /// The runner's name.
+        runner: RunnerName,
+        /// The runner's address.
+        address: SocketAddr,
+        /// The owner's epoch.
+        epoch: Epoch,
+    },
     /// The same request is known: its answer is at this peer.
     Attach {
         /// Identity of the first request.
@@ -91,6 +103,8 @@
     NotSent(RetryReason),
     /// The first token or byte arrived.
     FirstToken,
+    /// The runner said in its answer that it is leaving.
+    RunnerLeaving,
     /// The dispatch ended.
     Ended(DispatchEnd),
     /// The caller left while the request was waiting.
--- a/crates/node/src/http/dispatch.rs
+++ b/crates/node/src/http/dispatch.rs
@@ -1,7 +1,7 @@
 //! Sends a granted request.
 
 use actix_web::{http::StatusCode, web::Data};
-use comfreyway_core::outcome::{NotRunReason, UnknownReason};
+use comfreyway_core::outcome::{NotRunReason, RetryReason, UnknownReason};
 use tokio::sync::oneshot;
 
 use crate::upstream::{SendFailure, UpstreamAnswer};
@@ -10,7 +10,6 @@
     exchange::{Destination, Exchange},
     resume::resume,
     ticket::Ticket,
-    traffic::RETRY_AFTER,
     worker::Worker,
 };
 
@@ -28,26 +27,41 @@
 
 /// Sends a request in a task of its own, so that a caller that leaves does not
 /// cut it off.
-pub(super) async fn dispatch(worker: &Data<Worker>, ticket: Ticket, to: Destination) -> Dispatched {
+pub(super) async fn dispatch(
+    worker: &Data<Worker>,
+    ticket: Ticket,
+    to: Destination,
+    manner: Manner,
+) -> Dispatched {
     let (tx, rx) = oneshot::channel();
     let worker = worker.clone();
-    actix_rt::spawn(run(worker, ticket, to, tx));
+    actix_rt::spawn(run(worker, ticket, to, manner, tx));
     rx.await.unwrap_or(Dispatched::Unknown(UnknownReason::UpstreamBroke))
 }
 
+/// How a request reaches its runner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Manner {
+    /// It is sent, and may run.
+    Send,
+    /// It was sent by a host that is gone; only its answer is asked for.
+    AskAgain,
+}
+
 async fn run(
     worker: Data<Worker>,
     mut ticket: Ticket,
     to: Destination,
+    manner: Manner,
     mut tx: oneshot::Sender<Dispatched>,
 ) {
     ticket.dispatched();
     let may_cancel = to.cancellable && to.from_engine;
     let sent = tokio::select! {
-        sent = send(&to) => sent,
+        sent = transmit(&to, manner) => sent,
         () = tx.closed(), if may_cancel => {
             ticket.cancelled();
-            return to.client.cancel(to.outbound.id, to.address).await;
+            return to.client.cancel(to.outbound.id, to.granted.address).await;
         }
     };
     let result = match sent {
@@ -68,30 +82,42 @@
 
 /// Sends the request. If the connection broke before the answer's head, asks an
 /// engine that can resume for the whole answer.
-async fn send(to: &Destination) -> Result<UpstreamAnswer, SendFailure> {
-    let Destination { client, outbound, address, epoch, .. } = to;
-    let sent = client.send(outbound, *address, *epoch).await;
-    let broke = matches!(sent, Err(SendFailure::Unknown(UnknownReason::UpstreamBroke)));
-    if !broke || !to.resumes {
+async fn transmit(to: &Destination, manner: Manner) -> Result<UpstreamAnswer, SendFailure> {
+    let Destination { client, outbound, granted, .. } = to;
+    let sent = match manner {
+        Manner::Send => client.send(outbound, granted.address, granted.epoch).await,
+        Manner::AskAgain => Err(SendFailure::Unknown(UnknownReason::HolderGone)),
+    };
+    let lost = matches!(
+        sent,
+        Err(SendFailure::Unknown(UnknownReason::UpstreamBroke | UnknownReason::HolderGone))
+    );
+    if !lost || !to.resumes {
         return sent;
     }
-    match resume(client.clone(), outbound.clone(), *address, *epoch, 0).await {
+    match resume(client.clone(), outbound.clone(), granted.clone(), 0).await {
         Some(answer) => Ok(answer),
         None => sent,
     }
 }
 
 fn started(mut ticket: Ticket, to: Destination, answer: UpstreamAnswer) -> Dispatched {
+    let is_leaving = answer.is_leaving();
     let turned_away = match answer.head.status {
-        StatusCode::SERVICE_UNAVAILABLE if answer.is_leaving() => Some(NotRunReason::NoRunner),
-        StatusCode::PRECONDITION_FAILED if to.checks_fencing => Some(NotRunReason::NoOwner),
+        StatusCode::SERVICE_UNAVAILABLE if is_leaving => {
+            Some((NotRunReason::NoRunner, RetryReason::RunnerLeaving))
+        }
+        StatusCode::PRECONDITION_FAILED if to.checks_fencing => {
+            Some((NotRunReason::NoOwner, RetryReason::StaleEpoch))
+        }
         _ => None,
     };
-    match turned_away {
-        Some(reason) => {
-            ticket.not_run(reason, Some(RETRY_AFTER));
-            Dispatched::TurnedAway(reason)
-        }
-        None => Dispatched::Started(Box::new(Exchange::new(ticket, to, answer))),
+    if let Some((reason, why)) = turned_away {
+        ticket.turned_away(reason, why);
+        return Dispatched::TurnedAway(reason);
+    }
+    if is_leaving {
+        ticket.runner_leaving();
     }
+    Dispatched::Started(Box::new(Exchange::new(ticket, to, answer)))
 }
--- a/crates/node/src/http/exchange.rs
+++ b/crates/node/src/http/exchange.rs
@@ -33,13 +33,19 @@
 /// Longest answer whose token counts are read, in bytes. Streams have no limit.
 const MAX_USAGE_BYTES: usize = 256 << 10;
 
+/// The runner that a request was granted to.
+#[derive(Clone, Debug)]
+pub(super) struct Granted {
+    pub(super) runner: RunnerName,
+    pub(super) address: SocketAddr,
+    pub(super) epoch: Epoch,
+}
+
 /// Where a request was sent.
 pub(super) struct Destination {
     pub(super) client: UpstreamClient,
     pub(super) outbound: Outbound,
-    pub(super) runner: RunnerName,
-    pub(super) address: SocketAddr,
-    pub(super) epoch: Epoch,
+    pub(super) granted: Granted,
     pub(super) from_engine: bool,
     pub(super) checks_fencing: bool,
     pub(super) resumes: bool,
@@ -172,7 +178,7 @@
         if self.to.cancellable && self.to.from_engine {
             self.state = State::Ended;
             self.ticket.cancelled();
-            self.to.client.cancel(self.to.outbound.id, self.to.address).await;
+            self.to.client.cancel(self.to.outbound.id, self.to.granted.address).await;
             return;
         }
         while let Step::Data(_) = self.step().await {}
@@ -226,8 +232,8 @@
         };
         self.resumes += 1;
         self.skip = point.skip;
-        let Destination { client, outbound, address, epoch, .. } = &self.to;
-        let answer = resume(client.clone(), outbound.clone(), *address, *epoch, point.after);
+        let Destination { client, outbound, granted, .. } = &self.to;
+        let answer = resume(client.clone(), outbound.clone(), granted.clone(), point.after);
         self.state = State::Resuming(Box::pin(answer));
         None
     }
@@ -236,7 +242,7 @@
         log_event!(
             Event::StreamResumed,
             id:% = self.ticket.id(),
-            runner:% = self.to.runner,
+            runner:% = self.to.granted.runner,
             received = self.received
         );
         self.idle.touch();
--- a/crates/node/src/http/handler.rs
+++ b/crates/node/src/http/handler.rs
@@ -23,8 +23,8 @@
     admit::{Admitted, admit, check_head},
     answer::{advice, problem},
     attach::attach,
-    dispatch::{Dispatched, dispatch},
-    exchange::Destination,
+    dispatch::{Dispatched, Manner, dispatch},
+    exchange::{Destination, Granted},
     read_body::read_body,
     refusal::Refusal,
     respond::respond,
@@ -138,27 +138,20 @@
     loop {
         match ticket.next_decision(deadline).await {
             Some(Decision::Dispatch { runner, address, epoch }) => {
-                let to = Destination {
-                    client: worker.client.clone(),
-                    outbound: outbound.clone(),
-                    runner,
-                    address,
-                    epoch,
-                    from_engine: admitted.from_engine,
-                    checks_fencing: admitted.checks_fencing,
-                    resumes: admitted.resumes,
-                    cancellable: admitted.class.cancellable,
-                };
-                match dispatch(worker, ticket, to).await {
-                    Dispatched::Started(exchange) => return respond(*exchange, worker).await,
+                let granted = Granted { runner, address, epoch };
+                let to = destination(admitted, outbound.clone(), worker, granted);
+                match dispatch(worker, ticket, to, Manner::Send).await {
                     Dispatched::NotSent(waiting) => ticket = waiting,
-                    Dispatched::TurnedAway(reason) => {
-                        let refusal = Refusal::not_run(reason, "the upstream ran nothing");
-                        return problem(id, &refusal.with_retry_after(RETRY_AFTER));
-                    }
-                    Dispatched::Unknown(reason) => return unknown(id, reason),
+                    other => return finish(id, other, worker).await,
                 }
             }
+            Some(Decision::Resume { id: first, runner, address, epoch }) => {
+                let outbound = Outbound { id: first, ..outbound.clone() };
+                let granted = Granted { runner, address, epoch };
+                let to = destination(admitted, outbound, worker, granted);
+                let dispatched = dispatch(worker, ticket, to, Manner::AskAgain).await;
+                return finish(first, dispatched, worker).await;
+            }
             Some(Decision::NotRun { reason, retry_after }) => {
                 ticket.not_run(reason, Some(retry_after));
                 let refusal = Refusal::not_run(reason, "ask again after the given time");
@@ -181,6 +174,35 @@
     }
 }
 
+fn destination(
+    admitted: &Admitted,
+    outbound: Outbound,
+    worker: &Data<Worker>,
+    granted: Granted,
+) -> Destination {
+    Destination {
+        client: worker.client.clone(),
+        outbound,
+        granted,
+        from_engine: admitted.from_engine,
+        checks_fencing: admitted.checks_fencing,
+        resumes: admitted.resumes,
+        cancellable: admitted.class.cancellable,
+    }
+}
+
+async fn finish(id: RequestId, dispatched: Dispatched, worker: &Data<Worker>) -> HttpResponse {
+    match dispatched {
+        Dispatched::Started(exchange) => respond(*exchange, worker).await,
+        Dispatched::TurnedAway(reason) => {
+            let refusal = Refusal::not_run(reason, "the upstream ran nothing");
+            problem(id, &refusal.with_retry_after(RETRY_AFTER))
+        }
+        Dispatched::Unknown(reason) => unknown(id, reason),
+        Dispatched::NotSent(_) => unknown(id, UnknownReason::HolderGone),
+    }
+}
+
 /// The answer to a request of unknown outcome.
 pub(super) fn unknown(id: RequestId, reason: UnknownReason) -> HttpResponse {
     let outcome = Outcome::Unknown(reason);
--- a/crates/node/src/http/resume.rs
+++ b/crates/node/src/http/resume.rs
@@ -1,12 +1,13 @@
 //! Continues an answer whose connection broke.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use actix_web::http::StatusCode;
-use comfreyway_core::ids::Epoch;
 
 use crate::upstream::{EndProof, Outbound, SendFailure, UpstreamAnswer, UpstreamClient};
 
+use super::exchange::Granted;
+
 /// Times that one answer is resumed at most.
 pub(super) const MAX_RESUMES: u32 = 5;
 
@@ -45,13 +46,12 @@
 pub(super) async fn resume(
     client: UpstreamClient,
     outbound: Outbound,
-    address: SocketAddr,
-    epoch: Epoch,
+    granted: Granted,
     after: u64,
 ) -> Option<UpstreamAnswer> {
     for delay in ATTEMPT_DELAYS {
         tokio::time::sleep(delay).await;
-        match client.resume(&outbound, address, epoch, after).await {
+        match client.resume(&outbound, granted.address, granted.epoch, after).await {
             Ok(answer) if answer.head.status == StatusCode::OK => return Some(answer),
             Ok(_) => return None,
             Err(SendFailure::NotSent(_) | SendFailure::Unknown(_)) => {}
--- a/crates/node/src/http/ticket.rs
+++ b/crates/node/src/http/ticket.rs
@@ -20,7 +20,10 @@
     upstream::AnswerUsage,
 };
 
-use super::{admit::Admitted, traffic::Traffic};
+use super::{
+    admit::Admitted,
+    traffic::{RETRY_AFTER, Traffic},
+};
 
 /// Counts a request as in progress while it exists.
 pub(super) struct InProgress(Data<Traffic>);
@@ -172,23 +175,36 @@
         self.report(Progress::Ended(DispatchEnd::Cancelled));
     }
 
-    /// The request was not run: by decision, or by the upstream's own word.
+    /// The request was not run by decision.
     pub(super) fn not_run(&mut self, reason: NotRunReason, retry_after: Option<Duration>) {
-        let dispatched = matches!(self.stage, Stage::Dispatched { .. });
         log_event!(Event::RequestNotRun, id:% = self.id, reason = reason.as_str());
         self.traffic.metrics.not_run(reason);
         self.end(RecordedEnd::NotRun { reason, retry_after });
-        if dispatched {
-            self.report(Progress::Ended(DispatchEnd::Failed));
-        }
     }
 
     /// The worker itself gives the waiting request up. A dispatch that was
     /// decided but not taken up counts as not sent.
     pub(super) fn withdraw(&mut self, reason: NotRunReason, retry_after: Option<Duration>) {
+        self.give_up(reason, retry_after, RetryReason::GrantExpired);
+    }
+
+    /// The upstream itself says that it ran nothing. The request does not go to
+    /// another runner, since its bytes have left this host.
+    pub(super) fn turned_away(&mut self, reason: NotRunReason, why: RetryReason) {
+        self.give_up(reason, Some(RETRY_AFTER), why);
+    }
+
+    /// The runner says that it is leaving.
+    pub(super) fn runner_leaving(&self) {
+        self.report(Progress::RunnerLeaving);
+    }
+
+    fn give_up(&mut self, reason: NotRunReason, retry_after: Option<Duration>, why: RetryReason) {
         self.decisions.close();
-        self.not_run(reason, retry_after);
-        self.report(Progress::NotSent(RetryReason::GrantExpired));
+        log_event!(Event::RequestNotRun, id:% = self.id, reason = reason.as_str());
+        self.traffic.metrics.not_run(reason);
+        self.end(RecordedEnd::NotRun { reason, retry_after });
+        self.report(Progress::NotSent(why));
         self.report(Progress::CallerGone);
     }
 
--- a/crates/node/tests/traffic/dispatch.rs
+++ b/crates/node/tests/traffic/dispatch.rs
@@ -165,3 +165,16 @@
     assert!(answer.contains("retry-after: 1\r\n"), "{answer}");
     assert!(upstream.requests().is_empty());
 }
+
+#[actix_rt::test]
+async fn leaving_runner_gets_no_new_request() {
+    let leaving = "HTTP/1.1 200 OK\ncomfreyway-leaving: true\ncontent-length: 2\n\nok";
+    let upstream = Scripted::start(vec![Reply::new(leaving, Then::Keep)]).await;
+    let rig = Rig::start(upstream.address, false);
+    let headers = [WORKSPACE, "comfreyway-class: soon"];
+    let answer = rig.send(&request("GET /rack/1", &headers, "")).await;
+    assert!(answer.ends_with("ok"), "{answer}");
+    let answer = rig.send(&request("GET /rack/1", &headers, "")).await;
+    assert!(answer.contains("comfreyway-outcome: not-run\r\n"), "{answer}");
+    assert_eq!(upstream.requests().len(), 1);
+}
--- a/crates/node/tests/traffic/repeats.rs
+++ b/crates/node/tests/traffic/repeats.rs
@@ -226,3 +226,38 @@
     assert_eq!(rig.metric("comfreyway_not_run_total{reason=\"caller-gone\"}"), 1);
     assert!(upstream.requests().is_empty());
 }
+
+#[actix_rt::test]
+async fn repeat_of_a_request_whose_host_is_gone_asks_the_engine() {
+    let body = r#"{"id":"x"}"#;
+    let upstream = Scripted::start(vec![Reply::json(body)]).await;
+    let (rig, mut queue) = Rig::with_open_queue(upstream.address, true);
+    let repeat = rig.open(&chat(&[KEY, ONCE], false)).await;
+    resume(&submission(&mut queue).await, &upstream);
+    let answer = read_all(repeat).await;
+    assert!(answer.ends_with(body), "{answer}");
+    let request = upstream.requests().remove(0);
+    assert!(request.contains("last-event-id: 0\r\n"), "{request}");
+    assert!(request.contains("comfreyway-request-id: 00000000000000000000000000000007\r\n"));
+}
+
+#[actix_rt::test]
+async fn engine_that_can_not_resume_is_never_asked() {
+    let upstream = Scripted::start(Vec::new()).await;
+    let (rig, mut queue) = Rig::with_open_queue(upstream.address, false);
+    let repeat = rig.open(&chat(&[KEY, ONCE], false)).await;
+    resume(&submission(&mut queue).await, &upstream);
+    let answer = read_all(repeat).await;
+    assert!(answer.contains("comfreyway-reason: holder-gone\r\n"), "{answer}");
+    assert!(upstream.requests().is_empty());
+}
+
+fn resume(submission: &Submission, upstream: &Scripted) {
+    let decision = Decision::Resume {
+        id: RequestId::new(7),
+        runner: "r1".parse().unwrap(),
+        address: upstream.address,
+        epoch: Epoch::default(),
+    };
+    submission.decisions.send(decision).unwrap();
+}
