Read a kept answer from the host that holds it

Cause: a repeat that comes to another host than the first request got no answer. Change: frames for a kept answer (head, pieces, end) in CBOR over a WebSocket at /results/ID of the peers' port, the reader for the host with the repeat and the sender for the holder. Without an end frame the answer is not whole and its outcome is unknown. serve_result is for the peers' port to call.

--- a/crates/node/src/http/attach.rs
+++ b/crates/node/src/http/attach.rs
@@ -2,15 +2,19 @@
 
 use std::net::SocketAddr;
 
-use actix_web::{HttpResponse, body::BodyStream, http::header, web::Data};
+use actix_web::{HttpResponse, body::BodyStream, http::header};
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
     ids::RequestId,
     outcome::{Outcome, UnknownReason},
 };
-use futures_util::{Stream, stream};
+use comfreyway_proto::result::ResultEnd;
+use futures_util::{Sink, Stream, stream};
+use tokio_tungstenite::tungstenite::Message;
 
-use crate::results::{Recorded, RecordedEnd, RecordedHead, RecordingReader};
+use crate::results::{
+    AnswerSource, Recorded, RecordedHead, RecordingReader, RemoteReader, feed, send_end,
+};
 
 use super::{
     answer::{advice, problem},
@@ -18,29 +22,21 @@
     refusal::Refusal,
     respond::build,
     traffic::Traffic,
-    worker::Worker,
 };
 
 /// Answers with what the first request got or will get.
 pub(super) async fn attach(
     traffic: &Traffic,
-    _worker: &Data<Worker>,
     first: RequestId,
     holder: Option<SocketAddr>,
 ) -> HttpResponse {
-    let recording = match holder {
-        None => traffic.results.find(first),
-        Some(_) => None,
-    };
-    let Some(recording) = recording else {
-        let reason = match holder {
-            None => UnknownReason::ResultExpired,
-            Some(_) => UnknownReason::HolderGone,
-        };
-        traffic.metrics.unknown(reason);
-        return ended(first, RecordedEnd::Unknown(reason));
+    let mut reader = match find(traffic, first, holder).await {
+        Ok(reader) => reader,
+        Err(reason) => {
+            traffic.metrics.unknown(reason);
+            return ended(first, ResultEnd::Unknown(reason));
+        }
     };
-    let mut reader = RecordingReader::new(recording);
     match reader.head().await {
         Err(end) => ended(first, end),
         Ok(head) if is_event_stream(&head) => {
@@ -54,14 +50,41 @@
     }
 }
 
-fn ended(id: RequestId, end: RecordedEnd) -> HttpResponse {
+async fn find(
+    traffic: &Traffic,
+    first: RequestId,
+    holder: Option<SocketAddr>,
+) -> Result<AnswerSource, UnknownReason> {
+    let Some(holder) = holder else {
+        let recording = traffic.results.find(first).ok_or(UnknownReason::ResultExpired)?;
+        return Ok(AnswerSource::Local(RecordingReader::new(recording)));
+    };
+    let limit = traffic.limits.connect_timeout;
+    let reader = RemoteReader::connect(holder, traffic.secret.as_ref(), first, limit).await;
+    reader.map(|reader| AnswerSource::Remote(Box::new(reader))).ok_or(UnknownReason::HolderGone)
+}
+
+/// Sends the recording of a request to the host at the other end of `sink`.
+/// Called for a session at `/results/ID` of the peers' port, after its secret
+/// was checked.
+pub async fn serve_result<S>(traffic: &Traffic, id: RequestId, sink: &mut S)
+where
+    S: Sink<Message> + Unpin,
+{
+    match traffic.results.find(id) {
+        Some(recording) => feed(RecordingReader::new(recording), sink).await,
+        None => send_end(sink, ResultEnd::Unknown(UnknownReason::ResultExpired)).await,
+    }
+}
+
+fn ended(id: RequestId, end: ResultEnd) -> HttpResponse {
     match end {
-        RecordedEnd::Answered => ended(id, RecordedEnd::Unknown(UnknownReason::ResultExpired)),
-        RecordedEnd::NotRun { reason, retry_after } => {
+        ResultEnd::Answered => ended(id, ResultEnd::Unknown(UnknownReason::ResultExpired)),
+        ResultEnd::NotRun { reason, retry_after } => {
             let refusal = Refusal::not_run(reason, "the first request was not run");
             problem(id, &Refusal { retry_after, ..refusal })
         }
-        RecordedEnd::Unknown(reason) => {
+        ResultEnd::Unknown(reason) => {
             let outcome = Outcome::Unknown(reason);
             problem(id, &Refusal { outcome, detail: advice(reason).to_owned(), retry_after: None })
         }
@@ -73,12 +96,12 @@
     types.any(|(_, value)| value.as_bytes().starts_with(b"text/event-stream"))
 }
 
-async fn collect(reader: &mut RecordingReader) -> Result<Bytes, RecordedEnd> {
+async fn collect(reader: &mut AnswerSource) -> Result<Bytes, ResultEnd> {
     let mut body = BytesMut::new();
     loop {
         match reader.next().await {
             Recorded::Chunk(chunk) => body.extend_from_slice(&chunk),
-            Recorded::End(RecordedEnd::Answered) => return Ok(body.freeze()),
+            Recorded::End(ResultEnd::Answered) => return Ok(body.freeze()),
             Recorded::End(end) => return Err(end),
         }
     }
@@ -86,19 +109,19 @@
 
 /// How far a repeat's stream has come.
 enum Position {
-    Reading(RecordingReader),
+    Reading(AnswerSource),
     Breaking(UnknownReason),
     Ended,
 }
 
 /// The recorded events. A recording that is not whole ends with the outcome and
 /// a broken connection, as it did for the first caller.
-fn events(id: RequestId, reader: RecordingReader) -> impl Stream<Item = Result<Bytes, BodyError>> {
+fn events(id: RequestId, reader: AnswerSource) -> impl Stream<Item = Result<Bytes, BodyError>> {
     stream::unfold(Position::Reading(reader), move |position| async move {
         match position {
             Position::Reading(mut reader) => match reader.next().await {
                 Recorded::Chunk(chunk) => Some((Ok(chunk), Position::Reading(reader))),
-                Recorded::End(RecordedEnd::Unknown(reason)) => {
+                Recorded::End(ResultEnd::Unknown(reason)) => {
                     Some((Ok(outcome_event(id, reason)), Position::Breaking(reason)))
                 }
                 Recorded::End(_) => None,
--- a/crates/node/src/http/handler.rs
+++ b/crates/node/src/http/handler.rs
@@ -163,7 +163,7 @@
             }
             Some(Decision::Attach { id: first, holder }) => {
                 ticket.attached();
-                return attach(ticket.traffic(), worker, first, holder).await;
+                return attach(ticket.traffic(), first, holder).await;
             }
             None => {
                 ticket.withdraw(NotRunReason::NoOwner, Some(RETRY_AFTER));
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -35,6 +35,7 @@
 mod worker;
 
 pub use self::{
+    attach::serve_result,
     phase::Phase,
     serve::{configure, serve},
     traffic::Traffic,
--- a/crates/node/src/http/ticket.rs
+++ b/crates/node/src/http/ticket.rs
@@ -11,12 +11,13 @@
     outcome::{NotRunReason, RetryReason, UnknownReason},
     request::{DispatchEnd, Usage},
 };
+use comfreyway_proto::result::ResultEnd;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::{
     control::{Decision, Progress},
     events::{Event, log_event},
-    results::{RecordedEnd, Recording},
+    results::Recording,
     upstream::AnswerUsage,
 };
 
@@ -149,7 +150,7 @@
         };
         self.traffic.metrics.answered(&self.class);
         self.traffic.metrics.whole(self.arrived.elapsed());
-        self.end(RecordedEnd::Answered);
+        self.end(ResultEnd::Answered);
         self.report(Progress::Ended(end));
     }
 
@@ -158,7 +159,7 @@
         let dispatched = matches!(self.stage, Stage::Dispatched { .. });
         log_event!(Event::RequestUnknown, id:% = self.id, reason = reason.as_str());
         self.traffic.metrics.unknown(reason);
-        self.end(RecordedEnd::Unknown(reason));
+        self.end(ResultEnd::Unknown(reason));
         if dispatched {
             self.traffic.metrics.wasted_prefill(self.prefill_tokens);
             self.report(Progress::Ended(DispatchEnd::Failed));
@@ -171,7 +172,7 @@
         let reason = UnknownReason::CallerGone;
         self.traffic.metrics.unknown(reason);
         self.traffic.metrics.wasted_prefill(self.prefill_tokens);
-        self.end(RecordedEnd::Unknown(reason));
+        self.end(ResultEnd::Unknown(reason));
         self.report(Progress::Ended(DispatchEnd::Cancelled));
     }
 
@@ -179,7 +180,7 @@
     pub(super) fn not_run(&mut self, reason: NotRunReason, retry_after: Option<Duration>) {
         log_event!(Event::RequestNotRun, id:% = self.id, reason = reason.as_str());
         self.traffic.metrics.not_run(reason);
-        self.end(RecordedEnd::NotRun { reason, retry_after });
+        self.end(ResultEnd::NotRun { reason, retry_after });
     }
 
     /// The worker itself gives the waiting request up. A dispatch that was
@@ -203,7 +204,7 @@
         self.decisions.close();
         log_event!(Event::RequestNotRun, id:% = self.id, reason = reason.as_str());
         self.traffic.metrics.not_run(reason);
-        self.end(RecordedEnd::NotRun { reason, retry_after });
+        self.end(ResultEnd::NotRun { reason, retry_after });
         self.report(Progress::NotSent(why));
         self.report(Progress::CallerGone);
     }
@@ -214,7 +215,7 @@
         self.stage = Stage::Ended;
     }
 
-    fn end(&mut self, end: RecordedEnd) {
+    fn end(&mut self, end: ResultEnd) {
         self.stage = Stage::Ended;
         if let Some(recording) = &self.recording {
             recording.finish(end);
--- a/crates/node/src/http/traffic.rs
+++ b/crates/node/src/http/traffic.rs
@@ -18,7 +18,7 @@
     control::ControlHandle,
     metrics::TrafficMetrics,
     results::ResultStore,
-    settings::{Limits, Settings},
+    settings::{Limits, Secret, Settings},
 };
 
 use super::Phase;
@@ -36,6 +36,7 @@
     pub(crate) control: ControlHandle,
     pub(crate) metrics: TrafficMetrics,
     pub(crate) results: ResultStore,
+    pub(crate) secret: Option<Secret>,
     phase: watch::Sender<Phase>,
     in_progress: AtomicUsize,
     idle: Notify,
@@ -55,6 +56,7 @@
             data_centre: settings.data_centre.clone(),
             results: ResultStore::new(limits.results_bytes, limits.results_time),
             limits,
+            secret: settings.secret.clone(),
             config,
             control,
             metrics,
--- /dev/null
+++ b/crates/node/src/results/feed.rs
@@ -0,0 +1,61 @@
+//! Sends a recording to another host.
+
+use comfreyway_proto::result::{ByteString, ResultEnd, ResultFrame, ResultHead, ResultHeader};
+use futures_util::{Sink, SinkExt};
+use tokio_tungstenite::tungstenite::Message;
+
+use super::{Recorded, RecordedHead, RecordingReader};
+
+/// Sends a recording to another host, up to its end. Stops when the other host
+/// has gone.
+pub(crate) async fn feed<S>(mut reader: RecordingReader, sink: &mut S)
+where
+    S: Sink<Message> + Unpin,
+{
+    match reader.head().await {
+        Ok(head) => {
+            if !send(sink, &ResultFrame::Head(frame_head(&head))).await {
+                return;
+            }
+        }
+        Err(end) => return send_end(sink, end).await,
+    }
+    loop {
+        match reader.next().await {
+            Recorded::Chunk(chunk) => {
+                let piece = ResultFrame::Piece(ByteString(chunk.to_vec()));
+                if !send(sink, &piece).await {
+                    return;
+                }
+            }
+            Recorded::End(end) => return send_end(sink, end).await,
+        }
+    }
+}
+
+/// Sends the end and closes the connection.
+pub(crate) async fn send_end<S>(sink: &mut S, end: ResultEnd)
+where
+    S: Sink<Message> + Unpin,
+{
+    if send(sink, &ResultFrame::End(end)).await {
+        // The other host has the end already.
+        let _ = sink.close().await;
+    }
+}
+
+async fn send<S>(sink: &mut S, frame: &ResultFrame) -> bool
+where
+    S: Sink<Message> + Unpin,
+{
+    let Ok(buf) = frame.encode() else { return false };
+    sink.send(Message::binary(buf)).await.is_ok()
+}
+
+fn frame_head(head: &RecordedHead) -> ResultHead {
+    let headers = head.headers.iter().map(|(name, value)| ResultHeader {
+        name: name.as_str().to_owned(),
+        value: ByteString(value.as_bytes().to_vec()),
+    });
+    ResultHead { status: head.status.as_u16(), headers: headers.collect() }
+}
--- a/crates/node/src/results/reader.rs
+++ b/crates/node/src/results/reader.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use comfreyway_proto::result::ResultEnd;
 
-use super::{RecordedEnd, RecordedHead, Recording, recording::Next};
+use super::{RecordedHead, Recording, recording::Next};
 
 /// What a reader waits for.
 #[derive(Debug)]
@@ -12,7 +13,7 @@
     /// The next piece of the body.
     Chunk(Bytes),
     /// The end.
-    End(RecordedEnd),
+    End(ResultEnd),
 }
 
 /// Reads a recording from its start while it is written.
@@ -33,7 +34,7 @@
     /// # Errors
     ///
     /// Fails with the end if the recording ended without a head.
-    pub(crate) async fn head(&self) -> Result<RecordedHead, RecordedEnd> {
+    pub(crate) async fn head(&self) -> Result<RecordedHead, ResultEnd> {
         loop {
             let changed = self.recording.changed().notified();
             if let Some(head) = self.recording.head() {
--- a/crates/node/src/results/recording.rs
+++ b/crates/node/src/results/recording.rs
@@ -1,11 +1,8 @@
 //! One answer as it arrives.
 
-use std::{
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicUsize, Ordering},
 };
 
 use actix_web::http::{
@@ -13,7 +10,8 @@
     header::{HeaderName, HeaderValue},
 };
 use bytes::Bytes;
-use comfreyway_core::outcome::{NotRunReason, UnknownReason};
+use comfreyway_core::outcome::UnknownReason;
+use comfreyway_proto::result::ResultEnd;
 use tokio::sync::Notify;
 
 /// Head of a recorded answer.
@@ -25,22 +23,6 @@
     pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
 }
 
-/// How a recording ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum RecordedEnd {
-    /// The answer is whole.
-    Answered,
-    /// The request was not run.
-    NotRun {
-        /// Why.
-        reason: NotRunReason,
-        /// When to ask again.
-        retry_after: Option<Duration>,
-    },
-    /// The outcome is unknown.
-    Unknown(UnknownReason),
-}
-
 /// What a reader finds at its position.
 #[derive(Debug)]
 pub(super) enum Next {
@@ -49,7 +31,7 @@
     /// Nothing yet.
     NotYet,
     /// The end.
-    End(RecordedEnd),
+    End(ResultEnd),
 }
 
 #[derive(Debug, Default)]
@@ -57,7 +39,7 @@
     head: Option<RecordedHead>,
     chunks: Vec<Bytes>,
     bytes: usize,
-    end: Option<RecordedEnd>,
+    end: Option<ResultEnd>,
     dropped: bool,
 }
 
@@ -105,10 +87,10 @@
     }
 
     /// Takes the end. Only the first end counts.
-    pub(crate) fn finish(&self, end: RecordedEnd) {
+    pub(crate) fn finish(&self, end: ResultEnd) {
         let mut state = self.state();
-        let end = if state.dropped && end == RecordedEnd::Answered {
-            RecordedEnd::Unknown(UnknownReason::ResultExpired)
+        let end = if state.dropped && end == ResultEnd::Answered {
+            ResultEnd::Unknown(UnknownReason::ResultExpired)
         } else {
             end
         };
@@ -118,7 +100,7 @@
     }
 
     /// How the recording ended, if it has.
-    pub(crate) fn end(&self) -> Option<RecordedEnd> {
+    pub(crate) fn end(&self) -> Option<ResultEnd> {
         self.state().end
     }
 
@@ -131,7 +113,7 @@
     pub(super) fn next(&self, index: usize) -> Next {
         let state = self.state();
         if state.dropped {
-            return Next::End(RecordedEnd::Unknown(UnknownReason::ResultExpired));
+            return Next::End(ResultEnd::Unknown(UnknownReason::ResultExpired));
         }
         match (state.chunks.get(index), state.end) {
             (Some(chunk), _) => Next::Chunk(chunk.clone()),
--- /dev/null
+++ b/crates/node/src/results/remote.rs
@@ -0,0 +1,100 @@
+//! Reads a recording that another host holds.
+
+use std::{net::SocketAddr, time::Duration};
+
+use actix_web::http::{
+    StatusCode,
+    header::{HeaderName, HeaderValue},
+};
+use bytes::Bytes;
+use comfreyway_core::{ids::RequestId, outcome::UnknownReason};
+use comfreyway_proto::{
+    headers,
+    result::{RESULT_PATH, ResultEnd, ResultFrame, ResultHead},
+};
+use futures_util::StreamExt;
+use tokio::{net::TcpStream, time::timeout};
+use tokio_tungstenite::{
+    WebSocketStream, client_async,
+    tungstenite::{Message, client::IntoClientRequest},
+};
+
+use crate::settings::Secret;
+
+use super::{Recorded, RecordedHead};
+
+/// The end of an answer whose holder can't be reached any more.
+const LOST: ResultEnd = ResultEnd::Unknown(UnknownReason::HolderGone);
+
+/// Reads a recording that another host holds, while it is written there.
+#[derive(Debug)]
+pub(crate) struct RemoteReader {
+    socket: WebSocketStream<TcpStream>,
+}
+
+impl RemoteReader {
+    /// Connects to the holder. None if it can't be reached within `limit`.
+    pub(crate) async fn connect(
+        holder: SocketAddr,
+        secret: Option<&Secret>,
+        id: RequestId,
+        limit: Duration,
+    ) -> Option<Self> {
+        timeout(limit, open(holder, secret, id)).await.ok().flatten()
+    }
+
+    /// Waits for the head.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the end if there is no head.
+    pub(crate) async fn head(&mut self) -> Result<RecordedHead, ResultEnd> {
+        match self.frame().await {
+            Some(ResultFrame::Head(head)) => recorded_head(&head).ok_or(LOST),
+            Some(ResultFrame::End(end)) => Err(end),
+            Some(ResultFrame::Piece(_)) | None => Err(LOST),
+        }
+    }
+
+    /// Waits for the next piece of the body or the end.
+    pub(crate) async fn next(&mut self) -> Recorded {
+        match self.frame().await {
+            Some(ResultFrame::Piece(piece)) => Recorded::Chunk(Bytes::from(piece.0)),
+            Some(ResultFrame::End(end)) => Recorded::End(end),
+            Some(ResultFrame::Head(_)) | None => Recorded::End(LOST),
+        }
+    }
+
+    async fn frame(&mut self) -> Option<ResultFrame> {
+        while let Some(Ok(message)) = self.socket.next().await {
+            match message {
+                Message::Binary(buf) => return ResultFrame::decode(&buf).ok(),
+                Message::Ping(_) | Message::Pong(_) => {}
+                Message::Text(_) | Message::Close(_) | Message::Frame(_) => return None,
+            }
+        }
+        None
+    }
+}
+
+async fn open(holder: SocketAddr, secret: Option<&Secret>, id: RequestId) -> Option<RemoteReader> {
+    let url = format!("ws://{holder}{RESULT_PATH}{id}");
+    let mut req = url.into_client_request().ok()?;
+    if let Some(secret) = secret {
+        let value = secret.expose().parse().ok()?;
+        req.headers_mut().insert(headers::SECRET, value);
+    }
+    let stream = TcpStream::connect(holder).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (socket, _) = client_async(req, stream).await.ok()?;
+    Some(RemoteReader { socket })
+}
+
+fn recorded_head(head: &ResultHead) -> Option<RecordedHead> {
+    let headers = head.headers.iter().map(|header| {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        Some((name, HeaderValue::from_bytes(&header.value.0).ok()?))
+    });
+    let headers = headers.collect::<Option<Vec<_>>>()?;
+    Some(RecordedHead { status: StatusCode::from_u16(head.status).ok()?, headers })
+}
--- a/crates/node/tests/traffic/repeats.rs
+++ b/crates/node/tests/traffic/repeats.rs
@@ -1,18 +1,27 @@
 //! Repeats of a request under the same identity. The test decides in place of
 //! the control thread which request is a repeat.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use comfreyway_core::{
     ids::{Epoch, RequestId},
     outcome::NotRunReason,
 };
-use comfreyway_node::control::{Decision, Progress, Submission, WorkerMessage};
+use comfreyway_node::{
+    control::{Decision, Progress, Submission, WorkerMessage},
+    http::serve_result,
+};
+use comfreyway_proto::result::RESULT_PATH;
+use rstest::rstest;
 use tokio::{
     io::AsyncReadExt,
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     sync::{Notify, mpsc::UnboundedReceiver},
 };
+use tokio_tungstenite::{
+    accept_hdr_async,
+    tungstenite::handshake::server::{Request, Response},
+};
 
 use crate::{
     rig::{Rig, chat, dechunk},
@@ -252,6 +261,70 @@
     assert!(upstream.requests().is_empty());
 }
 
+/// The peers' port of a host that holds answers.
+async fn holder(rig: &Rig) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let traffic = rig.traffic.clone();
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut path = String::new();
+            #[allow(clippy::result_large_err)]
+            let callback = |req: &Request, response: Response| {
+                path = req.uri().path().to_owned();
+                Ok(response)
+            };
+            let mut socket = accept_hdr_async(stream, callback).await.unwrap();
+            let id = path.strip_prefix(RESULT_PATH).unwrap().parse().unwrap();
+            serve_result(&traffic, id, &mut socket).await;
+        }
+    });
+    address
+}
+
+#[actix_rt::test]
+async fn repeat_at_another_host_reads_the_stream_there() {
+    let signal = Arc::new(Notify::new());
+    let then = Then::WaitAndSend(Arc::clone(&signal), END_CHUNK);
+    let upstream = Scripted::start(vec![Reply::events(&[ONE], false, then)]).await;
+    let (here, mut queue_here) = Rig::with_open_queue(upstream.address, false);
+    let (there, mut queue_there) = Rig::with_open_queue(upstream.address, false);
+    let mut first = there.open(&chat(&[KEY, ONCE], true)).await;
+    let submitted = submission(&mut queue_there).await;
+    dispatch(&submitted, &upstream);
+    read_until(&mut first, ONE).await;
+    let mut repeat = here.open(&chat(&[KEY, ONCE], true)).await;
+    let decision = Decision::Attach { id: submitted.id, holder: Some(holder(&there).await) };
+    submission(&mut queue_here).await.decisions.send(decision).unwrap();
+    read_until(&mut repeat, ONE).await;
+    signal.notify_one();
+    assert_eq!(read_all(repeat).await, END_CHUNK);
+    assert_eq!(upstream.requests().len(), 1);
+}
+
+#[rstest]
+#[case::not_kept(true, "result-expired")]
+#[case::not_reachable(false, "holder-gone")]
+#[actix_rt::test]
+async fn answer_that_another_host_lost_is_unknown(#[case] reachable: bool, #[case] reason: &str) {
+    let upstream = Scripted::start(Vec::new()).await;
+    let (here, mut queue) = Rig::with_open_queue(upstream.address, false);
+    let address = match reachable {
+        true => holder(&here).await,
+        false => unused_address(),
+    };
+    let repeat = here.open(&chat(&[KEY, ONCE], false)).await;
+    let decision = Decision::Attach { id: RequestId::new(9), holder: Some(address) };
+    submission(&mut queue).await.decisions.send(decision).unwrap();
+    let answer = read_all(repeat).await;
+    assert!(answer.contains("comfreyway-outcome: unknown\r\n"), "{answer}");
+    assert!(answer.contains(&format!("comfreyway-reason: {reason}\r\n")), "{answer}");
+}
+
+fn unused_address() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
 fn resume(submission: &Submission, upstream: &Scripted) {
     let decision = Decision::Resume {
         id: RequestId::new(7),
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -4,8 +4,10 @@
 //! - [`headers`] names the HTTP headers that the scheduler reads and writes.
 //! - [`ini`] reads and writes the configuration as a file for people.
 //! - [`peer`] holds the messages between daemons.
+//! - [`result`] holds kept answers on their way between daemons.
 
 pub mod caller;
 pub mod headers;
 pub mod ini;
 pub mod peer;
+pub mod result;
