--- a/crates/node/src/results/recording.rs
+++ b/crates/node/src/results/recording.rs
@@ -1,11 +1,8 @@
 //! One answer as it arrives.
 
-use std::{
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicUsize, Ordering},
 };
 
 use actix_web::http::{
@@ -13,7 +10,8 @@
     header::{HeaderName, HeaderValue},
 };
 use bytes::Bytes;
-use comfreyway_core::outcome::{NotRunReason, UnknownReason};
+use comfreyway_core::outcome::UnknownReason;
+use comfreyway_proto::result::ResultEnd;
 use tokio::sync::Notify;
 
 /// Head of a recorded answer.
@@ -25,22 +23,6 @@
     pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
 }
 
-/// How a recording ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum RecordedEnd {
-    /// The answer is whole.
-    Answered,
-    /// The request was not run.
-    NotRun {
-        /// Why.
-        reason: NotRunReason,
-        /// When to ask again.
-        retry_after: Option<Duration>,
-    },
-    /// The outcome is unknown.
-    Unknown(UnknownReason),
-}
-
 /// What a reader finds at its position.
 #[derive(Debug)]
 pub(super) enum Next {
@@ -49,16 +31,7 @@
     /// Nothing yet.
     NotYet,
     /// The end.
-    End(RecordedEnd),
-}
-
-/// What a recording may hold.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct RecordingLimits {
-    /// Bytes of this recording.
-    pub(super) own_bytes: usize,
-    /// Bytes of all recordings.
-    pub(super) all_bytes: usize,
+    End(ResultEnd),
 }
 
 #[derive(Debug, Default)]
@@ -66,23 +39,24 @@
     head: Option<RecordedHead>,
     chunks: Vec<Bytes>,
     bytes: usize,
-    end: Option<RecordedEnd>,
+    end: Option<ResultEnd>,
     dropped: bool,
 }
 
 /// One answer as it arrives. Written by one worker, read by any.
 #[derive(Debug)]
 pub(crate) struct Recording {
-    limits: RecordingLimits,
+    max_bytes: usize,
     total: Arc<AtomicUsize>,
     state: Mutex<State>,
     changed: Notify,
 }
 
 impl Recording {
-    /// An empty recording that counts what it holds in `total`.
-    pub(super) fn new(limits: RecordingLimits, total: Arc<AtomicUsize>) -> Self {
-        Self { limits, total, state: Mutex::default(), changed: Notify::new() }
+    /// An empty recording that may hold `max_bytes` and adds what it holds to
+    /// `total`.
+    pub(super) fn new(max_bytes: usize, total: Arc<AtomicUsize>) -> Self {
+        Self { max_bytes, total, state: Mutex::default(), changed: Notify::new() }
     }
 
     /// Takes the head of the answer.
@@ -93,14 +67,12 @@
 
     /// Takes the next piece of the body. Returns false once the answer has
     /// become too large to be kept.
-    pub(crate) fn push(&self, chunk: &Bytes) -> bool {
+    pub(super) fn push(&self, chunk: &Bytes) -> bool {
         let mut state = self.state();
         if state.dropped {
             return false;
         }
-        let own = state.bytes + chunk.len();
-        let all = self.total.load(Ordering::Relaxed) + chunk.len();
-        if own > self.limits.own_bytes || all > self.limits.all_bytes {
+        if state.bytes + chunk.len() > self.max_bytes {
             self.clear(&mut state);
             drop(state);
             self.changed.notify_waiters();
@@ -115,10 +87,10 @@
     }
 
     /// Takes the end. Only the first end counts.
-    pub(crate) fn finish(&self, end: RecordedEnd) {
+    pub(crate) fn finish(&self, end: ResultEnd) {
         let mut state = self.state();
-        let end = if state.dropped && end == RecordedEnd::Answered {
-            RecordedEnd::Unknown(UnknownReason::ResultExpired)
+        let end = if state.dropped && end == ResultEnd::Answered {
+            ResultEnd::Unknown(UnknownReason::ResultExpired)
         } else {
             end
         };
@@ -128,7 +100,7 @@
     }
 
     /// How the recording ended, if it has.
-    pub(crate) fn end(&self) -> Option<RecordedEnd> {
+    pub(crate) fn end(&self) -> Option<ResultEnd> {
         self.state().end
     }
 
@@ -141,7 +113,7 @@
     pub(super) fn next(&self, index: usize) -> Next {
         let state = self.state();
         if state.dropped {
-            return Next::End(RecordedEnd::Unknown(UnknownReason::ResultExpired));
+            return Next::End(ResultEnd::Unknown(UnknownReason::ResultExpired));
         }
         match (state.chunks.get(index), state.end) {
             (Some(chunk), _) => Next::Chunk(chunk.clone()),
