Add an experiment that compares policies in virtual time

Cause: nothing showed how the pool's decisions do under overload, bursts and slowed engines, or against simpler policies.

--- /dev/null
+++ b/crates/testkit/src/experiment/engine.rs
@@ -0,0 +1,237 @@
+//! Cost model of a model engine.
+//!
+//! The engine batches continuously: each step decodes one token of every
+//! running sequence and prefills one chunk of prompts, in order of arrival. It
+//! knows no priorities. A sequence is admitted while there is a free slot and
+//! cache memory for its prompt and its answer.
+
+use std::{collections::VecDeque, time::Duration};
+
+use comfreyway_core::{
+    ids::RequestId,
+    pool::{CacheEvent, LoadReport},
+    request::BlockHash,
+};
+
+use super::cache::PrefixCache;
+
+/// Tokens of one cache block.
+pub(crate) const BLOCK_TOKENS: u32 = 256;
+
+/// Description of an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineSpec {
+    /// Name of the runner.
+    pub(crate) name: String,
+    /// Data centre of the runner.
+    pub(crate) data_centre: String,
+    /// Prompt tokens per second.
+    pub(crate) prefill_rate: f64,
+    /// Fixed time of a step.
+    pub(crate) step_base: Duration,
+    /// Time of a step per decoding sequence.
+    pub(crate) step_per_sequence: Duration,
+    /// Prompt tokens of one step.
+    pub(crate) chunk_tokens: u32,
+    /// Most running sequences.
+    pub(crate) max_sequences: usize,
+    /// Tokens of cache memory for running sequences.
+    pub(crate) sequence_tokens: u64,
+    /// Tokens of cache memory for prefixes.
+    pub(crate) prefix_tokens: u64,
+}
+
+impl EngineSpec {
+    /// Seconds of work for a prompt and an answer at a full batch.
+    #[must_use]
+    pub(crate) fn work(&self, prefill: u64, decode: u64) -> f64 {
+        let base = self.step_base.as_secs_f64() / self.max_sequences as f64;
+        let per_token = base + self.step_per_sequence.as_secs_f64();
+        prefill as f64 / self.prefill_rate + decode as f64 * per_token
+    }
+}
+
+/// A request as the engine sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    /// The request.
+    pub(crate) id: RequestId,
+    /// Prompt length.
+    pub(crate) prefill_tokens: u32,
+    /// Chained hashes of the prompt's blocks.
+    pub(crate) prefix: Vec<BlockHash>,
+    /// Length of the answer.
+    pub(crate) decode_tokens: u32,
+}
+
+/// A running sequence.
+#[derive(Clone, Debug)]
+struct Sequence {
+    job: Job,
+    prefill_left: u32,
+    decoded: u32,
+}
+
+/// Something that happened at the end of a step.
+#[derive(Clone, Debug)]
+pub(crate) enum EngineEvent {
+    /// A sequence was admitted with so many cached prompt tokens.
+    Admitted {
+        /// The request.
+        id: RequestId,
+        /// Cached prompt tokens.
+        cached: u32,
+    },
+    /// A token was generated.
+    Token {
+        /// The request.
+        id: RequestId,
+        /// True for the first token of the answer.
+        first: bool,
+        /// True for the last token of the answer.
+        last: bool,
+    },
+}
+
+/// State of an engine.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    /// Its description.
+    pub(crate) spec: EngineSpec,
+    /// Factor on the time of each step.
+    pub(crate) slowdown: f64,
+    /// False once the engine is lost.
+    pub(crate) alive: bool,
+    /// Its prefix cache.
+    pub(crate) cache: PrefixCache,
+    /// Prompt tokens prefilled.
+    pub(crate) prefilled: u64,
+    /// Tokens generated.
+    pub(crate) decoded: u64,
+    queue: VecDeque<Job>,
+    running: Vec<Sequence>,
+    chunks: Vec<u32>,
+    stepping: bool,
+}
+
+impl Engine {
+    /// An idle engine.
+    #[must_use]
+    pub(crate) fn new(spec: EngineSpec) -> Self {
+        let cache = PrefixCache::new((spec.prefix_tokens / u64::from(BLOCK_TOKENS)) as usize);
+        Self {
+            spec,
+            slowdown: 1.0,
+            alive: true,
+            cache,
+            prefilled: 0,
+            decoded: 0,
+            queue: VecDeque::new(),
+            running: Vec::new(),
+            chunks: Vec::new(),
+            stepping: false,
+        }
+    }
+
+    /// Takes a request into the engine's queue.
+    pub(crate) fn push(&mut self, job: Job) {
+        self.queue.push_back(job);
+    }
+
+    /// Starts a step if the engine is idle and has work. Returns its duration.
+    pub(crate) fn start_step(&mut self, events: &mut Vec<EngineEvent>) -> Option<Duration> {
+        if self.stepping || !self.alive {
+            return None;
+        }
+        self.admit(events);
+        if self.running.is_empty() {
+            return None;
+        }
+        self.stepping = true;
+        let mut budget = self.spec.chunk_tokens;
+        let mut decoding = 0_u32;
+        self.chunks.clear();
+        for sequence in &self.running {
+            let chunk = sequence.prefill_left.min(budget);
+            budget -= chunk;
+            decoding += u32::from(sequence.prefill_left == 0);
+            self.chunks.push(chunk);
+        }
+        let prefilled = self.spec.chunk_tokens - budget;
+        let prefill = f64::from(prefilled) / self.spec.prefill_rate;
+        let decode = self.spec.step_per_sequence.as_secs_f64() * f64::from(decoding);
+        let base = self.spec.step_base.as_secs_f64();
+        Some(Duration::from_secs_f64((base + prefill + decode) * self.slowdown))
+    }
+
+    /// Ends the present step.
+    pub(crate) fn end_step(&mut self, events: &mut Vec<EngineEvent>) {
+        self.stepping = false;
+        for (sequence, chunk) in self.running.iter_mut().zip(&self.chunks) {
+            let decoding = sequence.prefill_left == 0;
+            sequence.prefill_left -= chunk;
+            self.prefilled += u64::from(*chunk);
+            let finished_prefill = !decoding && sequence.prefill_left == 0 && *chunk > 0;
+            if finished_prefill {
+                self.cache.insert(&sequence.job.prefix);
+            }
+            if decoding || finished_prefill {
+                sequence.decoded += 1;
+                self.decoded += 1;
+                let first = sequence.decoded == 1;
+                let last = sequence.decoded >= sequence.job.decode_tokens;
+                events.push(EngineEvent::Token { id: sequence.job.id, first, last });
+            }
+        }
+        self.running.retain(|s| s.decoded < s.job.decode_tokens);
+    }
+
+    /// Loses the engine with everything in it, and names the requests lost.
+    pub(crate) fn lose(&mut self) -> Vec<RequestId> {
+        self.alive = false;
+        let queued = self.queue.drain(..).map(|job| job.id);
+        let running = self.running.drain(..).map(|sequence| sequence.job.id);
+        queued.chain(running).collect()
+    }
+
+    /// Load at this moment.
+    #[must_use]
+    pub(crate) fn load(&self) -> LoadReport {
+        LoadReport {
+            running: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            tokens: self.held_tokens(),
+            age: Duration::ZERO,
+        }
+    }
+
+    /// Changes of the prefix cache since the last call.
+    pub(crate) fn cache_events(&mut self) -> Vec<CacheEvent> {
+        self.cache.take_events()
+    }
+
+    fn held_tokens(&self) -> u64 {
+        self.running.iter().map(|s| size_of_job(&s.job)).sum()
+    }
+
+    fn admit(&mut self, events: &mut Vec<EngineEvent>) {
+        while let Some(job) = self.queue.front() {
+            let held = self.held_tokens();
+            let fits = held == 0 || held + size_of_job(job) <= self.spec.sequence_tokens;
+            if self.running.len() >= self.spec.max_sequences || !fits {
+                return;
+            }
+            let Some(job) = self.queue.pop_front() else { return };
+            let cached = self.cache.cached_blocks(&job.prefix) as u32 * BLOCK_TOKENS;
+            let cached = cached.min(job.prefill_tokens - 1);
+            self.cache.touch(&job.prefix);
+            events.push(EngineEvent::Admitted { id: job.id, cached });
+            let prefill_left = job.prefill_tokens - cached;
+            self.running.push(Sequence { job, prefill_left, decoded: 0 });
+        }
+    }
+}
+
+fn size_of_job(job: &Job) -> u64 {
+    u64::from(job.prefill_tokens) + u64::from(job.decode_tokens)
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,10 +12,12 @@
 //! - [`daemon`]: real daemon processes.
 //! - [`proxy`]: a TCP proxy that injects faults on one link.
 //! - [`load`] and [`measure`]: load, and what it costs.
+//! - [`experiment`]: the scheduling decisions against baselines in virtual time.
 
 mod cut;
 pub mod daemon;
 pub mod engine;
+pub mod experiment;
 pub mod gate;
 pub mod hosts;
 pub mod kv;
