Lower limits only after lasting queues in the engine

Cause: an engine's queue is rarely empty at the moment of a report, because what was sent last waits for the next step. Each such report cut the token limit to what the engine held, down to a few hundred tokens, and nothing long was granted any more.

Change: the limit falls after two successive reports of more than two queued sequences; a report without token figures no longer moves the token limit.

--- a/crates/core/src/pool/limit.rs
+++ b/crates/core/src/pool/limit.rs
@@ -37,6 +37,12 @@
 /// that its cache memory is full.
 const FULL_SHARE: f64 = 0.8;
 
+/// Sequences that may wait in the engine for its next step.
+const USUAL_QUEUE: u32 = 2;
+
+/// Successive reports of a longer queue after which the limit falls.
+const QUEUED_REPORTS: u32 = 2;
+
 /// Growth of the token limit per increase.
 const TOKEN_GROWTH: f64 = 1.02;
 
@@ -52,6 +58,8 @@
     raise_at: MonoTime,
     /// Most running sequences that the engine ever reported.
     most_running: f64,
+    /// Successive reports with a queue in the engine.
+    queued_reports: u32,
 }
 
 impl Limit {
@@ -63,6 +71,7 @@
             last_cut: MonoTime::ZERO,
             raise_at: MonoTime::ZERO,
             most_running: 0.0,
+            queued_reports: 0,
         }
     }
 
@@ -94,13 +103,21 @@
     pub(super) fn report(&mut self, now: MonoTime, report: &LoadReport) {
         let running = f64::from(report.running);
         self.most_running = self.most_running.max(running);
-        if report.queued == 0 || report.age >= MAX_REPORT_AGE {
+        if report.age >= MAX_REPORT_AGE {
+            return;
+        }
+        if report.queued <= USUAL_QUEUE {
+            self.queued_reports = 0;
+            return;
+        }
+        self.queued_reports += 1;
+        if self.queued_reports < QUEUED_REPORTS {
             return;
         }
         self.raise_at = now + HOLD_AFTER_QUEUE;
         let weight = 1.0 - report.age.as_secs_f64() / MAX_REPORT_AGE.as_secs_f64();
         let held = report.tokens as f64;
-        if running < FULL_SHARE * self.most_running {
+        if held > 0.0 && running < FULL_SHARE * self.most_running {
             self.tokens += weight * (held - self.tokens).min(0.0);
         } else {
             self.sequences += weight * (running - self.sequences).min(0.0);
