--- a/crates/testkit/src/experiment/report.rs
+++ b/crates/testkit/src/experiment/report.rs
@@ -19,8 +19,18 @@
             writeln!(out, "\n{title}")?;
             writeln!(
                 out,
-                "{:<15}{:>5}{:>6}{:>6}{:>7}{:>7}{:>7}{:>6}{:>6}  {:<18} between ms",
-                "policy", "t0", "t1", "t2", "wght", "bound", "waste", "util", "fair", "first0 ms"
+                "{:<15}{:>5}{:>6}{:>6}{:>7}{:>7}{:>7}{:>7}{:>6}{:>6}  {:<18} between ms",
+                "policy",
+                "t0",
+                "t1",
+                "t2",
+                "wght",
+                "bound",
+                "waste",
+                "miss",
+                "util",
+                "fair",
+                "first0 ms"
             )?;
             section = title;
         }
@@ -44,6 +54,7 @@
     }
     let weighted = score.weighted(row.case.workload.tier_weights);
     write!(out, "{weighted:>7.3}{:>7.3}{:>7.3}", row.bound, score.wasted)?;
+    write!(out, "{:>7.3}", score.missed)?;
     write!(out, "{:>6.2}{:>6.2}  ", score.utilisation, score.fairness)?;
     let [first50, first95, first99] = score.tiers[0].first_ms;
     let [between50, between95, between99] = score.between_ms;
@@ -57,7 +68,7 @@
 ///
 /// Fails if a figure can't be formatted.
 pub fn csv(rows: &[Row]) -> Result<String, fmt::Error> {
-    let mut out = String::from("workload,load,scenario,policy,alone,weighted,bound,wasted,");
+    let mut out = String::from("workload,load,scenario,policy,alone,weighted,bound,wasted,missed,");
     out.push_str("utilisation,fairness,between_p50_ms,between_p95_ms,between_p99_ms");
     for tier in 0..super::score::TIERS {
         write!(out, ",offered_{tier},good_{tier},refused_{tier}")?;
@@ -75,7 +86,7 @@
     let weighted = score.weighted(case.workload.tier_weights);
     write!(out, "{},{},{}", case.workload.name, case.load, case.scenario)?;
     write!(out, ",{},{},{weighted:.4}", case.policy, case.alone)?;
-    write!(out, ",{:.4},{:.4}", row.bound, score.wasted)?;
+    write!(out, ",{:.4},{:.4},{:.4}", row.bound, score.wasted, score.missed)?;
     write!(out, ",{:.4},{:.4}", score.utilisation, score.fairness)?;
     let [p50, p95, p99] = score.between_ms;
     write!(out, ",{p50},{p95},{p99}")?;
--- a/crates/testkit/src/experiment/score.rs
+++ b/crates/testkit/src/experiment/score.rs
@@ -43,6 +43,8 @@
     /// Prefilled tokens whose answer missed its target, or that were cached
     /// elsewhere, as a share of all prefilled tokens.
     pub wasted: f64,
+    /// The part of `wasted` whose answer missed its target.
+    pub missed: f64,
     /// Time between tokens in milliseconds at the 50th, 95th and 99th
     /// percentile.
     pub between_ms: [u64; 3],
@@ -70,14 +72,16 @@
         .filter(|(arrival, _)| arrival.at >= MonoTime::ZERO + WARM_UP)
         .collect();
     let prefilled: u64 = counted.iter().map(|(a, t)| u64::from(t.prefilled(a))).sum();
-    let wasted: u64 = counted.iter().map(|(a, t)| u64::from(t.wasted(a))).sum();
+    let missed: u64 = counted.iter().map(|(a, t)| u64::from(t.missed(a))).sum();
+    let repeated: u64 = counted.iter().map(|(a, t)| u64::from(t.repeated(a))).sum();
     let mut tiers = [TierScore::default(); TIERS];
     for (number, tier) in tiers.iter_mut().enumerate() {
         *tier = tier_score(&counted, Tier(number as u8));
     }
     Score {
         tiers,
-        wasted: wasted as f64 / prefilled.max(1) as f64,
+        wasted: (missed + repeated) as f64 / prefilled.max(1) as f64,
+        missed: missed as f64 / prefilled.max(1) as f64,
         between_ms: percentiles(result.gaps.iter().map(|&us| u64::from(us))),
         fairness: fairness(&counted),
         utilisation: result.utilisation,
--- a/crates/testkit/src/experiment/track.rs
+++ b/crates/testkit/src/experiment/track.rs
@@ -58,16 +58,17 @@
         if self.admitted { arrival.record.prefill_tokens - self.cached } else { 0 }
     }
 
-    /// Prompt tokens prefilled in vain: the answer missed its target, or
-    /// another engine had them cached.
+    /// Prompt tokens prefilled for an answer that missed its target.
     #[must_use]
-    pub(crate) fn wasted(&self, arrival: &Arrival) -> u32 {
-        if !self.admitted {
-            return 0;
-        }
-        if !self.is_good(arrival) {
-            return self.prefilled(arrival);
-        }
-        self.cached_anywhere.saturating_sub(self.cached)
+    pub(crate) fn missed(&self, arrival: &Arrival) -> u32 {
+        if self.is_good(arrival) { 0 } else { self.prefilled(arrival) }
+    }
+
+    /// Prompt tokens prefilled for a good answer though another engine had them
+    /// cached.
+    #[must_use]
+    pub(crate) fn repeated(&self, arrival: &Arrival) -> u32 {
+        let repeated = self.cached_anywhere.saturating_sub(self.cached);
+        if self.is_good(arrival) { repeated } else { 0 }
     }
 }
