Count an engine's capacity by the steps that its mix of work needs

Cause: capacity spread each step's fixed time over a full batch of decoding sequences. A mix that is bound by prefill never fills its batches, so no schedule could have reached the capacity that loads and utilisation were measured against.

Change: capacity and utilisation count the steps for full chunks or full batches, whichever are more, for the tokens of the whole mix. The upper bound keeps the cheaper count, because it has to be one that no schedule exceeds.

--- a/crates/testkit/src/experiment/bound.rs
+++ b/crates/testkit/src/experiment/bound.rs
@@ -54,8 +54,8 @@
 
 /// Seconds of the whole pool that a request takes at least.
 fn least_share(engines: &[EngineSpec], arrival: &Arrival) -> f64 {
-    let (prefill, decode) = (u64::from(arrival.new_tokens), u64::from(arrival.decode_tokens));
-    let rate: f64 = engines.iter().map(|engine| 1.0 / engine.work(prefill, decode)).sum();
+    let (prefill, decode) = (f64::from(arrival.new_tokens), f64::from(arrival.decode_tokens));
+    let rate: f64 = engines.iter().map(|engine| 1.0 / engine.added_work(prefill, decode)).sum();
     1.0 / rate
 }
 
--- a/crates/testkit/src/experiment/run.rs
+++ b/crates/testkit/src/experiment/run.rs
@@ -175,7 +175,7 @@
             self.now = at;
             self.apply(event);
         }
-        self.engines.iter().map(|e| e.spec.work(e.prefilled, e.decoded)).sum()
+        self.engines.iter().map(|e| e.spec.work(e.prefilled as f64, e.decoded as f64)).sum()
     }
 
     pub(super) fn at(&mut self, at: MonoTime, event: Event) {
--- a/crates/testkit/src/experiment/score.rs
+++ b/crates/testkit/src/experiment/score.rs
@@ -50,7 +50,8 @@
     pub between_ms: [u64; 3],
     /// Jain's index of the workspaces' goodput in the lowest tier.
     pub fairness: f64,
-    /// Work done as a share of capacity.
+    /// Least time for the tokens prefilled and generated, as a share of the time
+    /// that the engines had.
     pub utilisation: f64,
 }
 
