Keep the callers' headers on the way to upstreams

Change: only the fencing number, the request identity and the secret are replaced or dropped; last-event-id passes to plain services only.

--- a/crates/node/src/http/handler.rs
+++ b/crates/node/src/http/handler.rs
@@ -74,12 +74,14 @@
     let head = check_head(traffic, &document, req)?;
     let body = read_body(req, payload, &traffic.limits).await?;
     let admitted = admit(traffic, &document, req, head, &body)?;
-    Ok(Received { admitted, outbound: outbound(id, req, body) })
+    let outbound = outbound(id, req, body, admitted.from_engine);
+    Ok(Received { admitted, outbound })
 }
 
-fn outbound(id: RequestId, req: &HttpRequest, body: Bytes) -> Outbound {
+fn outbound(id: RequestId, req: &HttpRequest, body: Bytes, to_engine: bool) -> Outbound {
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
-    Outbound::new(id, req.method().clone(), path.to_owned(), req.headers(), body)
+    let method = req.method().clone();
+    Outbound::new(id, method, path.to_owned(), req.headers(), body, to_engine)
 }
 
 async fn run(
--- a/crates/node/src/upstream/client.rs
+++ b/crates/node/src/upstream/client.rs
@@ -17,7 +17,7 @@
 use comfreyway_proto::headers;
 use quick_error::quick_error;
 
-use super::{Framing, Outbound, end_to_end, is_scheduler_header};
+use super::{Framing, Outbound, end_to_end, is_set_on_answers};
 
 /// Time after which an unused connection is closed. Below the five seconds
 /// after which common servers close theirs, so that both rarely meet.
@@ -68,7 +68,7 @@
     fn new(method: &Method, response: ClientResponse) -> Self {
         let status = response.status();
         let framing = Framing::new(method == Method::HEAD, status, response.headers());
-        let passing = end_to_end(response.headers()).filter(|(name, _)| !is_scheduler_header(name));
+        let passing = end_to_end(response.headers()).filter(|(name, _)| !is_set_on_answers(name));
         let headers = passing.map(|(name, value)| (name.clone(), value.clone())).collect();
         Self { head: AnswerHead { status, headers, framing }, response }
     }
--- a/crates/node/src/upstream/headers.rs
+++ b/crates/node/src/upstream/headers.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 
 use actix_web::http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use comfreyway_proto::headers;
 
 /// Headers of one connection only (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [&str; 10] = [
@@ -18,25 +19,33 @@
     "upgrade",
 ];
 
-/// Start of the names of the scheduler's own headers.
-const SCHEDULER_PREFIX: &str = "comfreyway-";
+/// Headers of a request that only the scheduler sets.
+const SET_ON_REQUESTS: [&str; 3] = [headers::FENCING, headers::REQUEST_ID, headers::SECRET];
+
+/// Start of the names of the headers that only the scheduler sets on answers.
+const SET_ON_ANSWERS: &str = "comfreyway-";
 
 /// The headers that belong to the message and not to the connection. Those
 /// that the `Connection` header names are left out as well.
-pub(crate) fn end_to_end(headers: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
-    let named = named_in_connection(headers);
-    headers.iter().filter(move |(name, _)| {
+pub(crate) fn end_to_end(map: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
+    let named = named_in_connection(map);
+    map.iter().filter(move |(name, _)| {
         !HOP_BY_HOP.contains(&name.as_str()) && !named.contains(name.as_str())
     })
 }
 
-/// True for a header that only the scheduler sets.
-pub(crate) fn is_scheduler_header(name: &HeaderName) -> bool {
-    name.as_str().starts_with(SCHEDULER_PREFIX)
+/// True for a header of a request that only the scheduler sets.
+pub(crate) fn is_set_on_requests(name: &HeaderName) -> bool {
+    SET_ON_REQUESTS.contains(&name.as_str())
+}
+
+/// True for a header of an answer that only the scheduler sets.
+pub(crate) fn is_set_on_answers(name: &HeaderName) -> bool {
+    name.as_str().starts_with(SET_ON_ANSWERS)
 }
 
-fn named_in_connection(headers: &HeaderMap) -> HashSet<String> {
-    let values = headers.get_all(header::CONNECTION).filter_map(|value| value.to_str().ok());
+fn named_in_connection(map: &HeaderMap) -> HashSet<String> {
+    let values = map.get_all(header::CONNECTION).filter_map(|value| value.to_str().ok());
     let names = values.flat_map(|value| value.split(','));
     names.map(|name| name.trim().to_ascii_lowercase()).collect()
 }
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -20,7 +20,7 @@
     client::{AnswerHead, SendFailure, UpstreamAnswer, UpstreamClient},
     end_proof::{EndProof, Framing},
     event_scan::EventScan,
-    headers::{end_to_end, is_scheduler_header},
+    headers::{end_to_end, is_set_on_answers, is_set_on_requests},
     outbound::Outbound,
     usage::AnswerUsage,
 };
--- a/crates/node/src/upstream/outbound.rs
+++ b/crates/node/src/upstream/outbound.rs
@@ -6,9 +6,11 @@
 };
 use bytes::Bytes;
 use comfreyway_core::ids::RequestId;
+use comfreyway_proto::headers::LAST_EVENT_ID;
 
 /// A request as it goes to an upstream: what the caller sent, without the
-/// headers of the connection. Cheap to clone.
+/// headers of the connection and those that only the scheduler sets. Cheap to
+/// clone.
 #[derive(Clone, Debug)]
 pub(crate) struct Outbound {
     /// Identity of the request.
@@ -31,10 +33,13 @@
         path_and_query: String,
         headers: &HeaderMap,
         body: Bytes,
+        to_engine: bool,
     ) -> Self {
+        // Only the scheduler asks an engine to resume.
+        let resumes = |name: &HeaderName| to_engine && name.as_str() == LAST_EVENT_ID;
         let passing = super::end_to_end(headers)
             .filter(|(name, _)| *name != actix_web::http::header::CONTENT_LENGTH)
-            .filter(|(name, _)| !super::is_scheduler_header(name));
+            .filter(|(name, _)| !super::is_set_on_requests(name) && !resumes(name));
         let headers = passing.map(|(name, value)| (name.clone(), value.clone())).collect();
         Self { id, method, path_and_query, headers, body }
     }
