--- a/crates/testkit/src/proxy/link.rs
+++ b/crates/testkit/src/proxy/link.rs
@@ -26,8 +26,8 @@
     let stop = {
         let (from_caller, to_caller) = caller.split();
         let (from_target, to_target) = target.split();
-        let up = Pump::new(Direction::Up, rules.clone(), &shared.forwarded_up);
-        let down = Pump::new(Direction::Down, rules.clone(), &shared.forwarded_down);
+        let up = Pump::new(Direction::Up, rules.clone(), &shared.forwarded_up, now);
+        let down = Pump::new(Direction::Down, rules.clone(), &shared.forwarded_down, now);
         tokio::try_join!(up.run(from_caller, to_target), down.run(from_target, to_caller)).err()
     };
     drop(target);
--- a/crates/testkit/src/proxy/pump.rs
+++ b/crates/testkit/src/proxy/pump.rs
@@ -51,13 +51,18 @@
 }
 
 impl<'a> Pump<'a> {
+    /// A pump of a connection that was accepted under the rules `accepted`. A
+    /// change since then is applied first.
     pub(super) fn new(
         direction: Direction,
         mut rules: watch::Receiver<Rules>,
         forwarded: &'a AtomicU64,
+        accepted: Rules,
     ) -> Self {
-        let now = *rules.borrow_and_update();
-        let Rules { version, cuts, .. } = now;
+        let Rules { version, cuts, .. } = accepted;
+        if rules.borrow_and_update().version != version {
+            rules.mark_changed();
+        }
         let delayed = VecDeque::new();
         Self { direction, rules, forwarded, version, cuts, since_rule: 0, delayed }
     }
