Decide who owns a pool, and know repeats beside it

Cause: a pool had one owner by decree and nothing knew a repeated request. Change: the cluster state machine takes peers' links, the service's answers and time, and gives calls, announcements and terms. A term begins by compare-and-swap of a record without lease; a lost reply is read back; a majority follows a dead owner under a provisional epoch while the service is down; an owner reads its record every 5 s and steps down if it was followed. The owner wraps the pool with a table of claims. A claim of a request that must run at most once is granted only when the standby took a copy; a standby that becomes the owner stops taking its predecessor's claims, so no clock has to be trusted. Owner, standby and their events are new; the entry and the control thread don't use them yet.

--- /dev/null
+++ b/crates/core/src/cluster/membership.rs
@@ -0,0 +1,92 @@
+//! Which hosts exist and which are alive.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{HostId, HostName};
+
+/// Which hosts exist and which are alive, as one host sees it.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    me: HostId,
+    alive: BTreeMap<HostName, HostId>,
+    leaving: BTreeSet<HostId>,
+    seen: BTreeSet<HostName>,
+    listed: Option<BTreeSet<HostName>>,
+    stopping: bool,
+}
+
+impl Membership {
+    /// A host that knows itself only.
+    #[must_use]
+    pub fn new(me: HostId) -> Self {
+        Self {
+            me,
+            alive: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            seen: BTreeSet::new(),
+            listed: None,
+            stopping: false,
+        }
+    }
+
+    /// This host.
+    #[must_use]
+    pub fn me(&self) -> &HostId {
+        &self.me
+    }
+
+    /// True if this run of the host can be reached, or is this host.
+    #[must_use]
+    pub fn is_alive(&self, host: &HostId) -> bool {
+        *host == self.me || self.alive.get(&host.name) == Some(host)
+    }
+
+    /// True if the host may be given a pool.
+    #[must_use]
+    pub fn is_candidate(&self, host: &HostId) -> bool {
+        let leaving = match *host == self.me {
+            true => self.stopping,
+            false => self.leaving.contains(host),
+        };
+        self.is_alive(host) && !leaving
+    }
+
+    /// Hosts that may be given a pool, this one among them.
+    pub fn candidates(&self) -> impl Iterator<Item = &HostId> {
+        let all = self.alive.values().chain([&self.me]);
+        all.filter(|host| self.is_candidate(host))
+    }
+
+    /// True if this host reaches more than half of the hosts that exist.
+    #[must_use]
+    pub fn has_majority(&self) -> bool {
+        let known = self.listed.as_ref().unwrap_or(&self.seen);
+        let others = known.iter().filter(|name| **name != self.me.name).count();
+        let reached = known.iter().filter(|name| self.alive.contains_key(*name)).count();
+        2 * (reached + 1) > others + 1
+    }
+
+    pub(super) fn up(&mut self, host: HostId) {
+        self.seen.insert(host.name.clone());
+        self.alive.insert(host.name.clone(), host);
+    }
+
+    pub(super) fn down(&mut self, host: &HostId) {
+        if self.alive.get(&host.name) == Some(host) {
+            self.alive.remove(&host.name);
+        }
+    }
+
+    pub(super) fn leaving(&mut self, host: HostId) {
+        self.leaving.insert(host);
+    }
+
+    pub(super) fn list(&mut self, names: BTreeSet<HostName>) {
+        self.leaving.retain(|host| names.contains(&host.name));
+        self.listed = Some(names);
+    }
+
+    pub(super) fn stop(&mut self) {
+        self.stopping = true;
+    }
+}
--- /dev/null
+++ b/crates/core/src/cluster/pool_state.rs
@@ -0,0 +1,76 @@
+//! What a host knows of one pool's ownership.
+
+use crate::{
+    entry::OwnerView,
+    ids::{Epoch, HostId},
+    time::MonoTime,
+};
+
+use super::{PoolRecord, StoredRecord};
+
+/// The call to the key-value service that is under way for a pool.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Call {
+    Idle,
+    Read,
+    Presence,
+    Write(PoolRecord),
+    /// A read that finds out what became of a write.
+    ReadBack(PoolRecord),
+}
+
+/// What a host knows of one pool's ownership.
+#[derive(Clone, Debug)]
+pub(super) struct PoolState {
+    pub(super) epoch: Epoch,
+    pub(super) owner: Option<HostId>,
+    pub(super) standby: Option<HostId>,
+    pub(super) stored: Option<StoredRecord>,
+    pub(super) call: Call,
+    pub(super) owned: bool,
+    /// The owner asked this host to follow it.
+    pub(super) resigned: bool,
+    /// Time since which the pool has no reachable owner.
+    pub(super) orphan_since: Option<MonoTime>,
+    pub(super) retry_at: MonoTime,
+    /// Standby to which this owner sends its claims.
+    pub(super) used_standby: Option<HostId>,
+    /// True once the used standby has every claim.
+    pub(super) standby_ready: bool,
+    /// True while the recorded standby is not certain.
+    pub(super) unproved: bool,
+    pub(super) verify_at: MonoTime,
+}
+
+impl PoolState {
+    pub(super) fn new() -> Self {
+        Self {
+            epoch: Epoch::default(),
+            owner: None,
+            standby: None,
+            stored: None,
+            call: Call::Idle,
+            owned: false,
+            resigned: false,
+            orphan_since: None,
+            retry_at: MonoTime::ZERO,
+            used_standby: None,
+            standby_ready: false,
+            unproved: false,
+            verify_at: MonoTime::ZERO,
+        }
+    }
+
+    pub(super) fn view(&self) -> OwnerView {
+        OwnerView { owner: self.owner.clone(), epoch: self.epoch }
+    }
+
+    pub(super) fn recorded_standby(&self) -> Option<&HostId> {
+        self.stored.as_ref()?.record.standby.as_ref()
+    }
+
+    /// Revision that the next write expects.
+    pub(super) fn revision(&self) -> u64 {
+        self.stored.as_ref().map_or(0, |stored| stored.revision)
+    }
+}
--- /dev/null
+++ b/crates/core/src/cluster/probe.rs
@@ -0,0 +1,33 @@
+//! Which hosts a host keeps a session with, whatever pools it uses.
+
+use crate::ids::HostName;
+
+/// Most hosts that a host watches besides the owners of the pools it uses.
+pub const PROBE_TARGETS: usize = 8;
+
+/// Hosts that `me` watches: the next ones on a ring ordered by hash. Every host
+/// is watched by as many as it watches, and with up to nine hosts each watches
+/// all others.
+///
+/// # Examples
+///
+/// ```
+/// use comfreyway_core::{cluster::probe_targets, ids::HostName};
+///
+/// let hosts = ["a", "b", "c"].map(|name| HostName::new(name).unwrap());
+/// assert_eq!(probe_targets(&hosts[0], hosts.iter()).len(), 2);
+/// ```
+pub fn probe_targets<'a, I>(me: &HostName, hosts: I) -> Vec<&'a HostName>
+where
+    I: IntoIterator<Item = &'a HostName>,
+{
+    let place = |host: &HostName| *blake3::hash(host.as_str().as_bytes()).as_bytes();
+    let mine = place(me);
+    let mut ring: Vec<_> = hosts
+        .into_iter()
+        .filter(|host| *host != me)
+        .map(|host| (place(host) < mine, place(host), host))
+        .collect();
+    ring.sort();
+    ring.into_iter().take(PROBE_TARGETS).map(|(_, _, host)| host).collect()
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! daemon, in the differential tests, and in the experiment tool.
 //!
 //! - [`pool`] ranks waiting requests and grants them to runners (pool owner).
+//! - [`owner`] knows repeated requests by their identity, beside the pool.
 //! - [`entry`] holds the life cycle of each request on the host that accepted
 //!   it, and is the only place that decides whether a request is dispatched.
 //! - [`cluster`] decides who is alive and who owns a pool.
@@ -17,6 +18,7 @@
 pub mod entry;
 pub mod ids;
 pub mod outcome;
+pub mod owner;
 pub mod pool;
 pub mod prompt;
 pub mod request;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -91,6 +91,8 @@
         HolderGone = "holder-gone",
         /// The identity may be older than what this owner remembers.
         BeyondMemory = "beyond-memory",
+        /// The identity could not be checked: an earlier attempt may have run.
+        Unchecked = "unchecked",
         /// The request ran, but its answer is no longer kept.
         ResultExpired = "result-expired",
         /// The caller left while the answer was streaming.
--- /dev/null
+++ b/crates/core/src/owner/input.rs
@@ -0,0 +1,38 @@
+//! Events that a pool's owner decides on.
+
+use crate::{ids::HostId, pool::PoolInput, time::MonoTime};
+
+use super::{EntryEvent, Guard, Memory, StandbyReply};
+
+/// One event for the owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OwnerInput {
+    /// An entry told something.
+    Entry {
+        /// The entry.
+        entry: HostId,
+        /// The entry's own time at which it sent the event.
+        sent_at: MonoTime,
+        /// The event.
+        event: EntryEvent,
+    },
+    /// An entry host is gone.
+    EntryGone(HostId),
+    /// A change of the runners, a load report or the like.
+    Pool(PoolInput),
+    /// Send the claims to this standby, or to none.
+    UseStandby(Option<HostId>),
+    /// The standby answered.
+    Standby {
+        /// The standby.
+        host: HostId,
+        /// Its answer.
+        reply: StandbyReply,
+    },
+    /// What makes new claims safe has changed.
+    Guard(Guard),
+    /// It became known which earlier claims this owner knows.
+    Memory(Memory),
+    /// A timer that was asked for is due.
+    Tick,
+}
--- /dev/null
+++ b/crates/core/src/owner/repeat.rs
@@ -0,0 +1,40 @@
+//! The answer to a request with an identity that is known already.
+
+use crate::{
+    ids::{HostId, RequestId},
+    outcome::UnknownReason,
+};
+
+use super::{Claim, ClaimState, Identity, RepeatAnswer};
+
+/// What to do with a request whose identity is claimed.
+#[derive(Debug, Eq, PartialEq)]
+pub(super) enum Repeat {
+    /// It is the claiming request itself.
+    Itself,
+    /// Tell its caller.
+    Answer(RepeatAnswer),
+    /// Let it take the claim over: the first request certainly never ran, or may
+    /// run again without harm.
+    TakeOver,
+}
+
+/// Decides on a request whose identity is claimed by `claim`.
+pub(super) fn repeat(
+    claim: &Claim,
+    id: RequestId,
+    identity: &Identity,
+    holder_gone: impl Fn(&HostId) -> bool,
+) -> Repeat {
+    if claim.id == id {
+        return Repeat::Itself;
+    }
+    if !holder_gone(&claim.entry) {
+        let holder = claim.entry.clone();
+        return Repeat::Answer(RepeatAnswer::Attach { id: claim.id, holder });
+    }
+    if claim.state == ClaimState::Waiting || identity.idempotent {
+        return Repeat::TakeOver;
+    }
+    Repeat::Answer(RepeatAnswer::Unknown(UnknownReason::HolderGone))
+}
--- /dev/null
+++ b/crates/core/src/owner/replica.rs
@@ -0,0 +1,82 @@
+//! The owner's side of the copy at the standby.
+
+use std::collections::BTreeMap;
+
+use crate::{ids::HostId, request::RequestRecord};
+
+use super::{Claim, ClaimTable, OwnerAction, StandbyEvent};
+
+/// The owner's side of the copy at the standby.
+#[derive(Debug)]
+pub(super) struct Replica {
+    host: HostId,
+    snapshot: u64,
+    next: u64,
+    ready: bool,
+    waiting: BTreeMap<u64, Vec<RequestRecord>>,
+}
+
+/// What an acknowledgement brought.
+#[derive(Debug, Default)]
+pub(super) struct Taken {
+    pub(super) became_ready: bool,
+    pub(super) records: Vec<RequestRecord>,
+}
+
+impl Replica {
+    /// Sends every claim. `waiting` are records whose claims are among them and
+    /// were not acknowledged by an earlier standby.
+    pub(super) fn new(
+        host: HostId,
+        number: u64,
+        claims: &ClaimTable,
+        waiting: Vec<RequestRecord>,
+        out: &mut Vec<OwnerAction>,
+    ) -> Self {
+        let claims = claims.iter().cloned().collect();
+        let event = StandbyEvent::Snapshot { number, claims };
+        out.push(OwnerAction::Replicate { standby: host.clone(), event });
+        let waiting = BTreeMap::from([(number, waiting)]);
+        Self { host, snapshot: number, next: number + 1, ready: false, waiting }
+    }
+
+    pub(super) fn host(&self) -> &HostId {
+        &self.host
+    }
+
+    /// Number that a later copy starts with.
+    pub(super) fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Sends one claim. Its record, if any, waits for the acknowledgement.
+    pub(super) fn send(
+        &mut self,
+        claim: Claim,
+        record: Option<RequestRecord>,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let number = self.next;
+        self.next += 1;
+        self.waiting.insert(number, record.into_iter().collect());
+        let event = StandbyEvent::Claim { number, claim };
+        out.push(OwnerAction::Replicate { standby: self.host.clone(), event });
+    }
+
+    /// Takes an acknowledgement of everything up to `number`.
+    pub(super) fn taken(&mut self, number: u64) -> Taken {
+        if number < self.snapshot {
+            return Taken::default();
+        }
+        let became_ready = !self.ready;
+        self.ready = true;
+        let later = self.waiting.split_off(&(number + 1));
+        let records = std::mem::replace(&mut self.waiting, later);
+        Taken { became_ready, records: records.into_values().flatten().collect() }
+    }
+
+    /// Records that wait for an acknowledgement.
+    pub(super) fn into_waiting(self) -> Vec<RequestRecord> {
+        self.waiting.into_values().flatten().collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/owner/seat.rs
@@ -0,0 +1,123 @@
+//! What a host holds of one pool over its terms as owner and as standby.
+
+use crate::{
+    cluster::Inheritance,
+    ids::{Epoch, HostId},
+    pool::{Pool, PoolSettings},
+    time::MonoTime,
+};
+
+use super::{
+    ClaimTable, Memory, Owner, OwnerAction, OwnerInput, Standby, StandbyEvent, StandbyReply,
+};
+
+/// What a host holds of one pool over its terms as owner and as standby.
+///
+/// A host is either the owner or a standby, never both: becoming the owner
+/// consumes the copy that it held.
+pub struct PoolSeat {
+    role: Role,
+    /// Where the claims of the present term stem from.
+    source: Option<(HostId, Epoch)>,
+    memory: Memory,
+}
+
+enum Role {
+    Owner(Box<Owner>),
+    Standby(Standby),
+}
+
+impl PoolSeat {
+    /// A host that is neither the owner nor has a copy.
+    #[must_use]
+    pub fn new() -> Self {
+        let role = Role::Standby(Standby::default());
+        Self { role, source: None, memory: Memory::Complete }
+    }
+
+    /// The owner's state, while this host is the owner.
+    #[must_use]
+    pub fn owner(&self) -> Option<&Owner> {
+        match &self.role {
+            Role::Owner(owner) => Some(owner),
+            Role::Standby(_) => None,
+        }
+    }
+
+    /// Begins a term with the claims that this host has.
+    pub fn own(&mut self, now: MonoTime, settings: PoolSettings, inheritance: &Inheritance) {
+        let standby = Role::Standby(Standby::default());
+        let (claims, continued) = match std::mem::replace(&mut self.role, standby) {
+            Role::Owner(owner) => (owner.into_claims(), true),
+            Role::Standby(standby) => {
+                self.source = standby.source().map(|(owner, epoch)| (owner.clone(), epoch));
+                (standby.into_claims(now), false)
+            }
+        };
+        self.memory = self.memory_of(now, inheritance, continued);
+        let owner = Owner::new(Pool::new(settings), claims, self.memory);
+        self.role = Role::Owner(Box::new(owner));
+    }
+
+    fn memory_of(&self, now: MonoTime, inheritance: &Inheritance, continued: bool) -> Memory {
+        let complete = match inheritance {
+            Inheritance::First => true,
+            Inheritance::Own => return if continued { self.memory } else { Memory::Since(now) },
+            Inheritance::Standby { owner, epoch } => {
+                self.source.as_ref() == Some(&(owner.clone(), *epoch))
+            }
+            Inheritance::Incomplete => false,
+        };
+        match (complete, self.memory, continued) {
+            (true, ..) => Memory::Complete,
+            (false, since @ Memory::Since(_), true) => since,
+            (false, ..) => Memory::Since(now),
+        }
+    }
+
+    /// Ends the term. Claims of owners before `epoch` are refused from now on.
+    pub fn disown(&mut self, epoch: Epoch) {
+        self.role = Role::Standby(Standby::new(epoch));
+        self.source = None;
+    }
+
+    /// Decides on an input for the owner. Ignored by a host that is not.
+    pub fn handle(&mut self, now: MonoTime, input: OwnerInput, out: &mut Vec<OwnerAction>) {
+        if let Role::Owner(owner) = &mut self.role {
+            owner.handle(now, input, out);
+        }
+    }
+
+    /// Takes an event of another owner. A host that owns the pool refuses those
+    /// of earlier epochs and leaves later ones to the cluster's announcement.
+    pub fn replicate(
+        &mut self,
+        now: MonoTime,
+        from: &HostId,
+        epoch: Epoch,
+        event: StandbyEvent,
+    ) -> Option<StandbyReply> {
+        match &mut self.role {
+            Role::Owner(owner) if epoch < owner.epoch() => {
+                Some(StandbyReply::Superseded(owner.epoch()))
+            }
+            Role::Owner(_) => None,
+            Role::Standby(standby) => standby.handle(now, from, epoch, event),
+        }
+    }
+
+    /// Claims of the present term or copy.
+    #[must_use]
+    pub fn claims(&self) -> &ClaimTable {
+        match &self.role {
+            Role::Owner(owner) => owner.claims(),
+            Role::Standby(standby) => standby.claims(),
+        }
+    }
+}
+
+impl Default for PoolSeat {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/core/src/owner/state.rs
@@ -0,0 +1,165 @@
+//! State and decisions of a pool's owner.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    ids::{Epoch, HostId, RequestId},
+    pool::{Pool, PoolAction, PoolInput},
+    request::Grant,
+    time::MonoTime,
+};
+
+use super::{
+    ClaimState, ClaimTable, EntryEvent, Guard, Memory, OwnerAction, OwnerEvent, OwnerInput,
+    replica::Replica,
+};
+
+/// The owner of one pool in one term.
+pub struct Owner {
+    pool: Pool,
+    pub(super) claims: ClaimTable,
+    pub(super) memory: Memory,
+    pub(super) guard: Guard,
+    pub(super) replica: Option<Replica>,
+    /// Claimed requests that wait for the standby.
+    pub(super) unproved: BTreeSet<RequestId>,
+    /// Grants that were sent and whose use is not known yet.
+    pub(super) granted: BTreeMap<RequestId, Grant>,
+    pub(super) gone: BTreeSet<HostId>,
+    pub(super) asked: BTreeMap<HostId, MonoTime>,
+    pub(super) next_number: u64,
+    pool_actions: Vec<PoolAction>,
+}
+
+impl Owner {
+    /// An owner at the start of its term.
+    #[must_use]
+    pub fn new(pool: Pool, claims: ClaimTable, memory: Memory) -> Self {
+        Self {
+            pool,
+            claims,
+            memory,
+            guard: Guard::Unproved,
+            replica: None,
+            unproved: BTreeSet::new(),
+            granted: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            asked: BTreeMap::new(),
+            next_number: 1,
+            pool_actions: Vec::new(),
+        }
+    }
+
+    /// The ranking of the pool.
+    #[must_use]
+    pub fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// Term of this owner.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.pool.settings().epoch
+    }
+
+    /// The claims of this term.
+    #[must_use]
+    pub fn claims(&self) -> &ClaimTable {
+        &self.claims
+    }
+
+    /// The claims, for a later term on the same host.
+    #[must_use]
+    pub fn into_claims(self) -> ClaimTable {
+        self.claims
+    }
+
+    /// Decides on one input and appends the resulting actions to `out`.
+    pub fn handle(&mut self, now: MonoTime, input: OwnerInput, out: &mut Vec<OwnerAction>) {
+        match input {
+            OwnerInput::Entry { entry, sent_at, event } => {
+                let asked = self.asked.entry(entry.clone()).or_default();
+                *asked = sent_at.max(*asked);
+                self.gone.remove(&entry);
+                self.entry_event(now, &entry, event, out);
+            }
+            OwnerInput::EntryGone(entry) => self.entry_gone(now, entry, out),
+            OwnerInput::Pool(input) => self.pool_input(now, input, out),
+            OwnerInput::UseStandby(host) => self.use_standby(host, out),
+            OwnerInput::Standby { host, reply } => self.standby_reply(now, &host, reply, out),
+            OwnerInput::Guard(guard) => self.guard = guard,
+            OwnerInput::Memory(memory) => self.memory = memory,
+            OwnerInput::Tick => self.pool_input(now, PoolInput::Tick, out),
+        }
+    }
+
+    fn entry_event(
+        &mut self,
+        now: MonoTime,
+        entry: &HostId,
+        event: EntryEvent,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        match event {
+            EntryEvent::Refresh => {}
+            EntryEvent::Submit(submission) => self.submit(now, submission, out),
+            EntryEvent::Withdraw(id) => {
+                self.granted.remove(&id);
+                self.unproved.remove(&id);
+                self.release(entry, id, out);
+                self.pool_input(now, PoolInput::Withdraw(id), out);
+            }
+            EntryEvent::GrantUnused { id, reason } => {
+                self.granted.remove(&id);
+                self.pool_input(now, PoolInput::GrantUnused { id, reason }, out);
+            }
+            EntryEvent::Dispatched(id) => {
+                self.granted.remove(&id);
+                self.pool_input(now, PoolInput::Dispatched(id), out);
+            }
+            EntryEvent::FirstToken(id) => self.pool_input(now, PoolInput::FirstToken(id), out),
+            EntryEvent::Ended { id, end } => {
+                self.granted.remove(&id);
+                self.end_claim(now, id, out);
+                self.pool_input(now, PoolInput::Ended { id, end }, out);
+            }
+            EntryEvent::Adopt { submission, runner } => {
+                self.granted.remove(&submission.record.id);
+                self.adopt_claim(now, &submission, out);
+                let record = submission.record;
+                self.pool_input(now, PoolInput::Adopt { record, runner }, out);
+            }
+        }
+    }
+
+    pub(super) fn pool_input(
+        &mut self,
+        now: MonoTime,
+        input: PoolInput,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let mut actions = std::mem::take(&mut self.pool_actions);
+        self.pool.handle(now, input, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                PoolAction::Grant { entry, grant } => {
+                    self.claims.advance(now, grant.id, ClaimState::Granted);
+                    self.granted.insert(grant.id, grant.clone());
+                    self.send_grant(&entry, grant, out);
+                }
+                PoolAction::Refuse { entry, id, reason, retry_after } => {
+                    let event = OwnerEvent::Refused { id, reason, retry_after };
+                    out.push(OwnerAction::Tell { entry, event });
+                }
+                PoolAction::SetTimer(at) => out.push(OwnerAction::SetTimer(at)),
+            }
+        }
+        self.pool_actions = actions;
+    }
+
+    pub(super) fn send_grant(&self, entry: &HostId, grant: Grant, out: &mut Vec<OwnerAction>) {
+        let asked_at = self.asked.get(entry).copied().unwrap_or_default();
+        let event = OwnerEvent::Granted { grant, asked_at };
+        out.push(OwnerAction::Tell { entry: entry.clone(), event });
+    }
+}
--- /dev/null
+++ b/crates/core/src/owner/upkeep.rs
@@ -0,0 +1,130 @@
+//! Changes of the claims after they were made, and the copy at the standby.
+
+use crate::{
+    ids::{HostId, RequestId},
+    outcome::UnknownReason,
+    pool::PoolInput,
+    request::RequestRecord,
+    time::MonoTime,
+};
+
+use super::{
+    Claim, ClaimState, Guard, Lookup, Owner, OwnerAction, OwnerEvent, RepeatAnswer, StandbyEvent,
+    StandbyReply, Submission, replica::Replica,
+};
+
+impl Owner {
+    /// Takes the claim of a request that an earlier owner granted.
+    pub(super) fn adopt_claim(
+        &mut self,
+        now: MonoTime,
+        submission: &Submission,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Submission { record, identity } = submission;
+        let Some(identity) = identity else { return };
+        if self.claims.look_up(identity) != Lookup::Fresh {
+            self.claims.advance(now, record.id, ClaimState::Granted);
+            return;
+        }
+        let (entry, id, identity) = (record.entry.clone(), record.id, identity.clone());
+        let claim = Claim { identity, entry, id, state: ClaimState::Granted };
+        self.claims.insert(now, claim.clone());
+        if let Some(replica) = &mut self.replica {
+            replica.send(claim, None, out);
+        }
+    }
+
+    pub(super) fn entry_gone(&mut self, now: MonoTime, entry: HostId, out: &mut Vec<OwnerAction>) {
+        self.asked.remove(&entry);
+        self.gone.insert(entry.clone());
+        for id in self.claims.held_by(&entry) {
+            if self.granted.remove(&id).is_some() || !self.unproved.remove(&id) {
+                self.end_granted(now, id, out);
+            }
+        }
+        self.pool_input(now, PoolInput::EntryGone(entry), out);
+    }
+
+    /// Nothing more will be heard of the request.
+    fn end_granted(&mut self, now: MonoTime, id: RequestId, out: &mut Vec<OwnerAction>) {
+        if self.claims.state(id) == Some(ClaimState::Granted) {
+            self.end_claim(now, id, out);
+        }
+    }
+
+    pub(super) fn end_claim(&mut self, now: MonoTime, id: RequestId, out: &mut Vec<OwnerAction>) {
+        if !self.claims.advance(now, id, ClaimState::Ended) {
+            return;
+        }
+        if let Some(replica) = &self.replica {
+            let event = StandbyEvent::Ended(id);
+            out.push(OwnerAction::Replicate { standby: replica.host().clone(), event });
+        }
+    }
+
+    pub(super) fn release(&mut self, entry: &HostId, id: RequestId, out: &mut Vec<OwnerAction>) {
+        if !self.claims.release(entry, id) {
+            return;
+        }
+        if let Some(replica) = &self.replica {
+            let event = StandbyEvent::Release { entry: entry.clone(), id };
+            out.push(OwnerAction::Replicate { standby: replica.host().clone(), event });
+        }
+    }
+
+    pub(super) fn use_standby(&mut self, host: Option<HostId>, out: &mut Vec<OwnerAction>) {
+        let old = self.replica.take();
+        let number = old.as_ref().map_or(self.next_number, Replica::next);
+        self.next_number = number;
+        let waiting = old.map(Replica::into_waiting).unwrap_or_default();
+        match host {
+            Some(host) => {
+                self.replica = Some(Replica::new(host, number, &self.claims, waiting, out));
+            }
+            None => {
+                for record in waiting {
+                    self.give_up(&record, out);
+                }
+            }
+        }
+    }
+
+    /// Gives up a request whose claim no standby took. It was never granted, but
+    /// another owner may have granted the same identity.
+    fn give_up(&mut self, record: &RequestRecord, out: &mut Vec<OwnerAction>) {
+        if !self.unproved.remove(&record.id) {
+            return;
+        }
+        self.release(&record.entry, record.id, out);
+        let answer = RepeatAnswer::Unknown(UnknownReason::Unchecked);
+        let event = OwnerEvent::Repeat { id: record.id, answer };
+        out.push(OwnerAction::Tell { entry: record.entry.clone(), event });
+    }
+
+    pub(super) fn standby_reply(
+        &mut self,
+        now: MonoTime,
+        host: &HostId,
+        reply: StandbyReply,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let Some(replica) = self.replica.as_mut().filter(|r| r.host() == host) else { return };
+        let number = match reply {
+            StandbyReply::Taken(number) => number,
+            StandbyReply::Superseded(_) => {
+                self.guard = Guard::Unproved;
+                return;
+            }
+        };
+        let taken = replica.taken(number);
+        if taken.became_ready {
+            out.push(OwnerAction::StandbyReady(host.clone()));
+        }
+        for record in taken.records {
+            if self.unproved.remove(&record.id) && !self.gone.contains(&record.entry) {
+                self.pool_input(now, PoolInput::Submit(record), out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/cluster_support/mod.rs
@@ -0,0 +1,307 @@
+//! Hosts, peers' links and a key-value service in one deterministic world.
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use comfreyway_core::{
+    cluster::{
+        Cluster, ClusterAction, ClusterInput, Inheritance, PoolRecord, Presence, ReadResult,
+        StoredRecord, WriteResult,
+    },
+    ids::{Epoch, HostId, PoolId},
+    time::MonoTime,
+};
+
+const STEP_MS: u64 = 5;
+const LEASE_MS: u64 = 2_000;
+const RENEW_MS: u64 = 500;
+const SILENCE_MS: u64 = 1_000;
+const LONGEST_RUN_MS: u64 = 60_000;
+
+/// What happens to a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fault {
+    ReplyLostApplied,
+    ReplyLostNotApplied,
+}
+
+struct Node {
+    id: HostId,
+    cluster: Cluster,
+    running: bool,
+    paused: bool,
+    inbox: VecDeque<ClusterInput>,
+    linked: BTreeSet<HostId>,
+    owned: bool,
+    inheritance: Option<Inheritance>,
+    wants_lease: bool,
+    lease: Option<(HostId, u64)>,
+    next_renewal: u64,
+    quiet_since: u64,
+}
+
+pub(crate) struct World {
+    now: u64,
+    nodes: Vec<Node>,
+    stored: Option<StoredRecord>,
+    down: bool,
+    faults: VecDeque<Fault>,
+    isolated: BTreeSet<usize>,
+}
+
+pub(crate) fn pool() -> PoolId {
+    PoolId { upstream: "llm".parse().unwrap(), region: "almaty".parse().unwrap() }
+}
+
+pub(crate) fn host(ix: usize) -> HostId {
+    HostId { name: format!("h{ix}").parse().unwrap(), incarnation: 1 }
+}
+
+fn node(id: HostId) -> Node {
+    Node {
+        cluster: Cluster::new(id.clone()),
+        id,
+        running: true,
+        paused: false,
+        inbox: VecDeque::from([ClusterInput::Pools(BTreeSet::from([pool()])), ClusterInput::Tick]),
+        linked: BTreeSet::new(),
+        owned: false,
+        inheritance: None,
+        wants_lease: false,
+        lease: None,
+        next_renewal: 0,
+        quiet_since: 0,
+    }
+}
+
+impl World {
+    pub(crate) fn new(hosts: usize) -> Self {
+        let nodes = (0..hosts).map(|ix| node(host(ix))).collect();
+        let (stored, faults) = (None, VecDeque::new());
+        Self { now: 0, nodes, stored, down: false, faults, isolated: BTreeSet::new() }
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.now
+    }
+
+    pub(crate) fn run_ms(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub(crate) fn run_until(&mut self, done: impl Fn(&Self) -> bool) {
+        let end = self.now + LONGEST_RUN_MS;
+        while !done(self) {
+            assert!(self.now < end, "not reached: owners {:?}", self.owners());
+            self.step();
+        }
+    }
+
+    pub(crate) fn kill(&mut self, ix: usize) {
+        self.nodes[ix].running = false;
+    }
+
+    pub(crate) fn replace(&mut self, ix: usize) {
+        let incarnation = self.nodes[ix].id.incarnation + 1;
+        let lease = self.nodes[ix].lease.clone();
+        self.nodes[ix] = node(HostId { name: host(ix).name, incarnation });
+        self.nodes[ix].lease = lease;
+    }
+
+    pub(crate) fn pause(&mut self, ix: usize) {
+        self.nodes[ix].paused = true;
+        self.nodes[ix].quiet_since = self.now;
+    }
+
+    pub(crate) fn wake(&mut self, ix: usize) {
+        self.nodes[ix].paused = false;
+    }
+
+    pub(crate) fn isolate(&mut self, ix: usize) {
+        self.isolated.insert(ix);
+    }
+
+    pub(crate) fn service_down(&mut self, down: bool) {
+        self.down = down;
+    }
+
+    pub(crate) fn fault_writes(&mut self, fault: Fault, count: usize) {
+        self.faults.extend(std::iter::repeat_n(fault, count));
+    }
+
+    pub(crate) fn input(&mut self, ix: usize, input: ClusterInput) {
+        self.nodes[ix].inbox.push_back(input);
+    }
+
+    /// Hosts that believe to own the pool, paused ones included.
+    pub(crate) fn owners(&self) -> Vec<usize> {
+        let nodes = self.nodes.iter().enumerate();
+        nodes.filter(|(_, n)| n.running && n.owned).map(|(ix, _)| ix).collect()
+    }
+
+    pub(crate) fn only_owner(&self) -> usize {
+        let owners = self.owners();
+        assert_eq!(owners.len(), 1, "owners {owners:?}");
+        owners[0]
+    }
+
+    pub(crate) fn view(&self, ix: usize) -> (Option<usize>, Epoch) {
+        let (owner, epoch) = self.nodes[ix].cluster.owner(&pool()).unwrap();
+        (owner.and_then(|owner| self.nodes.iter().position(|n| n.id == *owner)), epoch)
+    }
+
+    pub(crate) fn epoch(&self, ix: usize) -> Epoch {
+        self.view(ix).1
+    }
+
+    pub(crate) fn inheritance(&self, ix: usize) -> Option<&Inheritance> {
+        self.nodes[ix].inheritance.as_ref()
+    }
+
+    pub(crate) fn stored(&self) -> Option<PoolRecord> {
+        self.stored.as_ref().map(|stored| stored.record.clone())
+    }
+
+    pub(crate) fn recorded_standby(&self) -> Option<usize> {
+        let standby = self.stored()?.standby?;
+        self.nodes.iter().position(|n| n.id == standby)
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        for ix in 0..self.nodes.len() {
+            if self.nodes[ix].running && !self.nodes[ix].paused {
+                self.update_links(ix);
+                self.renew_lease(ix);
+                self.handle_inbox(ix);
+            }
+        }
+    }
+
+    fn reachable(&self, from: usize, to: usize) -> bool {
+        let node = &self.nodes[to];
+        let silent = node.paused && self.now > node.quiet_since + SILENCE_MS;
+        let cut = self.isolated.contains(&from) || self.isolated.contains(&to);
+        node.running && !silent && !cut
+    }
+
+    fn update_links(&mut self, ix: usize) {
+        let others = (0..self.nodes.len()).filter(|&to| to != ix && self.reachable(ix, to));
+        let reached: BTreeSet<_> = others.map(|to| self.nodes[to].id.clone()).collect();
+        let node = &mut self.nodes[ix];
+        let lost = node.linked.difference(&reached).cloned().map(ClusterInput::PeerDown);
+        let lost: Vec<_> = lost.collect();
+        let new = reached.difference(&node.linked).cloned().map(ClusterInput::PeerUp);
+        node.inbox.extend(lost.into_iter().chain(new));
+        node.linked = reached;
+    }
+
+    fn renew_lease(&mut self, ix: usize) {
+        let node = &mut self.nodes[ix];
+        if node.wants_lease && !self.down && self.now >= node.next_renewal {
+            node.next_renewal = self.now + RENEW_MS;
+            node.lease = Some((node.id.clone(), self.now + LEASE_MS));
+            let until = MonoTime::from_millis(self.now + LEASE_MS);
+            node.inbox.push_back(ClusterInput::Lease(until));
+        }
+    }
+
+    fn handle_inbox(&mut self, ix: usize) {
+        let now = MonoTime::ZERO + Duration::from_millis(self.now);
+        let mut inputs = std::mem::take(&mut self.nodes[ix].inbox);
+        inputs.push_back(ClusterInput::Tick);
+        for input in inputs {
+            let mut actions = Vec::new();
+            self.nodes[ix].cluster.handle(now, input, &mut actions);
+            for action in actions {
+                self.act(ix, action);
+            }
+        }
+    }
+
+    fn act(&mut self, ix: usize, action: ClusterAction) {
+        match action {
+            ClusterAction::Read(pool) => {
+                let result = match self.down {
+                    true => ReadResult::Failed,
+                    false => ReadResult::Record(self.stored.clone()),
+                };
+                self.input(ix, ClusterInput::Read { pool, result });
+            }
+            ClusterAction::Write { pool, expected, record } => {
+                let result = self.write(expected, record);
+                self.input(ix, ClusterInput::Written { pool, result });
+            }
+            ClusterAction::ReadPresence { pool, host } => {
+                let result = self.presence(&host);
+                self.input(ix, ClusterInput::Presence { pool, result });
+            }
+            ClusterAction::HoldLease(hold) => self.nodes[ix].wants_lease = hold,
+            ClusterAction::Own { inheritance, .. } => {
+                self.nodes[ix].owned = true;
+                self.nodes[ix].inheritance = Some(inheritance);
+            }
+            ClusterAction::Disown(_) => self.nodes[ix].owned = false,
+            ClusterAction::UseStandby { pool, host: Some(host) } => {
+                self.input(ix, ClusterInput::StandbyReady { pool, host });
+            }
+            ClusterAction::Announce { to, announcement } => {
+                let input = ClusterInput::Announced(announcement);
+                self.send(ix, to.as_ref(), &input);
+            }
+            ClusterAction::HandOver { to, pool, epoch } => {
+                self.send(ix, Some(&to), &ClusterInput::HandOver { pool, epoch });
+            }
+            ClusterAction::AnnounceLeaving => {
+                let input = ClusterInput::PeerLeaving(self.nodes[ix].id.clone());
+                self.send(ix, None, &input);
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: Option<&HostId>, input: &ClusterInput) {
+        for ix in 0..self.nodes.len() {
+            let meant = to.is_none_or(|to| *to == self.nodes[ix].id);
+            if ix != from && meant && self.reachable(from, ix) {
+                self.input(ix, input.clone());
+            }
+        }
+    }
+
+    fn write(&mut self, expected: u64, record: PoolRecord) -> WriteResult {
+        if self.down {
+            return WriteResult::NotDone;
+        }
+        let fault = self.faults.pop_front();
+        if fault == Some(Fault::ReplyLostNotApplied) {
+            return WriteResult::Uncertain;
+        }
+        let revision = self.stored.as_ref().map_or(0, |stored| stored.revision);
+        if revision != expected {
+            return WriteResult::Mismatch(self.stored.clone());
+        }
+        self.stored = Some(StoredRecord { revision: revision + 1, record });
+        match fault {
+            Some(_) => WriteResult::Uncertain,
+            None => WriteResult::Written(revision + 1),
+        }
+    }
+
+    fn presence(&self, name: &comfreyway_core::ids::HostName) -> Presence {
+        if self.down {
+            return Presence::Failed;
+        }
+        let node = self.nodes.iter().find(|n| n.id.name == *name).unwrap();
+        match &node.lease {
+            Some((id, until)) if *until > self.now => Presence::Held(id.clone()),
+            _ => Presence::Lapsed,
+        }
+    }
+}
