--- a/crates/core/src/entry/action.rs
+++ b/crates/core/src/entry/action.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use crate::{
-    ids::{HostId, PoolId, RequestId, RunnerName},
-    outcome::NotRunReason,
-    pool::PoolInput,
+    ids::{Epoch, HostId, PoolId, RequestId, RunnerName},
+    outcome::{NotRunReason, UnknownReason},
+    owner::EntryEvent,
     time::MonoTime,
 };
 
@@ -18,8 +18,12 @@
         owner: HostId,
         /// The pool.
         pool: PoolId,
+        /// Highest epoch that this entry has seen for the pool.
+        epoch: Epoch,
+        /// This entry's time, which comes back with grants.
+        sent_at: MonoTime,
         /// The event.
-        input: PoolInput,
+        event: EntryEvent,
     },
     /// Send the request to the runner now. Given at most once per request,
     /// unless [`super::EntryInput::NotSent`] proved that nothing was sent.
@@ -30,6 +34,8 @@
         pool: PoolId,
         /// The runner.
         runner: RunnerName,
+        /// Epoch of the grant.
+        epoch: Epoch,
     },
     /// Tell the caller that the request was not run.
     AnswerNotRun {
@@ -40,6 +46,22 @@
         /// When the caller may try again.
         retry_after: Duration,
     },
+    /// Tell the caller that the request may have run before.
+    AnswerUnknown {
+        /// The request.
+        id: RequestId,
+        /// Why.
+        reason: UnknownReason,
+    },
+    /// Give the caller the answer of an earlier request.
+    Attach {
+        /// The request.
+        id: RequestId,
+        /// The earlier request.
+        first: RequestId,
+        /// The host that holds the earlier request.
+        holder: HostId,
+    },
     /// Call [`super::Entry::handle`] with [`super::EntryInput::Tick`] at this time.
     SetTimer(MonoTime),
 }
--- a/crates/core/src/entry/input.rs
+++ b/crates/core/src/entry/input.rs
@@ -1,11 +1,10 @@
 //! Events that an entry decides on.
 
-use std::time::Duration;
-
 use crate::{
     ids::{Epoch, HostId, PoolId, RequestId},
-    outcome::{NotRunReason, RetryReason},
-    request::{DispatchEnd, Grant, RequestRecord},
+    outcome::RetryReason,
+    owner::{OwnerEvent, Submission},
+    request::DispatchEnd,
 };
 
 /// Who owns a pool, as this host knows it.
@@ -23,27 +22,20 @@
     /// A request was received whole and checked.
     Received {
         /// The request.
-        record: RequestRecord,
+        submission: Submission,
         /// The pool that serves it.
         pool: PoolId,
     },
-    /// A grant arrived from a pool's owner.
-    Granted {
+    /// An owner told something.
+    Owner {
+        /// The owner.
+        owner: HostId,
         /// The pool.
         pool: PoolId,
-        /// The permission.
-        grant: Grant,
-    },
-    /// The owner refused a request.
-    Refused {
-        /// Epoch of the owner that refused.
+        /// Term of the owner.
         epoch: Epoch,
-        /// The request.
-        id: RequestId,
-        /// Why.
-        reason: NotRunReason,
-        /// When the caller may try again.
-        retry_after: Duration,
+        /// The event.
+        event: OwnerEvent,
     },
     /// The connection to the runner failed before any byte was sent.
     NotSent {
@@ -65,13 +57,17 @@
     },
     /// The caller closed its connection.
     CallerGone(RequestId),
-    /// The owner of a pool changed.
+    /// The owner of a pool changed, or the link to it was made again.
     OwnerChanged {
         /// The pool.
         pool: PoolId,
-        /// The new owner.
+        /// The owner.
         view: OwnerView,
     },
+    /// A host can't be reached.
+    HostDown(HostId),
+    /// This host is stopping: it takes no more requests.
+    Stop,
     /// A timer that was asked for is due.
     Tick,
 }
--- a/crates/core/src/entry/lifecycle.rs
+++ b/crates/core/src/entry/lifecycle.rs
@@ -1,7 +1,10 @@
 //! Typestate of one request at its entry.
 
+use std::time::Duration;
+
 use crate::{
     ids::{PoolId, RunnerName},
+    owner::Submission,
     request::{Grant, RequestRecord},
     time::MonoTime,
 };
@@ -9,38 +12,69 @@
 /// A request that waits for a grant. No byte of it has left this host.
 #[derive(Debug)]
 pub struct Waiting {
-    pub(super) record: RequestRecord,
-    pub(super) pool: PoolId,
-    pub(super) arrived: MonoTime,
+    submission: Submission,
+    pool: PoolId,
+    arrived: MonoTime,
+    attempts: u8,
 }
 
 /// A request that may have reached an upstream.
 #[derive(Debug)]
 pub struct Dispatched {
-    pub(super) record: RequestRecord,
-    pub(super) pool: PoolId,
-    pub(super) arrived: MonoTime,
-    pub(super) runner: RunnerName,
+    waiting: Waiting,
+    runner: RunnerName,
 }
 
 impl Waiting {
     /// Takes a received request into the waiting state.
     #[must_use]
-    pub fn new(record: RequestRecord, pool: PoolId, arrived: MonoTime) -> Self {
-        Self { record, pool, arrived }
+    pub fn new(submission: Submission, pool: PoolId, arrived: MonoTime) -> Self {
+        Self { submission, pool, arrived, attempts: 0 }
     }
 
     /// The request.
     #[must_use]
     pub fn record(&self) -> &RequestRecord {
-        &self.record
+        &self.submission.record
+    }
+
+    /// The pool that serves it.
+    #[must_use]
+    pub fn pool(&self) -> &PoolId {
+        &self.pool
+    }
+
+    /// Connections to runners that failed.
+    #[must_use]
+    pub fn attempts(&self) -> u8 {
+        self.attempts
+    }
+
+    /// True if an earlier attempt of the same request must not be repeated.
+    #[must_use]
+    pub fn at_most_once(&self) -> bool {
+        self.submission.identity.as_ref().is_some_and(|identity| !identity.idempotent)
+    }
+
+    /// Time at which the request's target has passed.
+    #[must_use]
+    pub fn deadline(&self) -> MonoTime {
+        let record = &self.submission.record;
+        self.arrived + record.target.limit().saturating_sub(record.age)
+    }
+
+    /// The request with its age at `now`.
+    #[must_use]
+    pub fn submission(&self, now: MonoTime) -> Submission {
+        let mut submission = self.submission.clone();
+        submission.record.age += now.since(self.arrived);
+        submission
     }
 
     /// Uses a grant. Consumes the waiting state, so this happens at most once.
     #[must_use]
     pub fn dispatch(self, grant: &Grant) -> Dispatched {
-        let Self { record, pool, arrived } = self;
-        Dispatched { record, pool, arrived, runner: grant.runner.clone() }
+        Dispatched { waiting: self, runner: grant.runner.clone() }
     }
 }
 
@@ -48,7 +82,13 @@
     /// The request.
     #[must_use]
     pub fn record(&self) -> &RequestRecord {
-        &self.record
+        self.waiting.record()
+    }
+
+    /// The pool that serves it.
+    #[must_use]
+    pub fn pool(&self) -> &PoolId {
+        &self.waiting.pool
     }
 
     /// The runner that the request was sent to.
@@ -57,13 +97,25 @@
         &self.runner
     }
 
-    /// Returns to the waiting state.
+    /// The request with its age at `now`.
+    #[must_use]
+    pub fn submission(&self, now: MonoTime) -> Submission {
+        self.waiting.submission(now)
+    }
+
+    /// Returns to the waiting state after a failed connection.
     ///
     /// Only allowed with proof that no byte of the request has been sent, such
     /// as a refused connection.
     #[must_use]
     pub fn back_to_waiting(self) -> Waiting {
-        let Self { record, pool, arrived, .. } = self;
-        Waiting { record, pool, arrived }
+        let attempts = self.waiting.attempts.saturating_add(1);
+        Waiting { attempts, ..self.waiting }
+    }
+
+    /// Time since the request arrived.
+    #[must_use]
+    pub fn age(&self, now: MonoTime) -> Duration {
+        now.since(self.waiting.arrived)
     }
 }
--- /dev/null
+++ b/crates/core/src/entry/owners.rs
@@ -0,0 +1,55 @@
+//! Changes of the pools' owners.
+
+use crate::{
+    ids::{HostId, PoolId},
+    owner::EntryEvent,
+    time::MonoTime,
+};
+
+use super::{Entry, EntryAction, OwnerView};
+
+impl Entry {
+    /// Follows another owner, or the same one over a new link.
+    pub(super) fn owner_changed(
+        &mut self,
+        now: MonoTime,
+        pool: PoolId,
+        view: OwnerView,
+        out: &mut Vec<EntryAction>,
+    ) {
+        if self.owners.get(&pool).is_some_and(|old| old.epoch > view.epoch) {
+            return;
+        }
+        self.owners.insert(pool.clone(), view);
+        self.submit_again(now, &pool, out);
+    }
+
+    /// Sends the owner everything that waits and that is in progress.
+    pub(super) fn submit_again(
+        &mut self,
+        now: MonoTime,
+        pool: &PoolId,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let in_progress = self.dispatched.values().filter(|d| d.pool() == pool);
+        let adopt = |d: &super::Dispatched| EntryEvent::Adopt {
+            submission: Box::new(d.submission(now)),
+            runner: d.runner().clone(),
+        };
+        let mut events: Vec<_> = in_progress.map(adopt).collect();
+        let waiting = self.waiting.values().filter(|w| w.pool() == pool);
+        events.extend(waiting.map(|w| EntryEvent::Submit(Box::new(w.submission(now)))));
+        for event in events {
+            self.tell(now, pool, event, out);
+        }
+    }
+
+    /// Waits for another owner of every pool that `host` owned.
+    pub(super) fn host_down(&mut self, host: &HostId) {
+        for view in self.owners.values_mut() {
+            if view.owner.as_ref() == Some(host) {
+                view.owner = None;
+            }
+        }
+    }
+}
--- a/crates/core/src/entry/state.rs
+++ b/crates/core/src/entry/state.rs
@@ -4,23 +4,29 @@
 
 use crate::{
     ids::{HostId, PoolId, RequestId},
-    outcome::{NotRunReason, RetryReason},
-    pool::PoolInput,
-    request::{Grant, RequestRecord},
+    outcome::{NotRunReason, RetryReason, UnknownReason},
+    owner::{EntryEvent, Submission},
     time::MonoTime,
 };
 
 use super::{Dispatched, EntryAction, EntryInput, OwnerView, Waiting};
 
-/// Time after which a caller may try again when no owner is known.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after which a caller may try again.
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Most failed connections of one request.
+const MAX_ATTEMPTS: u8 = 3;
 
 /// All requests of one host that are not answered yet.
+#[derive(Debug)]
 pub struct Entry {
     host: HostId,
-    owners: BTreeMap<PoolId, OwnerView>,
-    waiting: BTreeMap<RequestId, Waiting>,
-    dispatched: BTreeMap<RequestId, Dispatched>,
+    stopping: bool,
+    pub(super) owners: BTreeMap<PoolId, OwnerView>,
+    pub(super) told: BTreeMap<PoolId, MonoTime>,
+    pub(super) waiting: BTreeMap<RequestId, Waiting>,
+    pub(super) dispatched: BTreeMap<RequestId, Dispatched>,
+    pub(super) timer: Option<MonoTime>,
 }
 
 impl Entry {
@@ -29,9 +35,12 @@
     pub fn new(host: HostId) -> Self {
         Self {
             host,
+            stopping: false,
             owners: BTreeMap::new(),
+            told: BTreeMap::new(),
             waiting: BTreeMap::new(),
             dispatched: BTreeMap::new(),
+            timer: None,
         }
     }
 
@@ -56,117 +65,114 @@
     /// Decides on one input and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: MonoTime, input: EntryInput, out: &mut Vec<EntryAction>) {
         match input {
-            EntryInput::Received { record, pool } => self.receive(now, record, pool, out),
-            EntryInput::Granted { pool, grant } => self.granted(&pool, &grant, out),
-            EntryInput::Refused { epoch, id, reason, retry_after } => {
-                let current = self.waiting.get(&id).and_then(|w| self.owners.get(&w.pool));
-                if current.is_some_and(|view| view.epoch <= epoch) {
-                    self.waiting.remove(&id);
-                    out.push(EntryAction::AnswerNotRun { id, reason, retry_after });
-                }
-            }
-            EntryInput::NotSent { id, reason } => {
-                if let Some(dispatched) = self.dispatched.remove(&id) {
-                    let waiting = dispatched.back_to_waiting();
-                    self.tell(&waiting.pool, PoolInput::GrantUnused { id, reason }, out);
-                    self.waiting.insert(id, waiting);
-                }
+            EntryInput::Received { submission, pool } => self.receive(now, submission, pool, out),
+            EntryInput::Owner { owner, pool, epoch, event } => {
+                self.owner_event(now, owner, &pool, epoch, event, out);
             }
+            EntryInput::NotSent { id, reason } => self.not_sent(now, id, reason, out),
             EntryInput::FirstToken(id) => {
-                if let Some(pool) = self.dispatched.get(&id).map(|d| d.pool.clone()) {
-                    self.tell(&pool, PoolInput::FirstToken(id), out);
+                if let Some(pool) = self.dispatched.get(&id).map(|d| d.pool().clone()) {
+                    self.tell(now, &pool, EntryEvent::FirstToken(id), out);
                 }
             }
             EntryInput::RunnerLeaving(id) => {
-                let told = self.dispatched.get(&id).map(|d| (d.pool.clone(), d.runner.clone()));
+                let told = self.dispatched.get(&id).map(|d| (d.pool().clone(), d.runner().clone()));
                 if let Some((pool, runner)) = told {
-                    self.tell(&pool, PoolInput::RunnerLeaving(runner), out);
+                    self.tell(now, &pool, EntryEvent::RunnerLeaving(runner), out);
                 }
             }
             EntryInput::Ended { id, end } => {
                 if let Some(dispatched) = self.dispatched.remove(&id) {
-                    self.tell(&dispatched.pool, PoolInput::Ended { id, end }, out);
+                    self.tell(now, dispatched.pool(), EntryEvent::Ended { id, end }, out);
                 }
             }
             EntryInput::CallerGone(id) => {
-                if let Some(waiting) = self.waiting.remove(&id) {
-                    self.tell(&waiting.pool, PoolInput::Withdraw(id), out);
-                }
+                self.withdraw(now, id, out);
             }
             EntryInput::OwnerChanged { pool, view } => self.owner_changed(now, pool, view, out),
-            EntryInput::Tick => {}
+            EntryInput::HostDown(host) => self.host_down(&host),
+            EntryInput::Stop => self.stopping = true,
+            EntryInput::Tick => self.tick(now, out),
         }
+        self.arm(now, out);
     }
 
     fn receive(
         &mut self,
         now: MonoTime,
-        record: RequestRecord,
+        submission: Submission,
         pool: PoolId,
         out: &mut Vec<EntryAction>,
     ) {
-        let id = record.id;
-        if self.owners.get(&pool).is_none_or(|view| view.owner.is_none()) {
-            let reason = NotRunReason::NoOwner;
-            out.push(EntryAction::AnswerNotRun { id, reason, retry_after: RETRY_AFTER });
+        let id = submission.record.id;
+        let waiting = Waiting::new(submission, pool, now);
+        if self.stopping {
+            answer_not_run(&waiting, false, NotRunReason::Stopping, out);
             return;
         }
-        self.tell(&pool, PoolInput::Submit(record.clone()), out);
-        self.waiting.insert(id, Waiting::new(record, pool, now));
+        let event = EntryEvent::Submit(Box::new(waiting.submission(now)));
+        self.tell(now, waiting.pool(), event, out);
+        self.waiting.insert(id, waiting);
     }
 
-    fn granted(&mut self, pool: &PoolId, grant: &Grant, out: &mut Vec<EntryAction>) {
-        let id = grant.id;
-        let Some(view) = self.owners.get(pool) else { return };
-        if grant.epoch < view.epoch {
-            let reason = RetryReason::StaleEpoch;
-            self.tell(pool, PoolInput::GrantUnused { id, reason }, out);
+    fn not_sent(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        reason: RetryReason,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(dispatched) = self.dispatched.remove(&id) else { return };
+        let waiting = dispatched.back_to_waiting();
+        if waiting.attempts() >= MAX_ATTEMPTS {
+            self.tell(now, waiting.pool(), EntryEvent::Withdraw(id), out);
+            answer_not_run(&waiting, true, NotRunReason::ConnectFailed, out);
             return;
         }
-        let Some(waiting) = self.waiting.remove(&id) else {
-            if !self.dispatched.contains_key(&id) {
-                self.tell(pool, PoolInput::Withdraw(id), out);
-            }
-            return;
-        };
-        let runner = grant.runner.clone();
-        self.tell(pool, PoolInput::Dispatched(id), out);
-        self.dispatched.insert(id, waiting.dispatch(grant));
-        out.push(EntryAction::Dispatch { id, pool: pool.clone(), runner });
+        self.tell(now, waiting.pool(), EntryEvent::GrantUnused { id, reason }, out);
+        self.waiting.insert(id, waiting);
     }
 
-    fn owner_changed(
+    /// Gives a waiting request up for good.
+    pub(super) fn withdraw(
         &mut self,
         now: MonoTime,
-        pool: PoolId,
-        view: OwnerView,
+        id: RequestId,
+        out: &mut Vec<EntryAction>,
+    ) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&id)?;
+        self.tell(now, waiting.pool(), EntryEvent::Withdraw(id), out);
+        Some(waiting)
+    }
+
+    pub(super) fn tell(
+        &mut self,
+        now: MonoTime,
+        pool: &PoolId,
+        event: EntryEvent,
         out: &mut Vec<EntryAction>,
     ) {
-        if self.owners.get(&pool).is_some_and(|old| old.epoch > view.epoch) {
-            return;
-        }
-        self.owners.insert(pool.clone(), view);
-        let waiting = self.waiting.values().filter(|w| w.pool == pool);
-        let mut inputs: Vec<_> = waiting
-            .map(|w| {
-                let age = now.since(w.arrived) + w.record.age;
-                PoolInput::Submit(RequestRecord { age, ..w.record.clone() })
-            })
-            .collect();
-        let in_progress = self.dispatched.values().filter(|d| d.pool == pool);
-        inputs.extend(
-            in_progress
-                .map(|d| PoolInput::Adopt { record: d.record.clone(), runner: d.runner.clone() }),
-        );
-        for input in inputs {
-            self.tell(&pool, input, out);
-        }
+        let Some(view) = self.owners.get(pool) else { return };
+        let Some(owner) = view.owner.clone() else { return };
+        let (pool, epoch) = (pool.clone(), view.epoch);
+        self.told.insert(pool.clone(), now);
+        out.push(EntryAction::Tell { owner, pool, epoch, sent_at: now, event });
     }
+}
 
-    fn tell(&self, pool: &PoolId, input: PoolInput, out: &mut Vec<EntryAction>) {
-        let owner = self.owners.get(pool).and_then(|view| view.owner.clone());
-        if let Some(owner) = owner {
-            out.push(EntryAction::Tell { owner, pool: pool.clone(), input });
-        }
+/// Answers that a request was not run. That can be said of a request which must
+/// run at most once only if the owner has checked its identity: an earlier
+/// attempt by way of another host may have run.
+pub(super) fn answer_not_run(
+    waiting: &Waiting,
+    checked: bool,
+    reason: NotRunReason,
+    out: &mut Vec<EntryAction>,
+) {
+    let id = waiting.record().id;
+    if waiting.at_most_once() && !checked {
+        out.push(EntryAction::AnswerUnknown { id, reason: UnknownReason::Unchecked });
+        return;
     }
+    out.push(EntryAction::AnswerNotRun { id, reason, retry_after: RETRY_AFTER });
 }
--- /dev/null
+++ b/crates/core/src/entry/waits.rs
@@ -0,0 +1,61 @@
+//! Time limits of waiting requests, and renewal of grants' validity.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use crate::{
+    ids::{PoolId, RequestId},
+    outcome::NotRunReason,
+    owner::EntryEvent,
+    time::MonoTime,
+};
+
+use super::{Entry, EntryAction, state::answer_not_run};
+
+/// Time between two events to the owner of a pool for which requests wait.
+const REFRESH: Duration = Duration::from_millis(300);
+
+/// Time by which the owner's refusal may be later than the target.
+const OWNER_GRACE: Duration = Duration::from_millis(500);
+
+impl Entry {
+    /// Gives up what is overdue and renews the validity of grants.
+    pub(super) fn tick(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
+        if self.timer.is_some_and(|at| now < at) {
+            return;
+        }
+        self.timer = None;
+        for (id, reason) in self.overdue(now) {
+            if let Some(waiting) = self.withdraw(now, id, out) {
+                answer_not_run(&waiting, false, reason, out);
+            }
+        }
+        let pools: BTreeSet<PoolId> = self.waiting.values().map(|w| w.pool().clone()).collect();
+        for pool in pools {
+            if self.told.get(&pool).is_none_or(|&told| now >= told + REFRESH) {
+                self.tell(now, &pool, EntryEvent::Refresh, out);
+            }
+        }
+    }
+
+    fn overdue(&self, now: MonoTime) -> Vec<(RequestId, NotRunReason)> {
+        let served = |pool| self.owners.get(pool).is_some_and(|view| view.owner.is_some());
+        let reason = |id: &RequestId| {
+            let waiting = self.waiting.get(id)?;
+            let (grace, reason) = match served(waiting.pool()) {
+                true => (OWNER_GRACE, NotRunReason::TargetUnreachable),
+                false => (Duration::ZERO, NotRunReason::NoOwner),
+            };
+            (now >= waiting.deadline() + grace).then_some((*id, reason))
+        };
+        self.waiting.keys().filter_map(reason).collect()
+    }
+
+    /// Asks for the next tick while requests wait.
+    pub(super) fn arm(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
+        if self.timer.is_none() && !self.waiting.is_empty() {
+            let at = now + REFRESH;
+            self.timer = Some(at);
+            out.push(EntryAction::SetTimer(at));
+        }
+    }
+}
--- a/crates/core/src/owner/claims.rs
+++ b/crates/core/src/owner/claims.rs
@@ -66,17 +66,20 @@
         }
     }
 
-    /// Stores a claim in place of an earlier one with the same key.
-    pub fn insert(&mut self, now: MonoTime, claim: Claim) {
+    /// Stores a claim in place of an earlier one with the same key. Returns the
+    /// request that lost its claim.
+    pub fn insert(&mut self, now: MonoTime, claim: Claim) -> Option<RequestId> {
         let key = claim.identity.key.clone();
         let id = claim.id;
         if claim.state == ClaimState::Ended {
             self.ended.push_back((now, id));
         }
-        if let Some(old) = self.claims.insert(key.clone(), claim) {
-            self.keys.remove(&old.id);
+        let old = self.claims.insert(key.clone(), claim).map(|old| old.id);
+        if let Some(old) = old {
+            self.keys.remove(&old);
         }
         self.keys.insert(id, key);
+        old.filter(|old| *old != id)
     }
 
     /// Notes how far a request may have come. Never goes back. Returns true if
--- a/crates/core/src/owner/event.rs
+++ b/crates/core/src/owner/event.rs
@@ -20,9 +20,12 @@
     Refresh,
     /// A request waits. A repeated submission of a granted request makes the
     /// owner send its grant again.
-    Submit(Submission),
+    Submit(Box<Submission>),
     /// The entry gave the request up before its dispatch, for good.
     Withdraw(RequestId),
+    /// A grant came for a request that the entry does not hold any more. It was
+    /// given up, or its dispatch has ended.
+    NotHeld(RequestId),
     /// The entry did not use a grant. The request waits again.
     GrantUnused {
         /// The request.
@@ -34,6 +37,8 @@
     Dispatched(RequestId),
     /// The first token or byte of the answer arrived.
     FirstToken(RequestId),
+    /// A runner said that it is leaving.
+    RunnerLeaving(RunnerName),
     /// The dispatch ended.
     Ended {
         /// The request.
@@ -44,7 +49,7 @@
     /// The request is in progress under an earlier owner's grant.
     Adopt {
         /// The request.
-        submission: Submission,
+        submission: Box<Submission>,
         /// The runner that it was dispatched to.
         runner: RunnerName,
     },
@@ -75,6 +80,8 @@
         /// owner had received. The grant's lifetime counts from here.
         asked_at: MonoTime,
     },
+    /// The owner took the entry for dead: submit everything again.
+    SubmitAgain,
     /// A request is refused.
     Refused {
         /// The request.
--- a/crates/core/src/owner/guard.rs
+++ b/crates/core/src/owner/guard.rs
@@ -1,5 +1,7 @@
 //! What makes a new claim safe.
 
+use std::time::Duration;
+
 use crate::{ids::HostId, time::MonoTime};
 
 use super::RETENTION;
@@ -19,22 +21,40 @@
     Paired(HostId),
 }
 
-/// Which earlier claims an owner knows.
+/// Time from which an owner knows every claim that is not too old to matter.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Memory {
-    /// All that were made.
-    Complete,
-    /// All that were made since this time.
-    Since(MonoTime),
+pub struct Memory {
+    complete_at: MonoTime,
 }
 
 impl Memory {
+    /// The memory of an owner that has the claims of every earlier term.
+    pub const COMPLETE: Self = Self { complete_at: MonoTime::ZERO };
+
+    /// The memory of an owner that may lack claims made before `now`.
+    #[must_use]
+    pub fn since(now: MonoTime) -> Self {
+        Self::complete_in(now, RETENTION)
+    }
+
+    /// A memory that is complete after `left`.
+    #[must_use]
+    pub fn complete_in(now: MonoTime, left: Duration) -> Self {
+        match left.is_zero() {
+            true => Self::COMPLETE,
+            false => Self { complete_at: now + left },
+        }
+    }
+
+    /// Time until the memory is complete.
+    #[must_use]
+    pub fn incomplete_for(self, now: MonoTime) -> Duration {
+        self.complete_at.since(now)
+    }
+
     /// True if an identity that the owner does not know is certainly new.
     #[must_use]
     pub fn covers(self, now: MonoTime) -> bool {
-        match self {
-            Self::Complete => true,
-            Self::Since(start) => now.since(start) >= RETENTION,
-        }
+        now >= self.complete_at
     }
 }
--- a/crates/core/src/owner/replica.rs
+++ b/crates/core/src/owner/replica.rs
@@ -1,6 +1,6 @@
 //! The owner's side of the copy at the standby.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{ids::HostId, request::RequestRecord};
 
@@ -30,11 +30,12 @@
         host: HostId,
         number: u64,
         claims: &ClaimTable,
+        incomplete_for: Duration,
         waiting: Vec<RequestRecord>,
         out: &mut Vec<OwnerAction>,
     ) -> Self {
         let claims = claims.iter().cloned().collect();
-        let event = StandbyEvent::Snapshot { number, claims };
+        let event = StandbyEvent::Snapshot { number, claims, incomplete_for };
         out.push(OwnerAction::Replicate { standby: host.clone(), event });
         let waiting = BTreeMap::from([(number, waiting)]);
         Self { host, snapshot: number, next: number + 1, ready: false, waiting }
--- a/crates/core/src/owner/seat.rs
+++ b/crates/core/src/owner/seat.rs
@@ -15,13 +15,17 @@
 ///
 /// A host is either the owner or a standby, never both: becoming the owner
 /// consumes the copy that it held.
+#[derive(Debug)]
 pub struct PoolSeat {
     role: Role,
     /// Where the claims of the present term stem from.
     source: Option<(HostId, Epoch)>,
+    /// What the owner that the claims stem from knew.
+    source_memory: Memory,
     memory: Memory,
 }
 
+#[derive(Debug)]
 enum Role {
     Owner(Box<Owner>),
     Standby(Standby),
@@ -32,7 +36,7 @@
     #[must_use]
     pub fn new() -> Self {
         let role = Role::Standby(Standby::default());
-        Self { role, source: None, memory: Memory::Complete }
+        Self { role, source: None, source_memory: Memory::COMPLETE, memory: Memory::COMPLETE }
     }
 
     /// The owner's state, while this host is the owner.
@@ -51,6 +55,7 @@
             Role::Owner(owner) => (owner.into_claims(), true),
             Role::Standby(standby) => {
                 self.source = standby.source().map(|(owner, epoch)| (owner.clone(), epoch));
+                self.source_memory = standby.memory();
                 (standby.into_claims(now), false)
             }
         };
@@ -62,16 +67,18 @@
     fn memory_of(&self, now: MonoTime, inheritance: &Inheritance, continued: bool) -> Memory {
         let complete = match inheritance {
             Inheritance::First => true,
-            Inheritance::Own => return if continued { self.memory } else { Memory::Since(now) },
+            Inheritance::Own if continued => return self.memory,
+            Inheritance::Own => false,
             Inheritance::Standby { owner, epoch } => {
                 self.source.as_ref() == Some(&(owner.clone(), *epoch))
             }
             Inheritance::Incomplete => false,
         };
-        match (complete, self.memory, continued) {
-            (true, ..) => Memory::Complete,
-            (false, since @ Memory::Since(_), true) => since,
-            (false, ..) => Memory::Since(now),
+        match (complete, inheritance) {
+            (true, Inheritance::First) => Memory::COMPLETE,
+            (true, _) => self.source_memory,
+            (false, _) if continued && !self.memory.covers(now) => self.memory,
+            (false, _) => Memory::since(now),
         }
     }
 
--- a/crates/core/src/owner/standby.rs
+++ b/crates/core/src/owner/standby.rs
@@ -1,5 +1,7 @@
 //! The copy of an owner's claims on another host.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -7,7 +9,7 @@
     time::MonoTime,
 };
 
-use super::{Claim, ClaimState, ClaimTable};
+use super::{Claim, ClaimState, ClaimTable, Memory};
 
 /// An event that an owner tells its standby.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -18,6 +20,9 @@
         number: u64,
         /// The claims.
         claims: Vec<Claim>,
+        /// Time until the owner's memory is complete.
+        #[serde(default)]
+        incomplete_for: Duration,
     },
     /// One more claim.
     Claim {
@@ -50,19 +55,27 @@
 ///
 /// Takes claims of the highest epoch it has seen only. Becoming the owner
 /// consumes it, so that no claim of a predecessor can be taken afterwards.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Standby {
     epoch: Epoch,
     owner: Option<HostId>,
     next: u64,
     claims: ClaimTable,
+    memory: Memory,
+}
+
+impl Default for Standby {
+    fn default() -> Self {
+        Self::new(Epoch::default())
+    }
 }
 
 impl Standby {
     /// A standby that follows nobody yet and refuses epochs under `epoch`.
     #[must_use]
     pub fn new(epoch: Epoch) -> Self {
-        Self { epoch, ..Self::default() }
+        let (owner, claims, memory) = (None, ClaimTable::default(), Memory::COMPLETE);
+        Self { epoch, owner, next: 0, claims, memory }
     }
 
     /// Epoch and owner that the copy stems from, if there is a whole copy.
@@ -71,6 +84,12 @@
         self.owner.as_ref().map(|owner| (owner, self.epoch))
     }
 
+    /// What the owner that the copy stems from knew.
+    #[must_use]
+    pub fn memory(&self) -> Memory {
+        self.memory
+    }
+
     /// The copied claims.
     #[must_use]
     pub fn claims(&self) -> &ClaimTable {
@@ -109,7 +128,8 @@
             {
                 Some(StandbyReply::Taken(self.next - 1))
             }
-            StandbyEvent::Snapshot { number, claims } => {
+            StandbyEvent::Snapshot { number, claims, incomplete_for } => {
+                self.memory = Memory::complete_in(now, incomplete_for);
                 self.epoch = epoch;
                 self.owner = Some(from.clone());
                 self.claims = ClaimTable::default();
--- a/crates/core/src/owner/state.rs
+++ b/crates/core/src/owner/state.rs
@@ -1,6 +1,9 @@
 //! State and decisions of a pool's owner.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
 
 use crate::{
     ids::{Epoch, HostId, RequestId},
@@ -31,6 +34,25 @@
     pool_actions: Vec<PoolAction>,
 }
 
+impl fmt::Debug for Owner {
+    /// Shows what bears on claims and grants, and of the pool only counts.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Owner")
+            .field("epoch", &self.epoch())
+            .field("waiting", &self.pool.waiting())
+            .field("in_progress", &self.pool.in_progress())
+            .field("claims", &self.claims)
+            .field("memory", &self.memory)
+            .field("guard", &self.guard)
+            .field("replica", &self.replica)
+            .field("unproved", &self.unproved)
+            .field("granted", &self.granted)
+            .field("gone", &self.gone)
+            .field("asked", &self.asked)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Owner {
     /// An owner at the start of its term.
     #[must_use]
@@ -80,12 +102,15 @@
             OwnerInput::Entry { entry, sent_at, event } => {
                 let asked = self.asked.entry(entry.clone()).or_default();
                 *asked = sent_at.max(*asked);
-                self.gone.remove(&entry);
+                if self.gone.remove(&entry) {
+                    let event = OwnerEvent::SubmitAgain;
+                    out.push(OwnerAction::Tell { entry: entry.clone(), event });
+                }
                 self.entry_event(now, &entry, event, out);
             }
             OwnerInput::EntryGone(entry) => self.entry_gone(now, entry, out),
             OwnerInput::Pool(input) => self.pool_input(now, input, out),
-            OwnerInput::UseStandby(host) => self.use_standby(host, out),
+            OwnerInput::UseStandby(host) => self.use_standby(now, host, out),
             OwnerInput::Standby { host, reply } => self.standby_reply(now, &host, reply, out),
             OwnerInput::Guard(guard) => self.guard = guard,
             OwnerInput::Memory(memory) => self.memory = memory,
@@ -102,13 +127,18 @@
     ) {
         match event {
             EntryEvent::Refresh => {}
-            EntryEvent::Submit(submission) => self.submit(now, submission, out),
+            EntryEvent::Submit(submission) => self.submit(now, *submission, out),
             EntryEvent::Withdraw(id) => {
                 self.granted.remove(&id);
                 self.unproved.remove(&id);
                 self.release(entry, id, out);
                 self.pool_input(now, PoolInput::Withdraw(id), out);
             }
+            EntryEvent::NotHeld(id) => {
+                self.granted.remove(&id);
+                self.end_claim(now, id, out);
+                self.pool_input(now, PoolInput::Withdraw(id), out);
+            }
             EntryEvent::GrantUnused { id, reason } => {
                 self.granted.remove(&id);
                 self.pool_input(now, PoolInput::GrantUnused { id, reason }, out);
@@ -118,6 +148,9 @@
                 self.pool_input(now, PoolInput::Dispatched(id), out);
             }
             EntryEvent::FirstToken(id) => self.pool_input(now, PoolInput::FirstToken(id), out),
+            EntryEvent::RunnerLeaving(runner) => {
+                self.pool_input(now, PoolInput::RunnerLeaving(runner), out);
+            }
             EntryEvent::Ended { id, end } => {
                 self.granted.remove(&id);
                 self.end_claim(now, id, out);
--- a/crates/core/src/owner/submit.rs
+++ b/crates/core/src/owner/submit.rs
@@ -92,7 +92,9 @@
         }
         let (entry, id) = (record.entry.clone(), record.id);
         let claim = Claim { identity, entry, id, state: ClaimState::Waiting };
-        self.claims.insert(now, claim.clone());
+        if let Some(old) = self.claims.insert(now, claim.clone()) {
+            self.unproved.remove(&old);
+        }
         match &mut self.replica {
             Some(replica) if !idempotent => {
                 self.unproved.insert(id);
--- a/crates/core/src/owner/upkeep.rs
+++ b/crates/core/src/owner/upkeep.rs
@@ -39,9 +39,8 @@
         self.asked.remove(&entry);
         self.gone.insert(entry.clone());
         for id in self.claims.held_by(&entry) {
-            if self.granted.remove(&id).is_some() || !self.unproved.remove(&id) {
-                self.end_granted(now, id, out);
-            }
+            self.granted.remove(&id);
+            self.end_granted(now, id, out);
         }
         self.pool_input(now, PoolInput::EntryGone(entry), out);
     }
@@ -73,14 +72,20 @@
         }
     }
 
-    pub(super) fn use_standby(&mut self, host: Option<HostId>, out: &mut Vec<OwnerAction>) {
+    pub(super) fn use_standby(
+        &mut self,
+        now: MonoTime,
+        host: Option<HostId>,
+        out: &mut Vec<OwnerAction>,
+    ) {
+        let left = self.memory.incomplete_for(now);
         let old = self.replica.take();
         let number = old.as_ref().map_or(self.next_number, Replica::next);
         self.next_number = number;
         let waiting = old.map(Replica::into_waiting).unwrap_or_default();
         match host {
             Some(host) => {
-                self.replica = Some(Replica::new(host, number, &self.claims, waiting, out));
+                self.replica = Some(Replica::new(host, number, &self.claims, left, waiting, out));
             }
             None => {
                 for record in waiting {
@@ -122,7 +127,8 @@
             out.push(OwnerAction::StandbyReady(host.clone()));
         }
         for record in taken.records {
-            if self.unproved.remove(&record.id) && !self.gone.contains(&record.entry) {
+            let proved = self.unproved.remove(&record.id);
+            if proved && !self.gone.contains(&record.entry) {
                 self.pool_input(now, PoolInput::Submit(record), out);
             }
         }
--- a/crates/node/src/control/actor.rs
+++ b/crates/node/src/control/actor.rs
@@ -6,10 +6,12 @@
     Actor, ActorContext, Addr, AsyncContext, Context, Handler, SpawnHandle, StreamHandler,
 };
 use comfreyway_core::{
+    cluster::Inheritance,
     config::Document,
     entry::{EntryInput, OwnerView},
     ids::{Epoch, HostId, PoolId, RequestId, RunnerName},
     outcome::RetryReason,
+    owner::{self, Guard, Identity, OwnerInput, RequestKey},
     pool::PoolInput,
     request::RequestRecord,
     time::MonoTime,
@@ -17,11 +19,14 @@
 use comfreyway_platform::HostList;
 use futures_util::stream;
 use tokio::sync::{
-    mpsc::{UnboundedReceiver, UnboundedSender},
+    mpsc::{Receiver, UnboundedReceiver, UnboundedSender},
     watch,
 };
 
-use crate::reports::{ReportsActor, RunnerHeard, RunnerNews, WatchRunners};
+use crate::{
+    peers::{PeerEvent, PeersHandle},
+    reports::{ReportsActor, RunnerHeard, RunnerNews, WatchRunners},
+};
 
 use super::{
     Clock, ControlStatus, Decision, PoolStatus, Progress, Submission, WorkerMessage,
@@ -33,19 +38,20 @@
 
 /// Holds the state of all decisions of this host.
 pub struct Control {
-    clock: Clock,
+    pub(super) clock: Clock,
     host: HostId,
     config: watch::Receiver<Arc<Document>>,
     document: Arc<Document>,
     runners: PoolRunners,
-    decisions: Decisions,
-    epochs: HashMap<PoolId, Epoch>,
+    pub(super) decisions: Decisions,
     workers: HashMap<RequestId, UnboundedSender<Decision>>,
     queue: Option<UnboundedReceiver<WorkerMessage>>,
-    effects: Vec<Effect>,
+    pub(super) effects: Vec<Effect>,
     wake: Option<(MonoTime, SpawnHandle)>,
     host_list: Option<Rc<dyn HostList>>,
     reports: Option<Addr<ReportsActor>>,
+    pub(super) peers: Option<PeersHandle>,
+    peer_events: Option<Receiver<PeerEvent>>,
 }
 
 impl Control {
@@ -63,16 +69,25 @@
             config,
             document: Arc::default(),
             runners: PoolRunners::default(),
-            epochs: HashMap::new(),
             workers: HashMap::new(),
             queue: Some(queue),
             effects: Vec::new(),
             wake: None,
             host_list: None,
             reports: None,
+            peers: None,
+            peer_events: None,
         }
     }
 
+    /// Acts together with the hosts that `peers` reaches.
+    #[must_use]
+    pub fn with_peers(mut self, peers: PeersHandle, events: Receiver<PeerEvent>) -> Self {
+        self.peers = Some(peers);
+        self.peer_events = Some(events);
+        self
+    }
+
     /// Hears of leaving runners from this host list.
     #[must_use]
     pub fn with_host_list(mut self, host_list: Rc<dyn HostList>) -> Self {
@@ -92,7 +107,7 @@
             self.decisions.pool_input(now, &pool, input, &mut self.effects);
         }
         for pool in changes.removed_pools {
-            self.decisions.disown(&pool);
+            self.decisions.forget(&pool);
         }
         self.watch_runners();
         self.run_effects(cx);
@@ -108,8 +123,9 @@
 
     fn own(&mut self, now: MonoTime, pool: &PoolId) {
         let epoch = SINGLE_HOST_EPOCH;
-        self.decisions.own(pool, epoch);
-        self.epochs.insert(pool.clone(), epoch);
+        self.decisions.own(now, pool, epoch, &Inheritance::First);
+        let guard = Guard::Alone { until: MonoTime::from_micros(u64::MAX) };
+        self.decisions.owner_input(now, pool, OwnerInput::Guard(guard), &mut self.effects);
         let view = OwnerView { owner: Some(self.host.clone()), epoch };
         let input = EntryInput::OwnerChanged { pool: pool.clone(), view };
         self.decisions.entry_input(now, input, &mut self.effects);
@@ -132,7 +148,15 @@
             prefix: submission.prefix,
             body_bytes: submission.body_bytes,
         };
-        let input = EntryInput::Received { record, pool };
+        let workspace = record.workspace.clone();
+        let idempotent = submission.idempotent;
+        let identity = submission.key.map(|given| Identity {
+            key: RequestKey { workspace, key: given.key },
+            digest: given.digest,
+            idempotent,
+        });
+        let submission = owner::Submission { record, identity };
+        let input = EntryInput::Received { submission, pool };
         self.decisions.entry_input(self.clock.now(), input, &mut self.effects);
     }
 
@@ -170,7 +194,7 @@
         }
     }
 
-    fn run_effects(&mut self, cx: &mut Context<Self>) {
+    pub(super) fn run_effects(&mut self, cx: &mut Context<Self>) {
         let mut effects = std::mem::take(&mut self.effects);
         while !effects.is_empty() {
             for effect in effects.drain(..) {
@@ -183,19 +207,32 @@
 
     fn run_effect(&mut self, effect: Effect, cx: &mut Context<Self>) {
         match effect {
-            Effect::Dispatch { id, pool, runner } => self.dispatch(id, &pool, runner),
+            Effect::Dispatch { id, pool, runner, epoch } => {
+                self.dispatch(id, &pool, runner, epoch);
+            }
             Effect::NotRun { id, reason, retry_after } => {
-                if let Some(tx) = self.workers.remove(&id) {
-                    // A closed channel means that the caller has gone already.
-                    let _ = tx.send(Decision::NotRun { reason, retry_after });
-                }
+                self.decide(id, Decision::NotRun { reason, retry_after });
             }
-            Effect::Remote { .. } => {}
+            Effect::Unknown { id, reason } => self.decide(id, Decision::Unknown { reason }),
+            Effect::Attach { id, first, holder } if holder == self.host => {
+                self.decide(id, Decision::Attach { id: first, holder: None });
+            }
+            Effect::Attach { id, first, holder } => self.attach_remote(id, first, &holder),
+            Effect::Send { to, message } => self.send(&to, &message),
+            Effect::StandbyReady { .. } => {}
             Effect::WakeAt(at) => self.wake_at(at, cx),
         }
     }
 
-    fn dispatch(&mut self, id: RequestId, pool: &PoolId, runner: RunnerName) {
+    /// Tells a worker the last decision on its request.
+    pub(super) fn decide(&mut self, id: RequestId, decision: Decision) {
+        if let Some(tx) = self.workers.remove(&id) {
+            // A closed channel means that the caller has gone already.
+            let _ = tx.send(decision);
+        }
+    }
+
+    fn dispatch(&mut self, id: RequestId, pool: &PoolId, runner: RunnerName, epoch: Epoch) {
         let address = self.runners.address(pool, &runner);
         let worker = self.workers.get(&id);
         let (Some(address), Some(tx)) = (address, worker) else {
@@ -203,7 +240,6 @@
             self.decisions.entry_input(self.clock.now(), input, &mut self.effects);
             return;
         };
-        let epoch = self.epochs.get(pool).copied().unwrap_or_default();
         if tx.send(Decision::Dispatch { runner, address, epoch }).is_err() {
             let now = self.clock.now();
             let reason = RetryReason::GrantExpired;
@@ -244,6 +280,12 @@
             rx.changed().await.ok().map(|()| (ConfigChanged, rx))
         });
         cx.add_stream(changes);
+        if let Some(events) = self.peer_events.take() {
+            let events = stream::unfold(events, |mut events| async {
+                events.recv().await.map(|event| (event, events))
+            });
+            cx.add_stream(events);
+        }
         let owner = cx.address().recipient();
         self.reports = Some(ReportsActor::new(self.host_list.take(), owner).start());
         self.apply_config(cx);
--- a/crates/node/src/control/decisions.rs
+++ b/crates/node/src/control/decisions.rs
@@ -1,34 +1,37 @@
-//! The entry and the owned pools of one host, without input or output.
+//! The entry and the pools of one host, without input or output.
 //!
 //! An input to one of them may cause an action that is an input to another:
-//! an entry submits to a pool, and the pool grants to the entry. This module
-//! runs those steps to their end and returns what has to leave the thread.
+//! an entry submits to a pool's owner, and the owner grants to the entry. This
+//! module runs those steps to their end and returns what has to leave the thread.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use comfreyway_core::{
+    cluster::Inheritance,
     entry::{Entry, EntryAction, EntryInput},
     ids::{Epoch, HostId, PoolId},
-    pool::{Pool, PoolAction, PoolInput, PoolSettings},
+    owner::{Owner, OwnerAction, OwnerInput, PoolSeat},
+    pool::{Pool, PoolInput, PoolSettings},
     time::MonoTime,
 };
+use comfreyway_proto::peer::{FromStandby, PeerMessage, ToEntry, ToOwner, ToStandby};
 
-use super::{Effect, RemoteInput};
+use super::Effect;
 
 /// One input that has not been decided on yet.
 enum Step {
     Entry(EntryInput),
-    Pool(PoolId, PoolInput),
+    Owner(PoolId, OwnerInput),
 }
 
-/// The entry and the owned pools of one host.
+/// The entry and the pools of one host.
 pub(crate) struct Decisions {
     host: HostId,
     entry: Entry,
-    pools: BTreeMap<PoolId, Pool>,
+    seats: BTreeMap<PoolId, PoolSeat>,
     steps: VecDeque<Step>,
     entry_actions: Vec<EntryAction>,
-    pool_actions: Vec<PoolAction>,
+    owner_actions: Vec<OwnerAction>,
 }
 
 impl Decisions {
@@ -37,10 +40,10 @@
         Self {
             entry: Entry::new(host.clone()),
             host,
-            pools: BTreeMap::new(),
+            seats: BTreeMap::new(),
             steps: VecDeque::new(),
             entry_actions: Vec::new(),
-            pool_actions: Vec::new(),
+            owner_actions: Vec::new(),
         }
     }
 
@@ -51,18 +54,24 @@
 
     /// The pools that this host owns.
     pub(crate) fn pools(&self) -> impl Iterator<Item = &Pool> {
-        self.pools.values()
+        self.seats.values().filter_map(PoolSeat::owner).map(Owner::pool)
     }
 
     /// Starts to own a pool under `epoch`. Replaces an earlier term.
-    pub(crate) fn own(&mut self, pool: &PoolId, epoch: Epoch) {
+    pub(crate) fn own(
+        &mut self,
+        now: MonoTime,
+        pool: &PoolId,
+        epoch: Epoch,
+        inheritance: &Inheritance,
+    ) {
         let settings = PoolSettings::new(pool.clone(), epoch);
-        self.pools.insert(pool.clone(), Pool::new(settings));
+        self.seats.entry(pool.clone()).or_default().own(now, settings, inheritance);
     }
 
-    /// Ceases to own a pool.
-    pub(crate) fn disown(&mut self, pool: &PoolId) {
-        self.pools.remove(pool);
+    /// Forgets a pool that is no longer configured.
+    pub(crate) fn forget(&mut self, pool: &PoolId) {
+        self.seats.remove(pool);
     }
 
     /// Decides on an input for the entry.
@@ -79,15 +88,72 @@
         input: PoolInput,
         out: &mut Vec<Effect>,
     ) {
-        self.steps.push_back(Step::Pool(pool.clone(), input));
+        self.owner_input(now, pool, OwnerInput::Pool(input), out);
+    }
+
+    /// Decides on an input for the owner of a pool. Ignored if it is not owned.
+    pub(crate) fn owner_input(
+        &mut self,
+        now: MonoTime,
+        pool: &PoolId,
+        input: OwnerInput,
+        out: &mut Vec<Effect>,
+    ) {
+        self.steps.push_back(Step::Owner(pool.clone(), input));
+        self.run(now, out);
+    }
+
+    /// A peer can't be reached: its waiting requests are gone, and so are the
+    /// pools that it owned.
+    pub(crate) fn peer_down(&mut self, now: MonoTime, host: &HostId, out: &mut Vec<Effect>) {
+        let pools = self.seats.keys().cloned();
+        let gone = |pool| Step::Owner(pool, OwnerInput::EntryGone(host.clone()));
+        self.steps.extend(pools.map(gone));
+        self.steps.push_back(Step::Entry(EntryInput::HostDown(host.clone())));
         self.run(now, out);
     }
 
+    /// Decides on a peer's message about a pool. Other kinds are ignored.
+    pub(crate) fn peer_message(
+        &mut self,
+        now: MonoTime,
+        from: HostId,
+        message: PeerMessage,
+        out: &mut Vec<Effect>,
+    ) {
+        match message {
+            PeerMessage::ToOwner(ToOwner { pool, sent_at, event, .. }) => {
+                let input = OwnerInput::Entry { entry: from, sent_at, event };
+                self.owner_input(now, &pool, input, out);
+            }
+            PeerMessage::ToEntry(ToEntry { pool, epoch, event }) => {
+                self.entry_input(now, EntryInput::Owner { owner: from, pool, epoch, event }, out);
+            }
+            PeerMessage::ToStandby(event) => self.replicate(now, from, event, out),
+            PeerMessage::FromStandby(FromStandby { pool, epoch, reply }) => {
+                let owner = self.seats.get(&pool).and_then(PoolSeat::owner);
+                if owner.is_some_and(|owner| owner.epoch() == epoch) {
+                    self.owner_input(now, &pool, OwnerInput::Standby { host: from, reply }, out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn replicate(&mut self, now: MonoTime, from: HostId, event: ToStandby, out: &mut Vec<Effect>) {
+        let ToStandby { pool, epoch, event } = event;
+        let seat = self.seats.entry(pool.clone()).or_default();
+        if let Some(reply) = seat.replicate(now, &from, epoch, event) {
+            let message = PeerMessage::FromStandby(FromStandby { pool, epoch, reply });
+            out.push(Effect::Send { to: from, message });
+        }
+    }
+
     /// Lets time pass for the entry and for every owned pool.
     pub(crate) fn tick(&mut self, now: MonoTime, out: &mut Vec<Effect>) {
         self.steps.push_back(Step::Entry(EntryInput::Tick));
-        let pools = self.pools.keys().cloned();
-        self.steps.extend(pools.map(|pool| Step::Pool(pool, PoolInput::Tick)));
+        let pools = self.seats.keys().cloned();
+        self.steps.extend(pools.map(|pool| Step::Owner(pool, OwnerInput::Tick)));
         self.run(now, out);
     }
 
@@ -95,7 +161,7 @@
         while let Some(step) = self.steps.pop_front() {
             match step {
                 Step::Entry(input) => self.step_entry(now, input, out),
-                Step::Pool(pool, input) => self.step_pool(now, pool, input, out),
+                Step::Owner(pool, input) => self.step_owner(now, pool, input, out),
             }
         }
     }
@@ -105,48 +171,58 @@
         self.entry.handle(now, input, &mut actions);
         for action in actions.drain(..) {
             match action {
-                EntryAction::Tell { owner, pool, input } if owner == self.host => {
-                    self.steps.push_back(Step::Pool(pool, input));
+                EntryAction::Tell { owner, pool, sent_at, event, .. } if owner == self.host => {
+                    let input = OwnerInput::Entry { entry: owner, sent_at, event };
+                    self.steps.push_back(Step::Owner(pool, input));
                 }
-                EntryAction::Tell { owner, pool, input } => {
-                    out.push(Effect::Remote { to: owner, input: RemoteInput::Pool(pool, input) });
+                EntryAction::Tell { owner, pool, epoch, sent_at, event } => {
+                    let message = PeerMessage::ToOwner(ToOwner { pool, epoch, sent_at, event });
+                    out.push(Effect::Send { to: owner, message });
                 }
-                EntryAction::Dispatch { id, pool, runner } => {
-                    out.push(Effect::Dispatch { id, pool, runner });
+                EntryAction::Dispatch { id, pool, runner, epoch } => {
+                    out.push(Effect::Dispatch { id, pool, runner, epoch });
                 }
                 EntryAction::AnswerNotRun { id, reason, retry_after } => {
                     out.push(Effect::NotRun { id, reason, retry_after });
                 }
+                EntryAction::AnswerUnknown { id, reason } => {
+                    out.push(Effect::Unknown { id, reason });
+                }
+                EntryAction::Attach { id, first, holder } => {
+                    out.push(Effect::Attach { id, first, holder });
+                }
                 EntryAction::SetTimer(at) => out.push(Effect::WakeAt(at)),
             }
         }
         self.entry_actions = actions;
     }
 
-    fn step_pool(&mut self, now: MonoTime, id: PoolId, input: PoolInput, out: &mut Vec<Effect>) {
-        let Some(pool) = self.pools.get_mut(&id) else { return };
-        let epoch = pool.settings().epoch;
-        let mut actions = std::mem::take(&mut self.pool_actions);
-        pool.handle(now, input, &mut actions);
+    fn step_owner(&mut self, now: MonoTime, id: PoolId, input: OwnerInput, out: &mut Vec<Effect>) {
+        let Some(seat) = self.seats.get_mut(&id) else { return };
+        let mut actions = std::mem::take(&mut self.owner_actions);
+        seat.handle(now, input, &mut actions);
+        let epoch = seat.owner().map(Owner::epoch).unwrap_or_default();
         for action in actions.drain(..) {
-            let (entry, input) = match action {
-                PoolAction::Grant { entry, grant } => {
-                    (entry, EntryInput::Granted { pool: id.clone(), grant })
+            let pool = id.clone();
+            match action {
+                OwnerAction::Tell { entry, event } if entry == self.host => {
+                    let input = EntryInput::Owner { owner: entry, pool, epoch, event };
+                    self.steps.push_back(Step::Entry(input));
+                }
+                OwnerAction::Tell { entry, event } => {
+                    let message = PeerMessage::ToEntry(ToEntry { pool, epoch, event });
+                    out.push(Effect::Send { to: entry, message });
                 }
-                PoolAction::Refuse { entry, id, reason, retry_after } => {
-                    (entry, EntryInput::Refused { epoch, id, reason, retry_after })
+                OwnerAction::Replicate { standby, event } => {
+                    let message = PeerMessage::ToStandby(ToStandby { pool, epoch, event });
+                    out.push(Effect::Send { to: standby, message });
                 }
-                PoolAction::SetTimer(at) => {
-                    out.push(Effect::WakeAt(at));
-                    continue;
+                OwnerAction::StandbyReady(host) => {
+                    out.push(Effect::StandbyReady { pool, host });
                 }
-            };
-            if entry == self.host {
-                self.steps.push_back(Step::Entry(input));
-            } else {
-                out.push(Effect::Remote { to: entry, input: RemoteInput::Entry(input) });
+                OwnerAction::SetTimer(at) => out.push(Effect::WakeAt(at)),
             }
         }
-        self.pool_actions = actions;
+        self.owner_actions = actions;
     }
 }
--- a/crates/node/src/control/effect.rs
+++ b/crates/node/src/control/effect.rs
@@ -3,24 +3,14 @@
 use std::time::Duration;
 
 use comfreyway_core::{
-    entry::EntryInput,
-    ids::{HostId, PoolId, RequestId, RunnerName},
-    outcome::NotRunReason,
-    pool::PoolInput,
+    ids::{Epoch, HostId, PoolId, RequestId, RunnerName},
+    outcome::{NotRunReason, UnknownReason},
     time::MonoTime,
 };
-
-/// An input for the entry or a pool of another host.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) enum RemoteInput {
-    /// For the entry.
-    Entry(EntryInput),
-    /// For a pool that the host owns.
-    Pool(PoolId, PoolInput),
-}
+use comfreyway_proto::peer::PeerMessage;
 
 /// What leaves the control thread after a decision.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Effect {
     /// Let the request's worker send it to the runner.
     Dispatch {
@@ -30,6 +20,8 @@
         pool: PoolId,
         /// The runner.
         runner: RunnerName,
+        /// Epoch of the grant.
+        epoch: Epoch,
     },
     /// Let the request's worker answer that it was not run.
     NotRun {
@@ -40,12 +32,35 @@
         /// When the caller may try again.
         retry_after: Duration,
     },
-    /// Send an input to another host.
-    Remote {
+    /// Let the request's worker answer that it may have run.
+    Unknown {
+        /// The request.
+        id: RequestId,
+        /// Why.
+        reason: UnknownReason,
+    },
+    /// Let the request's worker fetch the answer of an earlier request.
+    Attach {
+        /// The request.
+        id: RequestId,
+        /// The earlier request.
+        first: RequestId,
+        /// The host that holds the earlier request.
+        holder: HostId,
+    },
+    /// Send a message to another host.
+    Send {
         /// The host.
         to: HostId,
-        /// The input.
-        input: RemoteInput,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// The standby of an owned pool has every claim.
+    StandbyReady {
+        /// The pool.
+        pool: PoolId,
+        /// The standby.
+        host: HostId,
     },
     /// Call [`super::decisions::Decisions::tick`] at this time.
     WakeAt(MonoTime),
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -10,10 +10,11 @@
 mod effect;
 mod handle;
 mod message;
+mod peers;
 mod runners;
 mod status;
 
-use self::effect::{Effect, RemoteInput};
+use self::effect::Effect;
 pub use self::{
     actor::Control,
     clock::{Clock, incarnation_now},
--- a/crates/proto/src/peer/message.rs
+++ b/crates/proto/src/peer/message.rs
@@ -1,8 +1,9 @@
 //! The messages between daemons.
 
+use comfreyway_core::cluster::Announcement;
 use serde::{Deserialize, Serialize};
 
-use super::{ConfigMessage, Hello};
+use super::{ConfigMessage, FromStandby, HandOver, Hello, ToEntry, ToOwner, ToStandby};
 
 /// A message between two daemons. Unknown fields are ignored by older readers.
 ///
@@ -14,6 +15,20 @@
     Hello(Hello),
     /// A message on the spread of the configuration.
     Config(ConfigMessage),
+    /// An event from an entry for the owner of a pool.
+    ToOwner(ToOwner),
+    /// An event from the owner of a pool for an entry.
+    ToEntry(ToEntry),
+    /// An event from the owner of a pool for its standby.
+    ToStandby(ToStandby),
+    /// A standby's answer to the owner of a pool.
+    FromStandby(FromStandby),
+    /// An owner tells of its term.
+    Announce(Announcement),
+    /// A stopping owner asks the receiver to follow it.
+    HandOver(HandOver),
+    /// The sender is stopping and takes no pool.
+    Leaving,
     /// A message of a kind that this version does not know.
     #[serde(other)]
     Unknown,
@@ -26,6 +41,13 @@
         match self {
             Self::Hello(_) => "hello",
             Self::Config(_) => "config",
+            Self::ToOwner(_) => "to-owner",
+            Self::ToEntry(_) => "to-entry",
+            Self::ToStandby(_) => "to-standby",
+            Self::FromStandby(_) => "from-standby",
+            Self::Announce(_) => "announce",
+            Self::HandOver(_) => "hand-over",
+            Self::Leaving => "leaving",
             Self::Unknown => "unknown",
         }
     }
