Leave questions for reports out of scripted upstreams' logs

Cause: the owner asks runners for load and cache events every half second; the scripted upstream of the traffic tests counted these as dispatches and gave them the next reply. leaving_runner_gets_no_new_request saw 7 requests for 1. Change: the script closes the connection of such a question and counts only requests that a caller caused, which is what each test asserts.

--- a/crates/node/tests/traffic/scripted.rs
+++ b/crates/node/tests/traffic/scripted.rs
@@ -107,6 +107,9 @@
     script: Arc<Mutex<std::vec::IntoIter<Reply>>>,
 ) {
     while let Some(request) = read_request(&mut stream).await {
+        if is_report_question(&request) {
+            return;
+        }
         upstream.requests.lock().unwrap().push(request);
         upstream.arrived.notify_waiters();
         let reply = script.lock().unwrap().next();
@@ -124,6 +127,12 @@
     }
 }
 
+/// True for the questions that the pool's owner asks of its runners. They are
+/// no dispatch and stand in no script.
+fn is_report_question(request: &str) -> bool {
+    ["GET /v1/load ", "GET /v1/cache-events?"].iter().any(|line| request.starts_with(line))
+}
+
 /// Reads one message with its declared length.
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut buf = Vec::new();
