Measure what one daemon carries on its data path

Cause: no figure told what a daemon costs against going straight. The stand-ins' servers send without delay, since Nagle's algorithm held the first token of a direct stream back for 40 ms.

--- /dev/null
+++ b/crates/testkit/examples/load/report.rs
@@ -0,0 +1,73 @@
+//! Rows of the printed tables.
+
+use std::time::Duration;
+
+use comfreyway_testkit::{
+    load::LoadResult,
+    measure::{ProcessUse, Table},
+};
+
+const MICROS_PER_MILLI: f64 = 1_000.0;
+const MICROS_PER_SECOND: f64 = 1_000_000.0;
+const P50: f64 = 0.5;
+const P99: f64 = 0.99;
+
+/// The table of the loads.
+pub(crate) fn table() -> Table {
+    Table::new(
+        "Data path",
+        &[
+            "step",
+            "way",
+            "req/s",
+            "events/s",
+            "failed",
+            "first p50 ms",
+            "first p99 ms",
+            "whole p50 ms",
+            "whole p99 ms",
+            "cores",
+            "us/req",
+            "us/event",
+        ],
+    )
+}
+
+/// Adds a step that went straight to the source.
+pub(crate) fn push_direct(table: &mut Table, step: &str, result: &LoadResult) {
+    let mut row = seen(step, "direct", result);
+    row.extend(["-", "-", "-"].map(str::to_owned));
+    table.push(row);
+}
+
+/// Adds a step that went through the daemon.
+pub(crate) fn push_daemon(
+    table: &mut Table,
+    step: &str,
+    result: &LoadResult,
+    used: &ProcessUse,
+    time: Duration,
+) {
+    let mut row = seen(step, "daemon", result);
+    let total = used.total();
+    let per = |count: u64| total.as_secs_f64() * MICROS_PER_SECOND / count.max(1) as f64;
+    row.push(format!("{:.2}", total.as_secs_f64() / time.as_secs_f64()));
+    row.push(format!("{:.0}", per(result.answered)));
+    row.push(format!("{:.1}", per(result.events)));
+    table.push(row);
+}
+
+fn seen(step: &str, way: &str, result: &LoadResult) -> Vec<String> {
+    let ms = |us: u64| format!("{:.2}", us as f64 / MICROS_PER_MILLI);
+    vec![
+        step.to_owned(),
+        way.to_owned(),
+        format!("{:.0}", result.requests_per_second()),
+        format!("{:.0}", result.events_per_second()),
+        result.failed.to_string(),
+        ms(result.first_byte.value_at_quantile(P50)),
+        ms(result.first_byte.value_at_quantile(P99)),
+        ms(result.whole.value_at_quantile(P50)),
+        ms(result.whole.value_at_quantile(P99)),
+    ]
+}
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -75,6 +75,7 @@
     let server = HttpServer::new(app)
         .workers(1)
         .backlog(1024)
+        .tcp_nodelay(true)
         .client_request_timeout(REQUEST_HEAD_LIMIT)
         .disable_signals()
         .shutdown_timeout(0)
