Send answers to callers without Nagle's delay

Cause: the first token of a stream was written in a segment of its own after the head, and waited for the caller's acknowledgement of the head. Change: TCP_NODELAY on callers' connections. Connections to upstreams keep Nagle's algorithm: awc has no setting for it.

--- a/crates/node/src/http/serve.rs
+++ b/crates/node/src/http/serve.rs
@@ -44,6 +44,7 @@
         .max_connections(settings.limits.connections)
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(settings.limits.body_time)
+        .tcp_nodelay(true)
         .h1_allow_half_closed(false)
         .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
         .disable_signals()
