Keep requests for reports out of the scripted upstream's replies

Cause: the daemon now asks each engine for its load and cache events. The scripted upstream of the traffic tests took these for requests: they used up replies, and the count of runs in the test of a leaving runner was 7 in place of 1. Change: the scripted upstream answers such requests itself with 404, which is what an upstream without reports does.

--- a/crates/node/tests/traffic/scripted.rs
+++ b/crates/node/tests/traffic/scripted.rs
@@ -11,6 +11,12 @@
     sync::Notify,
 };
 
+/// Starts of requests for reports. They run nothing and stand in no script.
+const REPORTS: [&str; 2] = ["GET /v1/load ", "GET /v1/cache-events"];
+
+/// Answer to a request for a report.
+const NO_REPORT: &str = "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+
 /// What the upstream does after one reply.
 #[derive(Clone)]
 pub(crate) enum Then {
@@ -107,6 +113,10 @@
     script: Arc<Mutex<std::vec::IntoIter<Reply>>>,
 ) {
     while let Some(request) = read_request(&mut stream).await {
+        if REPORTS.iter().any(|path| request.starts_with(path)) {
+            stream.write_all(NO_REPORT.as_bytes()).await.unwrap();
+            continue;
+        }
         upstream.requests.lock().unwrap().push(request);
         upstream.arrived.notify_waiters();
         let reply = script.lock().unwrap().next();
