--- a/crates/node/tests/traffic/scripted.rs
+++ b/crates/node/tests/traffic/scripted.rs
@@ -11,6 +11,12 @@
     sync::Notify,
 };
 
+/// Starts of requests for reports. They run nothing and stand in no script.
+const REPORTS: [&str; 2] = ["GET /v1/load ", "GET /v1/cache-events"];
+
+/// Answer to a request for a report.
+const NO_REPORT: &str = "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+
 /// What the upstream does after one reply.
 #[derive(Clone)]
 pub(crate) enum Then {
@@ -107,8 +113,9 @@
     script: Arc<Mutex<std::vec::IntoIter<Reply>>>,
 ) {
     while let Some(request) = read_request(&mut stream).await {
-        if is_report_question(&request) {
-            return;
+        if REPORTS.iter().any(|path| request.starts_with(path)) {
+            stream.write_all(NO_REPORT.as_bytes()).await.unwrap();
+            continue;
         }
         upstream.requests.lock().unwrap().push(request);
         upstream.arrived.notify_waiters();
@@ -127,12 +134,6 @@
     }
 }
 
-/// True for the questions that the pool's owner asks of its runners. They are
-/// no dispatch and stand in no script.
-fn is_report_question(request: &str) -> bool {
-    ["GET /v1/load ", "GET /v1/cache-events?"].iter().any(|line| request.starts_with(line))
-}
-
 /// Reads one message with its declared length.
 async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut buf = Vec::new();
