Serve the operators' interface and status page

Operators need to change classes one by one, see which version is in force where, and learn what became of a change whose reply was lost. Each change leaves an audit event with author, versions and elements.

--- a/crates/node/src/config/actor.rs
+++ b/crates/node/src/config/actor.rs
@@ -7,29 +7,27 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use actix::{
-    Actor, ActorContext, ActorFutureExt, AsyncContext, Context, Handler, Message,
-    ResponseActFuture, SpawnHandle, StreamHandler, WrapFuture,
-};
+use actix::{Actor, ActorFutureExt, AsyncContext, Context, SpawnHandle, StreamHandler, WrapFuture};
 use comfreyway_core::{
     config::{
-        Accepted, Change, ChangeOutcome, Document,
+        Accepted, Document, StoredConfig,
         sync::{ANNOUNCE_INTERVAL, ConfigSync, SyncAction, SyncInput},
     },
     ids::HostName,
 };
 use comfreyway_platform::{KeyValue, KvEvent};
-use comfreyway_proto::peer::ConfigMessage;
 use futures_util::{StreamExt, stream};
 use tokio::sync::{Mutex, watch};
 
-use crate::control::{Clock, incarnation_now};
+use crate::{
+    control::Clock,
+    events::{Event, log_event},
+};
 
 use super::{
     ConfigHandle, ConfigLinks, ConfigStatus,
-    store::{ConfigStore, HEAD_KEY},
-    wire::{from_wire, to_wire},
-    write::write_change,
+    store::{ConfigStore, HEAD_KEY, StoreError},
+    wire::to_wire,
 };
 
 /// Time between two reads of the key-value service by a host that watches it
@@ -43,44 +41,18 @@
 pub struct ConfigActor {
     clock: Clock,
     sync: ConfigSync,
-    store: Rc<ConfigStore>,
-    writing: Rc<Mutex<()>>,
+    pub(super) store: Rc<ConfigStore>,
+    pub(super) writing: Rc<Mutex<()>>,
     links: Rc<dyn ConfigLinks>,
     accepted: watch::Sender<Arc<Accepted>>,
     document: watch::Sender<Arc<Document>>,
     ready: watch::Sender<bool>,
     watching: Option<SpawnHandle>,
     reading: bool,
-    store_reachable: bool,
-}
-
-/// An event of a peer that bears on the configuration.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub enum ConfigPeerEvent {
-    /// Messages can be sent to the peer.
-    Up(HostName),
-    /// The link to the peer broke.
-    Down(HostName),
-    /// The peer sent a message.
-    Message {
-        /// The sender.
-        from: HostName,
-        /// Its message.
-        message: ConfigMessage,
-    },
+    /// Whether the last read succeeded; none before the first.
+    store_reachable: Option<bool>,
 }
 
-/// Asks to write a change.
-#[derive(Message)]
-#[rtype(result = "ChangeOutcome")]
-pub(super) struct SubmitChange(pub(super) Change);
-
-/// Ends the actor.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub(super) struct Stop;
-
 impl ConfigActor {
     /// Starts the actor on the present arbiter.
     #[must_use]
@@ -104,7 +76,7 @@
             ready,
             watching: None,
             reading: false,
-            store_reachable: false,
+            store_reachable: None,
         };
         let actor = actor.start();
         ConfigHandle { actor, accepted: accepted_rx, document: document_rx, ready: ready_rx }
@@ -115,11 +87,11 @@
             version: self.sync.accepted().version(),
             ready: self.sync.is_ready(),
             peers: self.sync.peer_versions(),
-            store_reachable: self.store_reachable,
+            store_reachable: self.store_reachable == Some(true),
         }
     }
 
-    fn input(&mut self, input: SyncInput, cx: &mut Context<Self>) {
+    pub(super) fn input(&mut self, input: SyncInput, cx: &mut Context<Self>) {
         let mut actions = Vec::new();
         self.sync.handle(self.clock.now(), input, &mut actions);
         for action in actions {
@@ -130,6 +102,7 @@
     fn run(&mut self, action: SyncAction, cx: &mut Context<Self>) {
         match action {
             SyncAction::Apply(accepted) => {
+                log_event!(Event::ConfigInForce, version = accepted.version());
                 self.document.send_replace(Arc::new(accepted.document().clone()));
                 self.accepted.send_replace(accepted);
             }
@@ -162,13 +135,34 @@
         let read = async move { store.read().await }.into_actor(self);
         cx.spawn(read.map(|read, actor: &mut Self, cx| {
             actor.reading = false;
-            actor.store_reachable = read.is_ok();
-            if let Ok(read) = read {
-                actor.input(SyncInput::Stored(Arc::new(read.accepted)), cx);
-            }
+            actor.take_read(read, cx);
         }));
     }
 
+    /// Takes the result of a read. Returns false if the read failed.
+    pub(super) fn take_read(
+        &mut self,
+        read: Result<StoredConfig, StoreError>,
+        cx: &mut Context<Self>,
+    ) -> bool {
+        let was_reachable = self.store_reachable.replace(read.is_ok());
+        match read {
+            Ok(read) => {
+                if was_reachable == Some(false) {
+                    log_event!(Event::StoreReadable, version = read.accepted.version());
+                }
+                self.input(SyncInput::Stored(Arc::new(read.accepted)), cx);
+                true
+            }
+            Err(e) => {
+                if was_reachable != Some(false) {
+                    log_event!(Event::StoreUnreadable, cause:% = e);
+                }
+                false
+            }
+        }
+    }
+
     fn watch(&mut self, cx: &mut Context<Self>) {
         let store = self.store.clone();
         let heads = stream::unfold(store, |store| async {
@@ -223,47 +217,3 @@
         });
     }
 }
-
-impl Handler<ConfigPeerEvent> for ConfigActor {
-    type Result = ();
-
-    fn handle(&mut self, event: ConfigPeerEvent, cx: &mut Context<Self>) {
-        match event {
-            ConfigPeerEvent::Up(peer) => self.input(SyncInput::PeerUp(peer), cx),
-            ConfigPeerEvent::Down(peer) => self.input(SyncInput::PeerDown(peer), cx),
-            ConfigPeerEvent::Message { from, message } => {
-                if let Ok(Some(message)) = from_wire(message) {
-                    self.input(SyncInput::Message { from, message }, cx);
-                }
-            }
-        }
-    }
-}
-
-impl Handler<Stop> for ConfigActor {
-    type Result = ();
-
-    fn handle(&mut self, _: Stop, cx: &mut Context<Self>) {
-        cx.stop();
-    }
-}
-
-impl Handler<SubmitChange> for ConfigActor {
-    type Result = ResponseActFuture<Self, ChangeOutcome>;
-
-    fn handle(
-        &mut self,
-        SubmitChange(change): SubmitChange,
-        _: &mut Context<Self>,
-    ) -> Self::Result {
-        let (store, writing) = (self.store.clone(), self.writing.clone());
-        let now_ms = incarnation_now() / 1_000;
-        let write = async move { write_change(&store, &writing, change, now_ms).await };
-        Box::pin(write.into_actor(self).map(|outcome, actor, cx| {
-            if let ChangeOutcome::Accepted { newest, .. } = &outcome {
-                actor.input(SyncInput::Stored(Arc::new(Accepted::clone(newest))), cx);
-            }
-            outcome
-        }))
-    }
-}
--- a/crates/node/src/config/handle.rs
+++ b/crates/node/src/config/handle.rs
@@ -8,7 +8,7 @@
 
 use super::{
     ConfigActor, ConfigPeerEvent, ConfigStatus,
-    actor::{Stop, SubmitChange},
+    requests::{Refresh, Stop, SubmitChange},
     status::ReadStatus,
 };
 
@@ -48,6 +48,12 @@
         self.actor.send(SubmitChange(change)).await.unwrap_or(unknown)
     }
 
+    /// Reads the key-value service and puts what it holds in force. Returns
+    /// false if it does not answer.
+    pub async fn refresh(&self) -> bool {
+        self.actor.send(Refresh).await.unwrap_or(false)
+    }
+
     /// Passes on an event of a peer.
     pub fn peer_event(&self, event: ConfigPeerEvent) {
         self.actor.do_send(event);
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -7,17 +7,20 @@
 //! `docs/design/configuration.md` weighs the store's layout and the protocol.
 
 mod actor;
+mod audit;
 pub mod codec;
 mod handle;
 mod links;
+mod requests;
 mod status;
 mod store;
 mod wire;
 mod write;
 
 pub use self::{
-    actor::{ConfigActor, ConfigPeerEvent},
+    actor::ConfigActor,
     handle::ConfigHandle,
     links::{ConfigLinks, NoLinks},
+    requests::ConfigPeerEvent,
     status::ConfigStatus,
 };
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -64,4 +64,20 @@
     ResultNotKept = "CF0206", Info, "answer too large to be kept";
     /// The control thread has ended while a request came. Fields: id.
     ControlLost = "CF0301", Error, "control thread has ended";
+    /// A configuration is in force on this host. Fields: version.
+    ConfigInForce = "CF0401", Info, "configuration in force";
+    /// A change was accepted. Fields: change, author, from, to, elements.
+    ChangeAccepted = "CF0402", Info, "configuration change accepted";
+    /// A change was refused. Fields: change, author, cause.
+    ChangeRefused = "CF0403", Info, "configuration change refused";
+    /// The outcome of a change is unknown. Fields: change, author, cause.
+    ChangeUnknown = "CF0404", Warn, "outcome of configuration change unknown";
+    /// The stored configuration can't be read. Fields: cause.
+    StoreUnreadable = "CF0405", Warn, "stored configuration can't be read";
+    /// The stored configuration can be read again. Fields: version.
+    StoreReadable = "CF0406", Info, "stored configuration can be read again";
+    /// A call on the operators' port lacked the secret. Fields: from.
+    SecretWrong = "CF0407", Warn, "operators' call without the secret";
+    /// An operator asked for a planned stop.
+    StopRequested = "CF0408", Info, "operator asked for a planned stop";
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,8 @@
 //! per request and reports once per outcome, never per token. [`settings`]
 //! holds what differs from host to host, [`cli`] the daemon's command line.
 //! [`http`] is the callers' interface, [`metrics`] and [`events`] show what it does.
-//! [`peers`] holds the sessions between daemons.
+//! [`peers`] holds the sessions between daemons, [`config`] the operators'
+//! configuration, [`operator`] their HTTP interface.
 
 pub mod cli;
 pub mod config;
@@ -14,8 +15,7 @@
 pub mod health;
 pub mod http;
 pub mod metrics;
-pub mod peers;
-pub mod reports;
+pub mod operator;
 mod results;
 pub mod run;
 pub mod settings;
--- /dev/null
+++ b/crates/node/src/operator/change.rs
@@ -0,0 +1,54 @@
+//! Changes of the configuration.
+
+use actix_web::{
+    HttpResponse,
+    http::StatusCode,
+    web::{Data, Json, Path},
+};
+use comfreyway_core::config::{Change, ChangeId};
+use comfreyway_proto::operator::{ChangeOutcomeName, ChangeReport, ChangeRequest};
+
+use super::{
+    OperatorState,
+    auth::problem,
+    report::{change_state, outcome_report, trial_report},
+};
+
+/// Writes a change, or checks it only.
+pub(super) async fn submit(
+    state: Data<OperatorState>,
+    Json(request): Json<ChangeRequest>,
+) -> HttpResponse {
+    let ChangeRequest { change, dry_run } = request;
+    let report = if dry_run {
+        trial_report(&state.config.accepted(), &change)
+    } else {
+        write(&state, change).await
+    };
+    HttpResponse::build(status_of(report.outcome)).json(report)
+}
+
+async fn write(state: &OperatorState, change: Change) -> ChangeReport {
+    let id = change.id;
+    outcome_report(id, &state.config.change(change).await)
+}
+
+fn status_of(outcome: ChangeOutcomeName) -> StatusCode {
+    match outcome {
+        ChangeOutcomeName::Accepted | ChangeOutcomeName::Checked => StatusCode::OK,
+        ChangeOutcomeName::Conflict => StatusCode::CONFLICT,
+        ChangeOutcomeName::Refused => StatusCode::UNPROCESSABLE_ENTITY,
+        ChangeOutcomeName::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+/// Tells what became of an earlier change.
+pub(super) async fn show(state: Data<OperatorState>, id: Path<String>) -> HttpResponse {
+    match id.parse::<ChangeId>() {
+        Ok(id) => {
+            let fresh = state.config.refresh().await;
+            HttpResponse::Ok().json(change_state(&state.config.accepted(), id, fresh))
+        }
+        Err(e) => problem(StatusCode::BAD_REQUEST, "bad identity", &e.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/operator/report.rs
@@ -0,0 +1,131 @@
+//! Outcomes of changes as operators read them.
+
+use comfreyway_core::config::{
+    Accepted, Change, ChangeId, ChangeOutcome, Refusal, UnknownCause, Verdict,
+};
+use comfreyway_proto::operator::{ChangeOutcomeName, ChangeReport, ChangeState, ChangeStateName};
+
+/// Report of a change that was sent to the store.
+pub(super) fn outcome_report(id: ChangeId, outcome: &ChangeOutcome) -> ChangeReport {
+    match outcome {
+        ChangeOutcome::Accepted { version, warnings, .. } => {
+            let text = format!("accepted; in force from version {version} on");
+            let mut report = report(id, ChangeOutcomeName::Accepted, text);
+            report.version = Some(*version);
+            report.findings = warnings.clone();
+            report
+        }
+        ChangeOutcome::Refused(refusal) => refusal_report(id, refusal),
+        ChangeOutcome::Unknown { cause, .. } => {
+            let text = unknown_text(id, *cause);
+            report(id, ChangeOutcomeName::Unknown, text)
+        }
+    }
+}
+
+/// Report of a change that is checked only.
+pub(super) fn trial_report(accepted: &Accepted, change: &Change) -> ChangeReport {
+    let id = change.id;
+    match accepted.propose(change, 0) {
+        Verdict::Next { next, warnings } => {
+            let text =
+                format!("nothing stands in its way; it would make version {}", next.version());
+            let mut report = report(id, ChangeOutcomeName::Checked, text);
+            report.findings = warnings;
+            report
+        }
+        Verdict::Duplicate(version) => {
+            let text = format!("accepted before as version {version}");
+            report(id, ChangeOutcomeName::Checked, text)
+        }
+        Verdict::Unchanged(version) => {
+            let text = format!("nothing to change; in force already at version {version}");
+            report(id, ChangeOutcomeName::Checked, text)
+        }
+        Verdict::Refused(refusal) => refusal_report(id, &refusal),
+    }
+}
+
+fn refusal_report(id: ChangeId, refusal: &Refusal) -> ChangeReport {
+    match refusal {
+        Refusal::Invalid(findings) => {
+            let text = "nothing was written; mend the findings and send the change again";
+            let mut report = report(id, ChangeOutcomeName::Refused, text);
+            report.findings = findings.clone();
+            report
+        }
+        Refusal::Conflict(conflicts) => {
+            let text = "nothing was written; somebody else changed the same elements first. \
+                        Look at both values, then send the change again to replace theirs";
+            let mut report = report(id, ChangeOutcomeName::Conflict, text);
+            report.conflicts = conflicts.clone();
+            report
+        }
+        Refusal::Base { base, oldest, version } => {
+            let text = format!(
+                "nothing was written; the change was made for version {base}, and versions \
+                 {oldest} to {version} are known here. Read the configuration and make it again"
+            );
+            report(id, ChangeOutcomeName::Refused, text)
+        }
+    }
+}
+
+fn unknown_text(id: ChangeId, cause: UnknownCause) -> String {
+    let cause = match cause {
+        UnknownCause::ServiceDown => "the key-value service does not answer",
+        UnknownCause::Contention => "other writers were faster each time",
+        UnknownCause::BeyondHistory => "the history no longer reaches back to an earlier attempt",
+    };
+    format!(
+        "{cause}; the change may have been accepted or not. Ask later with: comfreyway change \
+         show {id}. The same command with --change-id {id} is safe: it never applies twice"
+    )
+}
+
+fn report<T>(id: ChangeId, outcome: ChangeOutcomeName, text: T) -> ChangeReport
+where
+    T: Into<String>,
+{
+    ChangeReport {
+        id: id.to_string(),
+        outcome,
+        version: None,
+        text: text.into(),
+        findings: Vec::new(),
+        conflicts: Vec::new(),
+    }
+}
+
+/// What is known of an earlier change. `fresh` tells whether the store was read
+/// for this answer.
+pub(super) fn change_state(accepted: &Accepted, id: ChangeId, fresh: bool) -> ChangeState {
+    let version = accepted.version();
+    let change = accepted.find(id).cloned();
+    let (state, text) = match &change {
+        Some(change) => {
+            let text = format!("accepted; in force from version {} on", change.version);
+            (ChangeStateName::Accepted, text)
+        }
+        None if id.base() < accepted.oldest_base() => {
+            let text =
+                "the history no longer reaches back to it; compare: comfreyway config export";
+            (ChangeStateName::Forgotten, text.to_owned())
+        }
+        None if fresh => {
+            let text = format!(
+                "not accepted up to version {version}. A write that is still on its way can take \
+                 effect until the next change; the same command with --change-id {id} settles it"
+            );
+            (ChangeStateName::Absent, text)
+        }
+        None => {
+            let text = format!(
+                "not in version {version}, the last one known here; the key-value service does \
+                 not answer, so it can't be told yet. Ask again later"
+            );
+            (ChangeStateName::Absent, text)
+        }
+    };
+    ChangeState { id: id.to_string(), state, text, change }
+}
--- /dev/null
+++ b/crates/node/src/operator/state.rs
@@ -0,0 +1,49 @@
+//! What the operators' calls read and change.
+
+use std::sync::Arc;
+
+use comfreyway_core::ids::HostName;
+use comfreyway_proto::operator::HostPhase;
+use tokio::sync::Notify;
+
+use crate::{config::ConfigHandle, control::ControlHandle, settings::Secret};
+
+/// Tells the phase of the host.
+pub type PhaseSource = Arc<dyn Fn() -> HostPhase + Send + Sync>;
+
+/// What the operators' calls read and change. Cheap to clone.
+#[derive(Clone)]
+pub struct OperatorState {
+    pub(super) host: HostName,
+    pub(super) secret: Option<Secret>,
+    pub(super) config: ConfigHandle,
+    pub(super) control: ControlHandle,
+    pub(super) phase: PhaseSource,
+    pub(super) stop: Arc<Notify>,
+}
+
+impl OperatorState {
+    /// The state of a host without a secret.
+    #[must_use]
+    pub fn new(
+        host: HostName,
+        config: ConfigHandle,
+        control: ControlHandle,
+        phase: PhaseSource,
+    ) -> Self {
+        Self { host, secret: None, config, control, phase, stop: Arc::default() }
+    }
+
+    /// Asks for this secret in every call.
+    #[must_use]
+    pub fn with_secret(mut self, secret: Option<Secret>) -> Self {
+        self.secret = secret;
+        self
+    }
+
+    /// Notified once when an operator asks for a planned stop.
+    #[must_use]
+    pub fn stop_requests(&self) -> Arc<Notify> {
+        self.stop.clone()
+    }
+}
