Copy one prepared store for all fault runs

Each of 72 runs wrote 64 changes before the one under test, which kept several cores busy for seconds. The store is now prepared once a test and copied.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod http;
 pub mod metrics;
 pub mod operator;
+pub mod peers;
+pub mod reports;
 mod results;
 pub mod run;
 pub mod settings;
--- a/crates/node/tests/config_store/writes.rs
+++ b/crates/node/tests/config_store/writes.rs
@@ -4,7 +4,7 @@
 
 use comfreyway_core::config::{ChangeOutcome, Refusal};
 use comfreyway_node::config::{ConfigActor, ConfigHandle, NoLinks};
-use comfreyway_platform::{EmbeddedKeyValue, KeyValue};
+use comfreyway_platform::{EmbeddedKeyValue, KeyValue, Revision};
 use futures_util::future::join_all;
 use rstest::rstest;
 
@@ -34,10 +34,24 @@
     kv
 }
 
+/// A store with the same values.
+async fn copy(kv: &EmbeddedKeyValue) -> EmbeddedKeyValue {
+    let copy = EmbeddedKeyValue::new();
+    for value in kv.list("").await.unwrap() {
+        copy.compare_and_swap(&value.key, Revision(0), value.value, None).await.unwrap();
+    }
+    copy
+}
+
 /// Writes one change with the fault and repeats it after the fault. Returns
 /// the first outcome.
-async fn write_and_repeat(fault: Fault, first: u32, count: u32) -> ChangeOutcome {
-    let kv = store_with_changes(BEFORE).await;
+async fn write_and_repeat(
+    kv: &EmbeddedKeyValue,
+    fault: Fault,
+    first: u32,
+    count: u32,
+) -> ChangeOutcome {
+    let kv = copy(kv).await;
     let faulty = start(Rc::new(FaultyKeyValue::new(&kv, fault, first, count)));
     let mine = change(BEFORE, 1_000, vec![class("mine", 1)]);
     let outcome = faulty.change(mine.clone()).await;
@@ -55,7 +69,8 @@
 #[case(Fault::Refused)]
 #[actix_rt::test]
 async fn one_failed_call_at_any_step_still_ends_in_acceptance(#[case] fault: Fault) {
-    let runs = (0..CALLS).map(|call| write_and_repeat(fault, call, 1));
+    let kv = store_with_changes(BEFORE).await;
+    let runs = (0..CALLS).map(|call| write_and_repeat(&kv, fault, call, 1));
     for (call, outcome) in join_all(runs).await.into_iter().enumerate() {
         assert!(matches!(outcome, ChangeOutcome::Accepted { .. }), "call {call}: {outcome:?}");
     }
@@ -67,7 +82,8 @@
 #[case(Fault::Refused)]
 #[actix_rt::test]
 async fn an_outage_from_any_step_on_is_never_told_as_refused(#[case] fault: Fault) {
-    let runs = (0..CALLS).map(|call| write_and_repeat(fault, call, u32::MAX));
+    let kv = store_with_changes(BEFORE).await;
+    let runs = (0..CALLS).map(|call| write_and_repeat(&kv, fault, call, u32::MAX));
     let outcomes = join_all(runs).await;
     assert!(matches!(outcomes[0], ChangeOutcome::Unknown { .. }), "{:?}", outcomes[0]);
     for (call, outcome) in outcomes.into_iter().enumerate() {
