Add the operators' client

Every kind of element is listed, set and removed in the same way, with the keys of the configuration file, so there is one form to learn and one reader to trust. Exit codes tell accepted, refused, conflict and unknown apart; an error says what to type next. A change whose reply is lost carries its identity, and the same command with that identity never applies twice.

--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,84 @@
+//! The command line: one file for each subcommand.
+
+mod change;
+mod config;
+mod element;
+mod host;
+mod request;
+mod status;
+mod upstream;
+
+use bpaf::{OptionParser, Parser, construct};
+
+use crate::{CliError, Exit, globals::Globals};
+
+pub(crate) use self::element::Kind;
+
+/// A subcommand with its arguments.
+#[derive(Clone, Debug)]
+pub(crate) enum Command {
+    Change(change::ChangeCommand),
+    Config(config::ConfigCommand),
+    Element(element::ElementCommand),
+    Host(host::HostCommand),
+    Request(request::RequestCommand),
+    Status(status::StatusCommand),
+    Upstream(upstream::UpstreamCommand),
+}
+
+/// The whole command line.
+pub(crate) fn options() -> OptionParser<(Globals, Command)> {
+    let globals = crate::globals::globals();
+    let command = command();
+    construct!(globals, command)
+        .to_options()
+        .descr("Operates comfreyway daemons over HTTP.")
+        .footer(
+            "Exit codes: 0 done, 1 failed, 2 wrong usage, 3 refused, 4 conflict, 5 unknown, \
+             6 request not run.",
+        )
+}
+
+fn command() -> impl Parser<Command> {
+    let status = status::command().map(Command::Status);
+    let upstream = upstream::command().map(Command::Upstream);
+    let config = config::command().map(Command::Config);
+    let change = change::command().map(Command::Change);
+    let host = host::command().map(Command::Host);
+    let request = request::command().map(Command::Request);
+    let class = element::command(Kind::Class).map(Command::Element);
+    let workspace = element::command(Kind::Workspace).map(Command::Element);
+    let model = element::command(Kind::Model).map(Command::Element);
+    let runner = element::command(Kind::Runner).map(Command::Element);
+    let route = element::command(Kind::Route).map(Command::Element);
+    let data_centre = element::command(Kind::DataCentre).map(Command::Element);
+    construct!([
+        status,
+        class,
+        workspace,
+        model,
+        upstream,
+        runner,
+        route,
+        data_centre,
+        config,
+        change,
+        host,
+        request
+    ])
+}
+
+impl Command {
+    /// Carries the command out.
+    pub(crate) async fn run(self, globals: &Globals) -> Result<Exit, CliError> {
+        match self {
+            Self::Change(command) => command.run(globals).await,
+            Self::Config(command) => command.run(globals).await,
+            Self::Element(command) => command.run(globals).await,
+            Self::Host(command) => command.run(globals).await,
+            Self::Request(command) => command.run().await,
+            Self::Status(command) => command.run(globals).await,
+            Self::Upstream(command) => command.run(globals).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/ops/client.rs
@@ -0,0 +1,171 @@
+//! Calls to a daemon's operators' port.
+
+use std::{net::SocketAddr, time::Duration};
+
+use awc::{
+    ClientRequest, SendClientRequest,
+    error::{ConnectError, SendRequestError},
+    http::Method,
+};
+use comfreyway_core::config::Change;
+use comfreyway_proto::{
+    headers,
+    operator::{
+        ChangeReport, ChangeRequest, ChangeState, ConfigExport, ConfigReport, HistoryReport,
+        OperatorProblem, StatusReport,
+    },
+};
+use serde::de::DeserializeOwned;
+
+use crate::CliError;
+
+/// Time limit of a call. A change ends within half of it.
+const CALL_TIME_LIMIT: Duration = Duration::from_secs(10);
+
+/// Largest accepted answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Calls one daemon.
+pub struct Client {
+    http: awc::Client,
+    server: SocketAddr,
+    secret: Option<String>,
+}
+
+impl Client {
+    /// A client of the daemon whose operators' port is `server`.
+    #[must_use]
+    pub fn new(server: SocketAddr, secret: Option<String>) -> Self {
+        let http = awc::Client::builder().timeout(CALL_TIME_LIMIT).finish();
+        Self { http, server, secret }
+    }
+
+    /// Reads the status of the daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not answer.
+    pub async fn status(&self) -> Result<StatusReport, CliError> {
+        self.get("/v1/status").await
+    }
+
+    /// Reads the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not answer.
+    pub async fn config(&self) -> Result<ConfigExport, CliError> {
+        self.get("/v1/config").await
+    }
+
+    /// Reads which version is in force where.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not answer.
+    pub async fn config_status(&self) -> Result<ConfigReport, CliError> {
+        self.get("/v1/config/status").await
+    }
+
+    /// Reads the recent changes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not answer.
+    pub async fn history(&self) -> Result<HistoryReport, CliError> {
+        self.get("/v1/config/history").await
+    }
+
+    /// Asks what became of a change.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not answer.
+    pub async fn change_state(&self, id: &str) -> Result<ChangeState, CliError> {
+        self.get(&format!("/v1/changes/{id}")).await
+    }
+
+    /// Asks the daemon for a planned stop.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not take the call.
+    pub async fn stop(&self) -> Result<(), CliError> {
+        let res = self.request(Method::POST, "/v1/stop").send().await;
+        let res = res.map_err(|e| self.unreachable(&e))?;
+        if res.status().is_success() {
+            return Ok(());
+        }
+        Err(CliError::Problem(res.status().as_u16(), "the stop was not taken".to_owned()))
+    }
+
+    /// Sends a change.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon can't be reached, or if its answer is lost; then the
+    /// outcome is unknown.
+    pub async fn change(&self, change: Change, dry_run: bool) -> Result<ChangeReport, CliError> {
+        let id = change.id;
+        let body = ChangeRequest { change, dry_run };
+        let send = self.request(Method::POST, "/v1/changes").send_json(&body);
+        self.answer(send).await.map_err(|e| match e {
+            CliError::Malformed(_, cause) if !dry_run => CliError::ChangeUnknown(id, cause),
+            other => other,
+        })
+    }
+
+    async fn get<T>(&self, path: &str) -> Result<T, CliError>
+    where
+        T: DeserializeOwned,
+    {
+        self.answer(self.request(Method::GET, path).send()).await
+    }
+
+    fn request(&self, method: Method, path: &str) -> ClientRequest {
+        let request = self.http.request(method, format!("http://{}{path}", self.server));
+        match &self.secret {
+            Some(secret) => request.insert_header((headers::SECRET, secret.as_str())),
+            None => request,
+        }
+    }
+
+    /// Reads an answer. Only a connection that could not be made is given as
+    /// unreachable.
+    async fn answer<T>(&self, send: SendClientRequest) -> Result<T, CliError>
+    where
+        T: DeserializeOwned,
+    {
+        let malformed = |cause: String| CliError::Malformed(self.server, cause);
+        let mut res = match send.await {
+            Ok(res) => res,
+            Err(e) if not_sent(&e) => return Err(self.unreachable(&e)),
+            Err(e) => return Err(malformed(e.to_string())),
+        };
+        let body =
+            res.body().limit(MAX_ANSWER_BYTES).await.map_err(|e| malformed(e.to_string()))?;
+        serde_json::from_slice(&body).map_err(|e| {
+            match serde_json::from_slice::<OperatorProblem>(&body) {
+                Ok(problem) => CliError::Problem(problem.status, problem.detail),
+                Err(_) if res.status().is_client_error() => {
+                    let detail = String::from_utf8_lossy(&body).into_owned();
+                    CliError::Problem(res.status().as_u16(), detail)
+                }
+                Err(_) => malformed(e.to_string()),
+            }
+        })
+    }
+
+    fn unreachable(&self, error: &SendRequestError) -> CliError {
+        CliError::Unreachable(self.server, error.to_string())
+    }
+}
+
+/// True if no byte of the call can have reached the daemon.
+pub(super) fn not_sent(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(e) => !matches!(e, ConnectError::Disconnected),
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/ops/mod.rs
@@ -0,0 +1,13 @@
+//! What commands do, without their command lines and tables.
+
+mod change;
+mod client;
+mod request;
+mod section;
+
+pub use self::{
+    change::{ChangeSettings, submit_document},
+    client::Client,
+    request::{RequestSpec, send_request},
+    section::{remove_section, set_section},
+};
--- /dev/null
+++ b/crates/cli/src/ops/section.rs
@@ -0,0 +1,95 @@
+//! Changes of one element, written as in the configuration file.
+
+use comfreyway_core::config::Document;
+use comfreyway_proto::ini::{read, write};
+use ini::{EscapePolicy, Ini, LineSeparator, ParseOption, WriteOption};
+
+use crate::CliError;
+
+/// Keys of which a class has either the first or the others.
+const WHOLE: &str = "whole-answer";
+const STREAM: [&str; 2] = ["first-token", "between-tokens"];
+
+/// Sets keys of the element `section`, which is added if it is not there. An
+/// assignment without value takes the key away.
+///
+/// # Errors
+///
+/// Fails if an assignment is not `key=value`, or if the element would not be
+/// valid by itself.
+pub fn set_section(
+    document: &Document,
+    section: &str,
+    assignments: &[String],
+) -> Result<Document, CliError> {
+    let mut ini = parse(document)?;
+    let mut setter = ini.with_section(Some(section));
+    for assignment in assignments {
+        let Some((key, value)) = assignment.split_once('=') else {
+            let text = format!("{assignment}: write it as key=value, such as tier=0");
+            return Err(CliError::Argument(text));
+        };
+        if value.is_empty() {
+            setter.delete(&key);
+        } else {
+            setter.set(key, value);
+        }
+        if key == WHOLE && !value.is_empty() {
+            for key in STREAM {
+                setter.delete(&key);
+            }
+        } else if STREAM.contains(&key) && !value.is_empty() {
+            setter.delete(&WHOLE);
+        }
+    }
+    if ini.section(Some(section)).is_none() {
+        ini.entry(Some(section.to_owned())).or_insert(Default::default());
+    }
+    finish(document, &ini)
+}
+
+/// Removes the element `section`; an upstream goes with its runners.
+///
+/// # Errors
+///
+/// Fails if it is not there.
+pub fn remove_section(document: &Document, section: &str) -> Result<Document, CliError> {
+    let mut ini = parse(document)?;
+    if ini.delete(Some(section)).is_none() {
+        let text = format!("{section}: is not configured; check the name with: config export");
+        return Err(CliError::Argument(text));
+    }
+    if let Some(upstream) = section.strip_prefix("upstream ") {
+        let prefix = format!("runner {upstream} ");
+        let runners: Vec<_> = ini
+            .sections()
+            .flatten()
+            .filter(|name| name.starts_with(&prefix))
+            .map(str::to_owned)
+            .collect();
+        runners.into_iter().for_each(|runner| drop(ini.delete(Some(runner))));
+    }
+    finish(document, &ini)
+}
+
+fn parse(document: &Document) -> Result<Ini, CliError> {
+    let options =
+        ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+    Ini::load_from_str_opt(&write(document), options).map_err(|e| CliError::Argument(e.to_string()))
+}
+
+fn finish(document: &Document, ini: &Ini) -> Result<Document, CliError> {
+    let options = WriteOption {
+        escape_policy: EscapePolicy::Nothing,
+        line_separator: LineSeparator::CR,
+        kv_separator: " = ",
+    };
+    let mut buf = Vec::new();
+    ini.write_to_opt(&mut buf, options).map_err(|e| CliError::Argument(e.to_string()))?;
+    let edited = read(&String::from_utf8_lossy(&buf)).map_err(|e| {
+        let text = e.to_string();
+        let place = text.split_once(": ").map_or(text.as_str(), |(_, place)| place);
+        CliError::Argument(place.to_owned())
+    })?;
+    Ok(Document { version: document.version, ..edited })
+}
--- /dev/null
+++ b/crates/cli/src/output/mod.rs
@@ -0,0 +1,20 @@
+//! What commands print.
+
+mod change;
+mod table;
+
+pub use self::{
+    change::{print_change_report, print_change_state},
+    table::Table,
+};
+
+/// Prints a value as indented JSON.
+pub(crate) fn print_json<T>(value: &T)
+where
+    T: serde::Serialize,
+{
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => println!("{text}"),
+        Err(e) => eprintln!("comfreyway: the answer has no JSON form: {e}"),
+    }
+}
--- a/crates/node/src/operator/report.rs
+++ b/crates/node/src/operator/report.rs
@@ -9,7 +9,7 @@
 pub(super) fn outcome_report(id: ChangeId, outcome: &ChangeOutcome) -> ChangeReport {
     match outcome {
         ChangeOutcome::Accepted { version, warnings, .. } => {
-            let text = format!("accepted; in force from version {version} on");
+            let text = format!("in force from version {version} on");
             let mut report = report(id, ChangeOutcomeName::Accepted, text);
             report.version = Some(*version);
             report.findings = warnings.clone();
@@ -104,7 +104,7 @@
     let change = accepted.find(id).cloned();
     let (state, text) = match &change {
         Some(change) => {
-            let text = format!("accepted; in force from version {} on", change.version);
+            let text = format!("in force from version {} on", change.version);
             (ChangeStateName::Accepted, text)
         }
         None if id.base() < accepted.oldest_base() => {
--- a/crates/proto/src/ini/mod.rs
+++ b/crates/proto/src/ini/mod.rs
@@ -14,5 +14,5 @@
     error::IniError,
     reader::read,
     value::{DurationText, YesNo},
-    writer::write,
+    writer::{write, write_element},
 };
--- a/crates/proto/src/ini/writer.rs
+++ b/crates/proto/src/ini/writer.rs
@@ -21,8 +21,21 @@
 /// ```
 #[must_use]
 pub fn write(document: &Document) -> String {
+    to_text(document.elements())
+}
+
+/// Writes one element as its section.
+#[must_use]
+pub fn write_element(element: &Element) -> String {
+    to_text([element.clone()])
+}
+
+fn to_text<I>(elements: I) -> String
+where
+    I: IntoIterator<Item = Element>,
+{
     let mut ini = Ini::new();
-    for element in document.elements() {
+    for element in elements {
         add(&mut ini, &element);
     }
     let options = WriteOption {
--- a/src/bin/comfreyway.rs
+++ b/src/bin/comfreyway.rs
@@ -1,3 +1,7 @@
-//! Entry point.
+//! The operators' client. The work is done by `comfreyway-cli`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    comfreyway_cli::main()
+}
