Mount the operators' interface and spread the configuration between daemons

The daemon served no operators' calls and kept its configuration to itself. The operators' port now carries the interface beside health and metrics, a planned stop can be asked for there, and readiness waits until the configuration is new enough. Sessions between peers carry the configuration's messages; other events of peers are dropped until a part acts on them.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -20,7 +20,7 @@
 pub use self::{
     actor::ConfigActor,
     handle::ConfigHandle,
-    links::{ConfigLinks, NoLinks},
+    links::{ConfigLinks, NoLinks, split_peer_events},
     requests::ConfigPeerEvent,
     status::ConfigStatus,
 };
--- a/crates/node/src/health/mod.rs
+++ b/crates/node/src/health/mod.rs
@@ -11,6 +11,8 @@
     web::{Data, ServiceConfig, get},
 };
 
+use tokio::sync::watch;
+
 use crate::{
     http::{Phase, Traffic},
     metrics::Metrics,
@@ -20,10 +22,12 @@
 pub fn configure(
     traffic: Data<Traffic>,
     metrics: Arc<Metrics>,
+    config_ready: watch::Receiver<bool>,
 ) -> impl Fn(&mut ServiceConfig) + Clone {
     move |cfg| {
         cfg.app_data(traffic.clone())
             .app_data(Data::from(metrics.clone()))
+            .app_data(Data::new(config_ready.clone()))
             .route("/live", get().to(live))
             .route("/ready", get().to(ready))
             .route("/metrics", get().to(render));
@@ -35,11 +39,14 @@
 }
 
 /// Ready means: a configuration is in force and no stop has begun.
-async fn ready(traffic: Data<Traffic>) -> impl Responder {
+async fn ready(
+    traffic: Data<Traffic>,
+    config_ready: Data<watch::Receiver<bool>>,
+) -> impl Responder {
     if traffic.phase() != Phase::Serving {
         return HttpResponse::ServiceUnavailable().body("stopping\n");
     }
-    if traffic.config.borrow().version == 0 {
+    if !*config_ready.borrow() || traffic.config.borrow().version == 0 {
         return HttpResponse::ServiceUnavailable().body("no configuration\n");
     }
     HttpResponse::Ok().body("ready\n")
--- a/crates/node/src/operator/state.rs
+++ b/crates/node/src/operator/state.rs
@@ -4,7 +4,7 @@
 
 use comfreyway_core::ids::HostName;
 use comfreyway_proto::operator::HostPhase;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{config::ConfigHandle, control::ControlHandle, settings::Secret};
 
@@ -41,6 +41,12 @@
         self
     }
 
+    /// Turns true once the configuration in force is new enough to serve with.
+    #[must_use]
+    pub fn config_ready(&self) -> watch::Receiver<bool> {
+        self.config.ready()
+    }
+
     /// Notified once when an operator asks for a planned stop.
     #[must_use]
     pub fn stop_requests(&self) -> Arc<Notify> {
--- a/crates/node/src/run/control_thread.rs
+++ b/crates/node/src/run/control_thread.rs
@@ -1,16 +1,20 @@
 //! Starts the control thread and everything that runs on it.
 
-use std::rc::Rc;
+use std::{net::TcpListener, rc::Rc};
 
 use actix::Actor;
 use actix_rt::Arbiter;
 use comfreyway_core::ids::HostId;
-use tokio::sync::{mpsc::unbounded_channel, oneshot};
+use tokio::sync::{
+    mpsc::{Receiver, unbounded_channel},
+    oneshot,
+};
 
 use crate::{
-    config::{ConfigActor, ConfigHandle, NoLinks},
+    config::{ConfigActor, ConfigHandle, split_peer_events},
     control::{Control, ControlHandle},
-    settings::Platform,
+    peers::{PeerEvent, PeerSecret, PeersSettings, start_peers},
+    settings::Settings,
 };
 
 use super::{
@@ -27,14 +31,25 @@
 }
 
 impl ControlThread {
-    /// Starts the thread.
-    pub(crate) async fn start(host: HostId, platform: Platform) -> Result<Self, RunError> {
+    /// Starts the thread, and the sessions with peers on it.
+    pub(crate) async fn start(
+        host: HostId,
+        settings: &Settings,
+        peers_listener: TcpListener,
+    ) -> Result<Self, RunError> {
+        let platform = settings.platform.clone();
+        let peers_settings = peers_settings(&host, settings, &peers_listener)?;
+        peers_listener.set_nonblocking(true)?;
         let (tx, queue) = unbounded_channel();
         let (started, config) = oneshot::channel();
         Arbiter::new().spawn_fn(move || {
             let key_value = key_value(&platform);
             let name = host.name.clone();
-            let config = ConfigActor::start_on_control(name, key_value, Rc::new(NoLinks));
+            let Ok(listener) = tokio::net::TcpListener::from_std(peers_listener) else { return };
+            let (peers, events) = start_peers(peers_settings, listener);
+            let config = ConfigActor::start_on_control(name, key_value, Rc::new(peers));
+            let events = split_peer_events(events, config.clone());
+            actix_rt::spawn(drop_events(events));
             let control = Control::new(host, config.document(), queue);
             match host_list(&platform) {
                 Some(list) => control.with_host_list(list).start(),
@@ -47,3 +62,21 @@
         Ok(Self { control: ControlHandle::new(tx), config })
     }
 }
+
+fn peers_settings(
+    host: &HostId,
+    settings: &Settings,
+    listener: &TcpListener,
+) -> Result<PeersSettings, RunError> {
+    let secret = settings.secret.as_ref().map_or("", |secret| secret.expose());
+    let secret = PeerSecret::new(secret.as_bytes().to_vec());
+    let others = settings.peers.iter().filter(|(name, _)| **name != settings.name);
+    let addresses = others.map(|(_, address)| *address).collect();
+    let address = listener.local_addr()?;
+    Ok(PeersSettings::new(host.clone(), address, secret).with_static_peers(addresses))
+}
+
+/// Nothing but the configuration acts on peers yet.
+async fn drop_events(mut events: Receiver<PeerEvent>) {
+    while events.recv().await.is_some() {}
+}
--- a/crates/node/src/run/daemon.rs
+++ b/crates/node/src/run/daemon.rs
@@ -4,14 +4,16 @@
 
 use actix_web::{App, HttpServer, dev::Server, web::Data};
 use comfreyway_core::ids::HostId;
+use comfreyway_proto::operator::HostPhase;
 
 use crate::{
     config::ConfigHandle,
     control::incarnation_now,
     events::{Event, log_event},
     health,
-    http::{self, Traffic},
+    http::{self, Phase, Traffic},
     metrics::Metrics,
+    operator::{self, OperatorState},
     settings::{Platform, Settings},
 };
 
@@ -37,19 +39,28 @@
     let mut signals = StopSignals::new()?;
     let metrics = Arc::new(Metrics::new()?);
     let host = HostId { name: settings.name.clone(), incarnation: incarnation_now() };
-    let thread = ControlThread::start(host, settings.platform.clone()).await?;
+    let thread = ControlThread::start(host, &settings, listeners.peers.try_clone()?).await?;
     put_initial(&settings, &thread.config).await?;
     let document = thread.config.document();
-    let traffic =
-        Data::new(Traffic::new(&settings, document, thread.control, metrics.traffic().clone()));
+    let traffic = Data::new(Traffic::new(
+        &settings,
+        document,
+        thread.control.clone(),
+        metrics.traffic().clone(),
+    ));
+    let operator = operator_state(&settings, &thread, traffic.clone());
+    let stop = operator.stop_requests();
     log_started(&settings, &listeners);
-    let operators = serve_operators(&listeners, traffic.clone(), metrics)?;
+    let operators = serve_operators(&listeners, traffic.clone(), metrics, operator)?;
     let callers = http::serve(&settings, traffic.clone(), listeners.callers)?;
     let (callers_handle, operators_handle) = (callers.handle(), operators.handle());
     actix_rt::spawn(callers);
     actix_rt::spawn(operators);
 
-    signals.next().await;
+    tokio::select! {
+        () = signals.next() => {}
+        () = stop.notified() => {}
+    }
     log_event!(Event::Stopping, in_progress = traffic.in_progress());
     let end = drain(&traffic, &mut signals, settings.limits.stop_limit).await;
     if end != StopEnd::Drained {
@@ -71,17 +82,36 @@
     write_initial(config, file, edits).await
 }
 
+fn operator_state(
+    settings: &Settings,
+    thread: &ControlThread,
+    traffic: Data<Traffic>,
+) -> OperatorState {
+    let ready = thread.config.ready();
+    let phase = move || match traffic.phase() {
+        Phase::Serving if *ready.borrow() => HostPhase::Ready,
+        Phase::Serving => HostPhase::Starting,
+        Phase::Stopping | Phase::Cutting => HostPhase::Stopping,
+    };
+    let (config, control) = (thread.config.clone(), thread.control.clone());
+    OperatorState::new(settings.name.clone(), config, control, Arc::new(phase))
+        .with_secret(settings.secret.clone())
+}
+
 fn serve_operators(
     listeners: &Listeners,
     traffic: Data<Traffic>,
     metrics: Arc<Metrics>,
+    state: OperatorState,
 ) -> Result<Server, RunError> {
     let listener = listeners.operators.try_clone()?;
-    let health = health::configure(traffic, metrics);
-    let server = HttpServer::new(move || App::new().configure(health.clone()))
-        .workers(1)
-        .disable_signals()
-        .listen(listener)?;
+    let health = health::configure(traffic, metrics, state.config_ready());
+    let calls = operator::configure(Data::new(state));
+    let server =
+        HttpServer::new(move || App::new().configure(health.clone()).configure(calls.clone()))
+            .workers(1)
+            .disable_signals()
+            .listen(listener)?;
     Ok(server.run())
 }
 
--- a/crates/node/src/run/listeners.rs
+++ b/crates/node/src/run/listeners.rs
@@ -10,12 +10,17 @@
 pub(crate) struct Listeners {
     pub(crate) callers: TcpListener,
     pub(crate) operators: TcpListener,
+    pub(crate) peers: TcpListener,
 }
 
 impl Listeners {
     /// Binds every address.
     pub(crate) fn bind(listen: &Listen) -> Result<Self, RunError> {
-        Ok(Self { callers: bind(listen.callers)?, operators: bind(listen.operators)? })
+        Ok(Self {
+            callers: bind(listen.callers)?,
+            operators: bind(listen.operators)?,
+            peers: bind(listen.peers)?,
+        })
     }
 }
 
