--- /dev/null
+++ b/tests/testsuite/config_fleet.rs
@@ -0,0 +1,119 @@
+//! Daemons that share one key-value service and know each other.
+
+use std::{
+    path::Path,
+    process::{Command, Output},
+    rc::Rc,
+    time::Duration,
+};
+
+use comfreyway_cli::ops::Client;
+use comfreyway_core::{
+    config::{Change, ChangeId, ChangeOutcome, Class, Document, Edit, Element},
+    ids::Tier,
+    request::Target,
+};
+use comfreyway_node::config::{ConfigActor, NoLinks};
+use comfreyway_testkit::{
+    daemon::{DaemonProcess, DaemonSettings, eventually},
+    kv::KvStandIn,
+};
+
+/// Several daemons and their key-value service.
+pub(crate) struct Fleet {
+    pub(crate) kv: KvStandIn,
+    pub(crate) daemons: Vec<DaemonProcess>,
+}
+
+/// An edit that sets a class.
+pub(crate) fn class(name: &str, tier: u8) -> Edit {
+    let target = Target::Whole(Duration::from_secs(1));
+    let class = Class { tier: Tier(tier), target, idempotent: true, cancellable: true };
+    Edit::Set(Element::Class(name.parse().unwrap(), class))
+}
+
+/// A change of one element.
+pub(crate) fn change(base: u64, nonce: u64, edit: Edit) -> Change {
+    let id = ChangeId::new(base, nonce);
+    Change { id, author: "aigul".parse().unwrap(), edits: vec![edit] }
+}
+
+pub(crate) fn start_daemon(settings: DaemonSettings) -> DaemonProcess {
+    let program = Path::new(env!("CARGO_BIN_EXE_comfreywayd"));
+    DaemonProcess::start(program, &[], settings).unwrap()
+}
+
+impl Fleet {
+    /// Starts daemons on a configuration with one class, as version 1.
+    pub(crate) async fn start(count: usize) -> Self {
+        let kv = KvStandIn::start().unwrap();
+        let store = Rc::new(kv.store().clone());
+        let host = "first".parse().unwrap();
+        let writer = ConfigActor::start_on_control(host, store, Rc::new(NoLinks));
+        let outcome = writer.change(change(0, 1, class("quote", 0))).await;
+        assert!(matches!(outcome, ChangeOutcome::Accepted { version: 1, .. }), "{outcome:?}");
+        writer.stop();
+        let names: Vec<_> = (0..count).map(|i| format!("entry-{i}")).collect();
+        let alone = names.iter().map(|name| DaemonSettings::with_etcd(name, kv.address(), None));
+        let alone: Vec<_> = alone.map(Result::unwrap).collect();
+        let with_peers = alone.iter().map(|own| {
+            let others = alone.iter().filter(|other| other.name != own.name);
+            others.fold(own.clone(), |own, other| own.with_peer(&other.name, other.peers))
+        });
+        let mut daemons: Vec<_> = with_peers.map(start_daemon).collect();
+        for daemon in &mut daemons {
+            daemon.ready().await.unwrap();
+        }
+        let fleet = Self { kv, daemons };
+        fleet.wait_for_sessions().await;
+        fleet
+    }
+
+    /// Waits until every daemon has heard from every other.
+    async fn wait_for_sessions(&self) {
+        for i in 0..self.daemons.len() {
+            let client = self.client(i);
+            let all = eventually(|| async {
+                let report = client.config_status().await.ok()?;
+                let known = report.hosts.iter().filter(|host| host.version.is_some()).count();
+                (known == self.daemons.len()).then_some(())
+            });
+            all.await.unwrap();
+        }
+    }
+
+    /// A client of one daemon.
+    pub(crate) fn client(&self, i: usize) -> Client {
+        Client::new(self.daemons[i].settings().operators, None)
+    }
+
+    /// Runs the operators' client against one daemon.
+    pub(crate) fn run(&self, i: usize, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_comfreyway"))
+            .arg(format!("--server={}", self.daemons[i].settings().operators))
+            .args(args)
+            .output()
+            .unwrap()
+    }
+
+    /// The document in force on one daemon.
+    pub(crate) async fn document(&self, i: usize) -> Document {
+        self.client(i).config().await.unwrap().document
+    }
+
+    /// Waits until one daemon has at least this version in force.
+    pub(crate) async fn wait_for_version(&self, i: usize, version: u64) {
+        let client = self.client(i);
+        let reached = eventually(|| async {
+            let report = client.config_status().await.ok()?;
+            (report.version >= version).then_some(())
+        });
+        reached.await.unwrap();
+    }
+
+    /// Changes of the history with this identity.
+    pub(crate) async fn applied(&self, id: ChangeId) -> usize {
+        let history = self.client(0).history().await.unwrap();
+        history.changes.iter().filter(|change| change.id == id).count()
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,7 @@
-//! Integration tests with real processes.
+//! Integration tests with real processes, one module per feature.
 
-fn main() {}
+#![allow(clippy::unwrap_used)]
+
+mod config_change;
+mod config_fleet;
+mod config_spread;
