Write nothing on top of a store that lost its data

A store that comes back with an older version would accept changes that no host puts in force, since hosts never go back, and the operator would be told accepted. The writer now compares with the version in force and answers unknown with that cause. The schedules run with this floor as well.

--- a/crates/core/src/config/writer.rs
+++ b/crates/core/src/config/writer.rs
@@ -85,6 +85,9 @@
     ServiceDown,
     /// Other writers were faster each time.
     Contention,
+    /// The stored version is lower than the one in force here: the service has
+    /// lost what it had accepted.
+    StoreBehind,
     /// The base is older than the history, which may have forgotten an earlier
     /// attempt with this identity.
     BeyondHistory,
@@ -95,6 +98,7 @@
 pub struct Writer {
     change: Change,
     now_ms: u64,
+    floor: u64,
     failed_calls: u32,
     lost_swaps: u32,
     swapping: Option<(Box<Accepted>, Vec<Finding>)>,
@@ -104,7 +108,15 @@
     /// A writer that has not read anything. `now_ms` is for people only.
     #[must_use]
     pub fn new(change: Change, now_ms: u64) -> Self {
-        Self { change, now_ms, failed_calls: 0, lost_swaps: 0, swapping: None }
+        Self { change, now_ms, floor: 0, failed_calls: 0, lost_swaps: 0, swapping: None }
+    }
+
+    /// Writes nothing on top of a version lower than `floor`, the version in
+    /// force on this host.
+    #[must_use]
+    pub fn with_floor(mut self, floor: u64) -> Self {
+        self.floor = floor;
+        self
     }
 
     /// The first step.
@@ -116,6 +128,9 @@
     /// Decides on what was read; none if the read failed.
     pub fn on_read(&mut self, read: Option<StoredConfig>) -> WriterStep {
         let Some(StoredConfig { accepted, revision }) = read else { return self.failed() };
+        if accepted.version() < self.floor {
+            return self.unknown(UnknownCause::StoreBehind);
+        }
         match accepted.propose(&self.change, self.now_ms) {
             Verdict::Next { next, warnings } => {
                 self.swapping = Some((next.clone(), warnings));
--- a/crates/core/tests/config_schedules/host.rs
+++ b/crates/core/tests/config_schedules/host.rs
@@ -33,7 +33,8 @@
     }
 
     pub(crate) fn start_writing(&mut self, change: Change) {
-        let writer = Writer::new(change.clone(), 0);
+        let floor = self.sync.accepted().version();
+        let writer = Writer::new(change.clone(), 0).with_floor(floor);
         let step = writer.start();
         self.writing.push(Writing { change, writer, step });
     }
--- a/crates/node/src/config/actor.rs
+++ b/crates/node/src/config/actor.rs
@@ -82,6 +82,10 @@
         ConfigHandle { actor, accepted: accepted_rx, document: document_rx, ready: ready_rx }
     }
 
+    pub(super) fn in_force(&self) -> &Accepted {
+        self.sync.accepted()
+    }
+
     pub(super) fn status(&self) -> ConfigStatus {
         ConfigStatus {
             version: self.sync.accepted().version(),
--- a/crates/node/src/config/requests.rs
+++ b/crates/node/src/config/requests.rs
@@ -91,8 +91,9 @@
     ) -> Self::Result {
         let (store, writing) = (self.store.clone(), self.writing.clone());
         let now_ms = incarnation_now() / 1_000;
+        let floor = self.in_force().version();
         let write = async move {
-            let outcome = write_change(&store, &writing, change.clone(), now_ms).await;
+            let outcome = write_change(&store, &writing, change.clone(), now_ms, floor).await;
             log_outcome(&change, &outcome);
             outcome
         };
--- a/crates/node/src/config/write.rs
+++ b/crates/node/src/config/write.rs
@@ -17,17 +17,18 @@
 const RETRY_WAIT: Duration = Duration::from_millis(150);
 
 /// Writes a change, for [`CHANGE_TIME_LIMIT`] at most. `turn` lets one change
-/// of this host pass at a time.
+/// of this host pass at a time; `floor` is the version in force.
 pub(crate) async fn write_change(
     store: &ConfigStore,
     turn: &Mutex<()>,
     change: Change,
     now_ms: u64,
+    floor: u64,
 ) -> ChangeOutcome {
     let id = change.id;
     let steps = async {
         let _turn = turn.lock().await;
-        run_steps(store, Writer::new(change, now_ms)).await
+        run_steps(store, Writer::new(change, now_ms).with_floor(floor)).await
     };
     timeout(CHANGE_TIME_LIMIT, steps).await.unwrap_or(timed_out(id))
 }
--- a/crates/node/src/operator/report.rs
+++ b/crates/node/src/operator/report.rs
@@ -74,6 +74,9 @@
 fn unknown_text(id: ChangeId, cause: UnknownCause) -> String {
     let cause = match cause {
         UnknownCause::ServiceDown => "the key-value service does not answer",
+        UnknownCause::StoreBehind => {
+            "the key-value service holds an older version than the one in force; it has lost data"
+        }
         UnknownCause::Contention => "other writers were faster each time",
         UnknownCause::BeyondHistory => "the history no longer reaches back to an earlier attempt",
     };
--- a/crates/node/tests/config_store/writes.rs
+++ b/crates/node/tests/config_store/writes.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use comfreyway_core::config::{ChangeOutcome, Refusal};
+use comfreyway_core::config::{ChangeOutcome, Refusal, UnknownCause};
 use comfreyway_node::config::{ConfigActor, ConfigHandle, NoLinks};
 use comfreyway_platform::{EmbeddedKeyValue, KeyValue, Revision};
 use futures_util::future::join_all;
@@ -133,3 +133,17 @@
     wait_for(&fresh, 3 * BEFORE).await;
     assert_eq!(fresh.accepted().history().len() as u64, 3 * BEFORE);
 }
+
+#[actix_rt::test]
+async fn nothing_is_written_on_top_of_a_store_that_lost_its_data() {
+    let kv = store_with_changes(3).await;
+    let host = start(Rc::new(kv.clone()));
+    wait_for(&host, 3).await;
+    let head = kv.get("config/head").await.unwrap().unwrap();
+    kv.compare_and_delete("config/head", head.revision).await.unwrap();
+    let outcome = host.change(change(3, 9, vec![class("mine", 1)])).await;
+    let behind = UnknownCause::StoreBehind;
+    assert!(matches!(outcome, ChangeOutcome::Unknown { cause, .. } if cause == behind));
+    assert!(kv.get("config/head").await.unwrap().is_none());
+    assert_eq!(host.document().borrow().version, 3);
+}
