Cut one connection, and hold faults for named requests only

A cut that meets every connection also cuts the resumed one, and a daemon's own polls over the same link would meet a cut that is meant for a request.

--- a/crates/testkit/src/proxy/link.rs
+++ b/crates/testkit/src/proxy/link.rs
@@ -1,6 +1,9 @@
 //! One connection through the proxy.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 
 use tokio::{io::AsyncReadExt, net::TcpStream, sync::watch};
 
@@ -26,8 +29,9 @@
     let stop = {
         let (from_caller, to_caller) = caller.split();
         let (from_target, to_target) = target.split();
-        let up = Pump::new(Direction::Up, rules.clone(), &shared.forwarded_up, now);
-        let down = Pump::new(Direction::Down, rules.clone(), &shared.forwarded_down, now);
+        let selected = AtomicBool::new(now.only.is_empty());
+        let up = Pump::new(Direction::Up, &shared, &selected, now);
+        let down = Pump::new(Direction::Down, &shared, &selected, now);
         tokio::try_join!(up.run(from_caller, to_target), down.run(from_target, to_caller)).err()
     };
     drop(target);
--- a/crates/testkit/src/proxy/mod.rs
+++ b/crates/testkit/src/proxy/mod.rs
@@ -106,6 +106,12 @@
         self.change(|rules| rules.down = rule);
     }
 
+    /// Holds the rules of both directions back for connections whose latest
+    /// request does not start with this text, such as `POST`.
+    pub fn set_only(&self, request: &'static str) {
+        self.change(|rules| rules.only = request);
+    }
+
     /// Sets the rule for new connections. In force when this returns.
     ///
     /// # Errors
--- a/crates/testkit/src/proxy/pump.rs
+++ b/crates/testkit/src/proxy/pump.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::VecDeque,
     io,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, Ordering},
     time::Duration,
 };
 
@@ -15,12 +15,17 @@
     time::{Instant, sleep_until},
 };
 
-use super::rules::{Direction, LinkRule, Rules};
+use super::{
+    Shared,
+    rules::{Direction, LinkRule, Rules},
+};
 
 /// Chunks that wait for their time before reading stops.
 const MAX_DELAYED_CHUNKS: usize = 256;
 /// Bytes of one read.
 const READ_BYTES: usize = 16 << 10;
+/// Starts of requests.
+const METHODS: [&str; 6] = ["DELETE", "GET", "HEAD", "PATCH", "POST", "PUT"];
 /// A time that is never reached while a test runs.
 const NEVER: Duration = Duration::from_secs(86_400);
 
@@ -43,7 +48,8 @@
 pub(super) struct Pump<'a> {
     direction: Direction,
     rules: watch::Receiver<Rules>,
-    forwarded: &'a AtomicU64,
+    shared: &'a Shared,
+    selected: &'a AtomicBool,
     version: u64,
     cuts: u64,
     since_rule: u64,
@@ -52,19 +58,21 @@
 
 impl<'a> Pump<'a> {
     /// A pump of a connection that was accepted under the rules `accepted`. A
-    /// change since then is applied first.
+    /// change since then is applied first. `selected` is shared with the other
+    /// direction and tells whether the rules hold for this connection.
     pub(super) fn new(
         direction: Direction,
-        mut rules: watch::Receiver<Rules>,
-        forwarded: &'a AtomicU64,
+        shared: &'a Shared,
+        selected: &'a AtomicBool,
         accepted: Rules,
     ) -> Self {
+        let mut rules = shared.rules.subscribe();
         let Rules { version, cuts, .. } = accepted;
         if rules.borrow_and_update().version != version {
             rules.mark_changed();
         }
         let delayed = VecDeque::new();
-        Self { direction, rules, forwarded, version, cuts, since_rule: 0, delayed }
+        Self { direction, rules, shared, selected, version, cuts, since_rule: 0, delayed }
     }
 
     /// Runs to the end of the stream.
@@ -121,15 +129,26 @@
     }
 
     async fn take(&mut self, to: &mut WriteHalf<'_>, bytes: Bytes) -> Result<(), Stop> {
-        let rule = self.rules.borrow().link(self.direction);
+        let rules = *self.rules.borrow();
+        self.select(&rules, &bytes);
+        let rule = rules.link(self.direction);
         match rule {
             _ if bytes.is_empty() => Ok(()),
+            _ if !self.selected.load(Ordering::Relaxed) => self.write(to, &bytes).await,
             LinkRule::Drop => Ok(()),
             LinkRule::Delay(delay) => {
                 self.delayed.push_back((Instant::now() + delay, bytes));
                 Ok(())
             }
             LinkRule::CutAfter(limit) => self.write_to_limit(to, bytes, limit).await,
+            LinkRule::CutOnce(limit) => {
+                let result = self.write_to_limit(to, bytes, limit).await;
+                if result.is_err() {
+                    let direction = self.direction;
+                    self.shared.rules.send_modify(|rules| rules.pass(direction));
+                }
+                result
+            }
             LinkRule::Pass if self.delayed.is_empty() => self.write(to, &bytes).await,
             // Keeps the order behind bytes that are delayed still.
             LinkRule::Pass => {
@@ -139,6 +158,17 @@
         }
     }
 
+    /// Notes whether the request that starts here is one that the rules name.
+    fn select(&self, rules: &Rules, bytes: &[u8]) {
+        let starts_request = METHODS.iter().any(|method| bytes.starts_with(method.as_bytes()));
+        if rules.only.is_empty() {
+            self.selected.store(true, Ordering::Relaxed);
+        } else if self.direction == Direction::Up && starts_request {
+            let named = bytes.starts_with(rules.only.as_bytes());
+            self.selected.store(named, Ordering::Relaxed);
+        }
+    }
+
     async fn write_to_limit(
         &mut self,
         to: &mut WriteHalf<'_>,
@@ -156,7 +186,11 @@
     async fn write(&mut self, to: &mut WriteHalf<'_>, bytes: &Bytes) -> Result<(), Stop> {
         to.write_all(bytes).await?;
         self.since_rule += bytes.len() as u64;
-        self.forwarded.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        let forwarded = match self.direction {
+            Direction::Up => &self.shared.forwarded_up,
+            Direction::Down => &self.shared.forwarded_down,
+        };
+        forwarded.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         Ok(())
     }
 }
--- a/crates/testkit/src/proxy/rules.rs
+++ b/crates/testkit/src/proxy/rules.rs
@@ -13,6 +13,9 @@
     /// This many pass on each connection, counted from the moment that the rule
     /// was set; then the connection is closed on both sides.
     CutAfter(u64),
+    /// As [`Self::CutAfter`] for the first connection that has carried so many;
+    /// after that the bytes of all connections pass.
+    CutOnce(u64),
     /// They are swallowed, and the connection stays open.
     Drop,
 }
@@ -36,6 +39,8 @@
     pub(super) accept: AcceptRule,
     pub(super) up: LinkRule,
     pub(super) down: LinkRule,
+    /// Start of the requests whose connections the rules hold for.
+    pub(super) only: &'static str,
     /// Raised to restart the counts of [`LinkRule::CutAfter`].
     pub(super) version: u64,
     /// Raised to close all connections.
@@ -53,6 +58,7 @@
             accept: AcceptRule::default(),
             up: LinkRule::default(),
             down: LinkRule::default(),
+            only: "",
             version: 0,
             cuts: 0,
             half_open: false,
@@ -66,6 +72,13 @@
             Direction::Down => self.down,
         }
     }
+
+    pub(super) fn pass(&mut self, direction: Direction) {
+        match direction {
+            Direction::Up => self.up = LinkRule::Pass,
+            Direction::Down => self.down = LinkRule::Pass,
+        }
+    }
 }
 
 /// Direction of bytes.
--- a/crates/testkit/tests/proxy.rs
+++ b/crates/testkit/tests/proxy.rs
@@ -72,6 +72,35 @@
     assert!(rest(&mut served).await.is_empty());
 }
 
+#[actix_rt::test]
+async fn one_connection_is_cut_and_the_next_one_passes() {
+    let (target, proxy) = fixture().await;
+    proxy.set_down(LinkRule::CutOnce(3));
+    let (mut caller, mut served) = connected(&target, &proxy).await;
+    served.write_all(b"first").await.unwrap();
+    assert_eq!(rest(&mut caller).await, b"fir");
+    let (mut caller, mut served) = connected(&target, &proxy).await;
+    served.write_all(b"second").await.unwrap();
+    drop(served);
+    assert_eq!(rest(&mut caller).await, b"second");
+}
+
+#[actix_rt::test]
+async fn rules_hold_for_the_named_requests_only() {
+    let (target, proxy) = fixture().await;
+    proxy.set_only("POST");
+    proxy.set_down(LinkRule::CutAfter(0));
+    let (mut caller, mut served) = connected(&target, &proxy).await;
+    caller.write_all(b"GET").await.unwrap();
+    assert_eq!(read(&mut served, 3).await, b"GET");
+    served.write_all(b"answer").await.unwrap();
+    assert_eq!(read(&mut caller, 6).await, b"answer");
+    caller.write_all(b"POST").await.unwrap();
+    assert_eq!(read(&mut served, 4).await, b"POST");
+    served.write_all(b"answer").await.unwrap();
+    assert!(rest(&mut caller).await.is_empty());
+}
+
 #[actix_rt::test]
 async fn dropped_direction_leaves_the_other_one_open() {
     let (target, proxy) = fixture().await;
