--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,7 @@
-//! Integration tests with real processes.
+//! Integration tests with real processes, one module per feature.
 
-fn main() {}
+#![allow(clippy::unwrap_used)]
+
+mod support;
+mod upstream_leaving;
+mod upstream_links;
