Keep stand-ins that stop apart from those that start

A proxy that refuses closed its listener, and the kernel gave the free port to another test's stand-in, so that a daemon that tried again reached that one and said 'unknown' instead of 'not-run'. The proxy counts bytes before their receiver can have them. Stand-ins can listen at several addresses at once. Ruled out: holding the port with a socket that does not listen. The window between close and bind stays open, and a child process that is being started holds the closed listener for a moment (seen as 'address in use').

--- a/crates/testkit/src/daemon/address.rs
+++ b/crates/testkit/src/daemon/address.rs
@@ -24,9 +24,16 @@
 /// assert_ne!(unused_address().unwrap().ip(), unused_address().unwrap().ip());
 /// ```
 pub fn unused_address() -> io::Result<SocketAddr> {
+    TcpListener::bind(own_address())?.local_addr()
+}
+
+/// Any port of a loopback address that no other call in this process returns
+/// soon. Binds are not repeated there: a child process that is being started
+/// may hold a listener for a moment after its close.
+pub(crate) fn own_address() -> SocketAddr {
     static CALLS: AtomicU32 = AtomicU32::new(0);
     let call = CALLS.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let pid = process::id().to_be_bytes();
     let ip = Ipv4Addr::new(127, 1 + (pid[2] & 0x7f), pid[3], 1 + call[3] % 250);
-    TcpListener::bind((ip, 0))?.local_addr()
+    SocketAddr::from((ip, 0))
 }
--- a/crates/testkit/src/daemon/mod.rs
+++ b/crates/testkit/src/daemon/mod.rs
@@ -11,6 +11,7 @@
 mod temp_dir;
 mod wait;
 
+pub(crate) use self::address::own_address;
 pub use self::{
     address::unused_address,
     process::DaemonProcess,
--- a/crates/testkit/src/engine/mod.rs
+++ b/crates/testkit/src/engine/mod.rs
@@ -67,9 +67,19 @@
     ///
     /// Fails if the address can't be bound.
     pub fn start_at(address: SocketAddr, settings: EngineSettings) -> io::Result<Self> {
+        Self::start_all(&[address], settings)
+    }
+
+    /// Starts one engine that stands for many: it listens at all of these
+    /// addresses, and its batch is shared.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound.
+    pub fn start_all(addresses: &[SocketAddr], settings: EngineSettings) -> io::Result<Self> {
         let shared = Shared::new(settings);
         let data = Data::from(shared.clone());
-        let server = LocalServer::start(address, move |cfg: &mut ServiceConfig| {
+        let server = LocalServer::start_all(addresses, move |cfg: &mut ServiceConfig| {
             cfg.app_data(data.clone()).configure(handlers::configure);
         })?;
         Ok(Self { server, shared })
@@ -81,6 +91,12 @@
         self.server.address()
     }
 
+    /// All addresses of the engine.
+    #[must_use]
+    pub fn addresses(&self) -> &[SocketAddr] {
+        self.server.addresses()
+    }
+
     /// The requests that it ran. A resumed stream is not a run.
     #[must_use]
     pub fn log(&self) -> &RunLog {
--- a/crates/testkit/src/kv/mod.rs
+++ b/crates/testkit/src/kv/mod.rs
@@ -16,7 +16,7 @@
 use actix_web::web::{Data, ServiceConfig};
 use comfreyway_platform::EmbeddedKeyValue;
 
-use crate::server::{ANY_PORT, LocalServer};
+use crate::{daemon::own_address, server::LocalServer};
 
 pub use self::{
     calls::{CallCounts, CallKind},
@@ -59,7 +59,8 @@
     /// # });
     /// ```
     pub fn start() -> io::Result<Self> {
-        Self::start_at(ANY_PORT)
+        // Nobody else takes the port of this address while the service is stopped.
+        Self::start_at(own_address())
     }
 
     /// Starts an empty service at this address.
--- a/crates/testkit/src/proxy/mod.rs
+++ b/crates/testkit/src/proxy/mod.rs
@@ -26,7 +26,7 @@
     task::LocalSet,
 };
 
-use crate::server::ANY_PORT;
+use crate::daemon::own_address;
 
 pub use self::rules::{AcceptRule, Direction, LinkRule};
 
@@ -68,7 +68,8 @@
     ///
     /// Fails if no port can be bound.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(ANY_PORT)?;
+        // Nobody else takes the port of this address while it refuses.
+        let listener = TcpListener::bind(own_address())?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
--- a/crates/testkit/src/proxy/pump.rs
+++ b/crates/testkit/src/proxy/pump.rs
@@ -184,13 +184,15 @@
     }
 
     async fn write(&mut self, to: &mut WriteHalf<'_>, bytes: &Bytes) -> Result<(), Stop> {
-        to.write_all(bytes).await?;
         self.since_rule += bytes.len() as u64;
         let forwarded = match self.direction {
             Direction::Up => &self.shared.forwarded_up,
             Direction::Down => &self.shared.forwarded_down,
         };
+        // Counted before its receiver can have it, so that a count that is read
+        // after an answer includes that answer.
         forwarded.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        to.write_all(bytes).await?;
         Ok(())
     }
 }
--- a/crates/testkit/tests/key_value.rs
+++ b/crates/testkit/tests/key_value.rs
@@ -3,13 +3,16 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{net::TcpListener, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use comfreyway_platform::{
     CasOutcome, EmbeddedKeyValue, EtcdConfig, EtcdKeyValue, KeyValue, KvEvent, PlatformError,
     Revision,
 };
-use comfreyway_testkit::kv::{KvFaults, KvStandIn, Outage};
+use comfreyway_testkit::{
+    daemon::unused_address,
+    kv::{KvFaults, KvStandIn, Outage},
+};
 use futures_util::StreamExt;
 use rstest::rstest;
 
@@ -34,10 +37,6 @@
     EtcdKeyValue::new(EtcdConfig::new(vec![standin.address()]).with_time_limit(LIMIT))
 }
 
-fn refused_address() -> std::net::SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 async fn written(kv: &dyn KeyValue, key: &str, expected: Revision, value: &str) -> Revision {
     match kv.compare_and_swap(key, expected, value.into(), None).await.unwrap() {
         CasOutcome::Written(revision) => revision,
@@ -165,7 +164,7 @@
 
 #[actix_rt::test]
 async fn refused_connection_is_certain() {
-    let config = EtcdConfig::new(vec![refused_address()]).with_time_limit(LIMIT);
+    let config = EtcdConfig::new(vec![unused_address().unwrap()]).with_time_limit(LIMIT);
     let kv = EtcdKeyValue::new(config);
     let result = kv.compare_and_swap("a", Revision(0), b"1".to_vec(), None).await;
     assert!(matches!(result, Err(PlatformError::NotDone(_))), "{result:?}");
@@ -212,7 +211,7 @@
 async fn next_endpoint_is_asked_only_where_a_repeat_is_safe() {
     let first = KvStandIn::start().unwrap();
     let second = KvStandIn::start().unwrap();
-    let endpoints = vec![refused_address(), first.address(), second.address()];
+    let endpoints = vec![unused_address().unwrap(), first.address(), second.address()];
     let kv = EtcdKeyValue::new(EtcdConfig::new(endpoints).with_time_limit(LIMIT));
     first.set_faults(KvFaults::new().with_outage(Outage::Cut));
     let result = kv.compare_and_swap("a", Revision(0), b"1".to_vec(), None).await;
