--- a/crates/testkit/src/proxy/mod.rs
+++ b/crates/testkit/src/proxy/mod.rs
@@ -26,7 +26,7 @@
     task::LocalSet,
 };
 
-use crate::server::ANY_PORT;
+use crate::daemon::own_address;
 
 pub use self::rules::{AcceptRule, Direction, LinkRule};
 
@@ -68,7 +68,8 @@
     ///
     /// Fails if no port can be bound.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(ANY_PORT)?;
+        // Nobody else takes the port of this address while it refuses.
+        let listener = TcpListener::bind(own_address())?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -106,6 +107,12 @@
         self.change(|rules| rules.down = rule);
     }
 
+    /// Holds the rules of both directions back for connections whose latest
+    /// request does not start with this text, such as `POST`.
+    pub fn set_only(&self, request: &'static str) {
+        self.change(|rules| rules.only = request);
+    }
+
     /// Sets the rule for new connections. In force when this returns.
     ///
     /// # Errors
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,3 +5,6 @@
 mod config_change;
 mod config_fleet;
 mod config_spread;
+mod support;
+mod upstream_leaving;
+mod upstream_links;
