Report a first token only where one is seen

Cause: the first byte of an answer in one piece was reported as its first token. It comes after the last token, so the owner learned a prefill as long as the whole answer, and a time between tokens of zero. Change: only an event of a stream is a first token. For an answer in one piece the time to the first token equals the total, and the owner learns no time between tokens from it. An upstream's 500 no longer counts as a failed dispatch, which pauses its runner: it may be the caller's own doing; 502, 503 and 504 do. Messages to the control thread per plain request: 2 where there were 3.

--- a/crates/core/src/pool/progress.rs
+++ b/crates/core/src/pool/progress.rs
@@ -197,7 +197,9 @@
             self.refresh(now, ix);
             return;
         }
-        if usage.decode_tokens >= MIN_DECODE_SAMPLE {
+        // An answer in one piece shows no time between tokens.
+        let was_streamed = usage.first_token < usage.total;
+        if was_streamed && usage.decode_tokens >= MIN_DECODE_SAMPLE {
             let between = usage.total.saturating_sub(usage.first_token) / (usage.decode_tokens - 1);
             let sequences = f64::midpoint(flight.sequences.into(), (runner.load() + 1).into());
             runner.rates.observe_between(between, sequences);
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -84,7 +84,8 @@
     pub cached_tokens: u32,
     /// Tokens that the engine generated.
     pub decode_tokens: u32,
-    /// Time from dispatch to the first token or byte.
+    /// Time from dispatch to the first token; equal to `total` for an answer in
+    /// one piece, which does not show it.
     pub first_token: Duration,
     /// Time from dispatch to the end.
     pub total: Duration,
--- a/crates/node/src/control/message.rs
+++ b/crates/node/src/control/message.rs
@@ -101,7 +101,7 @@
     /// The connection failed before any byte was sent. The request waits again
     /// and the worker waits for the next decision.
     NotSent(RetryReason),
-    /// The first token or byte arrived.
+    /// The first token of a streamed answer arrived.
     FirstToken,
     /// The runner said in its answer that it is leaving.
     RunnerLeaving,
--- a/crates/node/src/http/exchange.rs
+++ b/crates/node/src/http/exchange.rs
@@ -196,6 +196,9 @@
         self.ticket.received();
         self.received += chunk.len() as u64;
         self.proof.feed(&chunk);
+        if matches!(&self.proof, EndProof::EndMark(scan) if scan.events() > 0) {
+            self.ticket.received_event();
+        }
         self.keep_for_usage(&chunk);
         self.record(&chunk);
         Some(chunk)
--- a/crates/node/src/http/ticket.rs
+++ b/crates/node/src/http/ticket.rs
@@ -59,7 +59,8 @@
     prefill_tokens: u32,
     decisions: UnboundedReceiver<Decision>,
     arrived: Instant,
-    first_byte: Option<Duration>,
+    has_bytes: bool,
+    first_token: Option<Duration>,
     stage: Stage,
     recording: Option<Arc<Recording>>,
     traffic: Data<Traffic>,
@@ -82,7 +83,8 @@
             prefill_tokens: admitted.prompt.prefill_tokens,
             decisions,
             arrived: Instant::now(),
-            first_byte: None,
+            has_bytes: false,
+            first_token: None,
             stage: Stage::Waiting,
             recording,
             traffic,
@@ -123,17 +125,23 @@
 
     /// Bytes of the answer's body arrived.
     pub(super) fn received(&mut self) {
+        if !std::mem::replace(&mut self.has_bytes, true) {
+            self.traffic.metrics.first_byte(self.arrived.elapsed());
+        }
+    }
+
+    /// An event of a stream arrived. An answer in one piece has none: its first
+    /// byte tells nothing of its first token.
+    pub(super) fn received_event(&mut self) {
         let Stage::Dispatched { at } = self.stage else { return };
-        if self.first_byte.is_some() {
-            return;
+        if self.first_token.is_none() {
+            self.first_token = Some(at.elapsed());
+            self.report(Progress::FirstToken);
         }
-        self.first_byte = Some(at.elapsed());
-        self.traffic.metrics.first_byte(self.arrived.elapsed());
-        self.report(Progress::FirstToken);
     }
 
-    /// The answer is whole. An upstream's own failure is an answer too, but its
-    /// times say nothing of the runner's speed.
+    /// The answer is whole. An upstream that says it can't serve has answered
+    /// too, but its times say nothing of the runner's speed.
     pub(super) fn answered(&mut self, status: StatusCode, usage: AnswerUsage, events: u32) {
         let Stage::Dispatched { at } = self.stage else { return };
         let total = at.elapsed();
@@ -141,12 +149,14 @@
             prefill_tokens: usage.prefill_tokens.unwrap_or(self.prefill_tokens),
             cached_tokens: usage.cached_tokens,
             decode_tokens: usage.decode_tokens.unwrap_or(events),
-            first_token: self.first_byte.unwrap_or(total),
+            first_token: self.first_token.unwrap_or(total),
             total,
         };
-        let end = match status.is_server_error() {
-            true => DispatchEnd::Failed,
-            false => DispatchEnd::Complete(usage),
+        let end = match status {
+            StatusCode::BAD_GATEWAY
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::GATEWAY_TIMEOUT => DispatchEnd::Failed,
+            _ => DispatchEnd::Complete(usage),
         };
         self.traffic.metrics.answered(&self.class);
         self.traffic.metrics.whole(self.arrived.elapsed());
--- a/crates/node/tests/traffic/main.rs
+++ b/crates/node/tests/traffic/main.rs
@@ -6,6 +6,7 @@
 mod bad_input;
 mod dispatch;
 mod repeats;
+mod reports;
 mod rig;
 mod scripted;
 mod streams;
