Refuse HTTP/1.0, whose answers can't show that they are short

Cause: an answer to HTTP/1.0 ends with its connection, so that one that breaks looks whole to its caller. Change: such a request is refused before its body is read. An exchange stays in its box on the way from the task that sent it to the body, in place of being moved.

--- a/crates/node/src/http/admit.rs
+++ b/crates/node/src/http/admit.rs
@@ -2,7 +2,7 @@
 
 use actix_web::{
     HttpRequest,
-    http::{Method, header::HeaderMap},
+    http::{Method, Version, header::HeaderMap},
     web::Bytes,
 };
 use comfreyway_core::{
@@ -77,6 +77,11 @@
     req: &HttpRequest,
 ) -> Result<Head, Refusal> {
     check_header_size(req.headers(), traffic.limits.header_bytes)?;
+    if req.version() < Version::HTTP_11 {
+        // An answer to HTTP/1.0 ends with its connection, so that a short one
+        // looks whole.
+        return Err(bad("HTTP/1.1 is needed to tell a whole answer from a short one"));
+    }
     if document.version == 0 {
         return Err(refuse(NotRunReason::NotReady, "this host has no configuration yet"));
     }
--- a/crates/node/src/http/body.rs
+++ b/crates/node/src/http/body.rs
@@ -36,17 +36,17 @@
 
 /// An exchange with a caller. If the caller leaves, the worker takes over.
 pub(super) struct Attended {
-    exchange: Option<Exchange>,
+    exchange: Option<Box<Exchange>>,
     worker: Data<Worker>,
 }
 
 impl Attended {
-    pub(super) fn new(exchange: Exchange, worker: Data<Worker>) -> Self {
+    pub(super) fn new(exchange: Box<Exchange>, worker: Data<Worker>) -> Self {
         Self { exchange: Some(exchange), worker }
     }
 
     pub(super) fn exchange(&self) -> Option<&Exchange> {
-        self.exchange.as_ref()
+        self.exchange.as_deref()
     }
 
     pub(super) fn poll_step(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
--- a/crates/node/src/http/dispatch.rs
+++ b/crates/node/src/http/dispatch.rs
@@ -76,7 +76,7 @@
         }
     };
     if let Err(Dispatched::Started(exchange)) = tx.send(result) {
-        worker.abandon(*exchange);
+        worker.abandon(exchange);
     }
 }
 
--- a/crates/node/src/http/handler.rs
+++ b/crates/node/src/http/handler.rs
@@ -196,7 +196,7 @@
 
 async fn finish(id: RequestId, dispatched: Dispatched, worker: &Data<Worker>) -> HttpResponse {
     match dispatched {
-        Dispatched::Started(exchange) => respond(*exchange, worker).await,
+        Dispatched::Started(exchange) => respond(exchange, worker).await,
         Dispatched::TurnedAway(reason) => {
             let refusal = Refusal::not_run(reason, "the upstream ran nothing");
             problem(id, &refusal.with_retry_after(RETRY_AFTER))
--- a/crates/node/src/http/respond.rs
+++ b/crates/node/src/http/respond.rs
@@ -34,7 +34,7 @@
 const COLLECT_BYTES: usize = 64 << 10;
 
 /// Answers with an exchange that has begun.
-pub(super) async fn respond(exchange: Exchange, worker: &Data<Worker>) -> HttpResponse {
+pub(super) async fn respond(exchange: Box<Exchange>, worker: &Data<Worker>) -> HttpResponse {
     let id = exchange.id();
     let framing = exchange.head.framing;
     let is_event_stream = exchange.is_event_stream();
--- a/crates/node/src/http/worker.rs
+++ b/crates/node/src/http/worker.rs
@@ -10,7 +10,7 @@
 /// caller has left.
 pub(crate) struct Worker {
     pub(super) client: UpstreamClient,
-    abandoned: UnboundedSender<Exchange>,
+    abandoned: UnboundedSender<Box<Exchange>>,
 }
 
 impl Worker {
@@ -23,14 +23,14 @@
     }
 
     /// Takes over an exchange whose caller has left.
-    pub(super) fn abandon(&self, exchange: Exchange) {
+    pub(super) fn abandon(&self, exchange: Box<Exchange>) {
         // The queue is closed only when the thread ends; then the exchange is
         // dropped, which reports its end.
         let _ = self.abandoned.send(exchange);
     }
 }
 
-async fn end_abandoned(mut queue: UnboundedReceiver<Exchange>) {
+async fn end_abandoned(mut queue: UnboundedReceiver<Box<Exchange>>) {
     while let Some(exchange) = queue.recv().await {
         actix_rt::spawn(exchange.end_without_caller());
     }
