Hold requests whose claim is not safe yet, and finish a lost takeover

Cause: in the first milliseconds of a term, and between two standbys, a request that must run at most once was answered `unknown` at once. A host whose takeover lost its reply as the service went down never read it back, and a record that named a host which did not serve was taken for served. Change: such requests wait up to a second for a standby or the lease. A pending read-back is repeated whoever the successor is, and goes on under a provisional epoch meanwhile. A host that finds itself in a record it does not serve, serves.

--- a/crates/core/src/cluster/calls.rs
+++ b/crates/core/src/cluster/calls.rs
@@ -24,8 +24,7 @@
             (Call::Read | Call::ReadBack(_), ReadResult::Record(stored)) => stored,
             (Call::ReadBack(record), ReadResult::Failed) => {
                 state.call = Call::ReadBack(record);
-                state.retry_at = now + RETRY;
-                return;
+                return self.service_failed(now, pool, out);
             }
             (Call::Read, ReadResult::Failed) => return self.service_failed(now, pool, out),
             (other, _) => {
@@ -50,7 +49,8 @@
         state.stored = stored;
         let record = state.stored.as_ref().map(|s| s.record.clone()).unwrap_or_default();
         let mine = record.owner.as_ref() == Some(&me);
-        if mine && record.epoch > state.epoch {
+        let unserved = !state.owned && record.epoch == state.epoch;
+        if mine && (record.epoch > state.epoch || unserved) {
             let inheritance = self.inheritance(pool, before.as_ref());
             return self.begin_term(now, pool, record.epoch, inheritance, out);
         }
--- a/crates/core/src/cluster/state.rs
+++ b/crates/core/src/cluster/state.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    ids::{Epoch, HostId, PoolId},
+    ids::{Epoch, HostId, HostName, PoolId},
     time::MonoTime,
 };
 
@@ -15,6 +15,9 @@
 /// Time between two reviews of all pools.
 pub const TICK: Duration = Duration::from_millis(100);
 
+/// Time for which a host that has just started waits to hear of owners.
+const SETTLE: Duration = Duration::from_millis(500);
+
 /// One host's view of who is alive and who owns which pool.
 pub struct Cluster {
     pub(super) members: Membership,
@@ -22,6 +25,7 @@
     pub(super) lease_until: MonoTime,
     pub(super) started: Option<MonoTime>,
     pub(super) holds_lease: bool,
+    pub(super) settle: Duration,
     timer: Option<MonoTime>,
 }
 
@@ -35,10 +39,25 @@
             lease_until: MonoTime::ZERO,
             started: None,
             holds_lease: false,
+            settle: SETTLE,
             timer: None,
         }
     }
 
+    /// Counts these hosts as existing from the start.
+    #[must_use]
+    pub fn with_expected_peers(mut self, peers: BTreeSet<HostName>) -> Self {
+        self.members.list(peers);
+        self
+    }
+
+    /// Does not wait to hear of owners at the start: there are no other hosts.
+    #[must_use]
+    pub fn with_settled(mut self) -> Self {
+        self.settle = Duration::ZERO;
+        self
+    }
+
     /// Who is alive.
     #[must_use]
     pub fn members(&self) -> &Membership {
--- a/crates/core/src/cluster/takeover.rs
+++ b/crates/core/src/cluster/takeover.rs
@@ -14,9 +14,6 @@
     state::announcement,
 };
 
-/// Time for which a host that has just started waits to hear of owners.
-const SETTLE: Duration = Duration::from_millis(500);
-
 /// Time between two attempts to follow an owner.
 pub(super) const RETRY: Duration = Duration::from_millis(200);
 
@@ -62,10 +59,16 @@
 
     fn review_other(&mut self, now: MonoTime, pool: &PoolId, out: &mut Vec<ClusterAction>) {
         let Some(state) = self.pools.get(pool) else { return };
-        let served = state.owner.as_ref().is_some_and(|owner| self.members.is_alive(owner));
+        let me = self.members.me();
+        let served = |owner: &HostId| owner != me && self.members.is_alive(owner);
+        let served = state.owner.as_ref().is_some_and(served);
         let mine = self.successor(pool, state).as_ref() == Some(self.members.me());
-        let settled = self.started.is_some_and(|start| now >= start + SETTLE);
+        let settled = self.started.is_some_and(|start| now >= start + self.settle);
         let Some(state) = self.pools.get_mut(pool) else { return };
+        if matches!(state.call, Call::ReadBack(_)) && now >= state.retry_at {
+            state.retry_at = now + RETRY;
+            out.push(ClusterAction::Read(pool.clone()));
+        }
         if served && !state.resigned {
             state.orphan_since = None;
             return;
--- a/crates/core/src/owner/mod.rs
+++ b/crates/core/src/owner/mod.rs
@@ -14,6 +14,7 @@
 mod claims;
 mod event;
 mod guard;
+mod held;
 mod identity;
 mod input;
 mod repeat;
--- a/crates/core/src/owner/state.rs
+++ b/crates/core/src/owner/state.rs
@@ -14,7 +14,7 @@
 
 use super::{
     ClaimState, ClaimTable, EntryEvent, Guard, Memory, OwnerAction, OwnerEvent, OwnerInput,
-    replica::Replica,
+    held::Held, replica::Replica,
 };
 
 /// The owner of one pool in one term.
@@ -29,6 +29,7 @@
     /// Grants that were sent and whose use is not known yet.
     pub(super) granted: BTreeMap<RequestId, Grant>,
     pub(super) gone: BTreeSet<HostId>,
+    pub(super) held: Held,
     pub(super) asked: BTreeMap<HostId, MonoTime>,
     pub(super) next_number: u64,
     pool_actions: Vec<PoolAction>,
@@ -47,6 +48,7 @@
             .field("replica", &self.replica)
             .field("unproved", &self.unproved)
             .field("granted", &self.granted)
+            .field("held", &self.held)
             .field("gone", &self.gone)
             .field("asked", &self.asked)
             .finish_non_exhaustive()
@@ -66,6 +68,7 @@
             unproved: BTreeSet::new(),
             granted: BTreeMap::new(),
             gone: BTreeSet::new(),
+            held: Held::default(),
             asked: BTreeMap::new(),
             next_number: 1,
             pool_actions: Vec::new(),
@@ -116,6 +119,7 @@
             OwnerInput::Memory(memory) => self.memory = memory,
             OwnerInput::Tick => self.pool_input(now, PoolInput::Tick, out),
         }
+        self.review_held(now, out);
     }
 
     fn entry_event(
@@ -131,6 +135,7 @@
             EntryEvent::Withdraw(id) => {
                 self.granted.remove(&id);
                 self.unproved.remove(&id);
+                self.held.remove(id);
                 self.release(entry, id, out);
                 self.pool_input(now, PoolInput::Withdraw(id), out);
             }
--- a/crates/core/src/owner/submit.rs
+++ b/crates/core/src/owner/submit.rs
@@ -86,9 +86,13 @@
         if idempotent && full {
             return self.pool_input(now, PoolInput::Submit(record), out);
         }
-        if full || (!idempotent && !self.can_claim(now)) {
-            let answer = RepeatAnswer::Unknown(UnknownReason::Unchecked);
-            return answer_repeat(&record, answer, out);
+        if full {
+            return unchecked(&record, out);
+        }
+        if !idempotent && !self.can_claim(now) {
+            let held = Submission { record, identity: Some(identity) };
+            out.push(OwnerAction::SetTimer(self.held.add(now, held)));
+            return;
         }
         let (entry, id) = (record.entry.clone(), record.id);
         let claim = Claim { identity, entry, id, state: ClaimState::Waiting };
@@ -104,6 +108,18 @@
         }
     }
 
+    /// Decides anew on requests that waited for their claim to become safe.
+    pub(super) fn review_held(&mut self, now: MonoTime, out: &mut Vec<OwnerAction>) {
+        while let Some(overdue) = self.held.take_overdue(now) {
+            unchecked(&overdue.record, out);
+        }
+        if self.can_claim(now) {
+            for submission in self.held.take() {
+                self.submit(now, submission, out);
+            }
+        }
+    }
+
     /// True if a claim can be made safe, at once or by the standby.
     fn can_claim(&self, now: MonoTime) -> bool {
         match &self.guard {
@@ -114,6 +130,11 @@
     }
 }
 
+/// Nobody can tell whether the request ran before by way of another host.
+fn unchecked(record: &RequestRecord, out: &mut Vec<OwnerAction>) {
+    answer_repeat(record, RepeatAnswer::Unknown(UnknownReason::Unchecked), out);
+}
+
 fn answer_repeat(record: &RequestRecord, answer: RepeatAnswer, out: &mut Vec<OwnerAction>) {
     tell(&record.entry, OwnerEvent::Repeat { id: record.id, answer }, out);
 }
--- a/crates/core/src/owner/upkeep.rs
+++ b/crates/core/src/owner/upkeep.rs
@@ -37,6 +37,7 @@
 
     pub(super) fn entry_gone(&mut self, now: MonoTime, entry: HostId, out: &mut Vec<OwnerAction>) {
         self.asked.remove(&entry);
+        self.held.remove_entry(&entry);
         self.gone.insert(entry.clone());
         for id in self.claims.held_by(&entry) {
             self.granted.remove(&id);
--- a/crates/core/tests/cluster.rs
+++ b/crates/core/tests/cluster.rs
@@ -8,7 +8,7 @@
 };
 use rstest::rstest;
 
-use cluster_support::{Fault, World, host};
+use cluster_support::{LostReply, World, host};
 
 fn issued(issued: u64) -> Epoch {
     Epoch { issued, provisional: 0 }
@@ -69,9 +69,9 @@
 }
 
 #[rstest]
-#[case(Fault::ReplyLostApplied)]
-#[case(Fault::ReplyLostNotApplied)]
-fn a_lost_reply_is_read_back(#[case] fault: Fault) {
+#[case(LostReply::Applied)]
+#[case(LostReply::NotApplied)]
+fn a_lost_reply_is_read_back(#[case] fault: LostReply) {
     let mut world = World::new(3);
     world.fault_writes(fault, 1);
     world.run_ms(4_000);
@@ -145,3 +145,18 @@
     world.run_until(|w| w.owners().len() == 1);
     assert_eq!(world.epoch(world.only_owner()), issued(2));
 }
+
+#[test]
+fn a_takeover_whose_reply_is_lost_as_the_service_goes_down_is_finished() {
+    let mut world = World::new(3);
+    world.run_ms(3_000);
+    let owner = world.only_owner();
+    world.kill(owner);
+    world.fault_writes(LostReply::AppliedThenDown, 1);
+    world.run_until(|w| w.owners().len() == 1);
+    let next = world.only_owner();
+    assert_eq!(world.epoch(next), Epoch { issued: 1, provisional: 1 });
+    world.service_down(false);
+    world.run_until(|w| w.epoch(next) == issued(2));
+    assert_eq!(world.only_owner(), next);
+}
--- a/crates/core/tests/cluster_support/mod.rs
+++ b/crates/core/tests/cluster_support/mod.rs
@@ -21,11 +21,12 @@
 const SILENCE_MS: u64 = 1_000;
 const LONGEST_RUN_MS: u64 = 60_000;
 
-/// What happens to a write.
+/// What becomes of a write whose reply is lost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Fault {
-    ReplyLostApplied,
-    ReplyLostNotApplied,
+pub(crate) enum LostReply {
+    Applied,
+    NotApplied,
+    AppliedThenDown,
 }
 
 struct Node {
@@ -48,7 +49,7 @@
     nodes: Vec<Node>,
     stored: Option<StoredRecord>,
     down: bool,
-    faults: VecDeque<Fault>,
+    faults: VecDeque<LostReply>,
     isolated: BTreeSet<usize>,
 }
 
@@ -131,7 +132,7 @@
         self.down = down;
     }
 
-    pub(crate) fn fault_writes(&mut self, fault: Fault, count: usize) {
+    pub(crate) fn fault_writes(&mut self, fault: LostReply, count: usize) {
         self.faults.extend(std::iter::repeat_n(fault, count));
     }
 
@@ -280,7 +281,7 @@
             return WriteResult::NotDone;
         }
         let fault = self.faults.pop_front();
-        if fault == Some(Fault::ReplyLostNotApplied) {
+        if fault == Some(LostReply::NotApplied) {
             return WriteResult::Uncertain;
         }
         let revision = self.stored.as_ref().map_or(0, |stored| stored.revision);
@@ -288,6 +289,7 @@
             return WriteResult::Mismatch(self.stored.clone());
         }
         self.stored = Some(StoredRecord { revision: revision + 1, record });
+        self.down |= fault == Some(LostReply::AppliedThenDown);
         match fault {
             Some(_) => WriteResult::Uncertain,
             None => WriteResult::Written(revision + 1),
