Call the key-value service for records of pools and hosts

Cause: nothing carried out the cluster's reads and writes, and calls for kept answers reached the peers' port without being understood. A session at the path of kept answers is checked for the secret and passed on to a thread that carries traffic.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,8 @@
 //! [`http`] is the callers' interface, [`metrics`] and [`events`] show what it does.
 //! [`peers`] holds the sessions between daemons, [`config`] the operators'
 //! configuration, [`operator`] their HTTP interface.
+//! [`peers`] holds the sessions between daemons, [`membership`] the records of
+//! hosts and pools in the key-value service.
 
 pub mod cli;
 pub mod config;
@@ -14,6 +16,7 @@
 pub mod events;
 pub mod health;
 pub mod http;
+pub mod membership;
 pub mod metrics;
 pub mod operator;
 pub mod peers;
--- a/crates/node/src/peers/accept.rs
+++ b/crates/node/src/peers/accept.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreyway_core::ids::HostId;
-use comfreyway_proto::peer::decode;
+use comfreyway_proto::{peer::decode, result::RESULT_PATH};
 use futures_util::StreamExt;
 use log::{debug, warn};
 use tokio::{
@@ -13,7 +13,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use super::{
-    PeerEvent, PeersHandle,
+    PeerEvent, PeersHandle, ResultCall,
     error::SessionError,
     socket::{Socket, accept, read_hello, send_hello},
 };
@@ -45,7 +45,10 @@
 
 async fn session(peers: &PeersHandle, stream: TcpStream) -> Result<(), SessionError> {
     let settings = peers.settings();
-    let mut socket = accept(stream, &settings.secret, settings.connect_timeout).await?;
+    let (mut socket, path) = accept(stream, &settings.secret, settings.connect_timeout).await?;
+    if let Some(id) = path.strip_prefix(RESULT_PATH) {
+        return pass_on(peers, id, socket);
+    }
     let hello = read_hello(&mut socket, settings.connect_timeout).await?;
     send_hello(&mut socket, peers.hello()).await?;
     if hello.host.name == settings.host.name {
@@ -56,6 +59,15 @@
     read(peers, socket, &hello.host, number).await
 }
 
+/// Passes a call for a kept answer on. One that is not understood is closed.
+fn pass_on(peers: &PeersHandle, id: &str, socket: Socket) -> Result<(), SessionError> {
+    if let (Some(results), Ok(id)) = (&peers.settings().results, id.parse()) {
+        // A closed channel means that the process ends.
+        let _ = results.send(ResultCall::new(id, socket)?);
+    }
+    Ok(())
+}
+
 async fn read(
     peers: &PeersHandle,
     mut socket: Socket,
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -10,6 +10,9 @@
 //! - `dial` and `accept` run one session each.
 //! - [`PeerEvent`] is what the control thread hears.
 //!
+//! A session at the path of kept answers is not one of these: it is passed on as a
+//! [`ResultCall`].
+//!
 //! Everything here runs on the control thread's runtime. Queues and frames are
 //! bounded: a peer that does not drain its queue loses its link, and the sender
 //! starts again from a known state when the link is up again.
@@ -21,6 +24,7 @@
 mod error;
 mod event;
 mod handle;
+mod result_call;
 mod secret;
 mod settings;
 mod socket;
@@ -30,6 +34,7 @@
     counters::{PeerTraffic, TrafficKey},
     event::PeerEvent,
     handle::PeersHandle,
+    result_call::ResultCall,
     secret::PeerSecret,
     settings::PeersSettings,
     start::start_peers,
--- a/crates/node/src/peers/settings.rs
+++ b/crates/node/src/peers/settings.rs
@@ -3,8 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use comfreyway_core::ids::HostId;
+use tokio::sync::mpsc::UnboundedSender;
 
-use super::PeerSecret;
+use super::{PeerSecret, ResultCall};
 
 /// Settings of the sessions between daemons.
 #[derive(Clone, Debug)]
@@ -25,6 +26,8 @@
     pub connect_timeout: Duration,
     /// Most messages that wait for one peer.
     pub queue: usize,
+    /// Where calls for kept answers go; none refuses them.
+    pub results: Option<UnboundedSender<ResultCall>>,
 }
 
 impl PeersSettings {
@@ -49,6 +52,7 @@
             silence: Self::SILENCE,
             connect_timeout: Self::CONNECT_TIMEOUT,
             queue: Self::QUEUE,
+            results: None,
         }
     }
 
@@ -59,6 +63,13 @@
         self
     }
 
+    /// Passes calls for kept answers on.
+    #[must_use]
+    pub fn with_results(mut self, results: UnboundedSender<ResultCall>) -> Self {
+        self.results = Some(results);
+        self
+    }
+
     /// Replaces the heartbeat and the silence after which a peer is down.
     #[must_use]
     pub fn with_heartbeat(mut self, heartbeat: Duration, silence: Duration) -> Self {
--- a/crates/node/src/peers/socket.rs
+++ b/crates/node/src/peers/socket.rs
@@ -26,7 +26,7 @@
 /// A WebSocket session over TCP.
 pub(super) type Socket = WebSocketStream<TcpStream>;
 
-fn config() -> WebSocketConfig {
+pub(super) fn config() -> WebSocketConfig {
     WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
@@ -55,17 +55,19 @@
     timeout(limit, open).await.map_err(|_| SessionError::Timeout)?
 }
 
-/// Accepts a session if the secret is right.
+/// Accepts a session if the secret is right. Returns the path that was asked for.
 pub(super) async fn accept(
     stream: TcpStream,
     secret: &PeerSecret,
     limit: Duration,
-) -> Result<Socket, SessionError> {
+) -> Result<(Socket, String), SessionError> {
     stream.set_nodelay(true)?;
+    let mut path = String::new();
     #[allow(clippy::result_large_err)]
     let check = |req: &Request, response: Response| {
         let shown = req.headers().get(headers::SECRET).map_or(&[][..], HeaderValue::as_bytes);
         if secret.matches(shown) {
+            req.uri().path().clone_into(&mut path);
             return Ok(response);
         }
         let mut refusal = ErrorResponse::new(Some("the secret does not match".to_owned()));
@@ -73,7 +75,8 @@
         Err(refusal)
     };
     let open = accept_hdr_async_with_config(stream, check, Some(config()));
-    Ok(timeout(limit, open).await.map_err(|_| SessionError::Timeout)??)
+    let socket = timeout(limit, open).await.map_err(|_| SessionError::Timeout)??;
+    Ok((socket, path))
 }
 
 /// Sends this host's greeting.
