Run ownership and remote entries from the control thread

Cause: each daemon owned every pool by decree and heard of no peer. Change: the control thread drives the cluster with the key-value service, begins and ends terms, passes events between entries, owners and standbys over the peers' sessions, and the configuration's messages with them. The peers' port is bound, dials the peers in the settings and serves kept answers. On a signal the daemon tells its peers, passes its pools on, drains, and waits up to 3 s for others to own them.

--- a/crates/node/src/control/actor.rs
+++ b/crates/node/src/control/actor.rs
@@ -1,22 +1,27 @@
 //! The actor that runs on the control thread.
 
-use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use actix::{
     Actor, ActorContext, Addr, AsyncContext, Context, Handler, SpawnHandle, StreamHandler,
 };
 use comfreyway_core::{
-    cluster::Inheritance,
+    cluster::ClusterInput,
     config::Document,
-    entry::{EntryInput, OwnerView},
-    ids::{Epoch, HostId, PoolId, RequestId, RunnerName},
+    entry::EntryInput,
+    ids::{Epoch, HostId, HostName, PoolId, RequestId, RunnerName},
     outcome::RetryReason,
-    owner::{self, Guard, Identity, OwnerInput, RequestKey},
+    owner::{self, Identity, RequestKey},
     pool::PoolInput,
     request::RequestRecord,
     time::MonoTime,
 };
-use comfreyway_platform::HostList;
+use comfreyway_platform::{EmbeddedKeyValue, HostList, KeyValue};
 use futures_util::stream;
 use tokio::sync::{
     mpsc::{Receiver, UnboundedReceiver, UnboundedSender},
@@ -30,19 +35,16 @@
 
 use super::{
     Clock, ControlStatus, Decision, PoolStatus, Progress, Submission, WorkerMessage,
-    decisions::Decisions, effect::Effect, runners::PoolRunners,
+    decisions::Decisions, effect::Effect, ownership::Ownership, runners::PoolRunners,
 };
 
-/// Epoch of a pool that a single host owns without a platform.
-const SINGLE_HOST_EPOCH: Epoch = Epoch { issued: 1, provisional: 0 };
-
 /// Holds the state of all decisions of this host.
 pub struct Control {
     pub(super) clock: Clock,
-    host: HostId,
+    pub(super) host: HostId,
     config: watch::Receiver<Arc<Document>>,
     document: Arc<Document>,
-    runners: PoolRunners,
+    pub(super) runners: PoolRunners,
     pub(super) decisions: Decisions,
     workers: HashMap<RequestId, UnboundedSender<Decision>>,
     queue: Option<UnboundedReceiver<WorkerMessage>>,
@@ -52,6 +54,7 @@
     reports: Option<Addr<ReportsActor>>,
     pub(super) peers: Option<PeersHandle>,
     peer_events: Option<Receiver<PeerEvent>>,
+    pub(super) ownership: Ownership,
 }
 
 impl Control {
@@ -62,6 +65,8 @@
         config: watch::Receiver<Arc<Document>>,
         queue: UnboundedReceiver<WorkerMessage>,
     ) -> Self {
+        let kv = Rc::new(EmbeddedKeyValue::new());
+        let ownership = Ownership::new(host.clone(), kv, BTreeSet::new());
         Self {
             clock: Clock::new(),
             decisions: Decisions::new(host.clone()),
@@ -77,9 +82,18 @@
             reports: None,
             peers: None,
             peer_events: None,
+            ownership,
         }
     }
 
+    /// Agrees on the owners of pools through `kv`. `peers` are the other hosts
+    /// that the settings name. Without this, the host owns every pool alone.
+    #[must_use]
+    pub fn with_key_value(mut self, kv: Rc<dyn KeyValue>, peers: BTreeSet<HostName>) -> Self {
+        self.ownership = Ownership::new(self.host.clone(), kv, peers);
+        self
+    }
+
     /// Acts together with the hosts that `peers` reaches.
     #[must_use]
     pub fn with_peers(mut self, peers: PeersHandle, events: Receiver<PeerEvent>) -> Self {
@@ -100,9 +114,6 @@
         self.document = self.config.borrow_and_update().clone();
         let now = self.clock.now();
         let changes = self.runners.update(&self.document);
-        for pool in changes.new_pools {
-            self.own(now, &pool);
-        }
         for (pool, input) in changes.inputs {
             self.decisions.pool_input(now, &pool, input, &mut self.effects);
         }
@@ -111,26 +122,17 @@
         }
         self.watch_runners();
         self.run_effects(cx);
+        self.cluster_input(ClusterInput::Pools(self.runners.pools()), cx);
     }
 
     /// Asks for reports of the runners of the pools that this host owns.
-    fn watch_runners(&self) {
+    pub(super) fn watch_runners(&self) {
         if let Some(reports) = &self.reports {
             let owned = self.decisions.pools().map(|pool| &pool.settings().pool);
             reports.do_send(WatchRunners(self.runners.watched(owned)));
         }
     }
 
-    fn own(&mut self, now: MonoTime, pool: &PoolId) {
-        let epoch = SINGLE_HOST_EPOCH;
-        self.decisions.own(now, pool, epoch, &Inheritance::First);
-        let guard = Guard::Alone { until: MonoTime::from_micros(u64::MAX) };
-        self.decisions.owner_input(now, pool, OwnerInput::Guard(guard), &mut self.effects);
-        let view = OwnerView { owner: Some(self.host.clone()), epoch };
-        let input = EntryInput::OwnerChanged { pool: pool.clone(), view };
-        self.decisions.entry_input(now, input, &mut self.effects);
-    }
-
     fn submit(&mut self, submission: Submission) {
         let Submission { id, pool, decisions, .. } = &submission;
         self.workers.insert(*id, decisions.clone());
@@ -219,7 +221,9 @@
             }
             Effect::Attach { id, first, holder } => self.attach_remote(id, first, &holder),
             Effect::Send { to, message } => self.send(&to, &message),
-            Effect::StandbyReady { .. } => {}
+            Effect::StandbyReady { pool, host } => {
+                self.cluster_input(ClusterInput::StandbyReady { pool, host }, cx);
+            }
             Effect::WakeAt(at) => self.wake_at(at, cx),
         }
     }
@@ -249,7 +253,7 @@
         }
     }
 
-    fn wake_at(&mut self, at: MonoTime, cx: &mut Context<Self>) {
+    pub(super) fn wake_at(&mut self, at: MonoTime, cx: &mut Context<Self>) {
         if self.wake.as_ref().is_some_and(|(earlier, _)| *earlier <= at) {
             return;
         }
@@ -261,6 +265,7 @@
             control.wake = None;
             control.decisions.tick(control.clock.now(), &mut control.effects);
             control.run_effects(cx);
+            control.cluster_input(ClusterInput::Tick, cx);
         });
         self.wake = Some((at, handle));
     }
@@ -287,6 +292,7 @@
             cx.add_stream(events);
         }
         let owner = cx.address().recipient();
+        self.start_lease(cx);
         self.reports = Some(ReportsActor::new(self.host_list.take(), owner).start());
         self.apply_config(cx);
     }
@@ -325,6 +331,10 @@
         match message {
             WorkerMessage::Submit(submission) => self.submit(submission),
             WorkerMessage::Progress { id, progress } => self.progress(id, progress),
+            WorkerMessage::Stop => {
+                self.decisions.entry_input(self.clock.now(), EntryInput::Stop, &mut self.effects);
+                self.cluster_input(ClusterInput::Stop, cx);
+            }
             WorkerMessage::Status(reply) => {
                 // A closed channel means that nobody waits for the status.
                 let _ = reply.send(self.status());
--- a/crates/node/src/control/decisions.rs
+++ b/crates/node/src/control/decisions.rs
@@ -4,7 +4,7 @@
 //! an entry submits to a pool's owner, and the owner grants to the entry. This
 //! module runs those steps to their end and returns what has to leave the thread.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use comfreyway_core::{
     cluster::Inheritance,
@@ -69,6 +69,19 @@
         self.seats.entry(pool.clone()).or_default().own(now, settings, inheritance);
     }
 
+    /// Ceases to own a pool: another host owns it under `epoch`.
+    pub(crate) fn disown(&mut self, pool: &PoolId, epoch: Epoch) {
+        if let Some(seat) = self.seats.get_mut(pool) {
+            seat.disown(epoch);
+        }
+    }
+
+    /// Hosts that hold claimed requests of a pool.
+    pub(crate) fn claim_holders(&self, pool: &PoolId) -> BTreeSet<HostId> {
+        let claims = self.seats.get(pool).into_iter().flat_map(|seat| seat.claims().iter());
+        claims.map(|claim| claim.entry.clone()).collect()
+    }
+
     /// Forgets a pool that is no longer configured.
     pub(crate) fn forget(&mut self, pool: &PoolId) {
         self.seats.remove(pool);
--- a/crates/node/src/control/handle.rs
+++ b/crates/node/src/control/handle.rs
@@ -29,6 +29,8 @@
         /// What was observed.
         progress: Progress,
     },
+    /// This host is stopping: it passes its pools on and takes no more requests.
+    Stop,
     /// The state of this host is asked for.
     Status(oneshot::Sender<ControlStatus>),
 }
@@ -64,6 +66,15 @@
         self.send(WorkerMessage::Progress { id, progress })
     }
 
+    /// Begins a planned stop.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the control thread has ended.
+    pub fn stop(&self) -> Result<(), ControlClosed> {
+        self.send(WorkerMessage::Stop)
+    }
+
     /// Asks for the state of this host.
     ///
     /// # Errors
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Control`] is the actor. It feeds workers' messages and configuration
 //! changes to [`decisions::Decisions`], which holds the entry and the owned
-//! pools, and carries out the resulting [`effect::Effect`]s.
+//! pools, and carries out the resulting [`effect::Effect`]s. [`ownership`] does
+//! the same for the decisions on who owns which pool.
 
 mod actor;
 mod clock;
@@ -10,6 +11,7 @@
 mod effect;
 mod handle;
 mod message;
+mod ownership;
 mod peers;
 mod runners;
 mod status;
--- /dev/null
+++ b/crates/node/src/control/ownership.rs
@@ -0,0 +1,164 @@
+//! Carries out the cluster's decisions on this host.
+
+use std::{collections::BTreeSet, rc::Rc};
+
+use actix::{ActorFutureExt, AsyncContext, Context, StreamHandler, WrapFuture};
+use comfreyway_core::{
+    cluster::{Cluster, ClusterAction, ClusterInput, Inheritance},
+    entry::EntryInput,
+    ids::{Epoch, HostId, HostName, PoolId},
+    owner::OwnerInput,
+    time::MonoTime,
+};
+use comfreyway_platform::KeyValue;
+use comfreyway_proto::peer::{HandOver, PeerMessage};
+use futures_util::stream;
+use tokio::sync::{mpsc, watch};
+
+use crate::membership::{HostLease, OwnershipStore};
+
+use super::Control;
+
+/// The cluster's state with its ways to the key-value service.
+pub(super) struct Ownership {
+    pub(super) cluster: Cluster,
+    store: OwnershipStore,
+    lease_wanted: watch::Sender<bool>,
+}
+
+impl Ownership {
+    pub(super) fn new(host: HostId, kv: Rc<dyn KeyValue>, peers: BTreeSet<HostName>) -> Self {
+        let settled = peers.is_empty();
+        let cluster = Cluster::new(host).with_expected_peers(peers);
+        let cluster = if settled { cluster.with_settled() } else { cluster };
+        let (lease_wanted, _) = watch::channel(false);
+        Self { cluster, store: OwnershipStore::new(kv), lease_wanted }
+    }
+}
+
+/// The end of this host's lease, as renewals tell it.
+struct LeaseHeld(MonoTime);
+
+impl StreamHandler<LeaseHeld> for Control {
+    fn handle(&mut self, LeaseHeld(until): LeaseHeld, cx: &mut Context<Self>) {
+        self.cluster_input(ClusterInput::Lease(until), cx);
+    }
+
+    fn finished(&mut self, _: &mut Context<Self>) {}
+}
+
+impl Control {
+    /// Starts to hold the lease whenever the cluster wants it.
+    pub(super) fn start_lease(&mut self, cx: &mut Context<Self>) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let wanted = self.ownership.lease_wanted.subscribe();
+        let store = self.ownership.store.clone();
+        let lease = HostLease::new(self.host.clone(), store, self.clock, wanted, tx);
+        actix_rt::spawn(lease.run());
+        let held = stream::unfold(rx, |mut rx| async {
+            rx.recv().await.map(|until| (LeaseHeld(until), rx))
+        });
+        cx.add_stream(held);
+    }
+
+    /// Decides on an input for the cluster and carries out what follows.
+    pub(super) fn cluster_input(&mut self, input: ClusterInput, cx: &mut Context<Self>) {
+        let mut actions = Vec::new();
+        self.ownership.cluster.handle(self.clock.now(), input, &mut actions);
+        for action in actions {
+            self.run_cluster_action(action, cx);
+        }
+        self.run_effects(cx);
+    }
+
+    fn run_cluster_action(&mut self, action: ClusterAction, cx: &mut Context<Self>) {
+        let now = self.clock.now();
+        match action {
+            ClusterAction::Read(pool) => self.read_record(pool, cx),
+            ClusterAction::Write { pool, expected, record } => {
+                let store = self.ownership.store.clone();
+                let write = async move {
+                    let result = store.write(&pool, expected, &record).await;
+                    ClusterInput::Written { pool, result }
+                };
+                self.call(write, cx);
+            }
+            ClusterAction::ReadPresence { pool, host } => {
+                let store = self.ownership.store.clone();
+                let read = async move {
+                    let result = store.presence(&host).await;
+                    ClusterInput::Presence { pool, result }
+                };
+                self.call(read, cx);
+            }
+            ClusterAction::HoldLease(wanted) => {
+                self.ownership.lease_wanted.send_replace(wanted);
+            }
+            ClusterAction::Own { pool, epoch, inheritance } => {
+                self.begin_term(now, &pool, epoch, &inheritance);
+            }
+            ClusterAction::Disown(pool) => self.end_term(&pool),
+            ClusterAction::UseStandby { pool, host } => {
+                self.owner_input(now, &pool, OwnerInput::UseStandby(host));
+            }
+            ClusterAction::Guard { pool, guard } => {
+                self.owner_input(now, &pool, OwnerInput::Guard(guard));
+            }
+            ClusterAction::OwnerChanged { pool, view } => {
+                let input = EntryInput::OwnerChanged { pool, view };
+                self.decisions.entry_input(now, input, &mut self.effects);
+            }
+            ClusterAction::Announce { to, announcement } => {
+                self.send_to(to.as_ref(), &PeerMessage::Announce(announcement));
+            }
+            ClusterAction::HandOver { to, pool, epoch } => {
+                self.send(&to, &PeerMessage::HandOver(HandOver { pool, epoch }));
+            }
+            ClusterAction::AnnounceLeaving => self.send_to(None, &PeerMessage::Leaving),
+            ClusterAction::SetTimer(at) => self.wake_at(at, cx),
+        }
+    }
+
+    fn read_record(&self, pool: PoolId, cx: &mut Context<Self>) {
+        let store = self.ownership.store.clone();
+        let read = async move {
+            let result = store.read(&pool).await;
+            ClusterInput::Read { pool, result }
+        };
+        self.call(read, cx);
+    }
+
+    /// Runs a call to the key-value service; its answer is an input.
+    fn call<F>(&self, call: F, cx: &mut Context<Self>)
+    where
+        F: Future<Output = ClusterInput> + 'static,
+    {
+        let answered = call.into_actor(self);
+        cx.spawn(answered.map(|input, control, cx| control.cluster_input(input, cx)));
+    }
+
+    fn owner_input(&mut self, now: MonoTime, pool: &PoolId, input: OwnerInput) {
+        self.decisions.owner_input(now, pool, input, &mut self.effects);
+    }
+
+    fn begin_term(&mut self, now: MonoTime, pool: &PoolId, epoch: Epoch, from: &Inheritance) {
+        self.decisions.own(now, pool, epoch, from);
+        for input in self.runners.inputs(pool) {
+            self.owner_input(now, pool, OwnerInput::Pool(input));
+        }
+        let members = self.ownership.cluster.members();
+        let holders = self.decisions.claim_holders(pool);
+        let gone: Vec<_> = holders.into_iter().filter(|host| !members.is_alive(host)).collect();
+        for host in gone {
+            self.owner_input(now, pool, OwnerInput::EntryGone(host));
+        }
+        self.watch_runners();
+    }
+
+    fn end_term(&mut self, pool: &PoolId) {
+        let owner = self.ownership.cluster.owner(pool);
+        let epoch = owner.map(|(_, epoch)| epoch).unwrap_or_default();
+        self.decisions.disown(pool, epoch);
+        self.watch_runners();
+    }
+}
--- a/crates/node/src/control/peers.rs
+++ b/crates/node/src/control/peers.rs
@@ -2,10 +2,11 @@
 
 use actix::{Context, StreamHandler};
 use comfreyway_core::{
+    cluster::ClusterInput,
     ids::{HostId, RequestId},
     outcome::UnknownReason,
 };
-use comfreyway_proto::peer::PeerMessage;
+use comfreyway_proto::peer::{HandOver, PeerMessage};
 
 use crate::peers::PeerEvent;
 
@@ -20,6 +21,31 @@
         }
     }
 
+    /// Sends a message to one peer, or to every peer that can be reached.
+    pub(super) fn send_to(&self, to: Option<&HostId>, message: &PeerMessage) {
+        match to {
+            Some(host) => self.send(host, message),
+            None => {
+                let links = self.peers.iter().flat_map(|peers| peers.links());
+                links.for_each(|(host, _)| self.send(&host, message));
+            }
+        }
+    }
+
+    fn peer_message(&mut self, from: HostId, message: PeerMessage, cx: &mut Context<Self>) {
+        match message {
+            PeerMessage::Announce(told) => self.cluster_input(ClusterInput::Announced(told), cx),
+            PeerMessage::HandOver(HandOver { pool, epoch }) => {
+                self.cluster_input(ClusterInput::HandOver { pool, epoch }, cx);
+            }
+            PeerMessage::Leaving => self.cluster_input(ClusterInput::PeerLeaving(from), cx),
+            message => {
+                let now = self.clock.now();
+                self.decisions.peer_message(now, from, message, &mut self.effects);
+            }
+        }
+    }
+
     /// Lets a worker fetch the answer of an earlier request from its holder.
     pub(super) fn attach_remote(&mut self, id: RequestId, first: RequestId, holder: &HostId) {
         let address = self.peers.as_ref().and_then(|peers| peers.address(&holder.name));
@@ -33,15 +59,15 @@
 
 impl StreamHandler<PeerEvent> for Control {
     fn handle(&mut self, event: PeerEvent, cx: &mut Context<Self>) {
-        let now = self.clock.now();
         match event {
-            PeerEvent::Up { .. } => {}
-            PeerEvent::Down { host } => {
-                self.decisions.peer_down(now, &host, &mut self.effects);
+            PeerEvent::Up { host, .. } => {
+                self.cluster_input(ClusterInput::PeerUp(host), cx);
             }
-            PeerEvent::Message { from, message } => {
-                self.decisions.peer_message(now, from, message, &mut self.effects);
+            PeerEvent::Down { host } => {
+                self.decisions.peer_down(self.clock.now(), &host, &mut self.effects);
+                self.cluster_input(ClusterInput::PeerDown(host), cx);
             }
+            PeerEvent::Message { from, message } => self.peer_message(from, message, cx),
         }
         self.run_effects(cx);
     }
--- a/crates/node/src/control/runners.rs
+++ b/crates/node/src/control/runners.rs
@@ -19,7 +19,6 @@
 /// What a new configuration changes for the pools.
 #[derive(Debug, Default)]
 pub(crate) struct PoolChanges {
-    pub(crate) new_pools: Vec<PoolId>,
     pub(crate) removed_pools: Vec<PoolId>,
     pub(crate) inputs: Vec<(PoolId, PoolInput)>,
 }
@@ -49,6 +48,17 @@
         self.pools.get(pool)?.get(runner).map(|known| known.address)
     }
 
+    /// The inputs that tell a new owner of every runner.
+    pub(crate) fn inputs(&self, pool: &PoolId) -> Vec<PoolInput> {
+        let runners = self.pools.get(pool).into_iter().flat_map(BTreeMap::values);
+        runners.flat_map(inputs_for).collect()
+    }
+
+    /// Names of all pools.
+    pub(crate) fn pools(&self) -> BTreeSet<PoolId> {
+        self.pools.keys().cloned().collect()
+    }
+
     /// Every runner of the pools that `owned` names, as it is asked for reports.
     pub(crate) fn watched<'a, I>(&self, owned: I) -> Vec<WatchedRunner>
     where
@@ -82,7 +92,6 @@
         let mut changes = PoolChanges::default();
         let old_keys: BTreeSet<_> = self.pools.keys().cloned().collect();
         let new_keys: BTreeSet<_> = new.keys().cloned().collect();
-        changes.new_pools.extend(new_keys.difference(&old_keys).cloned());
         changes.removed_pools.extend(old_keys.difference(&new_keys).cloned());
         for (pool, runners) in &new {
             let old = self.pools.get(pool);
--- a/crates/node/src/run/control_thread.rs
+++ b/crates/node/src/run/control_thread.rs
@@ -1,19 +1,19 @@
 //! Starts the control thread and everything that runs on it.
 
-use std::{net::TcpListener, rc::Rc};
+use std::{collections::BTreeSet, net::TcpListener, rc::Rc};
 
 use actix::Actor;
 use actix_rt::Arbiter;
 use comfreyway_core::ids::HostId;
 use tokio::sync::{
-    mpsc::{Receiver, unbounded_channel},
+    mpsc::{UnboundedReceiver, unbounded_channel},
     oneshot,
 };
 
 use crate::{
     config::{ConfigActor, ConfigHandle, split_peer_events},
     control::{Control, ControlHandle},
-    peers::{PeerEvent, PeerSecret, PeersSettings, start_peers},
+    peers::{PeerSecret, PeersSettings, ResultCall, start_peers},
     settings::Settings,
 };
 
@@ -28,6 +28,8 @@
     pub(crate) control: ControlHandle,
     /// The configuration.
     pub(crate) config: ConfigHandle,
+    /// Peers' calls for kept answers.
+    pub(crate) results: UnboundedReceiver<ResultCall>,
 }
 
 impl ControlThread {
@@ -38,7 +40,10 @@
         peers_listener: TcpListener,
     ) -> Result<Self, RunError> {
         let platform = settings.platform.clone();
-        let peers_settings = peers_settings(&host, settings, &peers_listener)?;
+        let (results_tx, results) = unbounded_channel();
+        let peers_settings =
+            peers_settings(&host, settings, &peers_listener)?.with_results(results_tx);
+        let names: BTreeSet<_> = settings.peers.keys().cloned().collect();
         peers_listener.set_nonblocking(true)?;
         let (tx, queue) = unbounded_channel();
         let (started, config) = oneshot::channel();
@@ -47,10 +52,12 @@
             let name = host.name.clone();
             let Ok(listener) = tokio::net::TcpListener::from_std(peers_listener) else { return };
             let (peers, events) = start_peers(peers_settings, listener);
-            let config = ConfigActor::start_on_control(name, key_value, Rc::new(peers));
+            let config =
+                ConfigActor::start_on_control(name, key_value.clone(), Rc::new(peers.clone()));
             let events = split_peer_events(events, config.clone());
-            actix_rt::spawn(drop_events(events));
-            let control = Control::new(host, config.document(), queue);
+            let control = Control::new(host, config.document(), queue)
+                .with_key_value(key_value, names)
+                .with_peers(peers, events);
             match host_list(&platform) {
                 Some(list) => control.with_host_list(list).start(),
                 None => control.start(),
@@ -59,7 +66,7 @@
             let _ = started.send(config);
         });
         let config = config.await.map_err(|_| RunError::ControlThread)?;
-        Ok(Self { control: ControlHandle::new(tx), config })
+        Ok(Self { control: ControlHandle::new(tx), config, results })
     }
 }
 
@@ -75,8 +82,3 @@
     let address = listener.local_addr()?;
     Ok(PeersSettings::new(host.clone(), address, secret).with_static_peers(addresses))
 }
-
-/// Nothing but the configuration acts on peers yet.
-async fn drop_events(mut events: Receiver<PeerEvent>) {
-    while events.recv().await.is_some() {}
-}
--- a/crates/node/src/run/daemon.rs
+++ b/crates/node/src/run/daemon.rs
@@ -22,7 +22,8 @@
     control_thread::ControlThread,
     initial::{read_initial, write_initial},
     listeners::{Listeners, local_address},
-    stop::{StopEnd, StopSignals, drain},
+    results::serve_results,
+    stop::{StopEnd, StopSignals, drain, hand_over},
 };
 
 /// Runs a daemon until it is told to stop.
@@ -50,6 +51,7 @@
         metrics.traffic().clone(),
     ));
     let operator = operator_state(&settings, &thread, traffic.clone());
+    actix_rt::spawn(serve_results(traffic.clone(), thread.results));
     let stop = operator.stop_requests();
     log_started(&settings, &listeners);
     let operators = serve_operators(&listeners, traffic.clone(), metrics, operator)?;
@@ -63,10 +65,15 @@
         () = stop.notified() => {}
     }
     log_event!(Event::Stopping, in_progress = traffic.in_progress());
+    // The control thread can't have ended before its handles are dropped.
+    let _ = thread.control.stop();
     let end = drain(&traffic, &mut signals, settings.limits.stop_limit).await;
     if end != StopEnd::Drained {
         log_event!(Event::StopCut, in_progress = traffic.in_progress());
     }
+    if end == StopEnd::Drained && !settings.peers.is_empty() {
+        hand_over(&thread.control).await;
+    }
     callers_handle.stop(true).await;
     operators_handle.stop(false).await;
     log_event!(Event::Stopped, in_progress = traffic.in_progress());
--- a/crates/node/src/run/mod.rs
+++ b/crates/node/src/run/mod.rs
@@ -11,6 +11,7 @@
 mod listeners;
 mod main;
 mod platform;
+mod results;
 mod stop;
 
 pub use self::{daemon::run, error::RunError, main::main};
--- /dev/null
+++ b/crates/node/src/run/results.rs
@@ -0,0 +1,26 @@
+//! Serves kept answers to the peers that ask for them.
+
+use actix_web::web::Data;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::{
+    http::{Traffic, serve_result},
+    peers::ResultCall,
+};
+
+/// Serves calls until the control thread ends.
+pub(crate) async fn serve_results(
+    traffic: Data<Traffic>,
+    mut calls: UnboundedReceiver<ResultCall>,
+) {
+    while let Some(call) = calls.recv().await {
+        let traffic = traffic.clone();
+        actix_rt::spawn(async move {
+            let id = call.id();
+            // A socket that can't be watched is closed, which tells the peer.
+            if let Ok(mut socket) = call.into_socket().await {
+                serve_result(&traffic, id, &mut socket).await;
+            }
+        });
+    }
+}
--- a/crates/node/src/run/stop.rs
+++ b/crates/node/src/run/stop.rs
@@ -4,10 +4,19 @@
 
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
-    time::{Instant, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
-use crate::http::{Phase, Traffic};
+use crate::{
+    control::ControlHandle,
+    http::{Phase, Traffic},
+};
+
+/// Longest wait of a drained daemon for others to own its pools.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(3_000);
+
+/// Time between two looks at the owned pools.
+const HAND_OVER_POLL: Duration = Duration::from_millis(10);
 
 /// The signals that begin a planned stop.
 pub(crate) struct StopSignals {
@@ -67,6 +76,17 @@
     end
 }
 
+/// Waits until other hosts own every pool of this one, or give no sign of it.
+pub(crate) async fn hand_over(control: &ControlHandle) {
+    let owns_nothing = async {
+        while control.status().await.is_ok_and(|status| !status.owned.is_empty()) {
+            sleep(HAND_OVER_POLL).await;
+        }
+    };
+    // Without an answer in time, the pools are followed as after a failure.
+    let _ = timeout(HAND_OVER_LIMIT, owns_nothing).await;
+}
+
 async fn limit_reached(deadline: Option<Instant>) {
     match deadline {
         Some(at) => sleep_until(at).await,
