Keep every timer, and recover from messages lost before a link was up

Cause: the control thread kept the first of the times that were asked for and dropped the rest, but who asks for a time does not ask again. An owner also took a grant, and a standby's answer, as delivered that was sent before the link was up. Ruled out: the takeover itself (its model tests pass), and the service's answers (the log showed one failed read and then no further input). An owner asks an entry to submit again when its link comes up, and sends its claims again when a standby owes an answer for 500 ms. The actor is split by matter.

--- a/crates/core/src/owner/event.rs
+++ b/crates/core/src/owner/event.rs
@@ -80,7 +80,8 @@
         /// owner had received. The grant's lifetime counts from here.
         asked_at: MonoTime,
     },
-    /// The owner took the entry for dead: submit everything again.
+    /// The owner took the entry for dead, or lost what it sent to it: submit
+    /// everything again.
     SubmitAgain,
     /// A request is refused.
     Refused {
--- a/crates/core/src/owner/input.rs
+++ b/crates/core/src/owner/input.rs
@@ -16,6 +16,8 @@
         /// The event.
         event: EntryEvent,
     },
+    /// Events can be sent to an entry host over a new link.
+    EntryBack(HostId),
     /// An entry host is gone.
     EntryGone(HostId),
     /// A change of the runners, a load report or the like.
--- a/crates/core/src/owner/replica.rs
+++ b/crates/core/src/owner/replica.rs
@@ -2,10 +2,13 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{ids::HostId, request::RequestRecord};
+use crate::{ids::HostId, request::RequestRecord, time::MonoTime};
 
 use super::{Claim, ClaimTable, OwnerAction, StandbyEvent};
 
+/// Time after which an acknowledgement is taken for lost.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
 /// The owner's side of the copy at the standby.
 #[derive(Debug)]
 pub(super) struct Replica {
@@ -13,6 +16,9 @@
     snapshot: u64,
     next: u64,
     ready: bool,
+    /// Time of the last event that is not acknowledged, or of the last
+    /// acknowledgement.
+    active: MonoTime,
     waiting: BTreeMap<u64, Vec<RequestRecord>>,
 }
 
@@ -27,6 +33,7 @@
     /// Sends every claim. `waiting` are records whose claims are among them and
     /// were not acknowledged by an earlier standby.
     pub(super) fn new(
+        now: MonoTime,
         host: HostId,
         number: u64,
         claims: &ClaimTable,
@@ -37,8 +44,9 @@
         let claims = claims.iter().cloned().collect();
         let event = StandbyEvent::Snapshot { number, claims, incomplete_for };
         out.push(OwnerAction::Replicate { standby: host.clone(), event });
-        let waiting = BTreeMap::from([(number, waiting)]);
-        Self { host, snapshot: number, next: number + 1, ready: false, waiting }
+        let waiting: BTreeMap<_, _> =
+            [(number, waiting)].into_iter().filter(|(_, w)| !w.is_empty()).collect();
+        Self { host, snapshot: number, next: number + 1, ready: false, active: now, waiting }
     }
 
     pub(super) fn host(&self) -> &HostId {
@@ -64,11 +72,19 @@
         out.push(OwnerAction::Replicate { standby: self.host.clone(), event });
     }
 
+    /// True if the standby owes an acknowledgement for so long that an event or
+    /// its answer must be lost.
+    pub(super) fn is_overdue(&self, now: MonoTime) -> bool {
+        let owed = !self.ready || !self.waiting.is_empty();
+        owed && now >= self.active + ANSWER_LIMIT
+    }
+
     /// Takes an acknowledgement of everything up to `number`.
-    pub(super) fn taken(&mut self, number: u64) -> Taken {
+    pub(super) fn taken(&mut self, now: MonoTime, number: u64) -> Taken {
         if number < self.snapshot {
             return Taken::default();
         }
+        self.active = now;
         let became_ready = !self.ready;
         self.ready = true;
         let later = self.waiting.split_off(&(number + 1));
--- a/crates/core/src/owner/state.rs
+++ b/crates/core/src/owner/state.rs
@@ -111,13 +111,20 @@
                 }
                 self.entry_event(now, &entry, event, out);
             }
+            OwnerInput::EntryBack(entry) => {
+                self.gone.remove(&entry);
+                out.push(OwnerAction::Tell { entry, event: OwnerEvent::SubmitAgain });
+            }
             OwnerInput::EntryGone(entry) => self.entry_gone(now, entry, out),
             OwnerInput::Pool(input) => self.pool_input(now, input, out),
             OwnerInput::UseStandby(host) => self.use_standby(now, host, out),
             OwnerInput::Standby { host, reply } => self.standby_reply(now, &host, reply, out),
             OwnerInput::Guard(guard) => self.guard = guard,
             OwnerInput::Memory(memory) => self.memory = memory,
-            OwnerInput::Tick => self.pool_input(now, PoolInput::Tick, out),
+            OwnerInput::Tick => {
+                self.replicate_again(now, out);
+                self.pool_input(now, PoolInput::Tick, out);
+            }
         }
         self.review_held(now, out);
     }
--- a/crates/core/src/owner/upkeep.rs
+++ b/crates/core/src/owner/upkeep.rs
@@ -86,7 +86,8 @@
         let waiting = old.map(Replica::into_waiting).unwrap_or_default();
         match host {
             Some(host) => {
-                self.replica = Some(Replica::new(host, number, &self.claims, left, waiting, out));
+                self.replica =
+                    Some(Replica::new(now, host, number, &self.claims, left, waiting, out));
             }
             None => {
                 for record in waiting {
@@ -96,6 +97,14 @@
         }
     }
 
+    /// Sends every claim again if the standby's acknowledgement is overdue.
+    pub(super) fn replicate_again(&mut self, now: MonoTime, out: &mut Vec<OwnerAction>) {
+        let overdue = self.replica.as_ref().filter(|replica| replica.is_overdue(now));
+        if let Some(host) = overdue.map(|replica| replica.host().clone()) {
+            self.use_standby(now, Some(host), out);
+        }
+    }
+
     /// Gives up a request whose claim no standby took. It was never granted, but
     /// another owner may have granted the same identity.
     fn give_up(&mut self, record: &RequestRecord, out: &mut Vec<OwnerAction>) {
@@ -123,7 +132,7 @@
                 return;
             }
         };
-        let taken = replica.taken(number);
+        let taken = replica.taken(now, number);
         if taken.became_ready {
             out.push(OwnerAction::StandbyReady(host.clone()));
         }
--- a/crates/node/src/control/actor.rs
+++ b/crates/node/src/control/actor.rs
@@ -4,7 +4,6 @@
     collections::{BTreeSet, HashMap},
     rc::Rc,
     sync::Arc,
-    time::Duration,
 };
 
 use actix::{
@@ -14,11 +13,8 @@
     cluster::ClusterInput,
     config::Document,
     entry::EntryInput,
-    ids::{Epoch, HostId, HostName, PoolId, RequestId, RunnerName},
-    outcome::RetryReason,
-    owner::{self, Identity, RequestKey},
+    ids::{HostId, HostName, RequestId},
     pool::PoolInput,
-    request::RequestRecord,
     time::MonoTime,
 };
 use comfreyway_platform::{EmbeddedKeyValue, HostList, KeyValue};
@@ -34,8 +30,8 @@
 };
 
 use super::{
-    Clock, ControlStatus, Decision, PoolStatus, Progress, Submission, WorkerMessage,
-    decisions::Decisions, effect::Effect, ownership::Ownership, runners::PoolRunners,
+    Clock, ControlStatus, Decision, PoolStatus, WorkerMessage, decisions::Decisions,
+    effect::Effect, ownership::Ownership, runners::PoolRunners,
 };
 
 /// Holds the state of all decisions of this host.
@@ -46,10 +42,11 @@
     document: Arc<Document>,
     pub(super) runners: PoolRunners,
     pub(super) decisions: Decisions,
-    workers: HashMap<RequestId, UnboundedSender<Decision>>,
+    pub(super) workers: HashMap<RequestId, UnboundedSender<Decision>>,
     queue: Option<UnboundedReceiver<WorkerMessage>>,
     pub(super) effects: Vec<Effect>,
-    wake: Option<(MonoTime, SpawnHandle)>,
+    pub(super) wake: Option<(MonoTime, SpawnHandle)>,
+    pub(super) wakes: BTreeSet<MonoTime>,
     host_list: Option<Rc<dyn HostList>>,
     reports: Option<Addr<ReportsActor>>,
     pub(super) peers: Option<PeersHandle>,
@@ -78,6 +75,7 @@
             queue: Some(queue),
             effects: Vec::new(),
             wake: None,
+            wakes: BTreeSet::new(),
             host_list: None,
             reports: None,
             peers: None,
@@ -133,52 +131,6 @@
         }
     }
 
-    fn submit(&mut self, submission: Submission) {
-        let Submission { id, pool, decisions, .. } = &submission;
-        self.workers.insert(*id, decisions.clone());
-        let pool = pool.clone();
-        let record = RequestRecord {
-            id: *id,
-            entry: self.host.clone(),
-            workspace: submission.workspace,
-            class: submission.class,
-            tier: submission.tier,
-            target: submission.target,
-            age: Duration::ZERO,
-            prefill_tokens: submission.prefill_tokens,
-            max_decode_tokens: submission.max_decode_tokens,
-            prefix: submission.prefix,
-            body_bytes: submission.body_bytes,
-        };
-        let workspace = record.workspace.clone();
-        let idempotent = submission.idempotent;
-        let identity = submission.key.map(|given| Identity {
-            key: RequestKey { workspace, key: given.key },
-            digest: given.digest,
-            idempotent,
-        });
-        let submission = owner::Submission { record, identity };
-        let input = EntryInput::Received { submission, pool };
-        self.decisions.entry_input(self.clock.now(), input, &mut self.effects);
-    }
-
-    fn progress(&mut self, id: RequestId, progress: Progress) {
-        let input = match progress {
-            Progress::NotSent(reason) => EntryInput::NotSent { id, reason },
-            Progress::FirstToken => EntryInput::FirstToken(id),
-            Progress::RunnerLeaving => EntryInput::RunnerLeaving(id),
-            Progress::Ended(end) => {
-                self.workers.remove(&id);
-                EntryInput::Ended { id, end }
-            }
-            Progress::CallerGone => {
-                self.workers.remove(&id);
-                EntryInput::CallerGone(id)
-            }
-        };
-        self.decisions.entry_input(self.clock.now(), input, &mut self.effects);
-    }
-
     fn status(&self) -> ControlStatus {
         let entry = self.decisions.entry();
         let owned = self.decisions.pools().map(|pool| PoolStatus {
@@ -227,48 +179,6 @@
             Effect::WakeAt(at) => self.wake_at(at, cx),
         }
     }
-
-    /// Tells a worker the last decision on its request.
-    pub(super) fn decide(&mut self, id: RequestId, decision: Decision) {
-        if let Some(tx) = self.workers.remove(&id) {
-            // A closed channel means that the caller has gone already.
-            let _ = tx.send(decision);
-        }
-    }
-
-    fn dispatch(&mut self, id: RequestId, pool: &PoolId, runner: RunnerName, epoch: Epoch) {
-        let address = self.runners.address(pool, &runner);
-        let worker = self.workers.get(&id);
-        let (Some(address), Some(tx)) = (address, worker) else {
-            let input = EntryInput::NotSent { id, reason: RetryReason::RunnerLeaving };
-            self.decisions.entry_input(self.clock.now(), input, &mut self.effects);
-            return;
-        };
-        if tx.send(Decision::Dispatch { runner, address, epoch }).is_err() {
-            let now = self.clock.now();
-            let reason = RetryReason::GrantExpired;
-            self.decisions.entry_input(now, EntryInput::NotSent { id, reason }, &mut self.effects);
-            self.decisions.entry_input(now, EntryInput::CallerGone(id), &mut self.effects);
-            self.workers.remove(&id);
-        }
-    }
-
-    pub(super) fn wake_at(&mut self, at: MonoTime, cx: &mut Context<Self>) {
-        if self.wake.as_ref().is_some_and(|(earlier, _)| *earlier <= at) {
-            return;
-        }
-        if let Some((_, handle)) = self.wake.take() {
-            cx.cancel_future(handle);
-        }
-        let delay = at.since(self.clock.now());
-        let handle = cx.run_later(delay, |control, cx| {
-            control.wake = None;
-            control.decisions.tick(control.clock.now(), &mut control.effects);
-            control.run_effects(cx);
-            control.cluster_input(ClusterInput::Tick, cx);
-        });
-        self.wake = Some((at, handle));
-    }
 }
 
 impl Actor for Control {
--- a/crates/node/src/control/decisions.rs
+++ b/crates/node/src/control/decisions.rs
@@ -116,6 +116,14 @@
         self.run(now, out);
     }
 
+    /// Messages can be sent to a peer. What was sent before may be lost.
+    pub(crate) fn peer_up(&mut self, now: MonoTime, host: &HostId, out: &mut Vec<Effect>) {
+        let pools = self.seats.keys().cloned();
+        let back = |pool| Step::Owner(pool, OwnerInput::EntryBack(host.clone()));
+        self.steps.extend(pools.map(back));
+        self.run(now, out);
+    }
+
     /// A peer can't be reached: its waiting requests are gone, and so are the
     /// pools that it owned.
     pub(crate) fn peer_down(&mut self, now: MonoTime, host: &HostId, out: &mut Vec<Effect>) {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -13,8 +13,10 @@
 mod message;
 mod ownership;
 mod peers;
+mod requests;
 mod runners;
 mod status;
+mod timer;
 
 use self::effect::Effect;
 pub use self::{
--- a/crates/node/src/control/peers.rs
+++ b/crates/node/src/control/peers.rs
@@ -61,6 +61,7 @@
     fn handle(&mut self, event: PeerEvent, cx: &mut Context<Self>) {
         match event {
             PeerEvent::Up { host, .. } => {
+                self.decisions.peer_up(self.clock.now(), &host, &mut self.effects);
                 self.cluster_input(ClusterInput::PeerUp(host), cx);
             }
             PeerEvent::Down { host } => {
