Test hosts that die, pause and stop with real processes

Cause: ownership and repeats were proved in the model only. Change: three daemons over the key-value stand-in. Runs are counted in the stand-ins' logs.

--- /dev/null
+++ b/tests/testsuite/hosts/fleet.rs
@@ -0,0 +1,129 @@
+//! Several daemons over one key-value service and the same upstreams.
+
+use std::rc::Rc;
+
+use comfreyway_core::{
+    cluster::PoolRecord,
+    config::{Change, ChangeId, ChangeOutcome, Document},
+    ids::HostName,
+};
+use comfreyway_node::config::{ConfigActor, NoLinks};
+use comfreyway_platform::{EtcdConfig, EtcdKeyValue, KeyValue};
+use comfreyway_testkit::{
+    RunLog,
+    daemon::{DaemonSettings, eventually},
+    engine::{EngineSettings, EngineStandIn},
+    kv::KvStandIn,
+    service::ServiceStandIn,
+};
+
+use crate::support::{Caller, Daemon, Fixture};
+
+/// Key of the engines' pool in the key-value service.
+const ENGINE_POOL_KEY: &str = "comfreyway/pools/dala-llm@almaty";
+
+/// Several daemons over one key-value service and the same upstreams.
+pub(super) struct Fleet {
+    pub(super) kv: KvStandIn,
+    pub(super) engine: EngineStandIn,
+    pub(super) service: ServiceStandIn,
+    pub(super) daemons: Vec<Option<Daemon>>,
+}
+
+impl Fleet {
+    /// Starts so many daemons and waits until each knows the pool's owner and
+    /// the owner has a standby.
+    pub(super) async fn start(hosts: usize) -> Self {
+        let kv = KvStandIn::start().unwrap();
+        let engine = EngineStandIn::start(EngineSettings::new()).unwrap();
+        let service = ServiceStandIn::start().unwrap();
+        let fixture = Fixture::new().with_engine(engine.address()).with_service(service.address());
+        configure(&kv, &fixture.text()).await;
+        let name = |ix| format!("host-{ix}");
+        let settings: Vec<_> =
+            (0..hosts).map(|ix| DaemonSettings::with_etcd(&name(ix), kv.address(), None)).collect();
+        let settings: Vec<_> = settings.into_iter().map(Result::unwrap).collect();
+        let peers: Vec<_> = settings.iter().map(|s| (s.name.clone(), s.peers)).collect();
+        let mut daemons = Vec::new();
+        for mut settings in settings {
+            let own = settings.name.clone();
+            for (name, address) in peers.iter().filter(|(name, _)| *name != own) {
+                settings = settings.with_peer(name, *address);
+            }
+            daemons.push(Daemon::start(settings));
+        }
+        for daemon in &mut daemons {
+            daemon.ready().await.unwrap();
+        }
+        let daemons = daemons.into_iter().map(Some).collect();
+        let fleet = Self { kv, engine, service, daemons };
+        if hosts > 1 {
+            fleet.record_when(|record| record.standby.is_some()).await;
+        }
+        fleet
+    }
+
+    /// The engines' pool as the service records it, once it is as wanted.
+    pub(super) async fn record_when(&self, wanted: impl Fn(&PoolRecord) -> bool) -> PoolRecord {
+        let found = eventually(|| async {
+            let found = self.kv.store().get(ENGINE_POOL_KEY).await.unwrap()?;
+            let record: PoolRecord = serde_json::from_slice(&found.value).unwrap();
+            wanted(&record).then_some(record)
+        });
+        found.await.expect("the pool's record never came to be as wanted")
+    }
+
+    pub(super) async fn owner(&self) -> usize {
+        let record = self.record_when(|record| record.owner.is_some()).await;
+        index(&record.owner.unwrap().name)
+    }
+
+    pub(super) async fn standby(&self) -> usize {
+        let record = self.record_when(|record| record.standby.is_some()).await;
+        index(&record.standby.unwrap().name)
+    }
+
+    pub(super) fn daemon(&self, ix: usize) -> &Daemon {
+        self.daemons[ix].as_ref().unwrap()
+    }
+
+    /// Kills a daemon at once.
+    pub(super) fn kill(&mut self, ix: usize) {
+        self.daemons[ix] = None;
+    }
+
+    pub(super) fn caller(&self, ix: usize) -> Caller {
+        self.daemon(ix).caller()
+    }
+
+    /// A running daemon other than those.
+    pub(super) fn other_than(&self, taken: &[usize]) -> usize {
+        let free = |ix: &usize| !taken.contains(ix) && self.daemons[*ix].is_some();
+        (0..self.daemons.len()).find(free).unwrap()
+    }
+}
+
+fn index(name: &HostName) -> usize {
+    name.as_str().trim_start_matches("host-").parse().unwrap()
+}
+
+/// Writes the first configuration as an operator does.
+async fn configure(kv: &KvStandIn, text: &str) {
+    let document = comfreyway_proto::ini::read(text).unwrap();
+    let client = Rc::new(EtcdKeyValue::new(EtcdConfig::new(vec![kv.address()])));
+    let writer = ConfigActor::start_on_control("writer".parse().unwrap(), client, Rc::new(NoLinks));
+    let (id, author) = (ChangeId::new(0, 1), "operator".parse().unwrap());
+    let edits = Document::default().diff(&document);
+    let outcome = writer.change(Change { id, author, edits }).await;
+    assert!(matches!(outcome, ChangeOutcome::Accepted { .. }), "{outcome:?}");
+    writer.stop();
+}
+
+/// Asserts that no request identity ran twice.
+pub(super) fn assert_each_ran_once(log: &RunLog) {
+    let mut ids: Vec<_> = log.runs().into_iter().map(|run| run.request_id).collect();
+    ids.sort();
+    let count = ids.len();
+    ids.dedup();
+    assert_eq!(ids.len(), count, "a request ran twice");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod config_change;
 mod config_fleet;
 mod config_spread;
+mod hosts;
 mod support;
 mod upstream_leaving;
 mod upstream_links;
