Hold a request for the runner that has its prefix

A request went to whichever runner had room, even if the runner with its prefix was busy for a moment, or was just prefilling the same prompt.

Change: hints tell prefixes that are cached from those that are coming. A request leaves its queue and waits for such a runner if that costs less than prefilling again; it returns when the runner has room, is no longer usable, or the expected wait is over. Its length class follows what is not cached. Prefill weighs twice as much as waiting, because it delays others as well; a whole answer's decode time counts only beyond half of the time left.

--- a/crates/core/src/pool/departure.rs
+++ b/crates/core/src/pool/departure.rs
@@ -31,10 +31,10 @@
     }
 
     pub(super) fn runner_gone(&mut self, now: MonoTime, name: &RunnerName) {
-        if let Some(ix) = self.runners.find(name) {
-            self.prefixes.forget_runner(ix);
-        }
+        let Some(ix) = self.runners.find(name) else { return };
+        self.prefixes.forget_runner(ix);
         self.runners.remove(now, name, &mut self.timers);
+        self.free_held(now, ix);
     }
 
     fn orphan(&mut self, now: MonoTime, id: RequestId) {
--- a/crates/core/src/pool/grant.rs
+++ b/crates/core/src/pool/grant.rs
@@ -12,7 +12,8 @@
 use super::{
     Pool, PoolAction,
     flight::{Flight, Progress},
-    placement::{Placement, place},
+    placement::{Placement, choose},
+    prefix::Stage,
     request::{Length, Request},
     runner::{Access, PendingPrefill, RunnerIx},
     state::MIN_RETRY_AFTER,
@@ -63,8 +64,13 @@
         let Some(request) = self.queues.get(id) else { return };
         let length = request.length;
         self.prefixes.lookup(&request.record, &mut self.hits);
-        let Some(placement) = place(now, &self.runners, request, access, &self.hits) else {
-            self.recheck(now, access, length);
+        let choice = choose(now, &self.runners, request, access, &self.hits);
+        if let Some(held) = self.worth_waiting(now, request, &choice) {
+            self.hold(now, id, &held);
+            return;
+        }
+        let Some(placement) = choice.open else {
+            self.no_room(now, id, access, length);
             return;
         };
         if self.is_too_late(now, request, &placement, access) {
@@ -112,10 +118,11 @@
         let grant = Grant { id, runner: name, epoch: self.settings.epoch, valid_for };
         out.push(PoolAction::Grant { entry: request.record.entry.clone(), grant });
         if engine {
-            let (tokens, length) = (placement.uncached, request.length);
+            let tokens = placement.uncached;
+            let length = Length::of(tokens);
             runner.push_prefill(now, PendingPrefill { id, tokens, length, granted: now });
             self.runners.count_long(length, true);
-            self.prefixes.note(now, &request.record, placement.runner);
+            self.prefixes.note(now, &request.record, placement.runner, Stage::Coming);
         }
         if let Some(queue) = self.queues.queue_mut(request.record.tier, request.length) {
             queue.drain.add(now, request.work());
@@ -165,6 +172,17 @@
         }
     }
 
+    /// A request was first in its queue, but no candidate has room for it.
+    fn no_room(&mut self, now: MonoTime, id: RequestId, access: Access, length: Length) {
+        let Some(request) = self.queues.get(id) else { return };
+        let own = Length::of(request.record.prefill_tokens);
+        if own != length {
+            self.queues.refile(id, own);
+            return;
+        }
+        self.recheck(now, access, length);
+    }
+
     /// Updates runners that were ordered as having room, but have none now.
     fn recheck(&mut self, now: MonoTime, access: Access, length: Length) {
         let open = self.runners.open(access, length).take(RECHECKED_RUNNERS);
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -9,6 +9,7 @@
 //!
 //! - `submit` works out a request's rank, `shed` admits or refuses it, and
 //!   `queues` keeps it: one `fair` queue per tier and length class.
+//! - `hold` keeps requests back for the runner that has their prefix.
 //! - `grant` takes the first request for which `table` has a runner with room,
 //!   and `placement` chooses the runner by `rates`, `limit` and `prefix`.
 //! - `progress` learns from what entries report, and `departure` handles
@@ -28,6 +29,7 @@
 mod foreign;
 mod grant;
 mod hash;
+mod hold;
 mod input;
 mod limit;
 mod placement;
--- a/crates/core/src/pool/prefix.rs
+++ b/crates/core/src/pool/prefix.rs
@@ -33,13 +33,26 @@
 struct Holder {
     runner: RunnerIx,
     since: MonoTime,
+    stage: Stage,
+}
+
+/// Whether a block can be used yet.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Stage {
+    /// A prompt with the block was granted and is not prefilled yet.
+    Coming,
+    /// The block was prefilled.
+    Cached,
 }
 
 /// Tokens of a prompt that a runner probably holds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct PrefixHit {
     pub(super) runner: RunnerIx,
+    /// Tokens that are cached now.
     pub(super) tokens: u32,
+    /// Tokens that are cached once the pending prompts are prefilled.
+    pub(super) coming: u32,
 }
 
 /// Holders by block.
@@ -50,22 +63,37 @@
 }
 
 impl PrefixIndex {
-    /// Notes that a runner was sent this prompt.
-    pub(super) fn note(&mut self, now: MonoTime, record: &RequestRecord, runner: RunnerIx) {
+    /// Notes that a runner was sent this prompt, or has prefilled it.
+    pub(super) fn note(
+        &mut self,
+        now: MonoTime,
+        record: &RequestRecord,
+        runner: RunnerIx,
+        stage: Stage,
+    ) {
         for depth in depths(record.prefix.len()) {
-            self.insert(now, record.prefix[depth - 1], runner);
+            self.insert(now, record.prefix[depth - 1], runner, stage);
         }
         self.expire(now);
     }
 
+    /// Forgets that a prompt was sent to a runner, because it was not used.
+    pub(super) fn forget_coming(&mut self, record: &RequestRecord, runner: RunnerIx) {
+        for depth in depths(record.prefix.len()) {
+            self.remove(record.prefix[depth - 1], runner, |h| h.stage == Stage::Coming);
+        }
+    }
+
     /// Takes in a cache event of a runner.
     pub(super) fn event(&mut self, now: MonoTime, runner: RunnerIx, event: &CacheEvent) {
         match event {
             CacheEvent::Stored(blocks) => {
-                blocks.iter().for_each(|&block| self.insert(now, block, runner));
+                for &block in blocks {
+                    self.insert(now, block, runner, Stage::Cached);
+                }
             }
             CacheEvent::Evicted(blocks) => {
-                blocks.iter().for_each(|&block| self.remove(block, runner, None));
+                blocks.iter().for_each(|&block| self.remove(block, runner, |_| true));
             }
             CacheEvent::Reset => self.forget_runner(runner),
         }
@@ -77,7 +105,7 @@
         let order = std::mem::take(&mut self.order);
         let (gone, kept): (VecDeque<_>, _) = order.into_iter().partition(|&(.., r)| r == runner);
         self.order = kept;
-        gone.into_iter().for_each(|(_, block, _)| self.remove(block, runner, None));
+        gone.into_iter().for_each(|(_, block, _)| self.remove(block, runner, |_| true));
     }
 
     /// Runners that hold a prefix of the prompt, the longest prefix first.
@@ -96,7 +124,7 @@
             low = middle + 1;
             let tokens = u64::from(record.prefill_tokens) * depth as u64 / len as u64;
             for holder in holders {
-                add_hit(hits, holder.runner, tokens as u32);
+                add_hit(hits, holder, tokens as u32);
             }
         }
     }
@@ -105,9 +133,10 @@
         self.order.len()
     }
 
-    fn insert(&mut self, now: MonoTime, block: BlockHash, runner: RunnerIx) {
+    fn insert(&mut self, now: MonoTime, block: BlockHash, runner: RunnerIx, stage: Stage) {
         let holders = self.holders.entry(block).or_default();
         if let Some(holder) = holders.iter_mut().find(|h| h.runner == runner) {
+            holder.stage = holder.stage.max(stage);
             if now.since(holder.since) < HINT_LIFETIME / 4 {
                 return;
             }
@@ -116,14 +145,16 @@
             if holders.len() == MAX_HOLDERS {
                 holders.remove(0);
             }
-            holders.push(Holder { runner, since: now });
+            holders.push(Holder { runner, since: now, stage });
         }
         self.order.push_back((now, block, runner));
     }
 
-    fn remove(&mut self, block: BlockHash, runner: RunnerIx, until: Option<MonoTime>) {
+    fn remove<F>(&mut self, block: BlockHash, runner: RunnerIx, outdated: F)
+    where
+        F: Fn(&Holder) -> bool,
+    {
         let Some(holders) = self.holders.get_mut(&block) else { return };
-        let outdated = |h: &Holder| until.is_none_or(|until| h.since <= until);
         holders.retain(|h| h.runner != runner || !outdated(h));
         if holders.is_empty() {
             self.holders.remove(&block);
@@ -137,15 +168,19 @@
                 return;
             }
             self.order.pop_front();
-            self.remove(block, runner, Some(since));
+            self.remove(block, runner, |h| h.since <= since);
         }
     }
 }
 
-fn add_hit(hits: &mut Vec<PrefixHit>, runner: RunnerIx, tokens: u32) {
-    match hits.iter_mut().find(|hit| hit.runner == runner) {
-        Some(hit) => hit.tokens = hit.tokens.max(tokens),
-        None => hits.push(PrefixHit { runner, tokens }),
+fn add_hit(hits: &mut Vec<PrefixHit>, holder: &Holder, tokens: u32) {
+    let cached = if holder.stage == Stage::Cached { tokens } else { 0 };
+    match hits.iter_mut().find(|hit| hit.runner == holder.runner) {
+        Some(hit) => {
+            hit.tokens = hit.tokens.max(cached);
+            hit.coming = hit.coming.max(tokens);
+        }
+        None => hits.push(PrefixHit { runner: holder.runner, tokens: cached, coming: tokens }),
     }
 }
 
--- a/crates/core/src/pool/progress.rs
+++ b/crates/core/src/pool/progress.rs
@@ -13,6 +13,7 @@
     Pool, PoolAction,
     flight::{Flight, Progress},
     input::LoadReport,
+    prefix::Stage,
     request::Request,
     runner::RunnerIx,
     state::MIN_RETRY_AFTER,
@@ -58,12 +59,14 @@
         let Some(runner) = self.runners.get_mut(ix) else { return };
         if let Some(prefill) = runner.remove_prefill(now, id) {
             runner.first_token(now, &prefill);
+            self.prefixes.note(now, &flight.request.record, ix, Stage::Cached);
             self.runners.count_long(prefill.length, false);
             let error_ms = took.as_secs_f64() * 1e3 - expected.as_secs_f64() * 1e3;
             self.counters.first_token_error_ms.observe(error_ms);
         }
         self.follow_limit(now, ix);
         self.refresh(now, ix);
+        self.free_held(now, ix);
     }
 
     pub(super) fn ended(&mut self, now: MonoTime, id: RequestId, end: DispatchEnd) {
@@ -154,7 +157,11 @@
                 self.runners.count_long(prefill.length, false);
             }
         }
+        if flight.progress != Progress::Answering {
+            self.prefixes.forget_coming(&flight.request.record, ix);
+        }
         self.refresh(now, ix);
+        self.free_held(now, ix);
         Some(flight)
     }
 
@@ -230,6 +237,7 @@
             runner.pause(now);
         }
         self.refresh(now, ix);
+        self.free_held(now, ix);
     }
 
     fn set_leaving(&mut self, now: MonoTime, runner: Option<RunnerIx>) {
@@ -238,5 +246,6 @@
             runner.leaving = true;
         }
         self.refresh(now, ix);
+        self.free_held(now, ix);
     }
 }
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -7,7 +7,7 @@
     time::MonoTime,
 };
 
-use super::estimate::WORK_PER_DECODE_TOKEN;
+use super::{estimate::WORK_PER_DECODE_TOKEN, runner::RunnerIx};
 
 /// Prompts of at least this many tokens use the separate budget for long
 /// prefill.
@@ -33,6 +33,13 @@
     }
 }
 
+/// A request is held for a runner that has its prefix.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Hold {
+    pub(super) runner: RunnerIx,
+    pub(super) until: MonoTime,
+}
+
 /// A request with what the pool worked out when it was submitted.
 #[derive(Clone, Debug)]
 pub(super) struct Request {
@@ -49,6 +56,8 @@
     pub(super) unreachable_at: MonoTime,
     pub(super) decode_tokens: u32,
     pub(super) returned_grants: u8,
+    /// The runner that the request is held for, and until when.
+    pub(super) hold: Option<Hold>,
 }
 
 impl Request {
--- a/crates/core/src/pool/runner.rs
+++ b/crates/core/src/pool/runner.rs
@@ -118,18 +118,29 @@
 
     /// True if the runner may get a request of this length now.
     pub(super) fn has_room(&self, now: MonoTime, access: Access, length: Length) -> bool {
-        if self.leaving || now < self.paused_until {
-            return false;
-        }
+        let horizon = match access {
+            Access::Top => TOP_PREFILL_HORIZON,
+            Access::Lower => PREFILL_HORIZON,
+        };
+        let long_full = length == Length::Long && self.long_pending > 0;
+        let free = self.is_usable(now) && self.has_slot(access);
+        free && !long_full && self.wait(now) <= horizon
+    }
+
+    /// True if the runner may get work at all.
+    pub(super) fn is_usable(&self, now: MonoTime) -> bool {
+        !self.leaving && now >= self.paused_until
+    }
+
+    /// True if the limits leave room for a request.
+    pub(super) fn has_slot(&self, access: Access) -> bool {
         let limit = self.limit.sequences();
-        let (reserve, horizon) = match access {
-            Access::Top => (0, TOP_PREFILL_HORIZON),
-            Access::Lower => (limit.div_ceil(HEADROOM_DIVISOR), PREFILL_HORIZON),
+        let reserve = match access {
+            Access::Top => 0,
+            Access::Lower => limit.div_ceil(HEADROOM_DIVISOR),
         };
         let usable = limit.saturating_sub(reserve).max(1);
-        let full = self.load() >= usable || self.tokens >= self.limit.tokens();
-        let long_full = length == Length::Long && self.long_pending > 0;
-        !full && !long_full && self.wait(now) <= horizon
+        self.load() < usable && self.tokens < self.limit.tokens()
     }
 
     /// When the prefill queue is short enough again, if it is too long now.
--- a/crates/core/src/pool/state.rs
+++ b/crates/core/src/pool/state.rs
@@ -141,6 +141,7 @@
                     runner.leaving = true;
                 }
                 self.refresh(now, ix);
+                self.free_held(now, ix);
             }
             PoolInput::RunnerGone(name) => self.runner_gone(now, &name),
             PoolInput::Load { runner, report } => self.load_report(now, &runner, &report),
@@ -161,7 +162,11 @@
                 Timer::OrphanBound(id) => {
                     self.release(now, id);
                 }
-                Timer::Reopen(ix) => self.refresh(now, ix),
+                Timer::HoldEnds(id) => self.end_hold(id),
+                Timer::Reopen(ix) => {
+                    self.refresh(now, ix);
+                    self.free_held(now, ix);
+                }
             }
         }
     }
@@ -182,6 +187,9 @@
     pub(super) fn drop_waiting(&mut self, id: RequestId) -> Option<Box<Request>> {
         let request = self.queues.remove(id)?;
         self.timers.cancel(request.unreachable_at, Timer::Unreachable(id));
+        if let Some(hold) = request.hold {
+            self.timers.cancel(hold.until, Timer::HoldEnds(id));
+        }
         self.forget_entry(&request.record.entry, id);
         Some(request)
     }
--- a/crates/core/src/pool/submit.rs
+++ b/crates/core/src/pool/submit.rs
@@ -44,11 +44,12 @@
     pub(super) fn request(&mut self, now: MonoTime, record: RequestRecord) -> Box<Request> {
         let left = record.target.limit().saturating_sub(record.age);
         let decode_tokens = self.decode.expect(&record);
-        let length = Length::of(record.prefill_tokens);
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let deadline = now + left;
-        let fastest = self.fastest_time(&record, decode_tokens);
+        let uncached = self.least_uncached(&record);
+        let length = Length::of(uncached);
+        let fastest = self.fastest_time(&record, uncached, decode_tokens);
         let unreachable_at = deadline - fastest;
         // Twice the fastest time stands for an average runner; the rank needs
         // no more than a consistent order.
@@ -62,15 +63,19 @@
             unreachable_at,
             decode_tokens,
             returned_grants: 0,
+            hold: None,
         })
     }
 
-    /// Time that the fastest runner needs to meet the target when it is idle
-    /// and holds the longest prefix that any runner holds.
-    fn fastest_time(&mut self, record: &RequestRecord, decode_tokens: u32) -> Duration {
+    /// Prompt tokens that are not cached at the runner with the longest prefix.
+    pub(super) fn least_uncached(&mut self, record: &RequestRecord) -> u32 {
         self.prefixes.lookup(record, &mut self.hits);
-        let cached = self.hits.iter().map(|hit| hit.tokens).max().unwrap_or(0);
-        let uncached = record.prefill_tokens.saturating_sub(cached);
+        let cached = self.hits.iter().map(|hit| hit.coming).max().unwrap_or(0);
+        record.prefill_tokens.saturating_sub(cached)
+    }
+
+    /// Time that the fastest runner needs to meet the target when it is idle.
+    fn fastest_time(&self, record: &RequestRecord, uncached: u32, decode_tokens: u32) -> Duration {
         let Some(runner) = self.runners.fastest() else { return Duration::ZERO };
         Duration::from_micros(time_on(runner, record, uncached, decode_tokens))
     }
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -120,8 +120,13 @@
 
     /// True if a runner has room.
     pub(super) fn has_open(&self, access: Access, length: Length) -> bool {
-        let capped = access == Access::Lower && length == Length::Long && self.long_is_capped();
-        !capped && !self.open[set_of(access, length)].is_empty()
+        self.admits(access, length) && !self.open[set_of(access, length)].is_empty()
+    }
+
+    /// False if lower tiers have to leave the remaining runners free of long
+    /// prefill.
+    pub(super) fn admits(&self, access: Access, length: Length) -> bool {
+        access == Access::Top || length == Length::Short || !self.long_is_capped()
     }
 
     /// Brings the ordered sets and the reopen timer up to date with a runner's
@@ -179,8 +184,6 @@
         }
     }
 
-    /// True if lower tiers have to leave the remaining runners free of long
-    /// prefill.
     fn long_is_capped(&self) -> bool {
         let reserve = self.len().div_ceil(LONG_FREE_DIVISOR);
         self.long_runners >= self.len().saturating_sub(reserve).max(1)
--- a/crates/core/src/pool/timers.rs
+++ b/crates/core/src/pool/timers.rs
@@ -15,6 +15,8 @@
     GrantExpiry(RequestId),
     /// Work of a host that is gone is no longer counted.
     OrphanBound(RequestId),
+    /// A request is no longer held for a runner.
+    HoldEnds(RequestId),
     /// The runner may have room again.
     Reopen(RunnerIx),
 }
--- a/crates/core/src/pool/view.rs
+++ b/crates/core/src/pool/view.rs
@@ -90,6 +90,9 @@
 pub enum WaitCause {
     /// The pool has no runner.
     NoRunner,
+    /// A runner has its prefix, and waiting for it takes less time than
+    /// prefilling elsewhere.
+    Prefix,
     /// No runner has room for its tier and length.
     NoRoom,
     /// Its workspace has used more than its share.
--- a/crates/core/src/pool/views.rs
+++ b/crates/core/src/pool/views.rs
@@ -86,6 +86,9 @@
         if self.runners.len() == 0 {
             return WaitCause::NoRunner;
         }
+        if request.hold.is_some() {
+            return WaitCause::Prefix;
+        }
         let queue = self.queues.queue(tier, request.length);
         if queue.is_some_and(|queue| queue.fair.is_over_share(&request.record.workspace)) {
             return WaitCause::OverShare;
--- a/crates/core/tests/naive_pool/mod.rs
+++ b/crates/core/tests/naive_pool/mod.rs
@@ -54,6 +54,9 @@
     pub(crate) runners: BTreeMap<RunnerName, bool>,
     shares: BTreeMap<(Tier, Length), Shares>,
     window: u64,
+    /// True if requests may wait for the runner that has their prefix, so that
+    /// the order alone does not determine the next grant.
+    pub(crate) any_order: bool,
     max_waiting: usize,
     next_order: u64,
     /// Requests that the present step sheds; those that came back in it never
@@ -68,6 +71,7 @@
             runners: BTreeMap::new(),
             shares: BTreeMap::new(),
             window,
+            any_order: false,
             max_waiting,
             next_order: 0,
             shed_now: BTreeSet::new(),
@@ -187,6 +191,11 @@
         assert_eq!(known.state, State::Waiting, "a grant for {id} that does not wait");
         assert_eq!(self.runners.get(runner), Some(&true), "a grant to {runner} that leaves");
         let rank = known.rank.expect("a granted request has a rank");
+        if self.any_order {
+            self.requests.get_mut(&id).unwrap().granted = now;
+            self.set(id, State::Granted(runner.clone()));
+            return;
+        }
         assert_eq!(self.first(rank.tier, rank.length), Some(id), "order in tier {}", rank.tier);
         let higher = |k: &Known| {
             let same_length = k.rank.is_some_and(|r| r.length == rank.length);
