Learn the error of the first token apart from the whole answer

Cause: the expected time of a grant included the decode time of classes with a target for the whole answer, but was compared with the first token. The learned error grew to 0.9-2.2 s, and requests were refused by that margin. Runners whose prefill rate was once seen low counted as slowed for long, and their limits stuck at two to four sequences.

Change: grants keep the expected time to the first token; the usual rate is a plain average with a weight of 2%, and a slowdown counts from 2.5 times.

--- a/crates/core/src/pool/grant.rs
+++ b/crates/core/src/pool/grant.rs
@@ -140,7 +140,7 @@
             Some(placement.runner),
             progress,
             timer,
-            placement.expected,
+            placement.first,
         );
     }
 
--- a/crates/core/src/pool/placement.rs
+++ b/crates/core/src/pool/placement.rs
@@ -41,6 +41,8 @@
     pub(super) wait: Duration,
     /// Cost by which runners are compared.
     pub(super) cost: Duration,
+    /// Expected time to the first token.
+    pub(super) first: Duration,
     /// Expected time until the request's target is met.
     pub(super) expected: Duration,
     /// Prompt tokens that are probably not cached.
@@ -80,6 +82,7 @@
         let slot = slot_wait(runner, request, access);
         placement.wait += slot;
         placement.cost += slot;
+        placement.first += slot;
         placement.expected += slot;
         Some(placement)
     });
@@ -110,7 +113,14 @@
     if !runner.spec.engine {
         let expected = Duration::from_micros(runner.rates.service_us());
         let cost = expected.mul_f64(1.0 + share) + crowding;
-        return Placement { runner: ix, wait: Duration::ZERO, cost, expected, uncached: 0 };
+        return Placement {
+            runner: ix,
+            wait: Duration::ZERO,
+            cost,
+            first: expected,
+            expected,
+            uncached: 0,
+        };
     }
     let uncached = request.record.prefill_tokens.saturating_sub(cached);
     let prefill = Duration::from_micros(runner.rates.prefill_us(u64::from(uncached)));
@@ -124,6 +134,7 @@
         runner: ix,
         wait,
         cost: wait + prefill * PREFILL_WEIGHT + decode + crowding,
+        first: wait + prefill,
         expected: wait + prefill + rest,
         uncached,
     }
--- a/crates/core/src/pool/rates.rs
+++ b/crates/core/src/pool/rates.rs
@@ -27,13 +27,10 @@
 const SLOW_SERVICE: f64 = 2.0;
 
 /// Slowdown of prefill from which an engine's limit falls.
-const SLOW_PREFILL: f64 = 2.0;
+const SLOW_PREFILL: f64 = 2.5;
 
-/// Speed with which the usual time follows the present one upwards.
-const BASELINE_RISE: f64 = 0.005;
-
-/// Speed with which the usual time follows the present one downwards.
-const BASELINE_FALL: f64 = 0.1;
+/// Weight of the present time in the usual time.
+const BASELINE_WEIGHT: f64 = 0.02;
 
 /// Learned rates of one runner.
 #[derive(Clone, Debug)]
@@ -126,9 +123,7 @@
         self.prefill_us = self.prefill_us * keep + took.as_micros() as f64;
         self.prefill_tokens = self.prefill_tokens * keep + tokens;
         let present = self.prefill_us_per_token();
-        let change = present - self.prefill_baseline_us;
-        let weight = if change > 0.0 { BASELINE_RISE } else { BASELINE_FALL };
-        self.prefill_baseline_us += weight * change;
+        self.prefill_baseline_us += BASELINE_WEIGHT * (present - self.prefill_baseline_us);
     }
 
     pub(super) fn observe_between(&mut self, between: Duration, sequences: f64) {
@@ -146,8 +141,6 @@
             return;
         }
         self.service_us += SERVICE_WEIGHT * (us - self.service_us);
-        let change = self.service_us - self.service_baseline_us;
-        let weight = if change > 0.0 { BASELINE_RISE } else { BASELINE_FALL };
-        self.service_baseline_us += weight * change;
+        self.service_baseline_us += BASELINE_WEIGHT * (self.service_us - self.service_baseline_us);
     }
 }
