Plan whole answers with a margin for longer ones

Cause: a class with a target for the whole answer was planned with its mean answer length, so about half of its answers ran longer than planned, and those near their deadline were prefilled in vain. In the experiment, a baseline that met a lost engine resent to it without virtual time passing, so the scenario runner-lost never ended.

Change: twice the learned error of the class's answer length is added when a whole answer is planned; a refused connection takes a round trip.

--- a/crates/core/src/pool/estimate.rs
+++ b/crates/core/src/pool/estimate.rs
@@ -10,6 +10,9 @@
 /// Work of one generated token, in prefill tokens.
 pub(super) const WORK_PER_DECODE_TOKEN: u64 = 12;
 
+/// Margin for longer answers than usual, in mean absolute errors.
+const MARGIN_ERRORS: f64 = 2.0;
+
 /// Answer length assumed before anything was learned.
 const DEFAULT_DECODE_TOKENS: f64 = 128.0;
 
@@ -54,16 +57,19 @@
 }
 
 impl DecodeEstimates {
-    /// Expected tokens of the answer, capped by the caller's own limit.
-    pub(super) fn expect(&self, record: &RequestRecord) -> u32 {
+    /// Expected tokens of the answer and a margin for longer answers than
+    /// usual, both capped by the caller's own limit.
+    pub(super) fn expect(&self, record: &RequestRecord) -> (u32, u32) {
         if record.prefill_tokens == 0 {
-            return 0;
+            return (0, 0);
         }
         let pair = (record.class.clone(), record.workspace.clone());
         let known = self.pairs.get(&pair).or_else(|| self.classes.get(&record.class));
         let mean = known.map_or(DEFAULT_DECODE_TOKENS, |e| e.mean);
-        let expected = mean.ceil() as u32;
-        record.max_decode_tokens.map_or(expected, |max| expected.min(max))
+        let margin = known.map_or(0.0, |e| e.error * MARGIN_ERRORS);
+        let max = record.max_decode_tokens.unwrap_or(u32::MAX);
+        let expected = (mean.ceil() as u32).min(max);
+        (expected, (margin.ceil() as u32).min(max - expected))
     }
 
     pub(super) fn observe(&mut self, record: &RequestRecord, decode_tokens: u32) {
--- a/crates/core/src/pool/grant.rs
+++ b/crates/core/src/pool/grant.rs
@@ -134,14 +134,7 @@
         let expiry = now + valid_for + GRANT_MARGIN;
         let timer = Some((expiry, Timer::GrantExpiry(id)));
         let progress = Progress::Granted;
-        self.start_flight(
-            now,
-            request,
-            Some(placement.runner),
-            progress,
-            timer,
-            placement.first,
-        );
+        self.start_flight(now, request, Some(placement.runner), progress, timer, placement.first);
     }
 
     /// Counts a request as in progress at its runner.
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -55,6 +55,8 @@
     /// refused.
     pub(super) unreachable_at: MonoTime,
     pub(super) decode_tokens: u32,
+    /// Tokens by which longer answers than usual exceed `decode_tokens`.
+    pub(super) decode_margin: u32,
     pub(super) returned_grants: u8,
     /// The runner that the request is held for, and until when.
     pub(super) hold: Option<Hold>,
@@ -72,11 +74,12 @@
         u64::from(self.record.prefill_tokens) + u64::from(self.decode_tokens)
     }
 
-    /// Decode tokens whose time counts towards the target.
+    /// Decode tokens whose time counts towards the target, longer answers than
+    /// usual included.
     pub(super) fn target_decode_tokens(&self) -> u32 {
         match self.record.target {
             Target::Stream { .. } => 0,
-            Target::Whole(_) => self.decode_tokens,
+            Target::Whole(_) => self.decode_tokens + self.decode_margin,
         }
     }
 
--- a/crates/core/src/pool/submit.rs
+++ b/crates/core/src/pool/submit.rs
@@ -43,7 +43,7 @@
     /// Works out how long a request may wait.
     pub(super) fn request(&mut self, now: MonoTime, record: RequestRecord) -> Box<Request> {
         let left = record.target.limit().saturating_sub(record.age);
-        let decode_tokens = self.decode.expect(&record);
+        let (decode_tokens, decode_margin) = self.decode.expect(&record);
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         let deadline = now + left;
@@ -62,6 +62,7 @@
             latest_start,
             unreachable_at,
             decode_tokens,
+            decode_margin,
             returned_grants: 0,
             hold: None,
         })
--- a/crates/testkit/src/experiment/run.rs
+++ b/crates/testkit/src/experiment/run.rs
@@ -230,7 +230,8 @@
         let engine = self.by_name[&grant.runner];
         if !self.engines[engine].alive {
             let reason = RetryReason::ConnectRefused;
-            self.tell(PoolInput::GrantUnused { id: grant.id, reason });
+            let unused = PoolInput::GrantUnused { id: grant.id, reason };
+            self.at(self.now + ENGINE_HOP * 2 + self.hop, Event::Scheduler(unused));
             return;
         }
         let track = &mut self.tracks[request];
