Keep a sixth of the expected time as margin before a late grant

Cause: the learned error of the first token is that of the many short requests, 20-50 ms.

Change: a lower tier's request is refused if the expected time and the larger of the learned error and a sixth of that time no longer fit its target.

--- a/crates/core/src/pool/grant.rs
+++ b/crates/core/src/pool/grant.rs
@@ -23,6 +23,9 @@
 /// Time after a grant's lifetime at which an unconfirmed grant is taken back.
 pub(super) const GRANT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Least margin of an expected time against its target: one part in so many.
+const MARGIN_DIVISOR: u32 = 6;
+
 /// The tier that may use the capacity that is kept free.
 const TOP_TIER: Tier = Tier(0);
 
@@ -100,6 +103,7 @@
         }
         let margin_ms = self.counters.first_token_error_ms.error;
         let margin = Duration::from_micros((margin_ms * 1e3) as u64);
+        let margin = margin.max(placement.expected / MARGIN_DIVISOR);
         now + placement.expected + margin > request.deadline
     }
 
