Update a runner's position once per ended request

Cause: the end of a request moved its runner in the ordered sets up to three times: when its load was released, when its rates were learned, and when it was chosen again.

Change: the position is updated once after the rates are learned.

--- a/crates/core/src/pool/progress.rs
+++ b/crates/core/src/pool/progress.rs
@@ -70,7 +70,7 @@
     }
 
     pub(super) fn ended(&mut self, now: MonoTime, id: RequestId, end: DispatchEnd) {
-        let Some(flight) = self.release(now, id) else {
+        let Some(flight) = self.end_flight(now, id) else {
             self.drop_waiting(id);
             return;
         };
@@ -85,6 +85,10 @@
             }
             DispatchEnd::Cancelled => self.counters.broken += 1,
         }
+        if let Some(ix) = flight.runner {
+            self.refresh(now, ix);
+            self.free_held(now, ix);
+        }
     }
 
     pub(super) fn grant_unused(
@@ -142,8 +146,19 @@
         self.refresh(now, ix);
     }
 
-    /// Ends the accounting of a granted request.
+    /// Ends the accounting of a granted request and lets its runner have more.
     pub(super) fn release(&mut self, now: MonoTime, id: RequestId) -> Option<Flight> {
+        let flight = self.end_flight(now, id)?;
+        if let Some(ix) = flight.runner {
+            self.refresh(now, ix);
+            self.free_held(now, ix);
+        }
+        Some(flight)
+    }
+
+    /// Ends the accounting of a granted request. The caller updates the
+    /// runner's position.
+    fn end_flight(&mut self, now: MonoTime, id: RequestId) -> Option<Flight> {
         let mut flight = self.flights.remove(&id)?;
         if let Some((at, timer)) = flight.timer.take() {
             self.timers.cancel(at, timer);
@@ -160,8 +175,6 @@
         if flight.progress != Progress::Answering {
             self.prefixes.forget_coming(&flight.request.record, ix);
         }
-        self.refresh(now, ix);
-        self.free_held(now, ix);
         Some(flight)
     }
 
@@ -201,7 +214,6 @@
         if !runner.spec.engine {
             runner.rates.observe_service(usage.total);
             self.follow_limit(now, ix);
-            self.refresh(now, ix);
             return;
         }
         // An answer in one piece shows no time between tokens.
@@ -215,7 +227,6 @@
         let error = f64::from(usage.decode_tokens) - f64::from(request.decode_tokens);
         self.counters.decode_error_tokens.observe(error);
         self.follow_limit(now, ix);
-        self.refresh(now, ix);
     }
 
     fn follow_limit(&mut self, now: MonoTime, ix: RunnerIx) {
