--- a/crates/core/src/pool/progress.rs
+++ b/crates/core/src/pool/progress.rs
@@ -13,6 +13,7 @@
     Pool, PoolAction,
     flight::{Flight, Progress},
     input::LoadReport,
+    prefix::Stage,
     request::Request,
     runner::RunnerIx,
     state::MIN_RETRY_AFTER,
@@ -58,16 +59,18 @@
         let Some(runner) = self.runners.get_mut(ix) else { return };
         if let Some(prefill) = runner.remove_prefill(now, id) {
             runner.first_token(now, &prefill);
+            self.prefixes.note(now, &flight.request.record, ix, Stage::Cached);
             self.runners.count_long(prefill.length, false);
             let error_ms = took.as_secs_f64() * 1e3 - expected.as_secs_f64() * 1e3;
             self.counters.first_token_error_ms.observe(error_ms);
         }
         self.follow_limit(now, ix);
         self.refresh(now, ix);
+        self.free_held(now, ix);
     }
 
     pub(super) fn ended(&mut self, now: MonoTime, id: RequestId, end: DispatchEnd) {
-        let Some(flight) = self.release(now, id) else {
+        let Some(flight) = self.end_flight(now, id) else {
             self.drop_waiting(id);
             return;
         };
@@ -82,6 +85,10 @@
             }
             DispatchEnd::Cancelled => self.counters.broken += 1,
         }
+        if let Some(ix) = flight.runner {
+            self.refresh(now, ix);
+            self.free_held(now, ix);
+        }
     }
 
     pub(super) fn grant_unused(
@@ -139,8 +146,19 @@
         self.refresh(now, ix);
     }
 
-    /// Ends the accounting of a granted request.
+    /// Ends the accounting of a granted request and lets its runner have more.
     pub(super) fn release(&mut self, now: MonoTime, id: RequestId) -> Option<Flight> {
+        let flight = self.end_flight(now, id)?;
+        if let Some(ix) = flight.runner {
+            self.refresh(now, ix);
+            self.free_held(now, ix);
+        }
+        Some(flight)
+    }
+
+    /// Ends the accounting of a granted request. The caller updates the
+    /// runner's position.
+    fn end_flight(&mut self, now: MonoTime, id: RequestId) -> Option<Flight> {
         let mut flight = self.flights.remove(&id)?;
         if let Some((at, timer)) = flight.timer.take() {
             self.timers.cancel(at, timer);
@@ -154,7 +172,9 @@
                 self.runners.count_long(prefill.length, false);
             }
         }
-        self.refresh(now, ix);
+        if flight.progress != Progress::Answering {
+            self.prefixes.forget_coming(&flight.request.record, ix);
+        }
         Some(flight)
     }
 
@@ -194,7 +214,6 @@
         if !runner.spec.engine {
             runner.rates.observe_service(usage.total);
             self.follow_limit(now, ix);
-            self.refresh(now, ix);
             return;
         }
         // An answer in one piece shows no time between tokens.
@@ -208,7 +227,6 @@
         let error = f64::from(usage.decode_tokens) - f64::from(request.decode_tokens);
         self.counters.decode_error_tokens.observe(error);
         self.follow_limit(now, ix);
-        self.refresh(now, ix);
     }
 
     fn follow_limit(&mut self, now: MonoTime, ix: RunnerIx) {
@@ -230,6 +248,7 @@
             runner.pause(now);
         }
         self.refresh(now, ix);
+        self.free_held(now, ix);
     }
 
     fn set_leaving(&mut self, now: MonoTime, runner: Option<RunnerIx>) {
@@ -238,5 +257,6 @@
             runner.leaving = true;
         }
         self.refresh(now, ix);
+        self.free_held(now, ix);
     }
 }
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -7,7 +7,7 @@
     time::MonoTime,
 };
 
-use super::estimate::WORK_PER_DECODE_TOKEN;
+use super::{estimate::WORK_PER_DECODE_TOKEN, runner::RunnerIx};
 
 /// Prompts of at least this many tokens use the separate budget for long
 /// prefill.
@@ -33,6 +33,13 @@
     }
 }
 
+/// A request is held for a runner that has its prefix.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Hold {
+    pub(super) runner: RunnerIx,
+    pub(super) until: MonoTime,
+}
+
 /// A request with what the pool worked out when it was submitted.
 #[derive(Clone, Debug)]
 pub(super) struct Request {
@@ -48,7 +55,11 @@
     /// refused.
     pub(super) unreachable_at: MonoTime,
     pub(super) decode_tokens: u32,
+    /// Tokens by which longer answers than usual exceed `decode_tokens`.
+    pub(super) decode_margin: u32,
     pub(super) returned_grants: u8,
+    /// The runner that the request is held for, and until when.
+    pub(super) hold: Option<Hold>,
 }
 
 impl Request {
@@ -63,11 +74,12 @@
         u64::from(self.record.prefill_tokens) + u64::from(self.decode_tokens)
     }
 
-    /// Decode tokens whose time counts towards the target.
+    /// Decode tokens whose time counts towards the target, longer answers than
+    /// usual included.
     pub(super) fn target_decode_tokens(&self) -> u32 {
         match self.record.target {
             Target::Stream { .. } => 0,
-            Target::Whole(_) => self.decode_tokens,
+            Target::Whole(_) => self.decode_tokens + self.decode_margin,
         }
     }
 
