End the growth of a plain service's pauses when it answers

Cause: only a first token reset the count of failures, and plain services have none. Each failed call would have doubled the runner's pause for good, up to 8 s.

Change: a complete answer resets the count as well.

--- a/crates/core/src/pool/progress.rs
+++ b/crates/core/src/pool/progress.rs
@@ -211,6 +211,7 @@
         self.counters.cached_tokens += u64::from(usage.cached_tokens);
         let Some(ix) = flight.runner else { return };
         let Some(runner) = self.runners.get_mut(ix) else { return };
+        runner.succeeded();
         if !runner.spec.engine {
             runner.rates.observe_service(usage.total);
             self.follow_limit(now, ix);
--- a/crates/core/src/pool/runner.rs
+++ b/crates/core/src/pool/runner.rs
@@ -185,6 +185,12 @@
         let start = prefill.granted.max(self.last_first_token);
         self.rates.observe_prefill(prefill.tokens, now.since(start));
         self.last_first_token = now;
+        self.succeeded();
+    }
+
+    /// Notes that the runner answers, so that its next failure pauses it for
+    /// the shortest time.
+    pub(super) fn succeeded(&mut self) {
         self.failures = 0;
     }
 
--- a/crates/core/tests/pool_lifecycle.rs
+++ b/crates/core/tests/pool_lifecycle.rs
@@ -8,6 +8,7 @@
     ids::RequestId,
     outcome::{NotRunReason, RetryReason},
     pool::{PoolInput, Standing},
+    request::DispatchEnd,
 };
 use rstest::rstest;
 
@@ -61,6 +62,22 @@
     assert!(retries <= 51 + granted / 10, "{retries} retries after {granted} grants");
 }
 
+#[test]
+fn answers_of_a_plain_service_end_the_growth_of_its_pauses() {
+    let mut bench = Bench::new(settings());
+    bench.step(PoolInput::RunnerUp(spec(1, 4, false)));
+    for n in 0..12 {
+        let (good, bad) = (2 * n + 1, 2 * n + 2);
+        bench.submit(&record(good, 1, 0));
+        bench.step(PoolInput::Ended { id: id(good), end: complete(0, 0, 5, 5) });
+        bench.submit(&record(bad, 1, 0));
+        bench.step(PoolInput::Ended { id: id(bad), end: DispatchEnd::Failed });
+        assert!(bench.pool.runners(bench.now)[0].paused);
+        bench.pass(250);
+        assert!(!bench.pool.runners(bench.now)[0].paused);
+    }
+}
+
 #[test]
 fn unconfirmed_grant_comes_back_after_its_lifetime() {
     let mut bench = with_runners(1, 4);
