--- a/crates/testkit/tests/quickstart.rs
+++ b/crates/testkit/tests/quickstart.rs
@@ -17,8 +17,8 @@
     let output = quickstart().output().unwrap();
     let text = String::from_utf8(output.stdout).unwrap();
     assert!(output.status.success(), "{text}\n{}", String::from_utf8_lossy(&output.stderr));
-    assert_eq!(text.matches("outcome answered").count(), 2, "{text}");
+    assert_eq!(text.matches("outcome answered").count(), 3, "{text}");
     assert!(text.contains("data: [DONE]"), "{text}");
     assert!(text.contains("outcome not-run, reason missing-identity"), "{text}");
-    assert!(text.contains("The engines ran 2 requests, the service 1."), "{text}");
+    assert!(text.contains("The engines ran 3 requests, the service 1."), "{text}");
 }
