--- a/tests/testsuite/hosts/fleet.rs
+++ b/tests/testsuite/hosts/fleet.rs
@@ -92,6 +92,15 @@
         self.daemons[ix] = None;
     }
 
+    /// Starts a daemon that has ended again, with the same settings.
+    pub(super) async fn restart(&mut self, ix: usize) {
+        let settings = self.daemon(ix).settings().clone();
+        self.daemons[ix] = None;
+        let mut daemon = Daemon::start(settings);
+        daemon.ready().await.unwrap();
+        self.daemons[ix] = Some(daemon);
+    }
+
     pub(super) fn caller(&self, ix: usize) -> Caller {
         self.daemon(ix).caller()
     }
