Test the entry's handling of grants, owners and stops

Cause: the lifetime of grants, stale epochs, waiting without an owner, the limit on connections and the planned stop of an entry had no test of their own. Change: a table of cases for each.

--- /dev/null
+++ b/crates/core/tests/entry.rs
@@ -0,0 +1,206 @@
+//! One entry and what owners tell it.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use comfreyway_core::{
+    entry::{Entry, EntryAction, EntryInput, OwnerView},
+    ids::{Epoch, HostId, PoolId, RequestId, Tier},
+    outcome::{NotRunReason, RetryReason, UnknownReason},
+    owner::{EntryEvent, Identity, OwnerEvent, RequestKey, Submission},
+    request::{Grant, RequestRecord, Target},
+    time::MonoTime,
+};
+use rstest::rstest;
+
+const TARGET_MS: u64 = 5_000;
+const VALID_MS: u64 = 1_000;
+
+struct Bench {
+    entry: Entry,
+    out: Vec<EntryAction>,
+}
+
+fn host(name: &str) -> HostId {
+    HostId { name: name.parse().unwrap(), incarnation: 1 }
+}
+
+fn pool() -> PoolId {
+    PoolId { upstream: "llm".parse().unwrap(), region: "almaty".parse().unwrap() }
+}
+
+fn epoch(issued: u64) -> Epoch {
+    Epoch { issued, provisional: 0 }
+}
+
+fn ms(ms: u64) -> MonoTime {
+    MonoTime::from_millis(ms)
+}
+
+fn id() -> RequestId {
+    RequestId::new(1)
+}
+
+fn submission(at_most_once: bool) -> Submission {
+    let workspace: comfreyway_core::ids::WorkspaceName = "ayaq".parse().unwrap();
+    let key = RequestKey { workspace: workspace.clone(), key: "k".to_owned() };
+    let identity = Identity { key, digest: [0; 32], idempotent: false };
+    let record = RequestRecord {
+        id: id(),
+        entry: host("e"),
+        workspace,
+        class: "c".parse().unwrap(),
+        tier: Tier(0),
+        target: Target::Whole(Duration::from_millis(TARGET_MS)),
+        age: Duration::ZERO,
+        prefill_tokens: 0,
+        max_decode_tokens: None,
+        prefix: Vec::new(),
+        body_bytes: 0,
+    };
+    Submission { record, identity: at_most_once.then_some(identity) }
+}
+
+impl Bench {
+    fn new() -> Self {
+        Self { entry: Entry::new(host("e")), out: Vec::new() }
+    }
+
+    /// An entry with one request that waits since time zero for owner `x`.
+    fn waiting() -> Self {
+        let mut bench = Self::new();
+        bench.follow(0, "x", 1);
+        bench.receive(false);
+        bench
+    }
+
+    fn input(&mut self, at_ms: u64, input: EntryInput) -> Vec<EntryAction> {
+        self.entry.handle(ms(at_ms), input, &mut self.out);
+        std::mem::take(&mut self.out)
+    }
+
+    fn follow(&mut self, at_ms: u64, owner: &str, issued: u64) -> Vec<EntryAction> {
+        let view = OwnerView { owner: Some(host(owner)), epoch: epoch(issued) };
+        self.input(at_ms, EntryInput::OwnerChanged { pool: pool(), view })
+    }
+
+    fn receive(&mut self, at_most_once: bool) -> Vec<EntryAction> {
+        let submission = submission(at_most_once);
+        self.input(0, EntryInput::Received { submission, pool: pool() })
+    }
+
+    fn grant(&mut self, at_ms: u64, issued: u64, asked_ms: u64) -> Vec<EntryAction> {
+        let grant = Grant {
+            id: id(),
+            runner: "r".parse().unwrap(),
+            epoch: epoch(issued),
+            valid_for: Duration::from_millis(VALID_MS),
+        };
+        let event = OwnerEvent::Granted { grant, asked_at: ms(asked_ms) };
+        let (owner, epoch) = (host("x"), epoch(issued));
+        self.input(at_ms, EntryInput::Owner { owner, pool: pool(), epoch, event })
+    }
+}
+
+fn dispatches(actions: &[EntryAction]) -> usize {
+    actions.iter().filter(|a| matches!(a, EntryAction::Dispatch { .. })).count()
+}
+
+fn told(actions: &[EntryAction]) -> Vec<&EntryEvent> {
+    let events = actions.iter().filter_map(|action| match action {
+        EntryAction::Tell { event, .. } => Some(event),
+        _ => None,
+    });
+    events.collect()
+}
+
+#[rstest]
+#[case::at_once(0, 0, 1)]
+#[case::just_valid(1_000, 0, 1)]
+#[case::delayed(1_001, 0, 0)]
+#[case::asked_again(1_500, 900, 1)]
+#[case::from_a_paused_owner(4_000, 300, 0)]
+fn a_grants_lifetime_counts_from_what_the_entry_sent(
+    #[case] at_ms: u64,
+    #[case] asked_ms: u64,
+    #[case] expected: usize,
+) {
+    let mut bench = Bench::waiting();
+    let actions = bench.grant(at_ms, 1, asked_ms);
+    assert_eq!(dispatches(&actions), expected);
+    let reason = RetryReason::GrantExpired;
+    let unused = EntryEvent::GrantUnused { id: id(), reason };
+    assert_eq!(told(&actions).contains(&&unused), expected == 0);
+}
+
+#[test]
+fn a_grant_of_an_earlier_epoch_is_dropped() {
+    let mut bench = Bench::waiting();
+    bench.follow(10, "y", 2);
+    assert_eq!(bench.grant(20, 1, 0), []);
+}
+
+#[test]
+fn a_doubled_grant_dispatches_once() {
+    let mut bench = Bench::waiting();
+    assert_eq!(dispatches(&bench.grant(10, 1, 0)), 1);
+    assert_eq!(dispatches(&bench.grant(11, 1, 0)), 0);
+}
+
+#[rstest]
+#[case::may_be_repeated(false)]
+#[case::at_most_once(true)]
+fn without_an_owner_a_request_waits_up_to_its_target(#[case] at_most_once: bool) {
+    let mut bench = Bench::new();
+    let early = bench.receive(at_most_once);
+    assert!(early.iter().all(|action| matches!(action, EntryAction::SetTimer(_))), "{early:?}");
+    assert_eq!(bench.input(TARGET_MS - 1, EntryInput::Tick).len(), 1, "only a timer");
+    let late = bench.input(TARGET_MS + 400, EntryInput::Tick);
+    let answer = late.iter().find(|action| !matches!(action, EntryAction::SetTimer(_))).unwrap();
+    match (at_most_once, answer) {
+        (true, EntryAction::AnswerUnknown { reason, .. }) => {
+            assert_eq!(*reason, UnknownReason::Unchecked);
+        }
+        (false, EntryAction::AnswerNotRun { reason, .. }) => {
+            assert_eq!(*reason, NotRunReason::NoOwner);
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_new_owner_gets_what_waits_and_what_is_in_progress() {
+    let mut bench = Bench::waiting();
+    let moved = bench.follow(10, "y", 2);
+    assert!(matches!(told(&moved)[..], [EntryEvent::Submit(_)]), "{moved:?}");
+    let mut bench = Bench::waiting();
+    bench.grant(5, 1, 0);
+    let moved = bench.follow(10, "y", 2);
+    assert!(matches!(told(&moved)[..], [EntryEvent::Adopt { .. }]), "{moved:?}");
+}
+
+#[test]
+fn a_request_ends_after_three_refused_connections() {
+    let mut bench = Bench::waiting();
+    for attempt in 1..=3 {
+        assert_eq!(dispatches(&bench.grant(attempt, 1, 0)), 1);
+        let reason = RetryReason::ConnectRefused;
+        let actions = bench.input(attempt, EntryInput::NotSent { id: id(), reason });
+        let ended = actions.iter().any(|a| matches!(a, EntryAction::AnswerNotRun { .. }));
+        assert_eq!(ended, attempt == 3, "{actions:?}");
+    }
+}
+
+#[test]
+fn a_stopping_entry_takes_nothing_new_and_keeps_what_waits() {
+    let mut bench = Bench::waiting();
+    bench.input(1, EntryInput::Stop);
+    let mut later = submission(false);
+    later.record.id = RequestId::new(2);
+    let actions = bench.input(2, EntryInput::Received { submission: later, pool: pool() });
+    let stopping = |a: &EntryAction| {
+        matches!(a, EntryAction::AnswerNotRun { reason: NotRunReason::Stopping, .. })
+    };
+    assert!(actions.iter().any(stopping), "{actions:?}");
+    assert_eq!(dispatches(&bench.grant(3, 1, 0)), 1);
+}
