Show the traffic between daemons in the metrics

Cause: messages and bytes between daemons were counted and shown nowhere, and heartbeats counted as no bytes. Change: two counters by direction and kind on the metrics page.

--- a/crates/node/src/peers/dial.rs
+++ b/crates/node/src/peers/dial.rs
@@ -19,6 +19,9 @@
     socket::{Socket, connect, read_hello, send_hello},
 };
 
+/// Bytes of an empty ping frame with its mask.
+const HEARTBEAT_BYTES: usize = 6;
+
 /// Keeps a session to `address` until the process ends.
 pub(super) fn spawn_dialer(peers: PeersHandle, address: SocketAddr) {
     actix_rt::spawn(async move {
@@ -94,7 +97,7 @@
                 if heard.elapsed() > silence {
                     return SessionError::Silent;
                 }
-                peers.count(true, "heartbeat", 0);
+                peers.count(true, "heartbeat", HEARTBEAT_BYTES);
                 write(&mut socket, Message::Ping(Bytes::new()), peers).await
             }
             next = socket.next() => match next {
--- a/crates/node/src/peers/handle.rs
+++ b/crates/node/src/peers/handle.rs
@@ -112,6 +112,9 @@
 
     pub(super) fn count(&self, sent: bool, kind: &'static str, bytes: usize) {
         self.shared.counters.borrow_mut().count(sent, kind, bytes);
+        if let Some(metrics) = &self.shared.settings.metrics {
+            metrics.count(sent, kind, bytes);
+        }
     }
 
     /// Forgets an address, so that it may be dialled again.
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -24,6 +24,7 @@
 mod error;
 mod event;
 mod handle;
+mod metrics;
 mod result_call;
 mod secret;
 mod settings;
@@ -34,6 +35,7 @@
     counters::{PeerTraffic, TrafficKey},
     event::PeerEvent,
     handle::PeersHandle,
+    metrics::PeerMetrics,
     result_call::ResultCall,
     secret::PeerSecret,
     settings::PeersSettings,
--- a/crates/node/src/peers/settings.rs
+++ b/crates/node/src/peers/settings.rs
@@ -5,7 +5,7 @@
 use comfreyway_core::ids::HostId;
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::{PeerSecret, ResultCall};
+use super::{PeerMetrics, PeerSecret, ResultCall};
 
 /// Settings of the sessions between daemons.
 #[derive(Clone, Debug)]
@@ -28,6 +28,8 @@
     pub queue: usize,
     /// Where calls for kept answers go; none refuses them.
     pub results: Option<UnboundedSender<ResultCall>>,
+    /// Metrics that show the traffic, if any.
+    pub metrics: Option<PeerMetrics>,
 }
 
 impl PeersSettings {
@@ -53,6 +55,7 @@
             connect_timeout: Self::CONNECT_TIMEOUT,
             queue: Self::QUEUE,
             results: None,
+            metrics: None,
         }
     }
 
@@ -70,6 +73,13 @@
         self
     }
 
+    /// Shows the traffic in metrics.
+    #[must_use]
+    pub fn with_metrics(mut self, metrics: PeerMetrics) -> Self {
+        self.metrics = Some(metrics);
+        self
+    }
+
     /// Replaces the heartbeat and the silence after which a peer is down.
     #[must_use]
     pub fn with_heartbeat(mut self, heartbeat: Duration, silence: Duration) -> Self {
--- a/crates/node/src/run/control_thread.rs
+++ b/crates/node/src/run/control_thread.rs
@@ -13,7 +13,7 @@
 use crate::{
     config::{ConfigActor, ConfigHandle, split_peer_events},
     control::{Control, ControlHandle},
-    peers::{PeerSecret, PeersSettings, ResultCall, start_peers},
+    peers::{PeerMetrics, PeerSecret, PeersSettings, ResultCall, start_peers},
     settings::Settings,
 };
 
@@ -38,11 +38,13 @@
         host: HostId,
         settings: &Settings,
         peers_listener: TcpListener,
+        peer_metrics: PeerMetrics,
     ) -> Result<Self, RunError> {
         let platform = settings.platform.clone();
         let (results_tx, results) = unbounded_channel();
-        let peers_settings =
-            peers_settings(&host, settings, &peers_listener)?.with_results(results_tx);
+        let peers_settings = peers_settings(&host, settings, &peers_listener)?
+            .with_results(results_tx)
+            .with_metrics(peer_metrics);
         let names: BTreeSet<_> = settings.peers.keys().cloned().collect();
         peers_listener.set_nonblocking(true)?;
         let (tx, queue) = unbounded_channel();
--- a/crates/node/src/run/daemon.rs
+++ b/crates/node/src/run/daemon.rs
@@ -14,6 +14,7 @@
     http::{self, Phase, Traffic},
     metrics::{Metrics, probe_control},
     operator::{self, OperatorState},
+    peers::PeerMetrics,
     settings::{Platform, Settings},
 };
 
@@ -40,7 +41,9 @@
     let mut signals = StopSignals::new()?;
     let metrics = Arc::new(Metrics::new()?);
     let host = HostId { name: settings.name.clone(), incarnation: incarnation_now() };
-    let thread = ControlThread::start(host, &settings, listeners.peers.try_clone()?).await?;
+    let peer_metrics = PeerMetrics::new(&metrics.meter());
+    let peers_listener = listeners.peers.try_clone()?;
+    let thread = ControlThread::start(host, &settings, peers_listener, peer_metrics).await?;
     put_initial(&settings, &thread.config).await?;
     actix_rt::spawn(probe_control(thread.control.clone(), metrics.traffic().clone()));
     let document = thread.config.document();
