Show and explain single requests, and outcomes by class

Operators could not see why a request waited, where it went, or whether a class met its target. Each request leaves a short list of steps in a bounded store without bodies; its end is counted by class against the target. The status page and the client read both.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -20,6 +20,7 @@
     Change(change::ChangeCommand),
     Config(config::ConfigCommand),
     Element(element::ElementCommand),
+    Explain(request::ExplainCommand),
     Host(host::HostCommand),
     Request(request::RequestCommand),
     Status(status::StatusCommand),
@@ -46,6 +47,7 @@
     let change = change::command().map(Command::Change);
     let host = host::command().map(Command::Host);
     let request = request::command().map(Command::Request);
+    let explain = request::explain().map(Command::Explain);
     let class = element::command(Kind::Class).map(Command::Element);
     let workspace = element::command(Kind::Workspace).map(Command::Element);
     let model = element::command(Kind::Model).map(Command::Element);
@@ -64,7 +66,8 @@
         config,
         change,
         host,
-        request
+        request,
+        explain
     ])
 }
 
@@ -75,8 +78,9 @@
             Self::Change(command) => command.run(globals).await,
             Self::Config(command) => command.run(globals).await,
             Self::Element(command) => command.run(globals).await,
+            Self::Explain(command) => command.run(globals).await,
             Self::Host(command) => command.run(globals).await,
-            Self::Request(command) => command.run().await,
+            Self::Request(command) => command.run(globals).await,
             Self::Status(command) => command.run(globals).await,
             Self::Upstream(command) => command.run(globals).await,
         }
--- a/crates/cli/src/commands/request.rs
+++ b/crates/cli/src/commands/request.rs
@@ -3,28 +3,58 @@
 use std::net::SocketAddr;
 
 use bpaf::{Parser, construct, long, positional};
+use comfreyway_core::ids::RequestId;
+use comfreyway_proto::operator::RequestReport;
 
 use crate::{
     CliError, Exit,
+    globals::Globals,
     ops::{RequestSpec, send_request},
+    output::{Table, print_json},
 };
 
 /// The callers' port of a daemon with default settings.
 const DEFAULT_CALLERS: &str = "127.0.0.1:8080";
 
-/// Sends a trial request.
+/// A command on single requests.
 #[derive(Clone, Debug)]
-pub(crate) struct RequestCommand {
-    spec: RequestSpec,
+pub(crate) enum RequestCommand {
+    /// Sends a trial request.
+    Send { spec: RequestSpec },
+    /// Shows the steps of a request.
+    Show { id: RequestId },
+}
+
+/// Explains a request in sentences.
+#[derive(Clone, Debug)]
+pub(crate) struct ExplainCommand {
+    id: RequestId,
 }
 
 pub(super) fn command() -> impl Parser<RequestCommand> {
     let spec = spec();
-    let send = construct!(RequestCommand { spec })
+    let send = construct!(RequestCommand::Send { spec })
         .to_options()
         .descr("Send a trial request and print its answer and outcome")
         .command("send");
-    send.to_options().descr("Try requests").command("request")
+    let id = id();
+    let show = construct!(RequestCommand::Show { id })
+        .to_options()
+        .descr("Show the steps of a request")
+        .command("show");
+    construct!([send, show]).to_options().descr("Try and look at requests").command("request")
+}
+
+pub(super) fn explain() -> impl Parser<ExplainCommand> {
+    let id = id();
+    construct!(ExplainCommand { id })
+        .to_options()
+        .descr("Tell why a request waited, where it went, or why it was not run")
+        .command("explain")
+}
+
+fn id() -> impl Parser<RequestId> {
+    positional::<RequestId>("ID").help("Identity from the header comfreyway-request-id")
 }
 
 fn spec() -> impl Parser<RequestSpec> {
@@ -46,7 +76,39 @@
 }
 
 impl RequestCommand {
-    pub(super) async fn run(self) -> Result<Exit, CliError> {
-        send_request(&self.spec).await
+    pub(super) async fn run(self, globals: &Globals) -> Result<Exit, CliError> {
+        match self {
+            Self::Send { spec } => send_request(&spec).await,
+            Self::Show { id } => {
+                let report = globals.client()?.request(&id.to_string()).await?;
+                if globals.json {
+                    print_json(&report);
+                } else {
+                    print_steps(&report);
+                }
+                Ok(Exit::Done)
+            }
+        }
+    }
+}
+
+impl ExplainCommand {
+    pub(super) async fn run(self, globals: &Globals) -> Result<Exit, CliError> {
+        let report = globals.client()?.request(&self.id.to_string()).await?;
+        if globals.json {
+            print_json(&report);
+        } else {
+            println!("{}", report.explanation.join("\n"));
+        }
+        Ok(Exit::Done)
+    }
+}
+
+fn print_steps(report: &RequestReport) {
+    println!("request {}: class {}, workspace {}", report.id, report.class, report.workspace);
+    let mut table = Table::new(&["AFTER MS", "STEP", "DETAIL"]);
+    for step in &report.steps {
+        table.push([format!("{:.1}", step.after_ms), step.step.clone(), step.detail.clone()]);
     }
+    print!("{table}");
 }
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -57,15 +57,12 @@
 fn print_status(status: &StatusReport) {
     println!("host {} ({}): {}", status.host, status.phase, in_force(&status.config));
     println!("{} requests waiting, {} in progress\n", status.waiting, status.in_progress);
-    let mut classes = Table::new(&["TIER", "CLASS", "TARGET", "IDEMPOTENT"]);
+    let mut classes = Table::new(&["TIER", "CLASS", "TARGET", "IN TARGET", "NOT RUN", "UNKNOWN"]);
     for class in &status.classes {
-        let idempotent = if class.idempotent { "yes" } else { "no" };
-        classes.push([
-            class.tier.to_string(),
-            class.name.clone(),
-            target(class),
-            idempotent.into(),
-        ]);
+        let in_target = format!("{} of {}", class.in_target, class.answered);
+        let counts = [in_target, class.not_run.to_string(), class.unknown.to_string()];
+        let names = [class.tier.to_string(), class.name.clone(), target(class)];
+        classes.push(names.into_iter().chain(counts));
     }
     println!("{classes}");
     let mut pools = Table::new(&["POOL", "OWNER", "EPOCH", "WAITING", "IN PROGRESS"]);
--- a/crates/cli/src/ops/client.rs
+++ b/crates/cli/src/ops/client.rs
@@ -12,7 +12,7 @@
     headers,
     operator::{
         ChangeReport, ChangeRequest, ChangeState, ConfigExport, ConfigReport, HistoryReport,
-        OperatorProblem, StatusReport,
+        OperatorProblem, RequestReport, StatusReport,
     },
 };
 use serde::de::DeserializeOwned;
@@ -85,13 +85,22 @@
         self.get(&format!("/v1/changes/{id}")).await
     }
 
+    /// Asks what became of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not answer, or does not know the request.
+    pub async fn request(&self, id: &str) -> Result<RequestReport, CliError> {
+        self.get(&format!("/v1/requests/{id}")).await
+    }
+
     /// Asks the daemon for a planned stop.
     ///
     /// # Errors
     ///
     /// Fails if the daemon does not take the call.
     pub async fn stop(&self) -> Result<(), CliError> {
-        let res = self.request(Method::POST, "/v1/stop").send().await;
+        let res = self.call(Method::POST, "/v1/stop").send().await;
         let res = res.map_err(|e| self.unreachable(&e))?;
         if res.status().is_success() {
             return Ok(());
@@ -108,7 +117,7 @@
     pub async fn change(&self, change: Change, dry_run: bool) -> Result<ChangeReport, CliError> {
         let id = change.id;
         let body = ChangeRequest { change, dry_run };
-        let send = self.request(Method::POST, "/v1/changes").send_json(&body);
+        let send = self.call(Method::POST, "/v1/changes").send_json(&body);
         self.answer(send).await.map_err(|e| match e {
             CliError::Malformed(_, cause) if !dry_run => CliError::ChangeUnknown(id, cause),
             other => other,
@@ -119,10 +128,10 @@
     where
         T: DeserializeOwned,
     {
-        self.answer(self.request(Method::GET, path).send()).await
+        self.answer(self.call(Method::GET, path).send()).await
     }
 
-    fn request(&self, method: Method, path: &str) -> ClientRequest {
+    fn call(&self, method: Method, path: &str) -> ClientRequest {
         let request = self.http.request(method, format!("http://{}{path}", self.server));
         match &self.secret {
             Some(secret) => request.insert_header((headers::SECRET, secret.as_str())),
--- a/crates/node/src/http/ticket.rs
+++ b/crates/node/src/http/ticket.rs
@@ -18,6 +18,7 @@
     control::{Decision, Progress},
     events::{Event, log_event},
     results::Recording,
+    trace::{Trace, TraceRecord, TraceStep},
     upstream::AnswerUsage,
 };
 
@@ -63,6 +64,7 @@
     first_token: Option<Duration>,
     stage: Stage,
     recording: Option<Arc<Recording>>,
+    trace: Trace,
     traffic: Data<Traffic>,
     _in_progress: InProgress,
 }
@@ -87,6 +89,7 @@
             first_token: None,
             stage: Stage::Waiting,
             recording,
+            trace: traffic.trace.begin(record_of(id, admitted)),
             traffic,
             _in_progress: in_progress,
         }
@@ -106,11 +109,17 @@
 
     /// The next decision; none if it does not come in time.
     pub(super) async fn next_decision(&mut self, deadline: Instant) -> Option<Decision> {
-        tokio::time::timeout_at(deadline.into(), self.decisions.recv()).await.ok().flatten()
+        let decision =
+            tokio::time::timeout_at(deadline.into(), self.decisions.recv()).await.ok().flatten();
+        if let Some(Decision::Dispatch { runner, .. }) = &decision {
+            self.trace.step(TraceStep::Granted(runner.clone()));
+        }
+        decision
     }
 
     /// The request goes out now.
     pub(super) fn dispatched(&mut self) {
+        self.trace.step(TraceStep::Dispatched);
         self.traffic.metrics.waited(self.arrived.elapsed());
         self.stage = Stage::Dispatched { at: Instant::now() };
     }
@@ -118,6 +127,7 @@
     /// Nothing was sent; the request waits again.
     pub(super) fn not_sent(&mut self, reason: RetryReason) {
         log_event!(Event::RequestRetried, id:% = self.id, reason = reason.as_str());
+        self.trace.step(TraceStep::WaitsAgain(reason));
         self.traffic.metrics.retried(reason);
         self.stage = Stage::Waiting;
         self.report(Progress::NotSent(reason));
@@ -126,6 +136,7 @@
     /// Bytes of the answer's body arrived.
     pub(super) fn received(&mut self) {
         if !std::mem::replace(&mut self.has_bytes, true) {
+            self.trace.step(TraceStep::FirstByte);
             self.traffic.metrics.first_byte(self.arrived.elapsed());
         }
     }
@@ -221,11 +232,17 @@
 
     /// The answer comes from an earlier request with the same identity.
     pub(super) fn attached(&mut self) {
+        self.trace.step(TraceStep::Repeated);
         self.traffic.metrics.repeated();
         self.stage = Stage::Ended;
     }
 
     fn end(&mut self, end: ResultEnd) {
+        self.trace.step(match &end {
+            ResultEnd::Answered => TraceStep::Answered,
+            ResultEnd::NotRun { reason, .. } => TraceStep::NotRun(*reason),
+            ResultEnd::Unknown(reason) => TraceStep::Unknown(*reason),
+        });
         self.stage = Stage::Ended;
         if let Some(recording) = &self.recording {
             recording.finish(end);
@@ -241,6 +258,18 @@
     }
 }
 
+/// The record of a request that has just arrived.
+fn record_of(id: RequestId, admitted: &Admitted) -> TraceRecord {
+    TraceRecord {
+        id,
+        workspace: admitted.workspace.clone(),
+        class: admitted.class_name.clone(),
+        target: admitted.class.target,
+        pool: admitted.pool.clone(),
+        steps: Vec::new(),
+    }
+}
+
 impl Drop for Ticket {
     fn drop(&mut self) {
         match self.stage {
--- a/crates/node/src/http/traffic.rs
+++ b/crates/node/src/http/traffic.rs
@@ -19,6 +19,7 @@
     metrics::TrafficMetrics,
     results::ResultStore,
     settings::{Limits, Secret, Settings},
+    trace::TraceStore,
 };
 
 use super::Phase;
@@ -37,6 +38,7 @@
     pub(crate) metrics: TrafficMetrics,
     pub(crate) results: ResultStore,
     pub(crate) secret: Option<Secret>,
+    pub(crate) trace: Arc<TraceStore>,
     phase: watch::Sender<Phase>,
     in_progress: AtomicUsize,
     idle: Notify,
@@ -57,6 +59,7 @@
             results: ResultStore::new(limits.results_bytes, limits.results_time),
             limits,
             secret: settings.secret.clone(),
+            trace: Arc::default(),
             config,
             control,
             metrics,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,4 +24,5 @@
 mod results;
 pub mod run;
 pub mod settings;
+pub mod trace;
 mod upstream;
--- a/crates/node/src/operator/mod.rs
+++ b/crates/node/src/operator/mod.rs
@@ -7,8 +7,10 @@
 mod auth;
 mod change;
 mod config;
+mod explain;
 mod page;
 mod report;
+mod request;
 mod state;
 mod status;
 
@@ -34,6 +36,7 @@
             .route("/config/history", web::get().to(config::history))
             .route("/changes", web::post().to(change::submit))
             .route("/changes/{id}", web::get().to(change::show))
+            .route("/requests/{id}", web::get().to(request::show))
             .route("/stop", web::post().to(status::stop));
         cfg.app_data(state.clone()).route("/", web::get().to(page::page)).service(calls);
     }
--- a/crates/node/src/operator/state.rs
+++ b/crates/node/src/operator/state.rs
@@ -6,7 +6,7 @@
 use comfreyway_proto::operator::HostPhase;
 use tokio::sync::{Notify, watch};
 
-use crate::{config::ConfigHandle, control::ControlHandle, settings::Secret};
+use crate::{config::ConfigHandle, control::ControlHandle, settings::Secret, trace::TraceStore};
 
 /// Tells the phase of the host.
 pub type PhaseSource = Arc<dyn Fn() -> HostPhase + Send + Sync>;
@@ -20,6 +20,7 @@
     pub(super) control: ControlHandle,
     pub(super) phase: PhaseSource,
     pub(super) stop: Arc<Notify>,
+    pub(super) trace: Arc<TraceStore>,
 }
 
 impl OperatorState {
@@ -31,7 +32,22 @@
         control: ControlHandle,
         phase: PhaseSource,
     ) -> Self {
-        Self { host, secret: None, config, control, phase, stop: Arc::default() }
+        Self {
+            host,
+            secret: None,
+            config,
+            control,
+            phase,
+            stop: Arc::default(),
+            trace: Arc::default(),
+        }
+    }
+
+    /// Shows the requests that this store keeps.
+    #[must_use]
+    pub fn with_trace(mut self, trace: Arc<TraceStore>) -> Self {
+        self.trace = trace;
+        self
     }
 
     /// Asks for this secret in every call.
--- a/crates/node/src/operator/status.rs
+++ b/crates/node/src/operator/status.rs
@@ -1,6 +1,6 @@
 //! The state of this host and what it knows of the others.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use actix_web::{HttpResponse, http::StatusCode, web::Data};
 use comfreyway_core::{
@@ -16,6 +16,7 @@
     config::ConfigStatus,
     control::{ControlStatus, PoolStatus},
     events::{Event, log_event},
+    trace::ClassTally,
 };
 
 use super::{OperatorState, auth::problem};
@@ -33,7 +34,7 @@
         in_progress: control.in_progress as u64,
         config: config_report(&state.host, config),
         pools: pool_reports(&control),
-        classes: class_reports(&document),
+        classes: class_reports(&document, &state.trace.tallies()),
     })
 }
 
@@ -81,13 +82,17 @@
     control.owned.iter().map(report).collect()
 }
 
-fn class_reports(document: &Document) -> Vec<ClassReport> {
+fn class_reports(
+    document: &Document,
+    tallies: &BTreeMap<ClassName, ClassTally>,
+) -> Vec<ClassReport> {
     let mut classes: Vec<_> = document.classes.iter().collect();
     classes.sort_by_key(|(name, class)| (class.tier, *name));
-    classes.into_iter().map(|(name, class)| class_report(name, class)).collect()
+    let tally = |name| tallies.get(name).copied().unwrap_or_default();
+    classes.into_iter().map(|(name, class)| class_report(name, class, tally(name))).collect()
 }
 
-fn class_report(name: &ClassName, class: &Class) -> ClassReport {
+fn class_report(name: &ClassName, class: &Class, tally: ClassTally) -> ClassReport {
     let (first_token, between_tokens, whole) = match class.target {
         Target::Stream { first_token, between_tokens } => {
             (Some(first_token), Some(between_tokens), None)
@@ -103,5 +108,9 @@
         whole_answer_ms: ms(whole),
         idempotent: class.idempotent,
         cancellable: class.cancellable,
+        answered: tally.answered,
+        in_target: tally.in_target,
+        not_run: tally.not_run,
+        unknown: tally.unknown,
     }
 }
--- a/crates/node/src/run/daemon.rs
+++ b/crates/node/src/run/daemon.rs
@@ -96,6 +96,7 @@
     traffic: Data<Traffic>,
 ) -> OperatorState {
     let ready = thread.config.ready();
+    let trace = traffic.trace.clone();
     let phase = move || match traffic.phase() {
         Phase::Serving if *ready.borrow() => HostPhase::Ready,
         Phase::Serving => HostPhase::Starting,
@@ -104,6 +105,7 @@
     let (config, control) = (thread.config.clone(), thread.control.clone());
     OperatorState::new(settings.name.clone(), config, control, Arc::new(phase))
         .with_secret(settings.secret.clone())
+        .with_trace(trace)
 }
 
 fn serve_operators(
--- a/crates/proto/src/operator/generated.rs
+++ b/crates/proto/src/operator/generated.rs
@@ -163,6 +163,8 @@
 #[doc = "One class in force and how its target was met on the host that answers."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct ClassReport {
+    #[doc = "Requests answered whole by this host since its start."]
+    pub answered: u64,
     #[doc = "Target between two tokens, in milliseconds."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub between_tokens_ms: ::std::option::Option<f64>,
@@ -173,10 +175,16 @@
     pub first_token_ms: ::std::option::Option<f64>,
     #[doc = "False if a request must run at most once."]
     pub idempotent: bool,
+    #[doc = "Those of them whose first byte, or whole answer, came within the target."]
+    pub in_target: u64,
     #[doc = "Name of the class."]
     pub name: ::std::string::String,
+    #[doc = "Requests that this host did not run."]
+    pub not_run: u64,
     #[doc = "Tier; 0 gives way last."]
     pub tier: u8,
+    #[doc = "Requests of this host whose outcome is unknown."]
+    pub unknown: u64,
     #[doc = "Target to the whole answer, in milliseconds."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub whole_answer_ms: ::std::option::Option<f64>,
@@ -317,6 +325,32 @@
     #[doc = "Waiting requests of all hosts."]
     pub waiting: u64,
 }
+#[doc = "What became of one request."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct RequestReport {
+    #[doc = "Its class."]
+    pub class: ::std::string::String,
+    #[doc = "The steps in sentences."]
+    pub explanation: ::std::vec::Vec<::std::string::String>,
+    #[doc = "Identity of the request."]
+    pub id: ::std::string::String,
+    #[doc = "The pool that serves it."]
+    pub pool: ::std::string::String,
+    #[doc = "Its steps in order of time."]
+    pub steps: ::std::vec::Vec<RequestStep>,
+    #[doc = "Its workspace."]
+    pub workspace: ::std::string::String,
+}
+#[doc = "One step of a request."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct RequestStep {
+    #[doc = "Time since the request arrived, in milliseconds."]
+    pub after_ms: f64,
+    #[doc = "Runner or reason; empty for none."]
+    pub detail: ::std::string::String,
+    #[doc = "What happened."]
+    pub step: ::std::string::String,
+}
 #[doc = "State of one host and what it knows of the others."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct StatusReport {
--- a/crates/proto/src/operator/mod.rs
+++ b/crates/proto/src/operator/mod.rs
@@ -11,5 +11,5 @@
 pub use self::generated::{
     ChangeOutcomeName, ChangeReport, ChangeRequest, ChangeState, ChangeStateName, ClassReport,
     ConfigExport, ConfigReport, HistoryReport, HostPhase, HostVersion, OperatorProblem, PoolReport,
-    StatusReport,
+    RequestReport, RequestStep, StatusReport,
 };
