--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,3 +9,4 @@
 mod support;
 mod upstream_leaving;
 mod upstream_links;
+mod operator_day;
