--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,7 +6,7 @@
 mod config_fleet;
 mod config_spread;
 mod hosts;
+mod operator_day;
 mod support;
 mod upstream_leaving;
 mod upstream_links;
-mod operator_day;
