--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod config_spread;
 mod hosts;
 mod planned_stop;
+mod operator_day;
 mod support;
 mod upstream_leaving;
 mod upstream_links;
