--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -1,5 +1,7 @@
 //! The metrics that the daemon exports and the operators' page agree.
 
+#![allow(clippy::unwrap_used)]
+
 use std::{collections::BTreeSet, time::Duration};
 
 use comfreyway_core::outcome::{NotRunReason, RetryReason, UnknownReason};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,11 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod callers;
 mod config_change;
 mod config_fleet;
 mod config_spread;
 mod hosts;
-mod callers;
 mod support;
 mod upstream_leaving;
 mod upstream_links;
