--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod config_fleet;
 mod config_spread;
 mod hosts;
+mod platform_outage;
 mod support;
 mod upstream_leaving;
 mod upstream_links;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -8,9 +8,11 @@
 mod caller;
 mod daemon;
 mod fixture;
+mod seed;
 
 pub(crate) use self::{
     caller::{Answer, Caller, chat},
     daemon::Daemon,
     fixture::Fixture,
+    seed::seed,
 };
