Measure what one daemon costs

One command starts stand-ins and a real daemon, holds loads, and reads processor time by thread and memory from /proc: throughput and added latency against going straight, memory per open stream, and the control thread's cost by runners, workspaces, classes and requests. It ends what it started by process number, on Ctrl-C as well. The figures are in docs/CAPACITY.md.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,7 +13,9 @@
 //! - [`proxy`]: a TCP proxy that injects faults on one link.
 //! - [`load`] and [`measure`]: load, and what it costs.
 //! - [`experiment`]: the scheduling decisions against baselines in virtual time.
+//! - [`capacity`]: the measurement behind `docs/CAPACITY.md`.
 
+pub mod capacity;
 mod cut;
 pub mod daemon;
 pub mod engine;
--- a/crates/testkit/src/measure/process.rs
+++ b/crates/testkit/src/measure/process.rs
@@ -17,8 +17,8 @@
 /// What a process used between two samples.
 #[derive(Clone, Debug, Default)]
 pub struct ProcessUse {
-    /// Processor time by name of thread.
-    pub by_thread: BTreeMap<String, Duration>,
+    /// Name and processor time of each thread, in the order of their start.
+    pub threads: Vec<(String, Duration)>,
 }
 
 impl ProcessSample {
@@ -57,12 +57,11 @@
     /// What was used since an earlier sample of the same process.
     #[must_use]
     pub fn since(&self, earlier: &Self) -> ProcessUse {
-        let mut by_thread: BTreeMap<String, Duration> = BTreeMap::new();
-        for (tid, (name, used)) in &self.threads {
+        let used = |(tid, (name, used)): (&u32, &(String, Duration))| {
             let before = earlier.threads.get(tid).map_or(Duration::ZERO, |(_, used)| *used);
-            *by_thread.entry(name.clone()).or_default() += used.saturating_sub(before);
-        }
-        ProcessUse { by_thread }
+            (name.clone(), used.saturating_sub(before))
+        };
+        ProcessUse { threads: self.threads.iter().map(used).collect() }
     }
 }
 
@@ -70,13 +69,14 @@
     /// Processor time of all threads.
     #[must_use]
     pub fn total(&self) -> Duration {
-        self.by_thread.values().sum()
+        self.threads.iter().map(|(_, used)| used).sum()
     }
 
-    /// Processor time of the threads with this start of their name.
+    /// Processor time of the threads with this start of their name, without the
+    /// `skip` ones that started first.
     #[must_use]
-    pub fn of(&self, prefix: &str) -> Duration {
-        let wanted = self.by_thread.iter().filter(|(name, _)| name.starts_with(prefix));
-        wanted.map(|(_, used)| *used).sum()
+    pub fn of_later(&self, prefix: &str, skip: usize) -> Duration {
+        let named = self.threads.iter().filter(|(name, _)| name.starts_with(prefix));
+        named.skip(skip).map(|(_, used)| used).sum()
     }
 }
