Measure control by hosts and calls to the key-value service

Adds the part 'hosts' to the capacity measurement: 3, 6 and 12 daemons that share one key-value service, with processor time of control, memory, and calls by kind.

--- /dev/null
+++ b/crates/testkit/src/capacity/hosts.rs
@@ -0,0 +1,170 @@
+//! Cost of control by hosts: several daemons with one key-value service.
+
+use std::{env, io, rc::Rc, time::Duration};
+
+use actix_rt::task::{JoinHandle, spawn_blocking};
+use comfreyway_core::config::{Change, ChangeId, ChangeOutcome, Edit};
+use comfreyway_node::config::{ConfigActor, NoLinks};
+use comfreyway_proto::ini;
+
+use crate::{
+    daemon::{DaemonProcess, DaemonSettings},
+    engine::{EngineSettings, EngineStandIn},
+    kv::{CallCounts, KvStandIn},
+    load::{self, LoadResult, LoadSpec, Pace, RequestTemplate},
+    measure::{Fit, ProcessSample, Table},
+    server::ANY_PORT,
+    service::ServiceStandIn,
+};
+
+use super::{CapacityOptions, configuration::Configuration};
+
+/// Numbers of daemons.
+const HOSTS: [usize; 3] = [3, 6, 12];
+/// Runners of the engines' upstream.
+const RUNNERS: usize = 12;
+/// Requests per second of each host.
+const REQUESTS_PER_SECOND: f64 = 30.0;
+/// Time that is not counted at the start, in which owners are found.
+const WARM_UP: Duration = Duration::from_secs(4);
+/// Start of the names of a daemon's control thread and traffic threads.
+const THREADS: &str = "actix-rt";
+/// Control threads of a daemon.
+const CONTROL_THREADS: usize = 1;
+
+/// Grows the number of daemons.
+pub(super) async fn hosts(options: &CapacityOptions) -> io::Result<Vec<Table>> {
+    let columns = [
+        "hosts",
+        "answered/s",
+        "control % mean",
+        "control % max",
+        "resident KiB max",
+        "reads/s",
+        "writes/s",
+        "leases/s",
+        "watches",
+    ];
+    let mut table = Table::new("Daemons with one key-value service", &columns);
+    let mut control = Vec::new();
+    for count in HOSTS {
+        let row = run(count, options).await?;
+        control.push((count as f64, row.0));
+        table.push(row.1);
+    }
+    let mut fits = Table::new("Daemons: control by hosts: fit", &["% per host", "error"]);
+    if let Some(fit) = Fit::new(&control) {
+        let error = fit.slope_error.map_or("-".to_owned(), |e| format!("{e:.4}"));
+        fits.push(vec![format!("{:.4}", fit.slope), error]);
+    }
+    Ok(vec![table, fits])
+}
+
+/// State of all daemons and of the service at one moment.
+struct Moment {
+    calls: CallCounts,
+    daemons: Vec<ProcessSample>,
+}
+
+async fn run(count: usize, options: &CapacityOptions) -> io::Result<(f64, Vec<String>)> {
+    let engine = EngineStandIn::start_all(&[ANY_PORT; RUNNERS], EngineSettings::new())?;
+    let service = ServiceStandIn::start()?;
+    let kv = KvStandIn::start()?;
+    let configuration = Configuration {
+        engines: engine.addresses().to_vec(),
+        services: vec![service.address()],
+        workspaces: 20,
+        classes: 4,
+    };
+    seed(&kv, &configuration).await?;
+    let mut daemons = start(count, &kv)?;
+    for daemon in &mut daemons {
+        daemon.ready().await?;
+    }
+    let duration = options.duration();
+    let loads: Vec<_> = daemons.iter().map(|daemon| hold_load(daemon, duration)).collect();
+    actix_rt::time::sleep(WARM_UP).await;
+    let before = moment(&kv, &daemons)?;
+    actix_rt::time::sleep(duration).await;
+    let after = moment(&kv, &daemons)?;
+    let mut answered = 0.0;
+    for load in loads {
+        answered += load.await.map_err(io::Error::other)?.requests_per_second();
+    }
+    let mut row = vec![count.to_string(), format!("{answered:.0}")];
+    let mean = push_costs(&mut row, &before, &after, duration);
+    Ok((mean, row))
+}
+
+/// Starts a load on one daemon.
+fn hold_load(daemon: &DaemonProcess, duration: Duration) -> JoinHandle<LoadResult> {
+    let request = RequestTemplate::plain(daemon.settings().callers, "/survey/1");
+    let pace = Pace::Open { per_second: REQUESTS_PER_SECOND };
+    let spec = LoadSpec { request, pace, threads: 1, warm_up: WARM_UP, duration };
+    spawn_blocking(move || load::run(&spec))
+}
+
+fn moment(kv: &KvStandIn, daemons: &[DaemonProcess]) -> io::Result<Moment> {
+    let daemons = daemons.iter().map(|daemon| ProcessSample::read(daemon.pid()));
+    Ok(Moment { calls: kv.calls(), daemons: daemons.collect::<io::Result<_>>()? })
+}
+
+/// Writes the costs between two moments. Returns the mean share of a core that
+/// control used.
+fn push_costs(row: &mut Vec<String>, before: &Moment, after: &Moment, time: Duration) -> f64 {
+    let seconds = time.as_secs_f64();
+    let percent = |(after, before): (&ProcessSample, &ProcessSample)| {
+        let used = after.since(before);
+        let control = used.total() - used.of_later(THREADS, CONTROL_THREADS);
+        100.0 * control.as_secs_f64() / seconds
+    };
+    let percents: Vec<_> = after.daemons.iter().zip(&before.daemons).map(percent).collect();
+    let mean = percents.iter().sum::<f64>() / percents.len() as f64;
+    let max = percents.iter().copied().fold(0.0, f64::max);
+    let resident = after.daemons.iter().map(|sample| sample.resident_bytes >> 10).max();
+    let leases = |calls: &CallCounts| calls.grant + calls.keep_alive + calls.revoke;
+    let rate = |later: u64, earlier: u64| format!("{:.1}", (later - earlier) as f64 / seconds);
+    row.extend([
+        format!("{mean:.2}"),
+        format!("{max:.2}"),
+        resident.unwrap_or_default().to_string(),
+        rate(after.calls.range, before.calls.range),
+        rate(after.calls.txn, before.calls.txn),
+        rate(leases(&after.calls), leases(&before.calls)),
+        after.calls.waiting_watches.to_string(),
+    ]);
+    mean
+}
+
+fn start(count: usize, kv: &KvStandIn) -> io::Result<Vec<DaemonProcess>> {
+    let alone: Vec<_> = (0..count)
+        .map(|i| DaemonSettings::with_etcd(&format!("host-{i}"), kv.address(), None))
+        .collect::<io::Result<_>>()?;
+    let program = env::current_exe()?;
+    alone
+        .iter()
+        .map(|own| {
+            let others = alone.iter().filter(|other| other.name != own.name);
+            let own = others.fold(own.clone().with_workers(1), |own, other| {
+                own.with_peer(&other.name, other.peers)
+            });
+            DaemonProcess::start(&program, &[], own)
+        })
+        .collect()
+}
+
+/// Writes the configuration before any daemon starts.
+async fn seed(kv: &KvStandIn, configuration: &Configuration) -> io::Result<()> {
+    let document = ini::read(&configuration.text()).map_err(|e| io::Error::other(e.to_string()))?;
+    let edits = document.elements().map(Edit::Set).collect();
+    let name = |e: comfreyway_core::ids::IdError| io::Error::other(e.to_string());
+    let author = "capacity".parse().map_err(name)?;
+    let host = "capacity".parse().map_err(name)?;
+    let writer = ConfigActor::start_on_control(host, Rc::new(kv.store().clone()), Rc::new(NoLinks));
+    let outcome = writer.change(Change { id: ChangeId::new(0, 1), author, edits }).await;
+    writer.stop();
+    match outcome {
+        ChangeOutcome::Accepted { .. } => Ok(()),
+        other => Err(io::Error::other(format!("the configuration was not accepted: {other:?}"))),
+    }
+}
--- a/crates/testkit/src/capacity/mod.rs
+++ b/crates/testkit/src/capacity/mod.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod control;
 mod data_path;
+mod hosts;
 mod memory;
 mod options;
 mod rig;
@@ -38,6 +39,9 @@
     if options.includes(Part::Control) {
         control::dimensions(options).await?.into_iter().for_each(&mut show);
     }
+    if options.includes(Part::Hosts) {
+        hosts::hosts(options).await?.into_iter().for_each(&mut show);
+    }
     if let Some(file) = &options.csv {
         fs::write(file, csv)?;
     }
