--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod hosts;
 mod planned_stop;
 mod operator_day;
+mod platform_outage;
 mod support;
 mod upstream_leaving;
 mod upstream_links;
