Start no process while an unused address is being probed

A child holds a copy of every socket until its program begins, and so also of a probe that another thread had closed in between. Change: one lock in the test kit for probing and for starting processes. Ruled out: another test binary, since each takes loopback addresses by its own process number.

--- a/crates/testkit/src/daemon/address.rs
+++ b/crates/testkit/src/daemon/address.rs
@@ -7,6 +7,8 @@
     sync::atomic::{AtomicU32, Ordering},
 };
 
+use super::spawn::lock;
+
 /// An address that nothing listens on, with a port that the kernel chose.
 ///
 /// The port is free again when this returns. No other process takes it in
@@ -24,6 +26,7 @@
 /// assert_ne!(unused_address().unwrap().ip(), unused_address().unwrap().ip());
 /// ```
 pub fn unused_address() -> io::Result<SocketAddr> {
+    let _no_child = lock();
     TcpListener::bind(own_address())?.local_addr()
 }
 
--- a/crates/testkit/src/daemon/mod.rs
+++ b/crates/testkit/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 mod process;
 mod settings;
 mod signal;
+mod spawn;
 mod temp_dir;
 mod wait;
 
@@ -17,6 +18,7 @@
     process::DaemonProcess,
     settings::DaemonSettings,
     signal::Signal,
+    spawn::spawn,
     temp_dir::TempDir,
     wait::{LONG, eventually},
 };
--- a/crates/testkit/src/daemon/process.rs
+++ b/crates/testkit/src/daemon/process.rs
@@ -12,6 +12,7 @@
 use super::{
     DaemonSettings, Signal, TempDir,
     signal::send,
+    spawn::spawn,
     wait::{LONG, eventually},
 };
 
@@ -34,14 +35,15 @@
         let dir = TempDir::new()?;
         let file = dir.write("comfreywayd.ini", &settings.text())?;
         let log = File::create(dir.path().join("log"))?;
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        command
             .args(args)
             .arg("--config")
             .arg(&file)
             .stdin(Stdio::null())
             .stdout(Stdio::from(log.try_clone()?))
-            .stderr(Stdio::from(log))
-            .spawn()?;
+            .stderr(Stdio::from(log));
+        let child = spawn(&mut command)?;
         Ok(Self { settings, dir, child, client: Client::default() })
     }
 
--- a/tests/testsuite/config_fleet.rs
+++ b/tests/testsuite/config_fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     path::Path,
-    process::{Command, Output},
+    process::{Command, Output, Stdio},
     rc::Rc,
     time::Duration,
 };
@@ -15,7 +15,7 @@
 };
 use comfreyway_node::config::{ConfigActor, NoLinks};
 use comfreyway_testkit::{
-    daemon::{DaemonProcess, DaemonSettings, eventually},
+    daemon::{DaemonProcess, DaemonSettings, eventually, spawn},
     kv::KvStandIn,
 };
 
@@ -89,11 +89,14 @@
 
     /// Runs the operators' client against one daemon.
     pub(crate) fn run(&self, i: usize, args: &[&str]) -> Output {
-        Command::new(env!("CARGO_BIN_EXE_comfreyway"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_comfreyway"));
+        command
             .arg(format!("--server={}", self.daemons[i].settings().operators))
             .args(args)
-            .output()
-            .unwrap()
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        spawn(&mut command).unwrap().wait_with_output().unwrap()
     }
 
     /// The document in force on one daemon.
