--- a/crates/node/src/http/exchange.rs
+++ b/crates/node/src/http/exchange.rs
@@ -132,7 +132,7 @@
 
     /// True if the answer is a JSON text of undeclared length.
     pub(super) fn is_open_json(&self) -> bool {
-        matches!(self.proof, EndProof::Json(_))
+        matches!(self.proof, EndProof::Json(..))
     }
 
     /// The next step of the answer.
@@ -145,7 +145,10 @@
                             return Poll::Ready(Step::Data(chunk));
                         }
                     }
-                    Poll::Ready(None | Some(Err(_))) => {
+                    Poll::Ready(end @ (None | Some(Err(_)))) => {
+                        if end.is_none() {
+                            self.proof.end();
+                        }
                         if let Some(step) = self.body_ended() {
                             return Poll::Ready(step);
                         }
--- a/crates/node/src/http/resume.rs
+++ b/crates/node/src/http/resume.rs
@@ -36,8 +36,8 @@
                 Some(Self { after: scan.last_id(), skip: scan.partial_bytes() as u64 })
             }
             EndProof::EndMark(_) => None,
-            EndProof::Length(_) | EndProof::Json(_) => Some(Self { after: 0, skip: received }),
-            EndProof::Empty | EndProof::Missing => None,
+            EndProof::Length(_) | EndProof::Json(..) => Some(Self { after: 0, skip: received }),
+            EndProof::Empty | EndProof::LastChunk(_) => None,
         }
     }
 }
--- a/crates/node/src/upstream/client.rs
+++ b/crates/node/src/upstream/client.rs
@@ -17,7 +17,7 @@
 use comfreyway_proto::headers;
 use quick_error::quick_error;
 
-use super::{Framing, Outbound, end_to_end, is_set_on_answers};
+use super::{Framing, Outbound, connector::StrictConnector, end_to_end, is_set_on_answers};
 
 /// Time after which an unused connection is closed. Below the five seconds
 /// after which common servers close theirs, so that both rarely meet.
@@ -91,6 +91,7 @@
     /// A client without connections.
     pub(crate) fn new(connect_timeout: Duration, idle: Duration) -> Self {
         let connector = Connector::new()
+            .connector(StrictConnector)
             .timeout(connect_timeout)
             .conn_keep_alive(IDLE_CONNECTION)
             .conn_lifetime(CONNECTION_LIFETIME)
--- a/crates/node/src/upstream/end_proof.rs
+++ b/crates/node/src/upstream/end_proof.rs
@@ -1,8 +1,10 @@
 //! Proof that a body arrived whole.
 //!
-//! `awc` ends the stream of a chunked body in the same way whether the last
-//! chunk arrived or the connection was closed before it. So the end of a body
-//! is never taken from the end of the stream alone.
+//! The end of a body is never taken from the end of the stream alone. A stream
+//! of an engine needs its end mark, a body of declared length its length, and a
+//! chunked body its last chunk or, if it is JSON, the end of the text. That the
+//! last chunk arrived is known because [`super::strict_stream::StrictStream`]
+//! turns every other end of a chunked body into an error.
 
 use actix_web::http::{
     StatusCode,
@@ -20,10 +22,40 @@
     Length(u64),
     /// The end mark of an engine's stream.
     EndMark(Box<EventScan>),
-    /// The end of a JSON text.
-    Json(JsonScan),
-    /// The body itself does not tell.
-    Missing,
+    /// The end of a JSON text, or the last chunk.
+    Json(JsonScan, LastChunk),
+    /// The last chunk.
+    LastChunk(LastChunk),
+}
+
+/// Last chunk of a body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LastChunk {
+    /// The body is not chunked; it ends with its connection, which proves
+    /// nothing.
+    None,
+    /// Still to come.
+    Awaited,
+    /// Arrived.
+    Arrived,
+}
+
+impl LastChunk {
+    fn new(headers: &HeaderMap) -> Self {
+        let value = headers.get(header::TRANSFER_ENCODING).and_then(|value| value.to_str().ok());
+        let last = value.and_then(|codings| codings.rsplit(',').next());
+        match last {
+            Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => Self::Awaited,
+            _ => Self::None,
+        }
+    }
+
+    /// The stream of the body ended without an error.
+    fn end(&mut self) {
+        if *self == Self::Awaited {
+            *self = Self::Arrived;
+        }
+    }
 }
 
 /// What the length of an answer is known by.
@@ -60,8 +92,10 @@
             Framing::Empty => Self::Empty,
             _ if from_engine && media_type == "text/event-stream" => Self::EndMark(Box::default()),
             Framing::Length(length) => Self::Length(length),
-            Framing::Open if is_json(&media_type) => Self::Json(JsonScan::default()),
-            Framing::Open => Self::Missing,
+            Framing::Open if is_json(&media_type) => {
+                Self::Json(JsonScan::default(), LastChunk::new(headers))
+            }
+            Framing::Open => Self::LastChunk(LastChunk::new(headers)),
         }
     }
 
@@ -70,8 +104,15 @@
         match self {
             Self::Length(left) => *left = left.saturating_sub(bytes.len() as u64),
             Self::EndMark(scan) => scan.feed(bytes),
-            Self::Json(scan) => scan.feed(bytes),
-            Self::Empty | Self::Missing => {}
+            Self::Json(scan, _) => scan.feed(bytes),
+            Self::Empty | Self::LastChunk(_) => {}
+        }
+    }
+
+    /// Notes that the stream of the body ended without an error.
+    pub(crate) fn end(&mut self) {
+        if let Self::Json(_, last) | Self::LastChunk(last) = self {
+            last.end();
         }
     }
 
@@ -81,8 +122,8 @@
             Self::Empty => true,
             Self::Length(left) => *left == 0,
             Self::EndMark(scan) => scan.is_whole(),
-            Self::Json(scan) => scan.is_whole(),
-            Self::Missing => false,
+            Self::Json(scan, last) => scan.is_whole() || *last == LastChunk::Arrived,
+            Self::LastChunk(last) => *last == LastChunk::Arrived,
         }
     }
 }
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -9,11 +9,13 @@
 //!   length, by the end mark of a stream, or by being one whole JSON text.
 
 mod client;
+mod connector;
 mod end_proof;
 mod event_scan;
 mod headers;
 mod json_scan;
 mod outbound;
+mod strict_stream;
 mod usage;
 
 pub(crate) use self::{
--- a/crates/node/tests/traffic/dispatch.rs
+++ b/crates/node/tests/traffic/dispatch.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 
 use crate::{
-    rig::{Rig, chat, request},
+    rig::{Rig, chat, dechunk, request},
     scripted::{Reply, Scripted, Then},
 };
 
@@ -116,6 +116,32 @@
     assert!(answer.ends_with("{\"a\":1}"), "{answer}");
 }
 
+const CHUNKED_TEXT: &str =
+    "HTTP/1.1 200 OK\ncontent-type: text/plain\ntransfer-encoding: chunked\n\n5\nhello\n";
+
+#[rstest]
+#[case::kept_connection(Then::Keep)]
+#[case::closed_connection(Then::Close)]
+#[actix_rt::test]
+async fn chunked_text_is_whole_after_its_last_chunk(#[case] then: Then) {
+    let reply = Reply::new(&format!("{CHUNKED_TEXT}0\n\n"), then);
+    let upstream = Scripted::start(vec![reply]).await;
+    let rig = Rig::start(upstream.address, false);
+    let answer = rig.send(&request("GET /rack/1", &[WORKSPACE], "")).await;
+    assert_eq!(dechunk(&answer), ("hello".to_owned(), true));
+    assert_eq!(rig.metric("comfreyway_answered_total{class=\"ask\"}"), 1);
+}
+
+#[actix_rt::test]
+async fn chunked_text_that_is_cut_between_two_chunks_is_unknown() {
+    let upstream = Scripted::start(vec![Reply::new(CHUNKED_TEXT, Then::Close)]).await;
+    let rig = Rig::start(upstream.address, false);
+    let answer = rig.send(&request("GET /rack/1", &[WORKSPACE], "")).await;
+    assert_eq!(dechunk(&answer), ("hello".to_owned(), false));
+    assert_eq!(rig.metric("comfreyway_unknown_total{reason=\"upstream-broke\"}"), 1);
+    assert_eq!(upstream.requests().len(), 1);
+}
+
 #[actix_rt::test]
 async fn closed_connection_of_the_pool_is_not_used_again() {
     let replies = vec![
