Hold both engines while one of them leaves

Cause: the test waited for a request on the first engine while the second one stayed free; a scheduler that prefers the second never sends one, and the test gave up after 30 s (seen once). Now both are held, and requests reach both.

--- a/tests/testsuite/upstream_leaving.rs
+++ b/tests/testsuite/upstream_leaving.rs
@@ -102,7 +102,8 @@
 async fn work_that_runs_on_a_leaving_runner_ends() {
     let bench = Bench::new(false).await;
     bench.warm_up().await;
-    bench.engines[0].gate().close();
+    // Both are held, so that requests reach the first one whichever is preferred.
+    bench.engines.iter().for_each(|engine| engine.gate().close());
     let before = bench.runs().0;
     let mut held = Vec::new();
     eventually(|| {
@@ -114,7 +115,7 @@
     .await
     .expect("a request reaches the engine");
     bench.engines[0].set_leaving(Leaving::Announced);
-    bench.engines[0].gate().open();
+    bench.engines.iter().for_each(|engine| engine.gate().open());
     for call in held {
         let answer = call.await.unwrap();
         assert!(answer.looks_answered(), "{answer:?}");
