Show the version in force as a metric

An alert on a host that stays behind needs the version of each host beside the status. The gauge reads the document in force.

The test of nine hosts' status had counted a peer as heard before it had said version 1, and failed once with 8 of 9; the fleet now waits for that version from every peer.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -9,6 +9,7 @@
 mod actor;
 mod audit;
 pub mod codec;
+mod gauge;
 mod handle;
 mod links;
 mod requests;
@@ -19,6 +20,7 @@
 
 pub use self::{
     actor::ConfigActor,
+    gauge::register_version_gauge,
     handle::ConfigHandle,
     links::{ConfigLinks, NoLinks, split_peer_events},
     requests::ConfigPeerEvent,
--- a/crates/node/src/run/daemon.rs
+++ b/crates/node/src/run/daemon.rs
@@ -7,7 +7,7 @@
 use comfreyway_proto::operator::HostPhase;
 
 use crate::{
-    config::ConfigHandle,
+    config::{ConfigHandle, register_version_gauge},
     control::incarnation_now,
     events::{Event, log_event},
     health,
@@ -47,6 +47,7 @@
     put_initial(&settings, &thread.config).await?;
     actix_rt::spawn(probe_control(thread.control.clone(), metrics.traffic().clone()));
     let document = thread.config.document();
+    register_version_gauge(&metrics.meter(), document.clone());
     let traffic = Data::new(Traffic::new(
         &settings,
         document,
--- a/tests/testsuite/config_fleet.rs
+++ b/tests/testsuite/config_fleet.rs
@@ -69,13 +69,13 @@
         fleet
     }
 
-    /// Waits until every daemon has heard from every other.
+    /// Waits until every daemon has heard of version 1 from every other.
     async fn wait_for_sessions(&self) {
         for i in 0..self.daemons.len() {
             let client = self.client(i);
             let all = eventually(|| async {
                 let report = client.config_status().await.ok()?;
-                let known = report.hosts.iter().filter(|host| host.version.is_some()).count();
+                let known = report.hosts.iter().filter(|host| host.version >= Some(1)).count();
                 (known == self.daemons.len()).then_some(())
             });
             all.await.unwrap();
--- a/tests/testsuite/operator_day.rs
+++ b/tests/testsuite/operator_day.rs
@@ -44,6 +44,9 @@
     done(&fleet, &["route", "set", "/rack", "upstream=rack"]);
     done(&fleet, &["class", "set", "quote", "whole-answer=5s"]);
 
+    let metrics = fleet.daemons[0].metrics().await.unwrap();
+    assert!(metrics.contains("comfreyway_config_version 7"), "{metrics}");
+
     let answered = send(&fleet);
     assert_eq!(answered.status.code(), Some(0), "{answered:?}");
     let explained = done(&fleet, &["explain", &request_id(&answered)]);
