--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,7 +10,6 @@
 mod operator_day;
 mod planned_stop;
 mod platform_outage;
-mod planned_stop;
 mod support;
 mod upstream_leaving;
 mod upstream_links;
