Compare the peers' secret by the one type for it

Cause: the peers' sessions had a second type for the same secret, with its own comparison. Change: sessions use the type of the settings; the other is gone.

--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -26,7 +26,6 @@
 mod handle;
 mod metrics;
 mod result_call;
-mod secret;
 mod settings;
 mod socket;
 mod start;
@@ -37,7 +36,6 @@
     handle::PeersHandle,
     metrics::PeerMetrics,
     result_call::ResultCall,
-    secret::PeerSecret,
     settings::PeersSettings,
     start::start_peers,
 };
--- a/crates/node/src/peers/settings.rs
+++ b/crates/node/src/peers/settings.rs
@@ -5,7 +5,9 @@
 use comfreyway_core::ids::HostId;
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::{PeerMetrics, PeerSecret, ResultCall};
+use crate::settings::Secret;
+
+use super::{PeerMetrics, ResultCall};
 
 /// Settings of the sessions between daemons.
 #[derive(Clone, Debug)]
@@ -15,7 +17,7 @@
     /// Address at which this host accepts peers, as peers reach it.
     pub address: SocketAddr,
     /// The secret that peers share.
-    pub secret: PeerSecret,
+    pub secret: Secret,
     /// Addresses to dial from the start.
     pub static_peers: Vec<SocketAddr>,
     /// Time between two heartbeats on a session.
@@ -44,7 +46,7 @@
 
     /// Settings with default times and limits and no static peers.
     #[must_use]
-    pub fn new(host: HostId, address: SocketAddr, secret: PeerSecret) -> Self {
+    pub fn new(host: HostId, address: SocketAddr, secret: Secret) -> Self {
         Self {
             host,
             address,
--- a/crates/node/src/peers/socket.rs
+++ b/crates/node/src/peers/socket.rs
@@ -19,7 +19,9 @@
     },
 };
 
-use super::{PeerSecret, error::SessionError};
+use crate::settings::Secret;
+
+use super::error::SessionError;
 
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
@@ -37,14 +39,14 @@
 /// Connects to a peer and shows the secret.
 pub(super) async fn connect(
     address: SocketAddr,
-    secret: &PeerSecret,
+    secret: &Secret,
     limit: Duration,
 ) -> Result<Socket, SessionError> {
     let request = |cause: String| SessionError::Request(cause);
     let mut req = format!("ws://{address}/peers")
         .into_client_request()
         .map_err(|e| request(e.to_string()))?;
-    let value = HeaderValue::from_bytes(secret.bytes()).map_err(|e| request(e.to_string()))?;
+    let value = HeaderValue::from_str(secret.expose()).map_err(|e| request(e.to_string()))?;
     req.headers_mut().insert(headers::SECRET, value);
     let open = async {
         let stream = TcpStream::connect(address).await?;
@@ -58,7 +60,7 @@
 /// Accepts a session if the secret is right. Returns the path that was asked for.
 pub(super) async fn accept(
     stream: TcpStream,
-    secret: &PeerSecret,
+    secret: &Secret,
     limit: Duration,
 ) -> Result<(Socket, String), SessionError> {
     stream.set_nodelay(true)?;
--- a/crates/node/src/run/control_thread.rs
+++ b/crates/node/src/run/control_thread.rs
@@ -13,8 +13,8 @@
 use crate::{
     config::{ConfigActor, ConfigHandle, split_peer_events},
     control::{Control, ControlHandle},
-    peers::{PeerMetrics, PeerSecret, PeersSettings, ResultCall, start_peers},
-    settings::Settings,
+    peers::{PeerMetrics, PeersSettings, ResultCall, start_peers},
+    settings::{Secret, Settings},
 };
 
 use super::{
@@ -77,8 +77,7 @@
     settings: &Settings,
     listener: &TcpListener,
 ) -> Result<PeersSettings, RunError> {
-    let secret = settings.secret.as_ref().map_or("", |secret| secret.expose());
-    let secret = PeerSecret::new(secret.as_bytes().to_vec());
+    let secret = settings.secret.clone().unwrap_or_else(|| Secret::new(""));
     let others = settings.peers.iter().filter(|(name, _)| **name != settings.name);
     let addresses = others.map(|(_, address)| *address).collect();
     let address = listener.local_addr()?;
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -4,7 +4,10 @@
 use std::net::SocketAddr;
 
 use comfreyway_core::ids::{HostId, HostName};
-use comfreyway_node::peers::{PeerEvent, PeerSecret, PeersHandle, PeersSettings, start_peers};
+use comfreyway_node::{
+    peers::{PeerEvent, PeersHandle, PeersSettings, start_peers},
+    settings::Secret,
+};
 use comfreyway_proto::peer::{Hello, PeerMessage};
 use tokio::{net::TcpListener, sync::mpsc::Receiver};
 
@@ -22,7 +25,7 @@
 async fn node(host: HostId, secret: &str, dial: &[SocketAddr]) -> Node {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let secret = PeerSecret::new(secret.as_bytes().to_vec());
+    let secret = Secret::new(secret);
     let settings =
         PeersSettings::new(host.clone(), address, secret).with_static_peers(dial.to_vec());
     let (peers, events) = start_peers(settings, listener);
