Measure bytes between hosts, and see a dropped watch end

The stand-in of the key-value service did not notice that a client had closed its connection, so watches that had ended were counted as waiting: 6, 11 and 20 with 3, 6 and 12 hosts. Change: the stand-ins close a connection whose client has closed its side; the part 'hosts' reads the peers' bytes and runs 24 hosts as well.

--- a/crates/testkit/src/capacity/hosts.rs
+++ b/crates/testkit/src/capacity/hosts.rs
@@ -12,7 +12,7 @@
     engine::{EngineSettings, EngineStandIn},
     kv::{CallCounts, KvStandIn},
     load::{self, LoadResult, LoadSpec, Pace, RequestTemplate},
-    measure::{Fit, ProcessSample, Table},
+    measure::{Fit, MetricsPage, ProcessSample, Table},
     server::ANY_PORT,
     service::ServiceStandIn,
 };
@@ -20,7 +20,7 @@
 use super::{CapacityOptions, configuration::Configuration};
 
 /// Numbers of daemons.
-const HOSTS: [usize; 3] = [3, 6, 12];
+const HOSTS: [usize; 4] = [3, 6, 12, 24];
 /// Runners of the engines' upstream.
 const RUNNERS: usize = 12;
 /// Requests per second of each host.
@@ -29,6 +29,8 @@
 const WARM_UP: Duration = Duration::from_secs(4);
 /// Start of the names of a daemon's control thread and traffic threads.
 const THREADS: &str = "actix-rt";
+/// Counter of the bytes between daemons.
+const PEER_BYTES: &str = "comfreyway_peer_bytes_total";
 /// Control threads of a daemon.
 const CONTROL_THREADS: usize = 1;
 
@@ -44,6 +46,8 @@
         "writes/s",
         "leases/s",
         "watches",
+        "peer B/s mean",
+        "peer B/s max",
     ];
     let mut table = Table::new("Daemons with one key-value service", &columns);
     let mut control = Vec::new();
@@ -64,6 +68,8 @@
 struct Moment {
     calls: CallCounts,
     daemons: Vec<ProcessSample>,
+    /// Payload bytes that each daemon sent to others so far.
+    peer_bytes: Vec<f64>,
 }
 
 async fn run(count: usize, options: &CapacityOptions) -> io::Result<(f64, Vec<String>)> {
@@ -84,9 +90,9 @@
     let duration = options.duration();
     let loads: Vec<_> = daemons.iter().map(|daemon| hold_load(daemon, duration)).collect();
     actix_rt::time::sleep(WARM_UP).await;
-    let before = moment(&kv, &daemons)?;
+    let before = moment(&kv, &daemons).await?;
     actix_rt::time::sleep(duration).await;
-    let after = moment(&kv, &daemons)?;
+    let after = moment(&kv, &daemons).await?;
     let mut answered = 0.0;
     for load in loads {
         answered += load.await.map_err(io::Error::other)?.requests_per_second();
@@ -104,9 +110,17 @@
     spawn_blocking(move || load::run(&spec))
 }
 
-fn moment(kv: &KvStandIn, daemons: &[DaemonProcess]) -> io::Result<Moment> {
-    let daemons = daemons.iter().map(|daemon| ProcessSample::read(daemon.pid()));
-    Ok(Moment { calls: kv.calls(), daemons: daemons.collect::<io::Result<_>>()? })
+async fn moment(kv: &KvStandIn, daemons: &[DaemonProcess]) -> io::Result<Moment> {
+    let calls = kv.calls();
+    let samples = daemons.iter().map(|daemon| ProcessSample::read(daemon.pid()));
+    let samples = samples.collect::<io::Result<_>>()?;
+    let mut peer_bytes = Vec::new();
+    for daemon in daemons {
+        let page = MetricsPage::parse(&daemon.metrics().await?);
+        let sent = page.by_label(PEER_BYTES, "direction").get("sent").copied();
+        peer_bytes.push(sent.unwrap_or_default());
+    }
+    Ok(Moment { calls, daemons: samples, peer_bytes })
 }
 
 /// Writes the costs between two moments. Returns the mean share of a core that
@@ -133,9 +147,19 @@
         rate(leases(&after.calls), leases(&before.calls)),
         after.calls.waiting_watches.to_string(),
     ]);
+    push_peer_bytes(row, before, after, seconds);
     mean
 }
 
+/// Writes the mean and the highest rate of bytes that a daemon sent to others.
+fn push_peer_bytes(row: &mut Vec<String>, before: &Moment, after: &Moment, seconds: f64) {
+    let sent = after.peer_bytes.iter().zip(&before.peer_bytes);
+    let rates: Vec<_> = sent.map(|(after, before)| (after - before) / seconds).collect();
+    let mean = rates.iter().sum::<f64>() / rates.len() as f64;
+    let max = rates.iter().copied().fold(0.0, f64::max);
+    row.extend([format!("{mean:.0}"), format!("{max:.0}")]);
+}
+
 fn start(count: usize, kv: &KvStandIn) -> io::Result<Vec<DaemonProcess>> {
     let alone: Vec<_> = (0..count)
         .map(|i| DaemonSettings::with_etcd(&format!("host-{i}"), kv.address(), None))
--- a/crates/testkit/src/server.rs
+++ b/crates/testkit/src/server.rs
@@ -120,6 +120,7 @@
         .workers(1)
         .backlog(BACKLOG)
         .max_connections(MAX_CONNECTIONS)
+        .h1_allow_half_closed(false)
         .tcp_nodelay(true)
         .client_request_timeout(REQUEST_HEAD_LIMIT)
         .disable_signals()
--- a/crates/testkit/tests/key_value.rs
+++ b/crates/testkit/tests/key_value.rs
@@ -10,7 +10,7 @@
     Revision,
 };
 use comfreyway_testkit::{
-    daemon::unused_address,
+    daemon::{eventually, unused_address},
     kv::{KvFaults, KvStandIn, Outage},
 };
 use futures_util::StreamExt;
@@ -249,3 +249,19 @@
     standin.start_again().unwrap();
     assert!(kv.get("a").await.unwrap().is_some());
 }
+
+#[actix_rt::test]
+async fn dropped_watch_waits_no_longer() {
+    let standin = KvStandIn::start().unwrap();
+    let kv = client(&standin);
+    let waiting = |count| {
+        let standin = &standin;
+        eventually(move || async move { (standin.calls().waiting_watches == count).then_some(()) })
+    };
+    let mut events = kv.watch("a", Revision(0));
+    written(&kv, "a", Revision(0), "1").await;
+    events.next().await.unwrap().unwrap();
+    waiting(1).await.expect("the watch waits");
+    drop(events);
+    waiting(0).await.expect("the watch is gone");
+}
