Use a runner again that stays after it said that it was leaving

Cause: an entry that saw the mark of a leaving runner in an answer told the pool's owner, and nothing took that back: the owner's own questions speak only when their answer changes, and they had not seen the mark. A runner that left and came back within half a second stayed out of use until the next change of the configuration. Also, a leaving runner that was described again counted as staying between two inputs, and could get a grant there. Change: a load report of a runner that nobody calls leaving puts it back into use; the description of a runner says whether it is leaving. Ruled out: a time after which the mark is forgotten, since a runner that does leave would then get new work. A described runner that is leaving gets no grant.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -160,6 +160,7 @@
         data_centre: "alatau".parse().expect("a valid name"),
         initial_limit: RUNNER_LIMIT,
         engine: true,
+        leaving: false,
     }
 }
 
--- a/crates/core/src/pool/input.rs
+++ b/crates/core/src/pool/input.rs
@@ -72,7 +72,8 @@
     },
     /// An entry host is gone with everything that it had waiting.
     EntryGone(HostId),
-    /// A runner joined, or its description changed.
+    /// A runner joined, or its description changed. Takes back an earlier
+    /// `RunnerLeaving` unless the description says that it is leaving.
     RunnerUp(RunnerSpec),
     /// A runner is leaving: it gets no new work and finishes what it has.
     RunnerLeaving(RunnerName),
--- a/crates/core/src/pool/runner.rs
+++ b/crates/core/src/pool/runner.rs
@@ -40,6 +40,8 @@
     pub initial_limit: u32,
     /// True for a model engine, false for a plain service.
     pub engine: bool,
+    /// True if the runner is leaving: it gets no new work.
+    pub leaving: bool,
 }
 
 /// Whether a request may use the capacity that is kept for the top tier.
@@ -85,8 +87,8 @@
         let limit = Limit::new(spec.initial_limit);
         let rates = Rates::new(f64::from(spec.initial_limit) / 2.0);
         Self {
+            leaving: spec.leaving,
             spec,
-            leaving: false,
             in_progress: 0,
             tokens: 0,
             rates,
--- a/crates/core/src/pool/state.rs
+++ b/crates/core/src/pool/state.rs
@@ -132,8 +132,12 @@
             PoolInput::Adopt { record, runner } => self.adopt(now, record, &runner),
             PoolInput::EntryGone(entry) => self.entry_gone(now, &entry),
             PoolInput::RunnerUp(spec) => {
+                let leaving = spec.leaving;
                 let ix = self.runners.up(spec);
                 self.refresh(now, ix);
+                if leaving {
+                    self.free_held(now, ix);
+                }
             }
             PoolInput::RunnerLeaving(name) => {
                 let Some(ix) = self.runners.find(&name) else { return };
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -54,8 +54,8 @@
     pub(super) fn up(&mut self, spec: RunnerSpec) -> RunnerIx {
         if let Some(ix) = self.find(&spec.name) {
             if let Some(runner) = self.get_mut(ix) {
+                runner.leaving = spec.leaving;
                 runner.spec = spec;
-                runner.leaving = false;
             }
             return ix;
         }
--- a/crates/core/src/pool/views.rs
+++ b/crates/core/src/pool/views.rs
@@ -34,6 +34,13 @@
         views
     }
 
+    /// True if the runner is known and gets no new work because it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, runner: &RunnerName) -> bool {
+        let ix = self.runners.find(runner);
+        ix.and_then(|ix| self.runners.get(ix)).is_some_and(|runner| runner.leaving)
+    }
+
     /// The known runners in order of name.
     #[must_use]
     pub fn runners(&self, now: MonoTime) -> Vec<RunnerView> {
--- a/crates/core/tests/owner.rs
+++ b/crates/core/tests/owner.rs
@@ -81,6 +81,7 @@
                 data_centre: "medeu".parse().unwrap(),
                 initial_limit: 4,
                 engine: false,
+                leaving: false,
             };
             bench.input(START, OwnerInput::Pool(PoolInput::RunnerUp(spec)));
         }
--- a/crates/core/tests/pool_lifecycle.rs
+++ b/crates/core/tests/pool_lifecycle.rs
@@ -7,7 +7,7 @@
 use comfreyway_core::{
     ids::RequestId,
     outcome::{NotRunReason, RetryReason},
-    pool::{PoolInput, Standing},
+    pool::{PoolInput, RunnerSpec, Standing},
     request::DispatchEnd,
 };
 use rstest::rstest;
@@ -170,3 +170,16 @@
     bench.pass(2_000);
     assert_eq!(bench.refusals(), [(1, NotRunReason::NoRunner)]);
 }
+
+#[test]
+fn leaving_runner_that_is_described_again_gets_no_work() {
+    let mut bench = Bench::new(settings());
+    bench.step(PoolInput::RunnerUp(spec(1, 4, true)));
+    bench.step(PoolInput::RunnerLeaving(runner(1)));
+    bench.submit(&record(1, 0, 200));
+    let leaving = RunnerSpec { leaving: true, ..spec(1, 8, true) };
+    bench.step(PoolInput::RunnerUp(leaving));
+    assert!(bench.grants().is_empty());
+    bench.step(PoolInput::RunnerUp(spec(1, 8, true)));
+    assert_eq!(bench.grants().len(), 1);
+}
--- a/crates/core/tests/protocol_support/mod.rs
+++ b/crates/core/tests/protocol_support/mod.rs
@@ -189,6 +189,7 @@
         data_centre: "medeu".parse().unwrap(),
         initial_limit: 4,
         engine: false,
+        leaving: false,
     };
     seat.handle(now, OwnerInput::Pool(PoolInput::RunnerUp(spec)), &mut Vec::new());
 }
--- a/crates/node/src/control/actor.rs
+++ b/crates/node/src/control/actor.rs
@@ -13,8 +13,8 @@
     cluster::ClusterInput,
     config::Document,
     entry::EntryInput,
-    ids::{HostId, HostName, RequestId},
-    pool::PoolInput,
+    ids::{HostId, HostName, PoolId, RequestId, RunnerName},
+    pool::{LoadReport, PoolInput},
     time::MonoTime,
 };
 use comfreyway_platform::{EmbeddedKeyValue, HostList, KeyValue};
@@ -208,13 +208,25 @@
     }
 }
 
+impl Control {
+    /// A runner that reports its load and that nobody calls leaving is in use,
+    /// although an answer of it may have said otherwise in between.
+    fn hear_load(&self, pool: &PoolId, runner: RunnerName, report: LoadReport) -> Vec<PoolInput> {
+        let returned = match self.decisions.is_leaving(pool, &runner) {
+            true => self.runners.return_input(pool, &runner),
+            false => None,
+        };
+        returned.into_iter().chain([PoolInput::Load { runner, report }]).collect()
+    }
+}
+
 impl Handler<RunnerHeard> for Control {
     type Result = ();
 
     fn handle(&mut self, heard: RunnerHeard, cx: &mut Self::Context) {
         let RunnerHeard { pool, runner, news } = heard;
         let inputs = match news {
-            RunnerNews::Load(report) => vec![PoolInput::Load { runner, report }],
+            RunnerNews::Load(report) => self.hear_load(&pool, runner, report),
             RunnerNews::Cache(event) => vec![PoolInput::Cache { runner, event }],
             RunnerNews::Leaving(leaving) => self.runners.hear_leaving(&pool, &runner, leaving),
         };
--- a/crates/node/src/control/decisions.rs
+++ b/crates/node/src/control/decisions.rs
@@ -9,7 +9,7 @@
 use comfreyway_core::{
     cluster::Inheritance,
     entry::{Entry, EntryAction, EntryInput},
-    ids::{Epoch, HostId, PoolId},
+    ids::{Epoch, HostId, PoolId, RunnerName},
     owner::{Owner, OwnerAction, OwnerInput, PoolSeat},
     pool::{Pool, PoolInput, PoolSettings},
     time::MonoTime,
@@ -57,6 +57,12 @@
         self.seats.values().filter_map(PoolSeat::owner).map(Owner::pool)
     }
 
+    /// True if this host owns the pool and counts the runner as leaving.
+    pub(crate) fn is_leaving(&self, pool: &PoolId, runner: &RunnerName) -> bool {
+        let owner = self.seats.get(pool).and_then(PoolSeat::owner);
+        owner.is_some_and(|owner| owner.pool().is_leaving(runner))
+    }
+
     /// Starts to own a pool under `epoch`. Replaces an earlier term.
     pub(crate) fn own(
         &mut self,
--- a/crates/node/src/control/runners.rs
+++ b/crates/node/src/control/runners.rs
@@ -34,6 +34,12 @@
     heard_leaving: bool,
 }
 
+impl KnownRunner {
+    fn is_leaving(&self) -> bool {
+        self.leaving || self.heard_leaving
+    }
+}
+
 type Runners = BTreeMap<RunnerName, KnownRunner>;
 
 /// The runners of every pool.
@@ -51,7 +57,7 @@
     /// The inputs that tell a new owner of every runner.
     pub(crate) fn inputs(&self, pool: &PoolId) -> Vec<PoolInput> {
         let runners = self.pools.get(pool).into_iter().flat_map(BTreeMap::values);
-        runners.flat_map(inputs_for).collect()
+        runners.map(input_for).collect()
     }
 
     /// Names of all pools.
@@ -82,7 +88,14 @@
         let known = self.pools.get_mut(pool).and_then(|runners| runners.get_mut(runner));
         let Some(known) = known else { return Vec::new() };
         known.heard_leaving = leaving;
-        inputs_for(known)
+        vec![input_for(known)]
+    }
+
+    /// The input that puts a runner back into use, unless somebody says that it
+    /// is leaving.
+    pub(crate) fn return_input(&self, pool: &PoolId, runner: &RunnerName) -> Option<PoolInput> {
+        let known = self.pools.get(pool)?.get(runner)?;
+        (!known.is_leaving()).then(|| input_for(known))
     }
 
     /// Takes a new configuration and returns what changed.
@@ -130,7 +143,7 @@
     let mut inputs = Vec::new();
     for (name, known) in new {
         if old.and_then(|runners| runners.get(name)) != Some(known) {
-            inputs.extend(inputs_for(known));
+            inputs.push(input_for(known));
         }
     }
     for name in old.into_iter().flat_map(BTreeMap::keys) {
@@ -141,12 +154,8 @@
     inputs.into_iter().map(|input| (pool.clone(), input)).collect()
 }
 
-fn inputs_for(known: &KnownRunner) -> Vec<PoolInput> {
-    let mut inputs = vec![PoolInput::RunnerUp(known.spec.clone())];
-    if known.leaving || known.heard_leaving {
-        inputs.push(PoolInput::RunnerLeaving(known.spec.name.clone()));
-    }
-    inputs
+fn input_for(known: &KnownRunner) -> PoolInput {
+    PoolInput::RunnerUp(RunnerSpec { leaving: known.is_leaving(), ..known.spec.clone() })
 }
 
 fn pools_of(document: &Document) -> BTreeMap<PoolId, Runners> {
@@ -173,6 +182,7 @@
         data_centre: runner.data_centre.clone(),
         initial_limit: INITIAL_LIMIT,
         engine: upstream.kind == UpstreamKind::Engine,
+        leaving: false,
     };
     KnownRunner { spec, address: runner.address, leaving: runner.leaving, heard_leaving: false }
 }
--- a/crates/node/src/reports/actor.rs
+++ b/crates/node/src/reports/actor.rs
@@ -93,12 +93,14 @@
             state.presence.answered_leaving = leaving;
         }
         let after = state.presence;
+        // Before the load, which puts a runner that nobody calls leaving back
+        // into use.
+        self.tell_presence(key, before, after);
         let load = report.load.map(RunnerNews::Load);
         let cache = report.cache.into_iter().map(RunnerNews::Cache);
         for news in load.into_iter().chain(cache) {
             self.tell_owner(key, news);
         }
-        self.tell_presence(key, before, after);
     }
 
     fn read_host_list(&mut self, cx: &mut Context<Self>) {
--- a/crates/testkit/src/experiment/run.rs
+++ b/crates/testkit/src/experiment/run.rs
@@ -147,6 +147,7 @@
                 data_centre: spec.data_centre.parse().expect("a valid name"),
                 initial_limit: INITIAL_LIMIT,
                 engine: true,
+                leaving: false,
             };
             self.at(MonoTime::ZERO, Event::Scheduler(PoolInput::RunnerUp(runner)));
             self.at(MonoTime::ZERO + REPORT_INTERVAL, Event::Report(number));
--- a/tests/testsuite/upstream_leaving.rs
+++ b/tests/testsuite/upstream_leaving.rs
@@ -121,3 +121,22 @@
         assert!(answer.looks_answered(), "{answer:?}");
     }
 }
+
+#[actix_rt::test]
+async fn runner_that_stays_after_all_is_used_again() {
+    let engine = EngineStandIn::start(EngineSettings::new()).unwrap();
+    let text = Fixture::new().with_engine(engine.address()).text();
+    let dir = TempDir::new().unwrap();
+    let file = dir.write("configuration.ini", &text).unwrap();
+    let settings = DaemonSettings::with_embedded("host-0", &file).unwrap();
+    let daemon = Daemon::start_ready(settings).await;
+    let caller = daemon.caller();
+    for round in 0..3 {
+        engine.set_leaving(Leaving::Announced);
+        let marked = caller.chat(&format!("marked {round}"), 1, false).await;
+        engine.set_leaving(Leaving::No);
+        let later = caller.chat(&format!("later {round}"), 1, false).await;
+        assert!(marked.looks_answered() && later.looks_answered(), "{marked:?} {later:?}");
+    }
+    assert_eq!(engine.log().count(), 6);
+}
