--- /dev/null
+++ b/crates/core/tests/protocol_support/actor.rs
@@ -0,0 +1,108 @@
+//! The actors of the model, in their first states.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
+
+use comfreyway_core::{
+    cluster::Inheritance,
+    entry::{Entry, EntryInput, OwnerView},
+    ids::{Epoch, HostId, PoolId, RequestId, Tier},
+    owner::{Guard, Identity, OwnerInput, PoolSeat, RequestKey, Submission},
+    pool::{PoolInput, PoolSettings, RunnerSpec},
+    request::{RequestRecord, Target},
+    time::MonoTime,
+};
+
+use super::{ACTORS, LATER_MS, X};
+
+pub(super) fn host(name: &str) -> HostId {
+    HostId { name: name.parse().unwrap(), incarnation: 1 }
+}
+
+pub(super) fn hosts() -> [HostId; ACTORS] {
+    ["a", "b", "x", "y"].map(host)
+}
+
+pub(super) fn pool() -> PoolId {
+    PoolId { upstream: "llm".parse().unwrap(), region: "almaty".parse().unwrap() }
+}
+
+pub(super) fn epoch(issued: u64) -> Epoch {
+    Epoch { issued, provisional: 0 }
+}
+
+pub(super) fn time(later: bool) -> MonoTime {
+    MonoTime::from_millis(if later { 1_000 + LATER_MS } else { 1_000 })
+}
+
+/// The same request, received by entry `ix`.
+pub(super) fn submission(ix: usize, idempotent: bool) -> Submission {
+    let workspace: comfreyway_core::ids::WorkspaceName = "ayaq".parse().unwrap();
+    let key = RequestKey { workspace: workspace.clone(), key: "quote-7".to_owned() };
+    let record = RequestRecord {
+        id: RequestId::new(ix as u128 + 1),
+        entry: hosts()[ix].clone(),
+        workspace,
+        class: "quote".parse().unwrap(),
+        tier: Tier(0),
+        target: Target::Whole(Duration::from_millis(LATER_MS)),
+        age: Duration::ZERO,
+        prefill_tokens: 0,
+        max_decode_tokens: None,
+        prefix: Vec::new(),
+        body_bytes: 10,
+    };
+    Submission { record, identity: Some(Identity { key, digest: [7; 32], idempotent }) }
+}
+
+pub(super) enum Actor {
+    Entry(Box<Entry>),
+    Seat(Box<PoolSeat>),
+}
+
+impl Actor {
+    pub(super) fn new(ix: usize) -> Self {
+        if ix < X {
+            let mut entry = Entry::new(hosts()[ix].clone());
+            let view = OwnerView { owner: Some(hosts()[X].clone()), epoch: epoch(1) };
+            let input = EntryInput::OwnerChanged { pool: pool(), view };
+            entry.handle(time(false), input, &mut Vec::new());
+            return Self::Entry(Box::new(entry));
+        }
+        let mut seat = PoolSeat::new();
+        if ix == X {
+            own(&mut seat, time(false), 1, &Inheritance::First);
+            let mut out = Vec::new();
+            seat.handle(time(false), OwnerInput::UseStandby(Some(host("y"))), &mut out);
+            seat.handle(time(false), OwnerInput::Guard(Guard::Paired(host("y"))), &mut out);
+        }
+        Self::Seat(Box::new(seat))
+    }
+
+    pub(super) fn fingerprint(&self) -> u64 {
+        let text = match self {
+            Self::Entry(entry) => format!("{entry:?}"),
+            Self::Seat(seat) => format!("{seat:?}"),
+        };
+        let mut hasher = DefaultHasher::new();
+        text.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+/// Begins a term with one runner that has room for both requests.
+pub(super) fn own(seat: &mut PoolSeat, now: MonoTime, issued: u64, inheritance: &Inheritance) {
+    let settings =
+        PoolSettings::new(pool(), epoch(issued)).with_grant_lifetime(Duration::from_millis(1_000));
+    seat.own(now, settings, inheritance);
+    let spec = RunnerSpec {
+        name: "r".parse().unwrap(),
+        data_centre: "medeu".parse().unwrap(),
+        initial_limit: 4,
+        engine: false,
+        leaving: false,
+    };
+    seat.handle(now, OwnerInput::Pool(PoolInput::RunnerUp(spec)), &mut Vec::new());
+}
--- a/crates/core/tests/protocol_support/mod.rs
+++ b/crates/core/tests/protocol_support/mod.rs
@@ -9,24 +9,21 @@
 //! inputs that leads to it; the results of steps are kept.
 #![allow(clippy::unwrap_used)]
 
-use std::{
-    collections::HashMap,
-    hash::{DefaultHasher, Hash, Hasher},
-    time::Duration,
-};
+mod actor;
+
+use std::{collections::HashMap, hash::Hash, time::Duration};
 
 use comfreyway_core::{
     cluster::Inheritance,
     entry::{Entry, EntryAction, EntryInput, OwnerView},
-    ids::{Epoch, HostId, PoolId, RequestId, Tier},
-    owner::{
-        Guard, Identity, OwnerAction, OwnerInput, PoolSeat, RequestKey, StandbyEvent, Submission,
-    },
-    pool::{PoolInput, PoolSettings, RunnerSpec},
-    request::{DispatchEnd, RequestRecord, Target},
+    ids::{Epoch, RequestId},
+    owner::{Guard, OwnerAction, OwnerInput, PoolSeat, StandbyEvent},
+    request::DispatchEnd,
     time::MonoTime,
 };
 
+use self::actor::{Actor, epoch, host, hosts, own, pool, submission, time};
+
 /// Entries A and B, then the hosts X (first owner) and Y (standby, next owner).
 const A: usize = 0;
 const B: usize = 1;
@@ -104,96 +101,6 @@
     steps: HashMap<(u32, bool, u32), (u32, Output)>,
 }
 
-fn host(name: &str) -> HostId {
-    HostId { name: name.parse().unwrap(), incarnation: 1 }
-}
-
-fn hosts() -> [HostId; ACTORS] {
-    ["a", "b", "x", "y"].map(host)
-}
-
-fn pool() -> PoolId {
-    PoolId { upstream: "llm".parse().unwrap(), region: "almaty".parse().unwrap() }
-}
-
-fn epoch(issued: u64) -> Epoch {
-    Epoch { issued, provisional: 0 }
-}
-
-fn time(later: bool) -> MonoTime {
-    MonoTime::from_millis(if later { 1_000 + LATER_MS } else { 1_000 })
-}
-
-/// The same request, received by entry `ix`.
-fn submission(ix: usize, idempotent: bool) -> Submission {
-    let workspace: comfreyway_core::ids::WorkspaceName = "ayaq".parse().unwrap();
-    let key = RequestKey { workspace: workspace.clone(), key: "quote-7".to_owned() };
-    let record = RequestRecord {
-        id: RequestId::new(ix as u128 + 1),
-        entry: hosts()[ix].clone(),
-        workspace,
-        class: "quote".parse().unwrap(),
-        tier: Tier(0),
-        target: Target::Whole(Duration::from_millis(LATER_MS)),
-        age: Duration::ZERO,
-        prefill_tokens: 0,
-        max_decode_tokens: None,
-        prefix: Vec::new(),
-        body_bytes: 10,
-    };
-    Submission { record, identity: Some(Identity { key, digest: [7; 32], idempotent }) }
-}
-
-enum Actor {
-    Entry(Box<Entry>),
-    Seat(Box<PoolSeat>),
-}
-
-impl Actor {
-    fn new(ix: usize) -> Self {
-        if ix < X {
-            let mut entry = Entry::new(hosts()[ix].clone());
-            let view = OwnerView { owner: Some(hosts()[X].clone()), epoch: epoch(1) };
-            let input = EntryInput::OwnerChanged { pool: pool(), view };
-            entry.handle(time(false), input, &mut Vec::new());
-            return Self::Entry(Box::new(entry));
-        }
-        let mut seat = PoolSeat::new();
-        if ix == X {
-            own(&mut seat, time(false), 1, &Inheritance::First);
-            let mut out = Vec::new();
-            seat.handle(time(false), OwnerInput::UseStandby(Some(host("y"))), &mut out);
-            seat.handle(time(false), OwnerInput::Guard(Guard::Paired(host("y"))), &mut out);
-        }
-        Self::Seat(Box::new(seat))
-    }
-
-    fn fingerprint(&self) -> u64 {
-        let text = match self {
-            Self::Entry(entry) => format!("{entry:?}"),
-            Self::Seat(seat) => format!("{seat:?}"),
-        };
-        let mut hasher = DefaultHasher::new();
-        text.hash(&mut hasher);
-        hasher.finish()
-    }
-}
-
-/// Begins a term with one runner that has room for both requests.
-fn own(seat: &mut PoolSeat, now: MonoTime, issued: u64, inheritance: &Inheritance) {
-    let settings =
-        PoolSettings::new(pool(), epoch(issued)).with_grant_lifetime(Duration::from_millis(1_000));
-    seat.own(now, settings, inheritance);
-    let spec = RunnerSpec {
-        name: "r".parse().unwrap(),
-        data_centre: "medeu".parse().unwrap(),
-        initial_limit: 4,
-        engine: false,
-        leaving: false,
-    };
-    seat.handle(now, OwnerInput::Pool(PoolInput::RunnerUp(spec)), &mut Vec::new());
-}
-
 impl Model {
     pub(crate) fn new(idempotent: bool) -> Self {
         let mut model = Self {
