--- /dev/null
+++ b/crates/core/src/fleet/directory.rs
@@ -0,0 +1,133 @@
+//! One opinion on each runner, from entries that come and go.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{ids::RunnerName, time::MonoTime};
+
+use super::{RunnerEntry, RunnerKey};
+
+/// Time after the store's return within which a living runner is listed again;
+/// the store's operators promise about two seconds.
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
+
+/// What changed about a runner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RunnerNews {
+    /// The runner may be used.
+    Up(RunnerEntry),
+    /// The runner gets no new work.
+    Leaving(RunnerEntry),
+    /// The runner is gone.
+    Gone(RunnerEntry),
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    entry: RunnerEntry,
+    /// Set while the entry is missing although the runner may be alive.
+    missing_since: Option<MonoTime>,
+}
+
+/// Runners by name.
+#[derive(Debug, Default)]
+pub struct RunnerDirectory {
+    known: BTreeMap<RunnerName, Known>,
+    /// Runs that answered as another runner or as leaving: never used again.
+    ended: BTreeMap<RunnerName, RunnerKey>,
+    /// Until when a vanished entry may only be lost and not gone.
+    lenient_until: Option<MonoTime>,
+}
+
+impl RunnerDirectory {
+    /// The store answers again after an outage.
+    pub fn store_returned(&mut self, now: MonoTime) {
+        self.lenient_until = Some(now + RETURN_TIME);
+    }
+
+    /// Takes in all entries at once.
+    pub fn list(&mut self, now: MonoTime, entries: Vec<RunnerEntry>, out: &mut Vec<RunnerNews>) {
+        let listed: Vec<_> = entries.iter().map(|entry| entry.key.name.clone()).collect();
+        for entry in entries {
+            self.put(now, entry, out);
+        }
+        let missing = self.known.keys().filter(|name| !listed.contains(name));
+        for name in missing.cloned().collect::<Vec<_>>() {
+            self.vanish(now, &name, out);
+        }
+    }
+
+    /// Takes in one written entry.
+    pub fn put(&mut self, now: MonoTime, entry: RunnerEntry, out: &mut Vec<RunnerNews>) {
+        if self.ended.get(&entry.key.name) == Some(&entry.key) {
+            return;
+        }
+        let old = self.known.get(&entry.key.name);
+        if let Some(old) = old.filter(|old| old.entry.key != entry.key) {
+            out.push(RunnerNews::Gone(old.entry.clone()));
+        } else if let Some(old) = old {
+            if old.entry.leaving && !entry.leaving {
+                // The same run never comes back from leaving.
+                return;
+            }
+            if old.entry == entry {
+                if let Some(known) = self.known.get_mut(&entry.key.name) {
+                    known.missing_since = None;
+                }
+                return;
+            }
+        }
+        out.push(match entry.leaving {
+            true => RunnerNews::Leaving(entry.clone()),
+            false => RunnerNews::Up(entry.clone()),
+        });
+        let _ = now;
+        self.known.insert(entry.key.name.clone(), Known { entry, missing_since: None });
+    }
+
+    /// Takes in that an entry was removed or can't be read.
+    pub fn vanish(&mut self, now: MonoTime, name: &RunnerName, out: &mut Vec<RunnerNews>) {
+        let Some(known) = self.known.get_mut(name) else { return };
+        if self.lenient_until.is_some_and(|until| now < until) && !known.entry.leaving {
+            known.missing_since.get_or_insert(now);
+            return;
+        }
+        if let Some(known) = self.known.remove(name) {
+            out.push(RunnerNews::Gone(known.entry));
+        }
+    }
+
+    /// The runner itself showed that this run takes no more work.
+    pub fn refused_as_leaving(&mut self, key: &RunnerKey, out: &mut Vec<RunnerNews>) {
+        self.ended.insert(key.name.clone(), key.clone());
+        if self.known.get(&key.name).is_some_and(|known| known.entry.key == *key)
+            && let Some(known) = self.known.remove(&key.name)
+        {
+            out.push(RunnerNews::Gone(known.entry));
+        }
+    }
+
+    /// Gives up runners whose entries have not come back in time.
+    pub fn tick(&mut self, now: MonoTime, out: &mut Vec<RunnerNews>) {
+        if self.lenient_until.is_none_or(|until| now < until) {
+            return;
+        }
+        self.lenient_until = None;
+        let missing = self.known.iter().filter(|(_, known)| known.missing_since.is_some());
+        for name in missing.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
+            if let Some(known) = self.known.remove(&name) {
+                out.push(RunnerNews::Gone(known.entry));
+            }
+        }
+    }
+
+    /// The entry of a runner that may be used.
+    #[must_use]
+    pub fn usable(&self, name: &RunnerName) -> Option<&RunnerEntry> {
+        self.known.get(name).map(|known| &known.entry).filter(|entry| !entry.leaving)
+    }
+
+    /// All known entries.
+    pub fn entries(&self) -> impl Iterator<Item = &RunnerEntry> {
+        self.known.values().map(|known| &known.entry)
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/mod.rs
@@ -0,0 +1,41 @@
+//! A fleet behind many hosts: what every host knows of it, and who decides.
+//!
+//! - [`Plan`] is the operators' configuration as the hosts use it: routes,
+//!   workspaces and upstreams.
+//! - [`RunnerDirectory`] turns the runners' own entries in the store into one
+//!   opinion on each runner. The strictest statement wins.
+//! - [`elect()`] names the host that coordinates. Every host is able to.
+//! - [`Coordinator`] ranks and places requests of the hosts that ask it, and
+//!   holds the quotas and the retry budget. It answers the load of all its
+//!   hosts together: bursts, large workspaces, callers that repeat.
+//! - [`Desk`] is the other side: the requests of one host. When its coordinator
+//!   is gone, it asks the host's own coordinator, which then uses only this
+//!   host's share of runners and quotas.
+//!
+//! A request is dispatched only by the host that holds the caller's connection,
+//! so two coordinators at the same time may overfill a runner for a moment and
+//! can't run a request twice.
+
+mod budget;
+mod coordinator;
+mod desk;
+mod directory;
+mod member;
+mod message;
+mod plan;
+mod quota;
+mod runner;
+mod share;
+
+pub use self::{
+    budget::{RetryBudget, RetryRule},
+    coordinator::Coordinator,
+    desk::{Desk, DeskAction},
+    directory::{RunnerDirectory, RunnerNews},
+    member::{Member, elect},
+    message::{Ask, Question, Tell},
+    plan::{CallerLimits, Plan, Quota, Repeat, Route, UpstreamPlan, Workspace},
+    quota::Quotas,
+    runner::{RunnerEntry, RunnerKey},
+    share::Share,
+};
--- /dev/null
+++ b/crates/core/src/fleet/plan.rs
@@ -0,0 +1,192 @@
+//! The operators' configuration as the hosts use it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    ids::{ClassName, Tier, UpstreamName, WorkspaceName},
+    request::Target,
+};
+
+/// What may be done again with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Repeat {
+    /// Runs once at most.
+    Never,
+    /// May run more than once.
+    Idempotent,
+    /// A stream that another runner may continue after a given event.
+    Resumable,
+}
+
+/// One class of work and how its requests are told by host and path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name of the class.
+    pub class: ClassName,
+    /// Value of the `Host` header.
+    pub host: String,
+    /// Beginning of the path, with a slash at both ends.
+    pub prefix: String,
+    /// Upstreams with their weights, at least one.
+    pub upstreams: Vec<(UpstreamName, u32)>,
+    /// What may be done again.
+    pub repeat: Repeat,
+    /// True if the answer is a stream of events.
+    pub streaming: bool,
+    /// Longest time that a request may be kept.
+    pub time_limit: Duration,
+    /// Target of the class.
+    pub target: Target,
+    /// Tier of the class.
+    pub tier: Tier,
+    /// Most runners that one request may be sent to.
+    pub attempts: u32,
+    /// True if no key is needed.
+    pub public: bool,
+}
+
+impl Route {
+    /// The upstream for a request, by weight. `pick` is any number that is
+    /// spread evenly over requests.
+    #[must_use]
+    pub fn upstream(&self, pick: u64) -> Option<&UpstreamName> {
+        let total: u64 = self.upstreams.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let mut left = pick.checked_rem(total)?;
+        for (name, weight) in &self.upstreams {
+            if left < u64::from(*weight) {
+                return Some(name);
+            }
+            left -= u64::from(*weight);
+        }
+        None
+    }
+}
+
+/// Rate that a workspace may use; a rate of zero is no limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Quota {
+    /// Units a second.
+    pub rate_per_s: f64,
+    /// Units at once.
+    pub burst: f64,
+    /// True if a request counts by its tokens, false if it counts as one.
+    pub by_tokens: bool,
+    /// Units of a request that tells no tokens, where tokens are counted.
+    pub plain_cost: f64,
+}
+
+/// A workspace with its keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Workspace {
+    /// Its name.
+    pub name: WorkspaceName,
+    /// Tier of its requests, if it differs from that of their class.
+    pub tier: Option<Tier>,
+    /// Its quota.
+    pub quota: Quota,
+}
+
+/// An upstream as the operators describe it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamPlan {
+    /// True for model engines.
+    pub engine: bool,
+    /// Most connections to one runner from all hosts.
+    pub connections: u32,
+    /// Generated tokens in one event of a stream.
+    pub tokens_per_event: u32,
+}
+
+/// Limits on what callers send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Time for a caller to send a head or a body.
+    pub read_time: Duration,
+    /// Time after which an unused connection is closed.
+    pub idle_time: Duration,
+}
+
+/// One version of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Version that the operators gave it.
+    pub version: u64,
+    /// Revision of the store that wrote it.
+    pub revision: u64,
+    /// Upstreams by name.
+    pub upstreams: BTreeMap<UpstreamName, UpstreamPlan>,
+    /// Limits on what callers send.
+    pub limits: CallerLimits,
+    /// True if callers need a key on routes that are not public.
+    pub keyed: bool,
+    routes: BTreeMap<String, Vec<Route>>,
+    workspaces: BTreeMap<WorkspaceName, Workspace>,
+    keys: BTreeMap<String, WorkspaceName>,
+}
+
+impl Plan {
+    /// A plan without routes and workspaces.
+    #[must_use]
+    pub fn new(version: u64, revision: u64, limits: CallerLimits) -> Self {
+        Self {
+            version,
+            revision,
+            upstreams: BTreeMap::new(),
+            limits,
+            keyed: false,
+            routes: BTreeMap::new(),
+            workspaces: BTreeMap::new(),
+            keys: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an upstream.
+    #[must_use]
+    pub fn with_upstream(mut self, name: UpstreamName, upstream: UpstreamPlan) -> Self {
+        self.upstreams.insert(name, upstream);
+        self
+    }
+
+    /// Adds a route.
+    #[must_use]
+    pub fn with_route(mut self, route: Route) -> Self {
+        let routes = self.routes.entry(route.host.clone()).or_default();
+        let at = routes.partition_point(|other| other.prefix.len() >= route.prefix.len());
+        routes.insert(at, route);
+        self
+    }
+
+    /// Adds a workspace with its keys.
+    #[must_use]
+    pub fn with_workspace<I>(mut self, workspace: Workspace, keys: I) -> Self
+    where
+        I: IntoIterator<Item = String>,
+    {
+        self.keyed = true;
+        self.keys.extend(keys.into_iter().map(|key| (key, workspace.name.clone())));
+        self.workspaces.insert(workspace.name.clone(), workspace);
+        self
+    }
+
+    /// The route with the longest prefix of `path` among those of `host`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.routes.get(host)?.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The workspace that holds a key.
+    #[must_use]
+    pub fn workspace_of(&self, key: &str) -> Option<&Workspace> {
+        self.workspaces.get(self.keys.get(key)?)
+    }
+
+    /// A workspace by name.
+    #[must_use]
+    pub fn workspace(&self, name: &WorkspaceName) -> Option<&Workspace> {
+        self.workspaces.get(name)
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/quota.rs
@@ -0,0 +1,62 @@
+//! Quotas of workspaces.
+//!
+//! Answers the load of one workspace that sends many times its usual: what lies
+//! beyond its quota is refused, nothing below it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{ids::WorkspaceName, time::MonoTime};
+
+use super::{Quota, Share};
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    level: f64,
+    at: MonoTime,
+}
+
+/// Token buckets of the workspaces that one coordinator serves.
+#[derive(Debug, Default)]
+pub struct Quotas {
+    buckets: BTreeMap<WorkspaceName, Bucket>,
+}
+
+impl Quotas {
+    /// Takes `cost` from the workspace's quota, or tells when it may be there.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time after which the quota suffices.
+    pub fn take(
+        &mut self,
+        now: MonoTime,
+        workspace: &WorkspaceName,
+        quota: Quota,
+        share: Share,
+        cost: f64,
+    ) -> Result<(), Duration> {
+        if quota.rate_per_s <= 0.0 {
+            return Ok(());
+        }
+        let (rate, burst) = (share.of(quota.rate_per_s), share.of(quota.burst));
+        let bucket =
+            self.buckets.entry(workspace.clone()).or_insert(Bucket { level: burst, at: now });
+        let gained = now.since(bucket.at).as_secs_f64() * rate;
+        bucket.level = (bucket.level + gained).min(burst);
+        bucket.at = now;
+        // A request larger than the whole burst passes when the bucket is full.
+        if bucket.level < cost.min(burst) {
+            let missing = cost.min(burst) - bucket.level;
+            return Err(Duration::from_secs_f64((missing / rate.max(1e-9)).min(3_600.0)));
+        }
+        bucket.level -= cost;
+        Ok(())
+    }
+
+    /// Gives back what a request that was not run had taken.
+    pub fn give_back(&mut self, workspace: &WorkspaceName, cost: f64) {
+        if let Some(bucket) = self.buckets.get_mut(workspace) {
+            bucket.level += cost;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/runner.rs
@@ -0,0 +1,31 @@
+//! Runners as they describe themselves.
+
+use std::net::SocketAddr;
+
+use crate::ids::{DataCentreName, RunnerName, UpstreamName};
+
+/// One run of a runner. A runner that starts again may keep its name.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RunnerKey {
+    /// The runner's name.
+    pub name: RunnerName,
+    /// Start of this run in milliseconds since the Unix epoch, if it is told.
+    pub born_ms: Option<u64>,
+}
+
+/// A runner's entry in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RunnerEntry {
+    /// The run.
+    pub key: RunnerKey,
+    /// The upstream that it belongs to.
+    pub upstream: UpstreamName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The data centre that it stands in.
+    pub data_centre: DataCentreName,
+    /// Requests that it works on at the same time.
+    pub places: u32,
+    /// True if it is leaving.
+    pub leaving: bool,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,11 +11,13 @@
 //!   it, and is the only place that decides whether a request is dispatched.
 //! - [`cluster`] decides who is alive and who owns a pool.
 //! - [`prompt`] counts a prompt's tokens and hashes its blocks.
+//! - [`fleet`] is what the hosts of one fleet know and how they share decisions.
 //! - [`config`] is the operators' configuration, its validation and merging.
 
 pub mod cluster;
 pub mod config;
 pub mod entry;
+pub mod fleet;
 pub mod ids;
 pub mod outcome;
 pub mod owner;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -77,6 +77,17 @@
         Stopping = "stopping",
         /// The host has no configuration yet.
         NotReady = "not-ready",
+        /// The host can't prove that its configuration is the newest, so that a
+        /// key may have been taken away.
+        StaleConfiguration = "stale-configuration",
+        /// No workspace holds the key.
+        UnknownKey = "unknown-key",
+        /// The workspace has used up its quota.
+        OverQuota = "over-quota",
+        /// The time limit ended before a runner was free.
+        TimeLimit = "time-limit",
+        /// Runners turned the request away and the retry budget is spent.
+        TurnedAway = "turned-away",
     }
 }
 
@@ -118,6 +129,8 @@
         OwnerChanged = "owner-changed",
         /// The runner is leaving.
         RunnerLeaving = "runner-leaving",
+        /// The runner stated that it did not run the request.
+        TurnedAway = "turned-away",
     }
 }
 
--- a/crates/core/src/pool/progress.rs
+++ b/crates/core/src/pool/progress.rs
@@ -100,7 +100,7 @@
     ) {
         let Some(flight) = self.release(now, id) else { return };
         match reason {
-            RetryReason::ConnectRefused | RetryReason::ConnectTimeout => {
+            RetryReason::ConnectRefused | RetryReason::ConnectTimeout | RetryReason::TurnedAway => {
                 self.pause_runner(now, flight.runner);
             }
             RetryReason::RunnerLeaving => self.set_leaving(now, flight.runner),
--- a/crates/node/src/control/clock.rs
+++ b/crates/node/src/control/clock.rs
@@ -1,30 +1,37 @@
 //! Monotonic time of this process for the decisions.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use comfreyway_core::time::MonoTime;
+use rustix::time::{ClockId, clock_gettime};
 
-/// Monotonic clock that starts at zero.
+/// Monotonic clock that starts at zero and counts the time for which the host
+/// was suspended, so that proofs and grants grow old meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// A clock that starts now.
     #[must_use]
     pub fn new() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 
     /// Time since the start.
     #[must_use]
     pub fn now(&self) -> MonoTime {
-        let us = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let elapsed = since_boot().saturating_sub(self.start);
+        let us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
         MonoTime::from_micros(us)
     }
 }
 
+fn since_boot() -> Duration {
+    Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
+}
+
 impl Default for Clock {
     fn default() -> Self {
         Self::new()
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -50,6 +50,8 @@
     Stopped = "CF0103", Info, "daemon stopped";
     /// The stop limit or a second signal cut streams. Fields: in_progress.
     StopCut = "CF0104", Warn, "planned stop cut requests in progress";
+    /// The settings changed while the process runs.
+    ReloadAsked = "CF0105", Info, "settings changed; they take effect at the next start";
     /// A request was refused. Fields: id, reason.
     RequestNotRun = "CF0201", Debug, "request not run";
     /// The outcome of a request is unknown. Fields: id, reason.
--- /dev/null
+++ b/crates/node/src/fleet/control.rs
@@ -0,0 +1,318 @@
+//! The actor that holds the state of all decisions.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use actix::{Actor, AsyncContext, Context, SpawnHandle, StreamHandler};
+use comfreyway_core::{
+    fleet::{Coordinator, Desk, DeskAction, Member, RunnerDirectory, Tell, elect},
+    ids::{HostId, HostName, RequestId},
+    outcome::RetryReason,
+    time::MonoTime,
+};
+use comfreyway_platform::Store;
+use futures_util::stream;
+use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender};
+
+use super::{
+    dialect::Dialect,
+    feed::{FeedNews, Followed, follow},
+    knowledge::Knowledge,
+    sessions::{SessionEvent, ToCoordinator, ToHost, dial},
+    ticket::{Verdict, WorkerMessage},
+};
+
+mod coordination;
+mod store_news;
+
+/// Time between two looks at everything that changes by itself.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Which prefix of the store some news are about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Topic {
+    Plan,
+    Runners,
+    Members,
+}
+
+/// Longest wait of a call for changes of the configuration. Each answer proves
+/// that the configuration is the newest, so this bounds the age of the proof.
+const PLAN_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Longest wait of a call for other changes.
+const OTHER_WAIT: Duration = Duration::from_secs(25);
+
+/// The session with the coordinator that this host asks.
+struct CoordinatorLink {
+    host: HostId,
+    /// None until the session is up.
+    tx: Option<Sender<ToCoordinator>>,
+}
+
+/// Where events come from.
+pub(super) struct Inlets {
+    pub(super) workers: UnboundedReceiver<WorkerMessage>,
+    pub(super) sessions: UnboundedReceiver<SessionEvent>,
+    pub(super) store: UnboundedReceiver<(Topic, FeedNews)>,
+}
+
+/// Holds the state of all decisions of this host.
+pub(super) struct FleetControl {
+    me: Member,
+    dialect: Dialect,
+    knowledge: Arc<Knowledge>,
+    store: Rc<dyn Store>,
+    store_tx: UnboundedSender<(Topic, FeedNews)>,
+    session_tx: UnboundedSender<SessionEvent>,
+    inlets: Option<Inlets>,
+    directory: RunnerDirectory,
+    desk: Desk,
+    coordinator: Coordinator,
+    members: BTreeMap<HostName, Member>,
+    /// Hosts that are not asked until the given time.
+    suspects: BTreeMap<HostId, MonoTime>,
+    link: Option<CoordinatorLink>,
+    /// Hosts that ask this one.
+    hosts: BTreeMap<HostId, (u64, Sender<ToHost>)>,
+    workers: HashMap<RequestId, UnboundedSender<Verdict>>,
+    plan_readable: bool,
+    stopping: bool,
+    wake: Option<(MonoTime, SpawnHandle)>,
+}
+
+/// Sending ends of the actor's own inlets.
+pub(super) struct Outlets {
+    pub(super) store: UnboundedSender<(Topic, FeedNews)>,
+    pub(super) sessions: UnboundedSender<SessionEvent>,
+}
+
+impl FleetControl {
+    pub(super) fn new(
+        me: Member,
+        dialect: Dialect,
+        knowledge: Arc<Knowledge>,
+        store: Rc<dyn Store>,
+        coordinator: Coordinator,
+        inlets: Inlets,
+        outlets: Outlets,
+    ) -> Self {
+        Self {
+            me,
+            dialect,
+            knowledge,
+            store,
+            store_tx: outlets.store,
+            session_tx: outlets.sessions,
+            inlets: Some(inlets),
+            directory: RunnerDirectory::default(),
+            desk: Desk::default(),
+            coordinator,
+            members: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            link: None,
+            hosts: BTreeMap::new(),
+            workers: HashMap::new(),
+            plan_readable: true,
+            stopping: false,
+            wake: None,
+        }
+    }
+
+    fn now(&self) -> MonoTime {
+        self.knowledge.clock.now()
+    }
+
+    fn follow_store(&self, topic: Topic, prefix: &'static str, wait: Duration) {
+        let followed = Followed { prefix, wait };
+        let (store, clock) = (self.store.clone(), self.knowledge.clock);
+        actix_rt::spawn(follow(store, clock, followed, topic, self.store_tx.clone()));
+    }
+
+    /// Carries out what the desk and the coordinator have decided.
+    fn carry_out(&mut self, actions: Vec<DeskAction>, tells: Vec<(HostId, Tell)>) {
+        let now = self.now();
+        let mut actions = VecDeque::from(actions);
+        let mut tells = VecDeque::from(tells);
+        let mut more = Vec::new();
+        let mut told = Vec::new();
+        loop {
+            if let Some((host, tell)) = tells.pop_front() {
+                if host == self.me.id {
+                    self.desk.told(None, tell, &mut more);
+                } else {
+                    self.send_to_host(&host, ToHost::Tell(tell));
+                }
+            } else if let Some(action) = actions.pop_front() {
+                match action {
+                    DeskAction::Ask(None, ask) => {
+                        self.coordinator.ask(now, &self.me.id, ask, &mut told);
+                    }
+                    DeskAction::Ask(Some(host), ask) => {
+                        self.send_to_coordinator(&host, ToCoordinator::Ask(ask));
+                    }
+                    DeskAction::Dispatch(id, runner) => match self.directory.usable(&runner) {
+                        Some(entry) => {
+                            let verdict = Verdict::Dispatch(Box::new(entry.clone()));
+                            self.decide(id, verdict);
+                        }
+                        None => self.desk.not_run(id, RetryReason::RunnerLeaving, &mut more),
+                    },
+                    DeskAction::Refuse(id, reason, after) => {
+                        self.decide(id, Verdict::Refuse(reason, after));
+                        self.workers.remove(&id);
+                    }
+                }
+            } else {
+                return;
+            }
+            actions.extend(more.drain(..));
+            tells.extend(told.drain(..));
+        }
+    }
+
+    fn decide(&self, id: RequestId, verdict: Verdict) {
+        let Some(worker) = self.workers.get(&id) else { return };
+        if worker.send(verdict).is_err() {
+            log::debug!("request {id} was given up before its verdict");
+        }
+    }
+
+    /// Arms the timer for the coordinator's next change by itself.
+    fn arm(&mut self, cx: &mut Context<Self>) {
+        let Some(at) = self.coordinator.next_wake() else { return };
+        if self.wake.as_ref().is_some_and(|(armed, _)| *armed <= at) {
+            return;
+        }
+        if let Some((_, handle)) = self.wake.take() {
+            cx.cancel_future(handle);
+        }
+        let wait = at.since(self.now());
+        let handle = cx.run_later(wait, |control, cx| {
+            control.wake = None;
+            let mut tells = Vec::new();
+            control.coordinator.tick(control.now(), &mut tells);
+            control.carry_out(Vec::new(), tells);
+            control.arm(cx);
+        });
+        self.wake = Some((at, handle));
+    }
+}
+
+impl Actor for FleetControl {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        if let Some(inlets) = self.inlets.take() {
+            cx.add_stream(receive(inlets.workers));
+            cx.add_stream(receive(inlets.sessions));
+            cx.add_stream(receive(inlets.store));
+        }
+        let keys = self.dialect.keys;
+        self.follow_store(Topic::Plan, keys.plan, PLAN_WAIT);
+        self.follow_store(Topic::Runners, keys.runners, OTHER_WAIT);
+        self.follow_store(Topic::Members, keys.members, OTHER_WAIT);
+        self.follow_own(cx);
+        cx.run_interval(REVIEW_INTERVAL, Self::review);
+    }
+}
+
+fn receive<T>(rx: UnboundedReceiver<T>) -> impl futures_util::Stream<Item = T> {
+    stream::unfold(rx, |mut rx| async { rx.recv().await.map(|message| (message, rx)) })
+}
+
+impl StreamHandler<WorkerMessage> for FleetControl {
+    fn handle(&mut self, message: WorkerMessage, cx: &mut Self::Context) {
+        let now = self.now();
+        let mut actions = Vec::new();
+        match message {
+            WorkerMessage::Submit(question, verdicts) => {
+                self.workers.insert(question.record.id, verdicts);
+                self.desk.submit(now, *question, &mut actions);
+            }
+            WorkerMessage::Withdraw(id) => {
+                self.workers.remove(&id);
+                self.desk.withdraw(id, &mut actions);
+            }
+            WorkerMessage::NotRun(id, reason) => self.desk.not_run(id, reason, &mut actions),
+            WorkerMessage::FirstToken(id) => self.desk.first_token(id, &mut actions),
+            WorkerMessage::Ended(id, end) => {
+                self.workers.remove(&id);
+                self.desk.ended(id, end, &mut actions);
+            }
+            WorkerMessage::RunnerEnded(key) => {
+                let mut news = Vec::new();
+                self.directory.refused_as_leaving(&key, &mut news);
+                self.runner_news(news);
+            }
+        }
+        self.carry_out(actions, Vec::new());
+        self.arm(cx);
+    }
+
+    fn finished(&mut self, _: &mut Self::Context) {}
+}
+
+impl StreamHandler<SessionEvent> for FleetControl {
+    fn handle(&mut self, event: SessionEvent, cx: &mut Self::Context) {
+        self.session_event(event, cx);
+        self.arm(cx);
+    }
+
+    fn finished(&mut self, _: &mut Self::Context) {}
+}
+
+impl StreamHandler<(Topic, FeedNews)> for FleetControl {
+    fn handle(&mut self, (topic, news): (Topic, FeedNews), cx: &mut Self::Context) {
+        match topic {
+            Topic::Plan => self.plan_news(news),
+            Topic::Runners => self.runner_entries(news),
+            Topic::Members => self.member_entries(news, cx),
+        }
+        self.arm(cx);
+    }
+
+    fn finished(&mut self, _: &mut Self::Context) {}
+}
+
+/// This host begins its planned stop.
+#[derive(Debug)]
+pub(super) struct BeginStop;
+
+impl actix::Message for BeginStop {
+    type Result = ();
+}
+
+impl actix::Handler<BeginStop> for FleetControl {
+    type Result = ();
+
+    fn handle(&mut self, _: BeginStop, cx: &mut Self::Context) {
+        self.stopping = true;
+        for (_, tx) in self.hosts.values() {
+            if tx.try_send(ToHost::Leaving).is_err() {
+                log::debug!("a host can't be told of the stop; its session will end");
+            }
+        }
+        self.choose_coordinator(cx);
+    }
+}
+
+impl FleetControl {
+    fn dial(&mut self, to: &Member) {
+        log::info!("asking coordinator {} at {}", to.id, to.address);
+        self.link = Some(CoordinatorLink { host: to.id.clone(), tx: None });
+        actix_rt::spawn(dial(self.me.id.clone(), to.clone(), self.session_tx.clone()));
+    }
+
+    fn elected(&self, now: MonoTime) -> Option<Member> {
+        let suspected = |id: &HostId| self.suspects.get(id).is_some_and(|until| now < *until);
+        let others = self.members.values().filter(|m| m.id.name != self.me.id.name);
+        let others = others.filter(|member| !suspected(&member.id));
+        let me = (!self.stopping).then_some(&self.me);
+        elect(others.chain(me)).cloned()
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -0,0 +1,132 @@
+//! Whom this host asks, and who asks this host.
+
+use std::time::Duration;
+
+use actix::Context;
+use comfreyway_core::ids::HostId;
+
+use crate::fleet::sessions::{SessionEvent, ToCoordinator, ToHost};
+
+use super::FleetControl;
+
+/// Time for which a host is not asked after its session failed.
+const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time for which a host is not asked that said it was stopping.
+const LEAVING_TIME: Duration = Duration::from_secs(10);
+
+impl FleetControl {
+    /// Decides by this host's own coordinator from now on.
+    pub(super) fn follow_own(&mut self, _: &mut Context<Self>) {
+        let now = self.now();
+        let (mut actions, mut tells) = (Vec::new(), Vec::new());
+        self.coordinator.host_joined(now, self.me.id.clone(), &mut tells);
+        self.desk.follow(now, None, &mut actions);
+        self.carry_out(actions, tells);
+    }
+
+    /// Asks the coordinator to which the session is up from now on.
+    fn follow_other(&mut self, host: HostId) {
+        let now = self.now();
+        let (mut actions, mut tells) = (Vec::new(), Vec::new());
+        self.desk.follow(now, Some(host), &mut actions);
+        self.carry_out(actions, Vec::new());
+        self.coordinator.host_left(now, &self.me.id.clone(), &mut tells);
+        self.carry_out(Vec::new(), tells);
+    }
+
+    /// Chooses the coordinator anew from the hosts that are known.
+    pub(super) fn choose_coordinator(&mut self, cx: &mut Context<Self>) {
+        let now = self.now();
+        self.suspects.retain(|_, until| now < *until);
+        let wanted = self.elected(now).filter(|member| member.id != self.me.id);
+        let present = self.link.as_ref().map(|link| &link.host);
+        if present == wanted.as_ref().map(|member| &member.id) {
+            return;
+        }
+        self.link = None;
+        self.follow_own(cx);
+        if let Some(member) = wanted {
+            self.dial(&member);
+        }
+    }
+
+    pub(super) fn session_event(&mut self, event: SessionEvent, cx: &mut Context<Self>) {
+        let now = self.now();
+        match event {
+            SessionEvent::HostUp(host, number, tx) => {
+                log::info!("host {host} asks this one");
+                self.hosts.insert(host.clone(), (number, tx));
+                let mut tells = Vec::new();
+                self.coordinator.host_joined(now, host, &mut tells);
+                self.carry_out(Vec::new(), tells);
+            }
+            SessionEvent::FromHost(host, ToCoordinator::Ask(ask)) => {
+                let mut tells = Vec::new();
+                self.coordinator.ask(now, &host, ask, &mut tells);
+                self.carry_out(Vec::new(), tells);
+            }
+            SessionEvent::FromHost(host, ToCoordinator::Ping(sent)) => {
+                let revision = self.knowledge.plan().map_or(0, |plan| plan.revision);
+                let age = now.since(self.knowledge.proven());
+                self.send_to_host(&host, ToHost::Pong(sent, revision, age));
+            }
+            SessionEvent::FromHost(host, ToCoordinator::Hello(..)) => {
+                log::warn!("host {host} greets twice");
+            }
+            SessionEvent::HostDown(host, number) => {
+                if self.hosts.get(&host).is_some_and(|(present, _)| *present == number) {
+                    log::info!("host {host} asks no more");
+                    self.hosts.remove(&host);
+                    let mut tells = Vec::new();
+                    self.coordinator.host_left(now, &host, &mut tells);
+                    self.carry_out(Vec::new(), tells);
+                }
+            }
+            SessionEvent::CoordinatorUp(host, tx) => {
+                let Some(link) = self.link.as_mut().filter(|link| link.host == host) else {
+                    return;
+                };
+                log::info!("coordinator {host} answers");
+                link.tx = Some(tx);
+                self.follow_other(host);
+            }
+            SessionEvent::FromCoordinator(host, ToHost::Tell(tell)) => {
+                let mut actions = Vec::new();
+                self.desk.told(Some(&host), tell, &mut actions);
+                self.carry_out(actions, Vec::new());
+            }
+            SessionEvent::FromCoordinator(_, ToHost::Pong(..)) => {}
+            SessionEvent::FromCoordinator(host, ToHost::Leaving) => {
+                self.suspects.insert(host, now + LEAVING_TIME);
+                self.choose_coordinator(cx);
+            }
+            SessionEvent::CoordinatorDown(host) => {
+                if self.link.as_ref().is_some_and(|link| link.host == host) {
+                    log::info!("coordinator {host} is lost");
+                    self.link = None;
+                    self.suspects.insert(host, now + SUSPECT_TIME);
+                    self.follow_own(cx);
+                    self.choose_coordinator(cx);
+                }
+            }
+        }
+    }
+
+    pub(super) fn send_to_host(&mut self, host: &HostId, message: ToHost) {
+        let Some((_, tx)) = self.hosts.get(host) else { return };
+        if tx.try_send(message).is_err() {
+            log::warn!("host {host} does not read what it is told; its session ends");
+            self.hosts.remove(host);
+        }
+    }
+
+    pub(super) fn send_to_coordinator(&mut self, host: &HostId, message: ToCoordinator) {
+        let link = self.link.as_ref().filter(|link| link.host == *host);
+        let Some(tx) = link.and_then(|link| link.tx.as_ref()) else { return };
+        if tx.try_send(message).is_err() {
+            log::warn!("coordinator {host} can't be told; its session ends");
+            self.link = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/front/call.rs
@@ -0,0 +1,111 @@
+//! A request of a caller as it goes to runners.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use comfreyway_core::{
+    fleet::{Plan, Question, Repeat, Route, RunnerEntry},
+    ids::WorkspaceName,
+};
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Method, Request, Uri,
+    header::{
+        CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TE, TRAILER,
+        TRANSFER_ENCODING, UPGRADE,
+    },
+};
+use tokio::time::Instant;
+
+use crate::fleet::{
+    dialect::{HeaderNames, header},
+    knowledge::InProgress,
+};
+
+/// Time that an answer takes on its way back to the caller.
+const WAY_BACK: Duration = Duration::from_millis(10);
+
+/// A request that was read whole and admitted.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) names: HeaderNames,
+    /// Identity that the caller gave.
+    pub(super) caller_id: String,
+    pub(super) method: Method,
+    pub(super) target: Uri,
+    /// Headers for a runner, without those that are set for each sending.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) plan: Arc<Plan>,
+    pub(super) route: Route,
+    pub(super) workspace: Option<WorkspaceName>,
+    /// What the coordinator is asked.
+    pub(super) question: Question,
+    pub(super) arrived: Instant,
+    /// When the caller gets a final answer at the latest.
+    pub(super) until: Instant,
+    pub(super) _counted: InProgress,
+}
+
+impl Call {
+    /// True if the request may run again after it may have run.
+    pub(super) fn is_idempotent(&self) -> bool {
+        self.route.repeat != Repeat::Never
+    }
+
+    /// Generated tokens in one event of a stream.
+    pub(super) fn tokens_per_event(&self) -> u32 {
+        self.plan.upstreams.get(&self.question.upstream).map_or(1, |u| u.tokens_per_event)
+    }
+
+    /// The request as it goes to a runner now, to go on after an event if one
+    /// is given.
+    pub(super) fn request_to(
+        &self,
+        runner: &RunnerEntry,
+        after: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.target.clone();
+        let mut headers = self.headers.clone();
+        let left = self.until.saturating_duration_since(Instant::now() + WAY_BACK);
+        insert(&mut headers, self.names.deadline_ms, &left.as_millis().max(1).to_string());
+        insert(&mut headers, self.names.expected_runner, runner.key.name.as_str());
+        if let Some(workspace) = &self.workspace {
+            insert(&mut headers, self.names.workspace, workspace.as_str());
+        }
+        if let Some(after) = after {
+            insert(&mut headers, self.names.last_event_id, &after.to_string());
+        }
+        *req.headers_mut() = headers;
+        req
+    }
+}
+
+fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    match HeaderValue::from_str(value) {
+        Ok(value) => {
+            headers.insert(header(name), value);
+        }
+        Err(e) => log::error!("the value of {name} can't be sent: {e}"),
+    }
+}
+
+/// Headers that concern the whole way, without those of one connection.
+pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    let listed = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    for name in listed.flat_map(|value| value.split(',')) {
+        if let Ok(name) = name.trim().parse::<HeaderName>() {
+            kept.remove(name);
+        }
+    }
+    for name in [CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
+        kept.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection"] {
+        kept.remove(name);
+    }
+    kept
+}
--- /dev/null
+++ b/crates/node/src/fleet/front/event_buffer.rs
@@ -0,0 +1,117 @@
+//! Cuts a stream into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Holds back the bytes of an event until it is whole, so that a stream that
+/// breaks off can go on at an exact event.
+#[derive(Debug, Default)]
+pub(super) struct EventBuffer {
+    buf: BytesMut,
+    /// Bytes that were searched for an end.
+    searched: usize,
+    last_id: Option<u64>,
+    events: u32,
+    /// Events up to this number were passed on by an earlier run.
+    skip_to: Option<u64>,
+}
+
+impl EventBuffer {
+    /// Number of the last whole event.
+    pub(super) fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Whole events so far.
+    pub(super) fn events(&self) -> u32 {
+        self.events
+    }
+
+    /// Another run goes on after the last whole event.
+    pub(super) fn restart(&mut self) {
+        self.buf.clear();
+        self.searched = 0;
+        self.skip_to = self.last_id;
+    }
+
+    /// Takes in bytes and returns the events that are whole now.
+    pub(super) fn push(&mut self, data: &[u8]) -> Bytes {
+        self.buf.extend_from_slice(data);
+        let mut passed = BytesMut::new();
+        while let Some(end) = self.find_end() {
+            let event = self.buf.split_to(end);
+            self.searched = 0;
+            let id = event_id(&event);
+            if id.is_some() && id <= self.skip_to {
+                continue;
+            }
+            self.last_id = id.or(self.last_id);
+            self.events += 1;
+            if passed.is_empty() {
+                passed = event;
+            } else {
+                passed.unsplit(event);
+            }
+        }
+        passed.freeze()
+    }
+
+    /// What is left after the stream's end.
+    pub(super) fn rest(&mut self) -> Bytes {
+        self.searched = 0;
+        self.buf.split().freeze()
+    }
+
+    /// Length of the first event with the empty line after it.
+    fn find_end(&mut self) -> Option<usize> {
+        let mut at = self.searched.saturating_sub(3);
+        while at < self.buf.len() {
+            let rest = &self.buf[at..];
+            if rest.starts_with(b"\n\n") {
+                return Some(at + 2);
+            }
+            if rest.starts_with(b"\r\n\r\n") {
+                return Some(at + 4);
+            }
+            at += 1;
+        }
+        self.searched = self.buf.len();
+        None
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|&b| b == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn partial_events_are_held_back() {
+        let mut events = EventBuffer::default();
+        assert_eq!(events.push(b"id: 1\ndata: a\n"), "");
+        assert_eq!(events.push(b"\nid: 2\ndata"), "id: 1\ndata: a\n\n");
+        assert_eq!(events.last_id(), Some(1));
+        assert_eq!(events.rest(), "id: 2\ndata");
+    }
+
+    #[test]
+    fn a_resumed_run_repeats_no_event() {
+        let mut events = EventBuffer::default();
+        events.push(b"id: 1\n\nid: 2\n\nid: 3");
+        events.restart();
+        assert_eq!(events.push(b"id: 2\n\nid: 3\n\n"), "id: 3\n\n");
+        assert_eq!(events.events(), 3);
+    }
+
+    #[test]
+    fn line_ends_of_both_kinds_are_found_across_pieces() {
+        let mut events = EventBuffer::default();
+        assert_eq!(events.push(b"id: 7\r\n\r"), "");
+        assert_eq!(events.push(b"\nid: 8"), "id: 7\r\n\r\n");
+        assert_eq!(events.last_id(), Some(7));
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/front/handler.rs
@@ -0,0 +1,270 @@
+//! Admission of one request.
+
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use comfreyway_core::{
+    fleet::{Plan, Question, Route, Workspace},
+    ids::{HostId, RequestId, Tier, WorkspaceName},
+    outcome::NotRunReason,
+    request::RequestRecord,
+};
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Request, Response, Uri,
+    body::{Body, Incoming},
+    header::HOST,
+};
+use tokio::{
+    sync::mpsc::UnboundedSender,
+    time::{Instant, timeout_at},
+};
+
+use crate::fleet::{
+    dialect::{Dialect, header},
+    knowledge::{InProgress, Knowledge},
+    links::Links,
+    ticket::{Ticket, WorkerMessage},
+};
+
+use super::{
+    answer::{AnswerBody, not_run},
+    call::{Call, end_to_end},
+    exchange::{close_after, exchange},
+};
+
+/// Time after which a host without a usable configuration is asked again.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// Workspace of requests that need no key.
+const PUBLIC_WORKSPACE: &str = "public";
+
+/// Limits that the settings give.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::fleet) struct FrontLimits {
+    /// Age of the proof that the configuration is the newest, above which
+    /// keys count as possibly taken away.
+    pub(in crate::fleet) proof_age: Duration,
+}
+
+/// What all requests of one traffic thread share.
+pub(in crate::fleet) struct FrontShared {
+    pub(super) dialect: Dialect,
+    pub(super) knowledge: Arc<Knowledge>,
+    pub(super) links: Links,
+    pub(super) limits: FrontLimits,
+    control: UnboundedSender<WorkerMessage>,
+    host: HostId,
+    next_id: Cell<u64>,
+}
+
+/// Carries the traffic of one thread. Cheap to clone.
+#[derive(Clone)]
+pub(in crate::fleet) struct Front {
+    pub(super) shared: Rc<FrontShared>,
+}
+
+impl std::ops::Deref for Front {
+    type Target = FrontShared;
+
+    fn deref(&self) -> &FrontShared {
+        &self.shared
+    }
+}
+
+impl FrontShared {
+    /// Asks for a runner. `sent` is the number of runners that the request was
+    /// sent to before.
+    pub(super) fn submit(&self, call: &Call, sent: u32) -> Ticket {
+        let mut question = call.question.clone();
+        question.record.age = call.arrived.elapsed();
+        question.sent_before = sent;
+        Ticket::submit(self.control.clone(), question)
+    }
+
+    fn new_request_id(&self) -> RequestId {
+        let number = self.next_id.get();
+        self.next_id.set(number + 1);
+        RequestId::new(u128::from(self.host.incarnation) << 64 | u128::from(number))
+    }
+}
+
+/// A request that is refused before it is submitted.
+struct Refused(NotRunReason, Option<Duration>);
+
+impl From<NotRunReason> for Refused {
+    fn from(reason: NotRunReason) -> Self {
+        Self(reason, None)
+    }
+}
+
+impl Front {
+    pub(in crate::fleet) fn new(
+        dialect: Dialect,
+        knowledge: Arc<Knowledge>,
+        limits: FrontLimits,
+        control: UnboundedSender<WorkerMessage>,
+        host: HostId,
+        first_id: u64,
+    ) -> Self {
+        let links = Links::default();
+        let next_id = Cell::new(first_id);
+        let shared = FrontShared { dialect, knowledge, links, limits, control, host, next_id };
+        Self { shared: Rc::new(shared) }
+    }
+
+    /// Answers one request.
+    pub(super) async fn handle(self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let mut res = match self.admit(req, self.knowledge.begin()).await {
+            Ok(call) => exchange(&self, call).await,
+            Err((Refused(reason, after), unread)) => {
+                let mut res = not_run(None, reason, after);
+                if unread {
+                    close_after(&mut res);
+                }
+                res
+            }
+        };
+        if self.knowledge.is_stopping() {
+            close_after(&mut res);
+        }
+        res
+    }
+
+    /// Checks and reads a request. The second value of an error is true if the
+    /// body was not read to its end.
+    async fn admit(
+        &self,
+        req: Request<Incoming>,
+        counted: InProgress,
+    ) -> Result<Call, (Refused, bool)> {
+        let arrived = Instant::now();
+        let (head, mut body) = req.into_parts();
+        let unread = !body.is_end_stream();
+        let early = |reason: Refused| (reason, unread);
+        let plan = self
+            .knowledge
+            .plan()
+            .ok_or_else(|| early(Refused(NotRunReason::NotReady, Some(NOT_READY_RETRY))))?;
+        let names = self.dialect.headers;
+        let text = |name| head.headers.get(header(name)).and_then(|value| value.to_str().ok());
+        let Some(caller_id) = text(names.request_id).map(str::to_owned) else {
+            return Err(early(NotRunReason::BadRequest.into()));
+        };
+        let route = find_route(&plan, &head.headers, &head.uri).cloned();
+        let route = route.ok_or_else(|| early(NotRunReason::UnknownRoute.into()))?;
+        let workspace = self.workspace(&plan, &route, text(names.key)).map_err(early)?;
+        let waits = text(names.deadline_ms).and_then(|value| value.trim().parse().ok());
+        let waits = waits.map_or(route.time_limit, Duration::from_millis);
+        let until = arrived + waits.min(route.time_limit);
+        let max = plan.limits.body_bytes;
+        let read_until = until.min(arrived + plan.limits.read_time);
+        let body = read_body(&mut body, max, read_until).await.map_err(early)?;
+        let usage = text(names.usage).and_then(|value| (self.dialect.read_usage)(value));
+        let id = self.new_request_id();
+        let question = self.question(id, &plan, &route, workspace.as_ref(), usage, body.len());
+        let question = question.ok_or_else(|| early(NotRunReason::NoRunner.into()))?;
+        let mut headers = end_to_end(&head.headers);
+        for name in names.host_only {
+            headers.remove(*name);
+        }
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let target = path.parse::<Uri>().map_err(|_| early(NotRunReason::BadRequest.into()))?;
+        Ok(Call {
+            names,
+            caller_id,
+            method: head.method,
+            target,
+            headers,
+            body,
+            workspace: workspace.map(|w| w.name),
+            plan,
+            route,
+            question,
+            arrived,
+            until,
+            _counted: counted,
+        })
+    }
+
+    fn workspace(
+        &self,
+        plan: &Plan,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<Workspace>, Refused> {
+        if !plan.keyed || route.public {
+            return Ok(None);
+        }
+        let age = self.knowledge.clock.now().since(self.knowledge.proven());
+        if age > self.limits.proof_age {
+            log::info!("keyed request refused: the configuration was proved {age:?} ago");
+            return Err(Refused(NotRunReason::StaleConfiguration, Some(NOT_READY_RETRY)));
+        }
+        let workspace = key.and_then(|key| plan.workspace_of(key)).cloned();
+        workspace.map(Some).ok_or_else(|| NotRunReason::UnknownKey.into())
+    }
+
+    fn question(
+        &self,
+        id: RequestId,
+        plan: &Plan,
+        route: &Route,
+        workspace: Option<&Workspace>,
+        usage: Option<(u32, u32)>,
+        body_bytes: usize,
+    ) -> Option<Question> {
+        let upstream = route.upstream(id.value() as u64)?.clone();
+        let engine = plan.upstreams.get(&upstream).is_some_and(|u| u.engine);
+        let quota = workspace.map(|w| w.quota).unwrap_or_default();
+        let cost = match usage {
+            _ if !quota.by_tokens => 1.0,
+            Some((prompt, generated)) => f64::from(prompt) + f64::from(generated),
+            None => quota.plain_cost,
+        };
+        let tier: Tier = workspace.and_then(|w| w.tier).unwrap_or(route.tier);
+        let name = workspace.map(|w| w.name.clone());
+        let record = RequestRecord {
+            id,
+            entry: self.host.clone(),
+            workspace: name.or_else(|| WorkspaceName::new(PUBLIC_WORKSPACE).ok())?,
+            class: route.class.clone(),
+            tier,
+            target: route.target,
+            age: Duration::ZERO,
+            prefill_tokens: if engine { usage.map_or(1, |(prompt, _)| prompt.max(1)) } else { 0 },
+            max_decode_tokens: usage.map(|(_, generated)| generated),
+            prefix: Vec::new(),
+            body_bytes: u32::try_from(body_bytes).unwrap_or(u32::MAX),
+        };
+        Some(Question { record, upstream, cost, sent_before: 0 })
+    }
+}
+
+fn find_route<'a>(plan: &'a Plan, headers: &HeaderMap, target: &Uri) -> Option<&'a Route> {
+    let host = headers.get(HOST).and_then(|value| value.to_str().ok()).or_else(|| target.host())?;
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+    plan.route(&name, target.path())
+}
+
+async fn read_body(body: &mut Incoming, max: usize, until: Instant) -> Result<Bytes, Refused> {
+    if body.size_hint().lower() > max as u64 {
+        return Err(NotRunReason::TooLarge.into());
+    }
+    let mut read = BytesMut::new();
+    loop {
+        match timeout_at(until, body.frame()).await {
+            Err(_) => return Err(NotRunReason::SlowBody.into()),
+            Ok(None) => return Ok(read.freeze()),
+            Ok(Some(Err(_))) => return Err(NotRunReason::BadRequest.into()),
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    read.extend_from_slice(&data);
+                }
+            }
+        }
+        if read.len() > max {
+            return Err(NotRunReason::TooLarge.into());
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/front/mod.rs
@@ -0,0 +1,23 @@
+//! Traffic between callers and runners.
+//!
+//! `serve` accepts connections, `handler` takes one request through admission,
+//! `exchange` sends it to a runner, and `relay` passes a stream on event by
+//! event. A request's memory is freed with its future: when the caller leaves,
+//! the server drops the future, and with it the connection to the runner.
+//!
+//! The HTTP library is `hyper`, which drops a request's future as soon as its
+//! caller leaves and gives out single connections to runners.
+
+mod answer;
+mod attempt;
+mod call;
+mod event_buffer;
+mod exchange;
+mod handler;
+mod relay;
+mod serve;
+
+pub(super) use self::{
+    handler::{Front, FrontLimits},
+    serve::serve,
+};
--- /dev/null
+++ b/crates/node/src/fleet/health.rs
@@ -0,0 +1,106 @@
+//! Liveness, readiness and metrics of a host that serves a fleet.
+//!
+//! Served on the control thread: the platform asks once a second, and a server
+//! with threads of its own would cost more than the answers.
+
+use std::{convert::Infallible, net::TcpListener, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use tokio::time::sleep;
+
+use crate::metrics::Metrics;
+
+use super::knowledge::Knowledge;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves `/live`, `/ready` and `/metrics`.
+#[derive(Clone)]
+pub(super) struct Health {
+    pub(super) knowledge: Arc<Knowledge>,
+    pub(super) metrics: Arc<Metrics>,
+    /// Age of the configuration's proof up to which this host takes callers.
+    pub(super) proof_age: Duration,
+}
+
+impl Health {
+    /// Serves until the process ends.
+    pub(super) async fn serve(self, listener: TcpListener) {
+        let listener = match tokio::net::TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(e) => {
+                log::error!("the operators' address can't be served: {e}");
+                return;
+            }
+        };
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::warn!("an operator's connection can't be accepted: {e}");
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let health = self.clone();
+            let service = service_fn(move |req: Request<Incoming>| {
+                let res = health.answer(req.uri().path());
+                async move { Ok::<_, Infallible>(res) }
+            });
+            actix_rt::spawn(async move {
+                let connection = http1::Builder::new();
+                if let Err(e) = connection.serve_connection(TokioIo::new(stream), service).await {
+                    log::debug!("connection of an operator ended: {e}");
+                }
+            });
+        }
+    }
+
+    fn answer(&self, path: &str) -> Response<Full<Bytes>> {
+        match path {
+            "/live" => text(StatusCode::OK, "live\n"),
+            "/ready" => match self.obstacle() {
+                None => text(StatusCode::OK, "ready\n"),
+                Some(obstacle) => text(StatusCode::SERVICE_UNAVAILABLE, obstacle),
+            },
+            "/metrics" => match self.metrics.render() {
+                Ok(metrics) => text(StatusCode::OK, metrics),
+                Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+            },
+            _ => text(StatusCode::NOT_FOUND, "no such page\n"),
+        }
+    }
+
+    /// Why this host should get no callers.
+    fn obstacle(&self) -> Option<&'static str> {
+        if self.knowledge.is_stopping() {
+            return Some("stopping\n");
+        }
+        if self.knowledge.plan().is_none() {
+            return Some("no configuration\n");
+        }
+        let age = self.knowledge.clock.now().since(self.knowledge.proven());
+        (age > self.proof_age).then_some("the configuration may be old\n")
+    }
+}
+
+fn text<T>(status: StatusCode, body: T) -> Response<Full<Bytes>>
+where
+    T: Into<Bytes>,
+{
+    let mut res = Response::new(Full::new(body.into()));
+    *res.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    res.headers_mut().insert(CONTENT_TYPE, plain);
+    res
+}
--- /dev/null
+++ b/crates/node/src/fleet/knowledge.rs
@@ -0,0 +1,80 @@
+//! What the traffic threads read of the host's state.
+
+use std::sync::{
+    Arc, RwLock,
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+};
+
+use comfreyway_core::{fleet::Plan, time::MonoTime};
+
+use crate::control::Clock;
+
+/// State that the control thread writes and the traffic threads read.
+#[derive(Debug)]
+pub(super) struct Knowledge {
+    pub(super) clock: Clock,
+    plan: RwLock<Option<Arc<Plan>>>,
+    /// Microseconds; zero for never.
+    proven_us: AtomicU64,
+    stopping: AtomicBool,
+    in_progress: AtomicUsize,
+}
+
+impl Knowledge {
+    pub(super) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            plan: RwLock::default(),
+            proven_us: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            in_progress: AtomicUsize::new(0),
+        }
+    }
+
+    /// The configuration in force.
+    pub(super) fn plan(&self) -> Option<Arc<Plan>> {
+        self.plan.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    pub(super) fn set_plan(&self, plan: Arc<Plan>) {
+        *self.plan.write().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(plan);
+    }
+
+    /// The configuration in force was the newest at this time.
+    pub(super) fn prove(&self, at: MonoTime) {
+        self.proven_us.fetch_max(at.as_micros(), Ordering::Relaxed);
+    }
+
+    /// When the configuration in force was last known to be the newest.
+    pub(super) fn proven(&self) -> MonoTime {
+        MonoTime::from_micros(self.proven_us.load(Ordering::Relaxed))
+    }
+
+    pub(super) fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request until the result is dropped.
+    pub(super) fn begin(self: &Arc<Self>) -> InProgress {
+        self.in_progress.fetch_add(1, Ordering::Relaxed);
+        InProgress(self.clone())
+    }
+}
+
+/// Counts a request as in progress while it exists.
+#[derive(Debug)]
+pub(super) struct InProgress(Arc<Knowledge>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/links.rs
@@ -0,0 +1,164 @@
+//! Connections to runners.
+//!
+//! A connection carries one request at a time. It is used again only after a
+//! whole answer; anything odd on it ends it, so that late bytes never meet the
+//! next request.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use comfreyway_core::{fleet::RunnerKey, outcome::RetryReason};
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout},
+};
+
+/// Time to connect to a runner: data centres of a region are a few
+/// milliseconds apart, and one lost packet costs a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which an unused connection is closed when the runner tells none.
+/// Common servers close theirs after five seconds.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+
+/// Time by which a connection is given up before the runner closes it.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Silence after which the other side is asked for a sign of life, and the time
+/// between two such questions.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
+/// Questions without an answer after which a connection is broken.
+const PROBES: u32 = 2;
+
+/// Time for sent bytes to be acknowledged before a connection is broken.
+const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(3);
+
+/// Unused connections kept for one runner.
+const MAX_IDLE: usize = 16;
+
+/// The sending side of a connection.
+pub(super) type Sender = http1::SendRequest<Full<Bytes>>;
+
+struct Idle {
+    sender: Sender,
+    until: Instant,
+}
+
+/// Why no answer's head came.
+#[derive(Debug)]
+pub(super) enum LinkFailure {
+    /// No byte of the request was sent.
+    NotSent(RetryReason),
+    /// The request may have run.
+    Unknown(String),
+}
+
+/// Connections of one traffic thread to runners.
+#[derive(Default)]
+pub(super) struct Links {
+    idle: RefCell<HashMap<RunnerKey, Vec<Idle>>>,
+}
+
+impl Links {
+    /// Sends a request to a runner and waits for the head of the answer.
+    pub(super) async fn send(
+        &self,
+        runner: &RunnerKey,
+        address: SocketAddr,
+        mut req: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Sender), LinkFailure> {
+        while let Some(mut sender) = self.take(runner) {
+            match sender.try_send_request(req).await {
+                Ok(res) => return Ok((res, sender)),
+                Err(mut e) => match e.take_message() {
+                    // The connection had ended before anything was written.
+                    Some(unsent) => req = unsent,
+                    None => return Err(LinkFailure::Unknown(e.into_error().to_string())),
+                },
+            }
+        }
+        let mut sender = connect(address).await?;
+        match sender.try_send_request(req).await {
+            Ok(res) => Ok((res, sender)),
+            Err(mut e) => Err(match e.take_message() {
+                Some(_) => LinkFailure::NotSent(RetryReason::ConnectRefused),
+                None => LinkFailure::Unknown(e.into_error().to_string()),
+            }),
+        }
+    }
+
+    /// Keeps a connection after a whole answer. `keep` is the time for which
+    /// the runner keeps it, if it told.
+    pub(super) fn keep(&self, runner: &RunnerKey, sender: Sender, keep: Option<Duration>) {
+        let time = keep.map_or(IDLE_TIME, |time| time.saturating_sub(IDLE_MARGIN));
+        if sender.is_closed() || time.is_zero() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let idle = idle.entry(runner.clone()).or_default();
+        if idle.len() < MAX_IDLE {
+            idle.push(Idle { sender, until: Instant::now() + time });
+        }
+    }
+
+    /// Closes what is too old, and all connections to runners that have none left.
+    pub(super) fn sweep(&self) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|_, idle| {
+            idle.retain(|idle| idle.until > now && !idle.sender.is_closed());
+            !idle.is_empty()
+        });
+    }
+
+    fn take(&self, runner: &RunnerKey) -> Option<Sender> {
+        let mut idle = self.idle.borrow_mut();
+        let idle = idle.get_mut(runner)?;
+        let now = Instant::now();
+        while let Some(Idle { sender, until }) = idle.pop() {
+            if until > now && sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, LinkFailure> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => {
+            log::debug!("connecting to runner at {address}: {e}");
+            return Err(LinkFailure::NotSent(RetryReason::ConnectRefused));
+        }
+        Err(_) => return Err(LinkFailure::NotSent(RetryReason::ConnectTimeout)),
+    };
+    watch_silence(&stream);
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let (sender, connection) =
+        handshake.map_err(|_| LinkFailure::NotSent(RetryReason::ConnectRefused))?;
+    actix_rt::spawn(async move {
+        if let Err(e) = connection.await {
+            log::debug!("connection to runner at {address} ended: {e}");
+        }
+    });
+    Ok(sender)
+}
+
+/// Makes the kernel break a connection whose other side has fallen silent.
+pub(super) fn watch_silence(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let probes =
+        TcpKeepalive::new().with_time(PROBE_TIME).with_interval(PROBE_TIME).with_retries(PROBES);
+    let set = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_keepalive(&probes))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIME)));
+    if let Err(e) = set {
+        log::debug!("options of a connection can't be set: {e}");
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/mod.rs
@@ -0,0 +1,26 @@
+//! Serving a fleet: callers by host and path, runners found in a store.
+//!
+//! - [`Dialect`] holds the names and formats of the platform. Nothing else in
+//!   this package knows them.
+//! - `front` carries traffic: it reads requests, waits for a verdict, sends the
+//!   request to a runner and passes the answer on.
+//! - `control` holds the state of all decisions ([`comfreyway_core::fleet`]).
+//! - `feed` follows the store, `registration` keeps this host's entry there,
+//!   `sessions` carries the messages between hosts.
+
+mod control;
+mod dialect;
+mod feed;
+mod front;
+mod health;
+mod knowledge;
+mod links;
+mod registration;
+mod run;
+mod sessions;
+mod ticket;
+
+pub use self::{
+    dialect::{Dialect, DialectError, HeaderNames, StoreKeys},
+    run::{FleetPlatform, run},
+};
--- /dev/null
+++ b/crates/node/src/fleet/registration.rs
@@ -0,0 +1,79 @@
+//! Keeps this host's own entry in the store.
+
+use std::{rc::Rc, time::Duration};
+
+use comfreyway_core::fleet::Member;
+use comfreyway_platform::{LeaseId, Store, StoreError};
+use tokio::{sync::watch, time::sleep};
+
+/// Time after which the entry of a host that is gone disappears.
+const LEASE_TTL: Duration = Duration::from_millis(4_000);
+
+/// Time between two renewals: one may fail without harm.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_300);
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Registers a host under `key` until `stop` turns true.
+pub(super) async fn keep_registered(
+    store: Rc<dyn Store>,
+    key: String,
+    member: Member,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut lease = None;
+    loop {
+        let step = async {
+            let pause = match renew(&*store, &key, &member, &mut lease).await {
+                Ok(()) => RENEW_INTERVAL,
+                Err(e) => {
+                    log::info!("this host's entry in the store can't be renewed: {e}");
+                    RETRY_PAUSE
+                }
+            };
+            sleep(pause).await;
+        };
+        tokio::select! {
+            () = step => {}
+            _ = stop.wait_for(|stop| *stop) => break,
+        }
+    }
+    if let Some(lease) = lease
+        && let Err(e) = store.end_lease(lease).await
+    {
+        log::info!("this host's entry in the store can't be removed: {e}");
+    }
+}
+
+async fn renew(
+    store: &dyn Store,
+    key: &str,
+    member: &Member,
+    lease: &mut Option<LeaseId>,
+) -> Result<(), StoreError> {
+    if let Some(id) = *lease {
+        return match store.renew_lease(id).await {
+            Err(StoreError::LeaseLapsed) => {
+                *lease = None;
+                register(store, key, member, lease).await
+            }
+            result => result,
+        };
+    }
+    register(store, key, member, lease).await
+}
+
+async fn register(
+    store: &dyn Store,
+    key: &str,
+    member: &Member,
+    lease: &mut Option<LeaseId>,
+) -> Result<(), StoreError> {
+    let granted = store.grant_lease(LEASE_TTL).await?;
+    let value = serde_json::to_vec(member).map_err(|e| StoreError::NotDone(e.to_string()))?;
+    // A put whose reply is lost is written again under a new lease.
+    store.put(key, value, Some(granted)).await?;
+    *lease = Some(granted);
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/fleet/ticket.rs
@@ -0,0 +1,114 @@
+//! One request between a traffic thread and the control thread.
+
+use std::time::Duration;
+
+use comfreyway_core::{
+    fleet::{Question, RunnerEntry, RunnerKey},
+    ids::RequestId,
+    outcome::{NotRunReason, RetryReason},
+    request::DispatchEnd,
+};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// What a traffic thread tells the control thread.
+#[derive(Debug)]
+pub(super) enum WorkerMessage {
+    /// A request waits for a runner.
+    Submit(Box<Question>, UnboundedSender<Verdict>),
+    /// The request was given up before it was sent.
+    Withdraw(RequestId),
+    /// The runner certainly did not run the request.
+    NotRun(RequestId, RetryReason),
+    /// The first token or byte arrived.
+    FirstToken(RequestId),
+    /// The request is over at its runner.
+    Ended(RequestId, DispatchEnd),
+    /// This run of a runner takes no more work.
+    RunnerEnded(RunnerKey),
+}
+
+/// What the control thread decides on a request.
+#[derive(Debug)]
+pub(super) enum Verdict {
+    /// Send it to this runner now.
+    Dispatch(Box<RunnerEntry>),
+    /// Refuse it; it may come again after this time.
+    Refuse(NotRunReason, Duration),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    Waiting,
+    Sent,
+    Closed,
+}
+
+/// A submitted request. Dropping it tells the control thread that the request
+/// was given up.
+#[derive(Debug)]
+pub(super) struct Ticket {
+    id: RequestId,
+    control: UnboundedSender<WorkerMessage>,
+    verdicts: UnboundedReceiver<Verdict>,
+    stage: Stage,
+}
+
+impl Ticket {
+    /// Submits a request.
+    pub(super) fn submit(control: UnboundedSender<WorkerMessage>, question: Question) -> Self {
+        let (tx, verdicts) = unbounded_channel();
+        let id = question.record.id;
+        let ticket = Self { id, control, verdicts, stage: Stage::Waiting };
+        ticket.tell(WorkerMessage::Submit(Box::new(question), tx));
+        ticket
+    }
+
+    /// The next verdict; none if the control thread has ended.
+    pub(super) async fn verdict(&mut self) -> Option<Verdict> {
+        let verdict = self.verdicts.recv().await;
+        match &verdict {
+            Some(Verdict::Dispatch(_)) => self.stage = Stage::Sent,
+            Some(Verdict::Refuse(..)) => self.stage = Stage::Closed,
+            None => {}
+        }
+        verdict
+    }
+
+    /// The runner certainly did not run the request; it waits again.
+    pub(super) fn not_run(&mut self, reason: RetryReason) {
+        self.stage = Stage::Waiting;
+        self.tell(WorkerMessage::NotRun(self.id, reason));
+    }
+
+    pub(super) fn first_token(&self) {
+        self.tell(WorkerMessage::FirstToken(self.id));
+    }
+
+    /// The request is over at its runner.
+    pub(super) fn ended(&mut self, end: DispatchEnd) {
+        if std::mem::replace(&mut self.stage, Stage::Closed) == Stage::Sent {
+            self.tell(WorkerMessage::Ended(self.id, end));
+        }
+    }
+
+    /// This run of a runner takes no more work.
+    pub(super) fn runner_ended(&self, key: &RunnerKey) {
+        self.tell(WorkerMessage::RunnerEnded(key.clone()));
+    }
+
+    fn tell(&self, message: WorkerMessage) {
+        if self.control.send(message).is_err() {
+            log::error!("the control thread has ended; request {} goes undecided", self.id);
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        match self.stage {
+            Stage::Waiting => self.tell(WorkerMessage::Withdraw(self.id)),
+            Stage::Sent => self.tell(WorkerMessage::Ended(self.id, DispatchEnd::Cancelled)),
+            Stage::Closed => {}
+        }
+    }
+}
--- a/crates/node/src/http/answer.rs
+++ b/crates/node/src/http/answer.rs
@@ -68,7 +68,8 @@
     }
 }
 
-fn status_of(outcome: Outcome) -> StatusCode {
+/// The status that tells of an outcome.
+pub(crate) fn status_of(outcome: Outcome) -> StatusCode {
     match outcome {
         Outcome::Answered => StatusCode::OK,
         Outcome::NotRun(reason) => not_run_status(reason),
@@ -84,18 +85,24 @@
         | NotRunReason::MissingIdentity
         | NotRunReason::CallerGone => StatusCode::BAD_REQUEST,
         NotRunReason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        NotRunReason::UnknownKey => StatusCode::UNAUTHORIZED,
         NotRunReason::SlowBody => StatusCode::REQUEST_TIMEOUT,
         NotRunReason::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
         NotRunReason::UnknownWorkspace => StatusCode::FORBIDDEN,
         NotRunReason::UnknownModel | NotRunReason::UnknownRoute => StatusCode::NOT_FOUND,
         NotRunReason::IdentityReused => StatusCode::UNPROCESSABLE_ENTITY,
-        NotRunReason::Shed | NotRunReason::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        NotRunReason::Shed | NotRunReason::QueueFull | NotRunReason::OverQuota => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
         NotRunReason::TargetUnreachable
         | NotRunReason::NoRunner
         | NotRunReason::NoOwner
         | NotRunReason::ConnectFailed
         | NotRunReason::Stopping
-        | NotRunReason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+        | NotRunReason::NotReady
+        | NotRunReason::StaleConfiguration
+        | NotRunReason::TimeLimit
+        | NotRunReason::TurnedAway => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -34,6 +34,7 @@
 mod traffic;
 mod worker;
 
+pub(crate) use self::answer::status_of;
 pub use self::{
     attach::serve_result,
     phase::Phase,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,8 @@
 //! [`http`] is the callers' interface, [`metrics`] and [`events`] show what it does.
 //! [`peers`] holds the sessions between daemons, [`config`] the operators'
 //! configuration, [`operator`] their HTTP interface.
+//! [`fleet`] serves a fleet whose platform keeps configuration and runners in a
+//! store.
 //! [`peers`] holds the sessions between daemons, [`membership`] the records of
 //! hosts and pools in the key-value service.
 
@@ -14,6 +16,7 @@
 pub mod config;
 pub mod control;
 pub mod events;
+pub mod fleet;
 pub mod health;
 pub mod http;
 pub mod membership;
--- a/crates/node/src/run/main.rs
+++ b/crates/node/src/run/main.rs
@@ -2,16 +2,21 @@
 
 use std::process::ExitCode;
 
-use crate::cli::{EXIT_BAD_SETTINGS, Prepared, daemon_command, prepare};
+use crate::{
+    cli::{EXIT_BAD_SETTINGS, Prepared, daemon_command, prepare},
+    fleet::{self, FleetPlatform},
+    settings::{Platform, Settings},
+};
 
-use super::run;
+use super::{RunError, run};
 
 /// Log level unless `RUST_LOG` says otherwise.
 const DEFAULT_LOG_FILTER: &str = "info";
 
-/// Reads the command line and runs the daemon.
+/// Reads the command line and runs the daemon. `platform` is used where the
+/// settings name a store for the whole fleet.
 #[must_use]
-pub fn main() -> ExitCode {
+pub fn main(platform: FleetPlatform) -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER))
         .init();
     let command = daemon_command().run();
@@ -20,7 +25,7 @@
             print!("{text}");
             ExitCode::SUCCESS
         }
-        Ok(Prepared::Run(settings)) => match run(*settings) {
+        Ok(Prepared::Run(settings)) => match start(*settings, platform) {
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => {
                 eprintln!("comfreywayd: {e}");
@@ -33,3 +38,10 @@
         }
     }
 }
+
+fn start(settings: Settings, platform: FleetPlatform) -> Result<(), RunError> {
+    match &settings.platform {
+        Platform::Store(fleet) => fleet::run(&settings, fleet, platform),
+        Platform::Embedded { .. } | Platform::Etcd { .. } => run(settings),
+    }
+}
--- a/crates/node/src/run/mod.rs
+++ b/crates/node/src/run/mod.rs
@@ -14,4 +14,5 @@
 mod results;
 mod stop;
 
+pub(crate) use self::listeners::{Listeners, local_address};
 pub use self::{daemon::run, error::RunError, main::main};
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr};
 
-use super::{KEYS, PEERS_SECTION, Settings, SettingsError, reader::Source};
+use super::{KEYS, PEERS_SECTION, Platform, Settings, SettingsError, reader::Source};
 
 /// Checks that every section and key exists and stands once.
 pub(super) fn check_names(source: &Source<'_>) -> Result<(), SettingsError> {
@@ -52,6 +52,11 @@
 pub(super) fn check_secret(source: &Source<'_>, settings: &Settings) -> Result<(), SettingsError> {
     let own = [settings.listen.peers, settings.listen.operators];
     let remote = |address: &SocketAddr| !address.ip().is_loopback();
+    if matches!(settings.platform, Platform::Store(_)) {
+        // Peers prove themselves by the store, and operators have only pages
+        // that tell nothing of requests.
+        return Ok(());
+    }
     let exposed = own.iter().chain(settings.peers.values()).any(remote);
     if settings.secret.is_some() || !exposed {
         return Ok(());
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -31,6 +31,7 @@
 const DURATION: &str = "duration: ms, s, m or h";
 const SIZE: &str = "size: bytes, KiB, MiB or GiB";
 const COUNT: &str = "count";
+const NUMBER: &str = "number, with or without a fraction";
 const ADDRESS: &str = "IP number and port";
 const FILE: &str = "path; empty for none";
 
@@ -53,8 +54,15 @@
         "platform",
         "kind",
         Some("embedded"),
-        "embedded or etcd",
-        "Where the key-value service is: in this process, or an etcd v3 JSON gateway.",
+        "embedded, etcd or store",
+        "Where the key-value service is: in this process, an etcd v3 JSON gateway, or\nthe store of a platform that hosts the whole fleet.",
+    ),
+    spec(
+        "platform",
+        "store",
+        Some(""),
+        "IP number and port; empty for none",
+        "Address of the store. Required with store.",
     ),
     spec(
         "platform",
@@ -111,4 +119,15 @@
         "duration: ms, s, m or h; none for no limit",
         "Time after which a planned stop cuts the streams that are left.",
     ),
+    spec("fleet", "region", Some("region"), "name", "Region that this host stands in."),
+    spec(
+        "fleet",
+        "key-revocation",
+        Some("5s"),
+        DURATION,
+        "Time within which every host refuses a key that was taken away.",
+    ),
+    spec("fleet", "retry-ratio", Some("0.2"), NUMBER, "Repeats allowed for each request."),
+    spec("fleet", "retry-slack", Some("50"), NUMBER, "Repeats allowed in a window besides."),
+    spec("fleet", "retry-window", Some("10s"), DURATION, "Window of the repeats."),
 ];
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -26,7 +26,7 @@
     error::{Place, SettingsError},
     keys::{KEYS, KeySpec, PEERS_SECTION},
     limits::Limits,
-    platform::Platform,
+    platform::{FleetSettings, Platform},
     process::{Listen, Settings},
     secret::Secret,
     value::SettingValue,
--- a/crates/node/src/settings/platform.rs
+++ b/crates/node/src/settings/platform.rs
@@ -1,9 +1,11 @@
 //! The way to the platform.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use comfreyway_core::{fleet::RetryRule, ids::RegionName};
 
 /// The way to the platform's key-value service and host list.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Platform {
     /// Both are kept in this process, for a first trial.
     Embedded {
@@ -17,4 +19,33 @@
         /// Address of the host list.
         host_list: Option<SocketAddr>,
     },
+    /// A store that holds configuration, runners and hosts.
+    Store(FleetSettings),
+}
+
+/// Part of the time within which a key that was taken away has to be refused,
+/// for which an old proof of the configuration still counts. The rest covers
+/// changes that a watch hears late and the way to the store.
+const PROOF_SHARE: f64 = 0.7;
+
+/// Settings of a host whose platform has a store for the whole fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetSettings {
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Region that this host stands in.
+    pub region: RegionName,
+    /// Time within which every host refuses a key that was taken away.
+    pub key_revocation: Duration,
+    /// What is allowed of sending requests to a second runner.
+    pub retry: RetryRule,
+}
+
+impl FleetSettings {
+    /// Longest age of the proof that the configuration is the newest, with
+    /// which keys are believed.
+    #[must_use]
+    pub fn proof_age(&self) -> Duration {
+        self.key_revocation.mul_f64(PROOF_SHARE)
+    }
 }
--- a/crates/node/src/settings/process.rs
+++ b/crates/node/src/settings/process.rs
@@ -18,7 +18,7 @@
 }
 
 /// All settings of one process.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of this host.
     pub name: HostName,
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -5,14 +5,15 @@
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
+    time::Duration,
 };
 
-use comfreyway_core::ids::HostName;
+use comfreyway_core::{fleet::RetryRule, ids::HostName};
 use ini::{Ini, ParseOption};
 
 use super::{
-    KEYS, KeySpec, Limits, Listen, PEERS_SECTION, Place, Platform, Secret, SettingValue, Settings,
-    SettingsError,
+    FleetSettings, KEYS, KeySpec, Limits, Listen, PEERS_SECTION, Place, Platform, Secret,
+    SettingValue, Settings, SettingsError,
     check::{check_names, check_secret},
     locate::line_of,
     value::{Count, OptionalDuration, Size},
@@ -116,10 +117,27 @@
                 Err(self.bad_value("platform", "initial-configuration", "a file", expected))
             }
             "etcd" => Ok(Platform::Etcd { endpoints, host_list }),
-            _ => Err(self.bad_value("platform", "kind", &kind, "embedded or etcd")),
+            "store" => self.fleet().map(Platform::Store),
+            _ => Err(self.bad_value("platform", "kind", &kind, "embedded, etcd or store")),
         }
     }
 
+    fn fleet(&self) -> Result<FleetSettings, SettingsError> {
+        let Some(store) = self.optional("platform", "store")? else {
+            let expected = "IP number and port of the store, as kind is store";
+            return Err(self.bad_value("platform", "store", "", expected));
+        };
+        let window: Duration = self.value("fleet", "retry-window")?;
+        let retry = RetryRule {
+            ratio: self.value("fleet", "retry-ratio")?,
+            slack: self.value("fleet", "retry-slack")?,
+            window_s: window.as_secs_f64(),
+        };
+        let region = self.value("fleet", "region")?;
+        let key_revocation = self.value("fleet", "key-revocation")?;
+        Ok(FleetSettings { store, region, key_revocation, retry })
+    }
+
     fn endpoints(&self) -> Result<Vec<SocketAddr>, SettingsError> {
         let list = self.value::<String>("platform", "key-value")?;
         let parts = list.split(',').map(str::trim).filter(|part| !part.is_empty());
--- a/crates/node/src/settings/value.rs
+++ b/crates/node/src/settings/value.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use comfreyway_core::ids::{DataCentreName, HostName};
+use comfreyway_core::ids::{DataCentreName, HostName, RegionName};
 
 const KIB: u64 = 1 << 10;
 const MIB: u64 = 1 << 20;
@@ -124,6 +124,22 @@
     }
 }
 
+impl SettingValue for RegionName {
+    const EXPECTED: &'static str = HostName::EXPECTED;
+
+    fn parse(s: &str) -> Option<Self> {
+        Self::new(s).ok()
+    }
+}
+
+impl SettingValue for f64 {
+    const EXPECTED: &'static str = "a number of at least 0 such as 0.2 or 50";
+
+    fn parse(s: &str) -> Option<Self> {
+        s.parse().ok().filter(|n: &Self| n.is_finite() && *n >= 0.0)
+    }
+}
+
 /// A text as it stands in the file.
 impl SettingValue for String {
     const EXPECTED: &'static str = "a text";
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`KeyValue`] and [`HostList`] are the only ways in which the scheduler
 //! reaches the platform. The [`embedded`] implementations serve a first trial
 //! and tests in one process; [`etcd`] and [`HttpHostList`] speak to the real
-//! services over HTTP. `docs/design/platform.md` says why these were chosen.
+//! services over HTTP. [`Store`] is the store of a platform that hosts whole
+//! fleets; its client stands with the other parts of that platform. `docs/design/platform.md` says why these were chosen.
 
 pub mod embedded;
 pub mod error;
@@ -12,6 +13,7 @@
 mod http;
 mod http_hosts;
 pub mod kv;
+mod store;
 
 pub use self::{
     embedded::{EmbeddedHostList, EmbeddedKeyValue},
@@ -20,4 +22,5 @@
     hosts::{HostList, HostState, ListedHost},
     http_hosts::{HostsDocument, HttpHostList},
     kv::{CasOutcome, KeyValue, KvEvent, LeaseId, Revision, Versioned},
+    store::{Changes, Listing, Store, StoreError},
 };
--- a/src/bin/comfreywayd.rs
+++ b/src/bin/comfreywayd.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    comfreyway_node::run::main()
+    comfreyway_node::run::main(comfreyway_adapter::platform())
 }
