Name requests apart across hosts, and rank by places that runners tell

Ruled out: wake-ups lost between threads (trial with one thread: same), timers of the pool (trial: same). Change: each process draws a random number for its identities.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -159,7 +159,6 @@
         name: format!("runner-{number}").parse().expect("a valid name"),
         data_centre: "alatau".parse().expect("a valid name"),
         initial_limit: RUNNER_LIMIT,
-        places: None,
         engine: true,
         leaving: false,
     }
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -7,21 +7,20 @@
 };
 
 use crate::{
-    ids::{Epoch, HostId, PoolId, RegionName, RequestId, RunnerName, UpstreamName, WorkspaceName},
-    outcome::NotRunReason,
-    pool::{Pool, PoolAction, PoolInput, PoolSettings, RunnerSpec},
+    ids::{HostId, RequestId, RunnerName, UpstreamName, WorkspaceName},
+    outcome::{NotRunReason, RetryReason},
     time::MonoTime,
 };
 
 use super::{
-    Ask, Plan, Question, Quota, Quotas, RetryBudget, RetryRule, RunnerEntry, RunnerNews, Share,
-    Tell,
+    Ask, Decision, Failure, Plan, Question, Quota, QuotaRule, Quotas, Ranking, RetryBudget,
+    RetryRule, RunnerNews, Share, Tell,
 };
 
 /// Time after which a request comes again that found no retry left.
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(500);
 
-/// What is kept of an open request besides the pool's own record.
+/// What is kept of an open request besides the ranking's own record.
 #[derive(Debug)]
 struct Open {
     host: HostId,
@@ -31,62 +30,61 @@
     granted: bool,
 }
 
+#[derive(Debug)]
 struct Ranked {
-    pool: Pool,
+    ranking: Ranking,
     budget: RetryBudget,
-    runners: BTreeMap<RunnerName, RunnerEntry>,
-    engine: bool,
+    /// Places of each runner, over all hosts, and whether it is leaving.
+    runners: BTreeMap<RunnerName, (u32, bool)>,
 }
 
 /// Decides for the requests of the hosts that ask it.
+#[derive(Debug)]
 pub struct Coordinator {
-    region: RegionName,
     rule: RetryRule,
     plan: Option<Arc<Plan>>,
-    pools: BTreeMap<UpstreamName, Ranked>,
+    upstreams: BTreeMap<UpstreamName, Ranked>,
     quotas: Quotas,
     open: BTreeMap<RequestId, Open>,
     asking: BTreeSet<HostId>,
     known_hosts: usize,
     share: Share,
-    wake: Option<MonoTime>,
-    actions: Vec<PoolAction>,
 }
 
 impl Coordinator {
     /// A coordinator that knows of no runner and no other host.
     #[must_use]
-    pub fn new(region: RegionName, rule: RetryRule) -> Self {
+    pub fn new(rule: RetryRule, quotas: QuotaRule) -> Self {
         Self {
-            region,
             rule,
             plan: None,
-            pools: BTreeMap::new(),
-            quotas: Quotas::default(),
+            upstreams: BTreeMap::new(),
+            quotas: Quotas::new(quotas),
             open: BTreeMap::new(),
             asking: BTreeSet::new(),
             known_hosts: 1,
             share: Share::new(1, 1),
-            wake: None,
-            actions: Vec::new(),
         }
     }
 
     /// Puts a configuration into force.
     pub fn set_plan(&mut self, plan: Arc<Plan>) {
+        for (name, ranked) in &mut self.upstreams {
+            ranked.ranking.set_engine(is_engine(&plan, name));
+        }
         self.plan = Some(plan);
     }
 
     /// Hosts that the fleet has, for the share of those that ask.
-    pub fn set_known_hosts(&mut self, now: MonoTime, hosts: usize, out: &mut Vec<(HostId, Tell)>) {
+    pub fn set_known_hosts(&mut self, hosts: usize) {
         self.known_hosts = hosts;
-        self.update_share(now, out);
+        self.update_share();
     }
 
     /// A host asks this coordinator from now on.
-    pub fn host_joined(&mut self, now: MonoTime, host: HostId, out: &mut Vec<(HostId, Tell)>) {
+    pub fn host_joined(&mut self, host: HostId) {
         if self.asking.insert(host) {
-            self.update_share(now, out);
+            self.update_share();
         }
     }
 
@@ -95,14 +93,13 @@
         if !self.asking.remove(host) {
             return;
         }
-        let left = self.open.iter().filter(|(_, open)| open.host == *host);
-        for id in left.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.open.remove(&id);
+        self.open.retain(|_, open| open.host != *host);
+        self.update_share();
+        for upstream in self.names() {
+            self.rank(&upstream, out, |ranking, decisions| {
+                ranking.host_left(now, host, decisions);
+            });
         }
-        for upstream in self.upstreams() {
-            self.pool_input(now, &upstream, PoolInput::EntryGone(host.clone()), out);
-        }
-        self.update_share(now, out);
     }
 
     /// Takes in what changed about a runner.
@@ -111,20 +108,17 @@
             RunnerNews::Up(entry) | RunnerNews::Leaving(entry) => (entry, false),
             RunnerNews::Gone(entry) => (entry, true),
         };
-        let upstream = &entry.upstream;
         let name = entry.key.name.clone();
+        let share = self.share;
+        let ranked = self.ranked(now, &entry.upstream);
         if gone {
-            if let Some(ranked) = self.pools.get_mut(upstream) {
-                ranked.runners.remove(&name);
-            }
-            self.pool_input(now, upstream, PoolInput::RunnerGone(name), out);
-            return;
+            ranked.runners.remove(&name);
+            ranked.ranking.runner_gone(&name);
+        } else {
+            ranked.runners.insert(name.clone(), (entry.places, entry.leaving));
+            ranked.ranking.runner_up(name, share.of_places(entry.places), entry.leaving);
         }
-        let share = self.share;
-        let ranked = self.ranked(now, upstream);
-        ranked.runners.insert(name, entry.clone());
-        let spec = spec_of(entry, ranked.engine, share);
-        self.pool_input(now, upstream, PoolInput::RunnerUp(spec), out);
+        self.rank(&entry.upstream, out, |ranking, decisions| ranking.tick(now, decisions));
     }
 
     /// Takes in what a host asks or reports.
@@ -134,67 +128,53 @@
             Ask::Adopt(question, runner) => {
                 let Question { record, upstream, cost, .. } = *question;
                 self.note_open(host, &upstream, &record.workspace, record.id, cost, true);
-                self.ranked(now, &upstream);
-                self.pool_input(now, &upstream, PoolInput::Adopt { record, runner }, out);
+                self.ranked(now, &upstream).ranking.adopt(now, record, runner);
             }
             Ask::Withdraw(id) => {
                 if let Some(open) = self.close(id) {
-                    self.pool_input(now, &open.upstream, PoolInput::Withdraw(id), out);
+                    self.rank(&open.upstream, out, |r, decisions| r.withdraw(now, id, decisions));
                 }
             }
-            Ask::Back(id, reason) => {
-                let share = self.share;
-                let Some(open) = self.open.get_mut(&id) else { return };
-                open.granted = false;
-                let upstream = open.upstream.clone();
-                if !self.ranked(now, &upstream).budget.take(now, share) {
-                    self.close(id);
-                    self.pool_input(now, &upstream, PoolInput::Withdraw(id), out);
-                    let reason = NotRunReason::TurnedAway;
-                    out.push((host.clone(), Tell::Refuse(id, reason, TURNED_AWAY_RETRY)));
-                    return;
-                }
-                self.pool_input(now, &upstream, PoolInput::GrantUnused { id, reason }, out);
-            }
+            Ask::Back(id, reason) => self.back(now, host, id, reason, out),
             Ask::FirstToken(id) => {
                 let Some(open) = self.open.get(&id) else { return };
-                let upstream = open.upstream.clone();
-                self.pool_input(now, &upstream, PoolInput::FirstToken(id), out);
+                if let Some(ranked) = self.upstreams.get_mut(&open.upstream) {
+                    ranked.ranking.first_token(now, id);
+                }
             }
             Ask::Ended(id, end) => {
                 let Some(open) = self.open.remove(&id) else { return };
-                self.pool_input(now, &open.upstream, PoolInput::Ended { id, end }, out);
+                self.rank(&open.upstream, out, |ranking, decisions| {
+                    ranking.ended(now, id, end);
+                    ranking.tick(now, decisions);
+                });
             }
         }
     }
 
     /// Lets time pass.
     pub fn tick(&mut self, now: MonoTime, out: &mut Vec<(HostId, Tell)>) {
-        if self.wake.is_none_or(|at| at > now) {
-            return;
-        }
-        self.wake = None;
-        for upstream in self.upstreams() {
-            self.pool_input(now, &upstream, PoolInput::Tick, out);
+        for upstream in self.names() {
+            self.rank(&upstream, out, |ranking, decisions| ranking.tick(now, decisions));
         }
     }
 
     /// When [`Coordinator::tick`] is due.
     #[must_use]
-    pub fn next_wake(&self) -> Option<MonoTime> {
-        self.wake
+    pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
+        self.upstreams.values().filter_map(|ranked| ranked.ranking.next_wake(now)).min()
     }
 
     /// Requests that wait, over all upstreams.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.pools.values().map(|ranked| ranked.pool.waiting()).sum()
+        self.upstreams.values().map(|ranked| ranked.ranking.waiting()).sum()
     }
 
     /// The ranking of one upstream.
     #[must_use]
-    pub fn pool(&self, upstream: &UpstreamName) -> Option<&Pool> {
-        self.pools.get(upstream).map(|ranked| &ranked.pool)
+    pub fn ranking(&self, upstream: &UpstreamName) -> Option<&Ranking> {
+        self.upstreams.get(upstream).map(|ranked| &ranked.ranking)
     }
 
     fn place(
@@ -204,7 +184,7 @@
         question: Question,
         out: &mut Vec<(HostId, Tell)>,
     ) {
-        let Question { record, upstream, cost, sent_before } = question;
+        let Question { record, upstream, cost, limit, sent_before } = question;
         let (id, share) = (record.id, self.share);
         if self.open.contains_key(&id) {
             return;
@@ -224,7 +204,42 @@
             self.ranked(now, &upstream).budget.earn(share);
         }
         self.note_open(host, &upstream, &record.workspace, id, cost, false);
-        self.pool_input(now, &upstream, PoolInput::Submit(record), out);
+        let left = limit.saturating_sub(record.age);
+        self.rank(&upstream, out, |ranking, decisions| {
+            ranking.submit(now, record, left, decisions);
+        });
+    }
+
+    fn back(
+        &mut self,
+        now: MonoTime,
+        host: &HostId,
+        id: RequestId,
+        reason: RetryReason,
+        out: &mut Vec<(HostId, Tell)>,
+    ) {
+        let share = self.share;
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.granted = false;
+        let upstream = open.upstream.clone();
+        let failure = match reason {
+            RetryReason::TurnedAway => Some(Failure::Full),
+            RetryReason::ConnectRefused | RetryReason::ConnectTimeout => Some(Failure::Broken),
+            _ => None,
+        };
+        // Only what arrived at a runner counts as a repeat.
+        let arrived = reason == RetryReason::TurnedAway;
+        if arrived && !self.ranked(now, &upstream).budget.take(now, share) {
+            self.close(id);
+            let reason = NotRunReason::TurnedAway;
+            out.push((host.clone(), Tell::Refuse(id, reason, TURNED_AWAY_RETRY)));
+            self.rank(&upstream, out, |ranking, decisions| {
+                ranking.back(now, id, failure, &mut Vec::new());
+                ranking.withdraw(now, id, decisions);
+            });
+            return;
+        }
+        self.rank(&upstream, out, |ranking, decisions| ranking.back(now, id, failure, decisions));
     }
 
     fn note_open(
@@ -254,87 +269,58 @@
         plan.and_then(|plan| plan.workspace(workspace)).map(|w| w.quota).unwrap_or_default()
     }
 
-    fn upstreams(&self) -> Vec<UpstreamName> {
-        self.pools.keys().cloned().collect()
+    fn names(&self) -> Vec<UpstreamName> {
+        self.upstreams.keys().cloned().collect()
     }
 
     fn ranked(&mut self, now: MonoTime, upstream: &UpstreamName) -> &mut Ranked {
-        let engine = self.plan.as_ref().and_then(|plan| plan.upstreams.get(upstream));
-        let engine = engine.is_some_and(|upstream| upstream.engine);
-        let (region, rule, share) = (&self.region, self.rule, self.share);
-        self.pools.entry(upstream.clone()).or_insert_with(|| {
-            let id = PoolId { upstream: upstream.clone(), region: region.clone() };
-            Ranked {
-                pool: Pool::new(PoolSettings::new(id, Epoch::default())),
-                budget: RetryBudget::new(now, rule, share),
-                runners: BTreeMap::new(),
-                engine,
-            }
+        let engine = self.plan.as_ref().is_some_and(|plan| is_engine(plan, upstream));
+        let (rule, share) = (self.rule, self.share);
+        self.upstreams.entry(upstream.clone()).or_insert_with(|| Ranked {
+            ranking: Ranking::new(engine),
+            budget: RetryBudget::new(now, rule, share),
+            runners: BTreeMap::new(),
         })
     }
 
-    fn update_share(&mut self, now: MonoTime, out: &mut Vec<(HostId, Tell)>) {
+    fn update_share(&mut self) {
         let share = Share::new(self.asking.len(), self.known_hosts);
         if share == self.share {
             return;
         }
         self.share = share;
-        for upstream in self.upstreams() {
-            let Some(ranked) = self.pools.get(&upstream) else { continue };
-            let specs = ranked.runners.values().map(|entry| spec_of(entry, ranked.engine, share));
-            for spec in specs.collect::<Vec<_>>() {
-                self.pool_input(now, &upstream, PoolInput::RunnerUp(spec), out);
+        for ranked in self.upstreams.values_mut() {
+            for (name, (places, leaving)) in &ranked.runners {
+                ranked.ranking.runner_up(name.clone(), share.of_places(*places), *leaving);
             }
         }
     }
 
-    fn pool_input(
-        &mut self,
-        now: MonoTime,
-        upstream: &UpstreamName,
-        input: PoolInput,
-        out: &mut Vec<(HostId, Tell)>,
-    ) {
-        let Some(ranked) = self.pools.get_mut(upstream) else { return };
-        let mut actions = std::mem::take(&mut self.actions);
-        ranked.pool.handle(now, input, &mut actions);
-        let mut granted = Vec::new();
-        for action in actions.drain(..) {
-            match action {
-                PoolAction::Grant { entry, grant } => {
-                    if let Some(open) = self.open.get_mut(&grant.id) {
+    /// Lets a ranking decide, and passes its decisions on.
+    fn rank<F>(&mut self, upstream: &UpstreamName, out: &mut Vec<(HostId, Tell)>, decide: F)
+    where
+        F: FnOnce(&mut Ranking, &mut Vec<Decision>),
+    {
+        let Some(ranked) = self.upstreams.get_mut(upstream) else { return };
+        let mut decisions = Vec::new();
+        decide(&mut ranked.ranking, &mut decisions);
+        for decision in decisions {
+            match decision {
+                Decision::Grant(host, id, runner) => {
+                    if let Some(open) = self.open.get_mut(&id) {
                         open.granted = true;
                     }
-                    granted.push(grant.id);
-                    out.push((entry, Tell::Grant(grant.id, grant.runner)));
+                    out.push((host, Tell::Grant(id, runner)));
                 }
-                PoolAction::Refuse { entry, id, reason, retry_after } => {
-                    if let Some(open) = self.open.remove(&id) {
-                        self.quotas.give_back(&open.workspace, open.cost);
-                    }
-                    out.push((entry, Tell::Refuse(id, reason, retry_after)));
-                }
-                PoolAction::SetTimer(at) => {
-                    self.wake = Some(self.wake.map_or(at, |wake| wake.min(at)));
+                Decision::Refuse(host, id, reason, after) => {
+                    self.close(id);
+                    out.push((host, Tell::Refuse(id, reason, after)));
                 }
             }
         }
-        self.actions = actions;
-        // A host uses its grant at once, or reports otherwise.
-        for id in granted {
-            self.pool_input(now, upstream, PoolInput::Dispatched(id), out);
-        }
     }
 }
 
-fn spec_of(entry: &RunnerEntry, engine: bool, share: Share) -> RunnerSpec {
-    let places = share.of_places(entry.places);
-    RunnerSpec {
-        name: entry.key.name.clone(),
-        data_centre: entry.data_centre.clone(),
-        initial_limit: places,
-        places: Some(places),
-        engine,
-        leaving: entry.leaving,
-    }
+fn is_engine(plan: &Plan, upstream: &UpstreamName) -> bool {
+    plan.upstreams.get(upstream).is_some_and(|upstream| upstream.engine)
 }
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -25,6 +25,9 @@
     /// What it takes from its workspace's quota.
     #[serde(rename = "c")]
     pub cost: f64,
+    /// Time from arrival to the final answer.
+    #[serde(rename = "l")]
+    pub limit: Duration,
     /// Runners that it was sent to before.
     #[serde(rename = "n")]
     pub sent_before: u32,
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! - [`RunnerDirectory`] turns the runners' own entries in the store into one
 //!   opinion on each runner. The strictest statement wins.
 //! - [`elect()`] names the host that coordinates. Every host is able to.
+//! - [`Ranking`] orders and places the requests of one upstream.
 //! - [`Coordinator`] ranks and places requests of the hosts that ask it, and
 //!   holds the quotas and the retry budget. It answers the load of all its
 //!   hosts together: bursts, large workspaces, callers that repeat.
@@ -24,6 +25,7 @@
 mod message;
 mod plan;
 mod quota;
+mod ranking;
 mod runner;
 mod share;
 
@@ -35,7 +37,8 @@
     member::{Member, elect},
     message::{Ask, Question, Tell},
     plan::{CallerLimits, Plan, Quota, Repeat, Route, UpstreamPlan, Workspace},
-    quota::Quotas,
+    quota::{QuotaRule, Quotas},
+    ranking::{Decision, Failure, Ranking, RunnerState},
     runner::{RunnerEntry, RunnerKey},
     share::Share,
 };
--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -9,6 +9,23 @@
 
 use super::{Quota, Share};
 
+/// By how much a quota may be exceeded over all hosts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaRule {
+    /// Part of the quota that may be used besides.
+    pub overage: f64,
+    /// Units that may be used besides.
+    pub slack: f64,
+}
+
+/// Part of the slack that a full bucket holds besides its burst.
+const SLACK_IN_BUCKET: f64 = 0.35;
+
+/// Part of the slack with which a bucket starts. A coordinator that takes over
+/// does not know what was used lately, so that both parts together stay below
+/// the slack.
+const SLACK_AT_START: f64 = 0.55;
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     level: f64,
@@ -18,10 +35,17 @@
 /// Token buckets of the workspaces that one coordinator serves.
 #[derive(Debug, Default)]
 pub struct Quotas {
+    rule: QuotaRule,
     buckets: BTreeMap<WorkspaceName, Bucket>,
 }
 
 impl Quotas {
+    /// Buckets that nothing was taken from.
+    #[must_use]
+    pub fn new(rule: QuotaRule) -> Self {
+        Self { rule, buckets: BTreeMap::new() }
+    }
+
     /// Takes `cost` from the workspace's quota, or tells when it may be there.
     ///
     /// # Errors
@@ -38,9 +62,11 @@
         if quota.rate_per_s <= 0.0 {
             return Ok(());
         }
-        let (rate, burst) = (share.of(quota.rate_per_s), share.of(quota.burst));
-        let bucket =
-            self.buckets.entry(workspace.clone()).or_insert(Bucket { level: burst, at: now });
+        let QuotaRule { overage, slack } = self.rule;
+        let rate = share.of(quota.rate_per_s * (1.0 + overage));
+        let burst = share.of(quota.burst * (1.0 + overage) + slack * SLACK_IN_BUCKET);
+        let level = share.of(slack * SLACK_AT_START).min(burst).max(cost.min(burst));
+        let bucket = self.buckets.entry(workspace.clone()).or_insert(Bucket { level, at: now });
         let gained = now.since(bucket.at).as_secs_f64() * rate;
         bucket.level = (bucket.level + gained).min(burst);
         bucket.at = now;
--- /dev/null
+++ b/crates/core/src/fleet/ranking/state.rs
@@ -0,0 +1,238 @@
+//! State of the ranking and its inputs.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    ids::{ClassName, HostId, RequestId, RunnerName},
+    outcome::NotRunReason,
+    request::RequestRecord,
+    time::MonoTime,
+};
+
+use super::{Failure, RunnerState, ewma::Ewma, placing::Place, queue::Queue};
+
+/// Waiting requests that are looked at for one free place.
+const LOOK_AHEAD: usize = 48;
+
+/// Time between two reviews while requests wait.
+const REVIEW: Duration = Duration::from_millis(20);
+
+/// Prompt tokens that an engine prefills in one step.
+const CHUNK_TOKENS: f64 = 2_048.0;
+
+/// What the ranking decides.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// The host may send the request to this runner.
+    Grant(HostId, RequestId, RunnerName),
+    /// The request is refused; it may come again after this time.
+    Refuse(HostId, RequestId, NotRunReason, Duration),
+}
+
+/// A request at a runner.
+#[derive(Clone, Debug)]
+pub(super) struct Granted {
+    pub(super) record: RequestRecord,
+    pub(super) runner: RunnerName,
+    until: MonoTime,
+}
+
+/// Order and placement of the requests of one upstream.
+#[derive(Debug)]
+pub struct Ranking {
+    pub(super) engine: bool,
+    pub(super) chunk_tokens: f64,
+    pub(super) runners: BTreeMap<RunnerName, RunnerState>,
+    pub(super) queue: Queue,
+    pub(super) flights: BTreeMap<RequestId, Granted>,
+    pub(super) lengths: BTreeMap<ClassName, Ewma>,
+}
+
+impl Ranking {
+    /// A ranking without runners. `engine` is true for model engines.
+    #[must_use]
+    pub fn new(engine: bool) -> Self {
+        Self {
+            engine,
+            chunk_tokens: CHUNK_TOKENS,
+            runners: BTreeMap::new(),
+            queue: Queue::default(),
+            flights: BTreeMap::new(),
+            lengths: BTreeMap::new(),
+        }
+    }
+
+    /// What the operators say of the upstream.
+    pub fn set_engine(&mut self, engine: bool) {
+        self.engine = engine;
+    }
+
+    /// Runners by name.
+    #[must_use]
+    pub fn runners(&self) -> &BTreeMap<RunnerName, RunnerState> {
+        &self.runners
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// A runner joined, or its description changed.
+    pub fn runner_up(&mut self, name: RunnerName, places: u32, leaving: bool) {
+        let runner = self.runners.entry(name).or_insert_with(|| RunnerState::new(places));
+        runner.places = places;
+        runner.leaving = leaving;
+    }
+
+    /// A runner is gone.
+    pub fn runner_gone(&mut self, name: &RunnerName) {
+        self.runners.remove(name);
+    }
+
+    /// A request waits. `left` is the time until its final answer.
+    pub fn submit(
+        &mut self,
+        now: MonoTime,
+        record: RequestRecord,
+        left: Duration,
+        out: &mut Vec<Decision>,
+    ) {
+        let id = record.id;
+        if self.queue.contains(id) || self.flights.contains_key(&id) {
+            return;
+        }
+        if let Some(after) = self.refuse_at_arrival(record.tier, left) {
+            out.push(Decision::Refuse(record.entry, id, NotRunReason::Shed, after));
+            return;
+        }
+        self.enqueue(now, record, now + left);
+        self.grant(now, out);
+    }
+
+    /// The request was given up by its host.
+    pub fn withdraw(&mut self, now: MonoTime, id: RequestId, out: &mut Vec<Decision>) {
+        if self.queue.remove(id).is_none() {
+            self.release(id);
+        }
+        self.grant(now, out);
+    }
+
+    /// The runner did not run the request; it waits again.
+    pub fn back(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        failure: Option<Failure>,
+        out: &mut Vec<Decision>,
+    ) {
+        let Some(granted) = self.release(id) else { return };
+        if let Some(runner) = self.runners.get_mut(&granted.runner)
+            && let Some(failure) = failure
+        {
+            runner.fail(now, failure);
+        }
+        self.enqueue(now, granted.record, granted.until);
+        self.grant(now, out);
+    }
+
+    /// A request that another ranking granted is at this runner.
+    pub fn adopt(&mut self, now: MonoTime, record: RequestRecord, runner: RunnerName) {
+        self.queue.remove(record.id);
+        self.start(now, record, runner, now);
+    }
+
+    /// A host is gone, and with it its connections to runners.
+    pub fn host_left(&mut self, now: MonoTime, host: &HostId, out: &mut Vec<Decision>) {
+        for id in self.queue.of_host(host) {
+            self.queue.remove(id);
+        }
+        let own = self.flights.iter().filter(|(_, granted)| granted.record.entry == *host);
+        for id in own.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.release(id);
+        }
+        self.grant(now, out);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
+        self.grant(now, out);
+        let expired = self.queue.iter().filter(|(_, waiting)| now >= waiting.refuse_at);
+        for id in expired.map(|(id, _)| id).collect::<Vec<_>>() {
+            let Some(waiting) = self.queue.remove(id) else { continue };
+            let wait = self.backlog(waiting.record.tier);
+            let after = self.retry_after(wait, waiting.until.since(now));
+            let reason = match self.runners.is_empty() {
+                true => NotRunReason::NoRunner,
+                false => NotRunReason::TargetUnreachable,
+            };
+            out.push(Decision::Refuse(waiting.record.entry, id, reason, after));
+        }
+    }
+
+    /// When [`Ranking::tick`] is due.
+    #[must_use]
+    pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
+        (self.queue.len() > 0).then(|| now + REVIEW)
+    }
+
+    fn enqueue(&mut self, now: MonoTime, record: RequestRecord, until: MonoTime) {
+        let due = now + record.target.limit().saturating_sub(record.age);
+        let rank_by = due - self.least_first(now, record.prefill_tokens);
+        let refuse_at = Self::hold_until(now, until.since(now));
+        self.queue.insert(record, due, until, refuse_at, rank_by);
+    }
+
+    /// Grants as long as a waiting request finds a runner.
+    pub(super) fn grant(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
+        while let Some((id, runner)) = self.next_grant(now) {
+            let Some(waiting) = self.queue.remove(id) else { return };
+            out.push(Decision::Grant(waiting.record.entry.clone(), id, runner.clone()));
+            self.start(now, waiting.record, runner, waiting.until);
+        }
+    }
+
+    fn next_grant(&mut self, now: MonoTime) -> Option<(RequestId, RunnerName)> {
+        if !self.runners.values().any(|runner| runner.has_place(now)) {
+            return None;
+        }
+        let mut late = Vec::new();
+        let mut found = None;
+        for (id, waiting) in self.queue.first(LOOK_AHEAD) {
+            match self.place(now, waiting) {
+                Place::InTime(runner) => {
+                    found = Some((id, runner));
+                    break;
+                }
+                Place::Late(runner) if waiting.late => {
+                    found = Some((id, runner));
+                    break;
+                }
+                Place::Late(_) => late.push(id),
+                Place::Later | Place::None => {}
+            }
+        }
+        let marked = !late.is_empty();
+        for id in late {
+            self.queue.mark_late(id);
+        }
+        // What has become late has another place in the order now.
+        if found.is_none() && marked { self.next_grant(now) } else { found }
+    }
+
+    fn start(&mut self, now: MonoTime, record: RequestRecord, name: RunnerName, until: MonoTime) {
+        if let Some(runner) = self.runners.get_mut(&name) {
+            runner.start(now, record.id, record.prefill_tokens);
+        }
+        self.flights.insert(record.id, Granted { record, runner: name, until });
+    }
+
+    fn release(&mut self, id: RequestId) -> Option<Granted> {
+        let granted = self.flights.remove(&id)?;
+        if let Some(runner) = self.runners.get_mut(&granted.runner) {
+            runner.end(id);
+        }
+        Some(granted)
+    }
+}
--- a/crates/core/src/pool/runner.rs
+++ b/crates/core/src/pool/runner.rs
@@ -38,8 +38,6 @@
     pub data_centre: DataCentreName,
     /// Most requests in progress before anything was learned of the runner.
     pub initial_limit: u32,
-    /// Most requests in progress whatever is learned; none for no bound.
-    pub places: Option<u32>,
     /// True for a model engine, false for a plain service.
     pub engine: bool,
     /// True if the runner is leaving: it gets no new work.
@@ -138,7 +136,7 @@
 
     /// True if the limits leave room for a request.
     pub(super) fn has_slot(&self, access: Access) -> bool {
-        let limit = self.limit.sequences().min(self.spec.places.unwrap_or(u32::MAX));
+        let limit = self.limit.sequences();
         let reserve = match access {
             Access::Top => 0,
             Access::Lower => limit.div_ceil(HEADROOM_DIVISOR),
--- a/crates/core/tests/owner.rs
+++ b/crates/core/tests/owner.rs
@@ -80,7 +80,6 @@
                 name: format!("r{n}").parse().unwrap(),
                 data_centre: "medeu".parse().unwrap(),
                 initial_limit: 4,
-                places: None,
                 engine: false,
                 leaving: false,
             };
--- a/crates/core/tests/pool_fixture/mod.rs
+++ b/crates/core/tests/pool_fixture/mod.rs
@@ -31,14 +31,7 @@
 /// Description of a runner.
 pub(crate) fn spec(number: u8, initial_limit: u32, engine: bool) -> RunnerSpec {
     let data_centre = "alatau".parse().unwrap();
-    RunnerSpec {
-        name: runner(number),
-        data_centre,
-        initial_limit,
-        places: None,
-        engine,
-        leaving: false,
-    }
+    RunnerSpec { name: runner(number), data_centre, initial_limit, engine, leaving: false }
 }
 
 /// A streamed request of a tier with ten seconds to the first token.
--- a/crates/core/tests/protocol_support/actor.rs
+++ b/crates/core/tests/protocol_support/actor.rs
@@ -101,7 +101,6 @@
         name: "r".parse().unwrap(),
         data_centre: "medeu".parse().unwrap(),
         initial_limit: 4,
-        places: None,
         engine: false,
         leaving: false,
     };
--- a/crates/node/src/control/runners.rs
+++ b/crates/node/src/control/runners.rs
@@ -181,7 +181,6 @@
         name: name.clone(),
         data_centre: runner.data_centre.clone(),
         initial_limit: INITIAL_LIMIT,
-        places: None,
         engine: upstream.kind == UpstreamKind::Engine,
         leaving: false,
     };
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -184,7 +184,7 @@
 
     /// Arms the timer for the coordinator's next change by itself.
     fn arm(&mut self, cx: &mut Context<Self>) {
-        let Some(at) = self.coordinator.next_wake() else { return };
+        let Some(at) = self.coordinator.next_wake(self.now()) else { return };
         if self.wake.as_ref().is_some_and(|(armed, _)| *armed <= at) {
             return;
         }
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -19,10 +19,10 @@
     /// Decides by this host's own coordinator from now on.
     pub(super) fn follow_own(&mut self, _: &mut Context<Self>) {
         let now = self.now();
-        let (mut actions, mut tells) = (Vec::new(), Vec::new());
-        self.coordinator.host_joined(now, self.me.id.clone(), &mut tells);
+        let mut actions = Vec::new();
+        self.coordinator.host_joined(self.me.id.clone());
         self.desk.follow(now, None, &mut actions);
-        self.carry_out(actions, tells);
+        self.carry_out(actions, Vec::new());
     }
 
     /// Asks the coordinator to which the session is up from now on.
@@ -57,9 +57,7 @@
             SessionEvent::HostUp(host, number, tx) => {
                 log::info!("host {host} asks this one");
                 self.hosts.insert(host.clone(), (number, tx));
-                let mut tells = Vec::new();
-                self.coordinator.host_joined(now, host, &mut tells);
-                self.carry_out(Vec::new(), tells);
+                self.coordinator.host_joined(host);
             }
             SessionEvent::FromHost(host, ToCoordinator::Ask(ask)) => {
                 let mut tells = Vec::new();
--- a/crates/node/src/fleet/control/store_news.rs
+++ b/crates/node/src/fleet/control/store_news.rs
@@ -46,11 +46,8 @@
                 log::info!("configuration {} at revision {} in force", plan.version, plan.revision);
                 let plan = Arc::new(plan);
                 self.plan_readable = true;
-                self.coordinator.set_plan(plan.clone());
-                self.knowledge.set_plan(plan);
-                if present.is_none() {
-                    self.retell_runners();
-                }
+                self.knowledge.set_plan(plan.clone());
+                self.coordinator.set_plan(plan);
             }
             Err(e) => {
                 self.plan_readable = false;
@@ -59,18 +56,6 @@
         }
     }
 
-    /// Tells the coordinator of all runners again, now that it knows what kind
-    /// of upstream each belongs to.
-    fn retell_runners(&mut self) {
-        let entries: Vec<_> = self.directory.entries().cloned().collect();
-        let news = entries.into_iter().map(|entry| match entry.leaving {
-            true => RunnerNews::Leaving(entry),
-            false => RunnerNews::Up(entry),
-        });
-        let news = news.collect();
-        self.runner_news(news);
-    }
-
     pub(super) fn runner_entries(&mut self, news: FeedNews) {
         let now = self.now();
         let mut out = Vec::new();
@@ -154,10 +139,8 @@
             }
             FeedNews::Returned => return,
         }
-        let mut tells = Vec::new();
         let others = self.members.keys().filter(|name| **name != self.me.id.name).count();
-        self.coordinator.set_known_hosts(self.now(), others + 1, &mut tells);
-        self.carry_out(Vec::new(), tells);
+        self.coordinator.set_known_hosts(others + 1);
         self.choose_coordinator(cx);
     }
 
--- a/crates/node/src/fleet/front/attempt.rs
+++ b/crates/node/src/fleet/front/attempt.rs
@@ -60,6 +60,7 @@
 ) -> (Attempt, bool) {
     let sent = Instant::now();
     let req = call.request_to(runner, after);
+    log::info!("request {} goes to runner {}", call.caller_id, runner.key.name);
     let sending = links.send(&runner.key, runner.address, req);
     let (res, sender) = match timeout_at(call.until, sending).await {
         Ok(Ok(answer)) => answer,
@@ -74,6 +75,13 @@
         }
         Err(_) => return (Attempt::Unknown(UnknownReason::UpstreamTimeout), false),
     };
+    log::info!(
+        "request {}: runner {} answers {} after {} ms",
+        call.caller_id,
+        runner.key.name,
+        res.status(),
+        sent.elapsed().as_millis()
+    );
     if !echoes(call, &res) {
         log::warn!(
             "request {} at runner {}: the answer belongs to another request",
--- a/crates/node/src/fleet/front/handler.rs
+++ b/crates/node/src/fleet/front/handler.rs
@@ -55,9 +55,27 @@
     pub(super) limits: FrontLimits,
     control: UnboundedSender<WorkerMessage>,
     host: HostId,
+    ids: RequestIds,
     next_id: Cell<u64>,
 }
 
+/// Identities of one thread's requests. Hosts may have started at the same
+/// time, so each process draws a number of its own.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::fleet) struct RequestIds {
+    /// Drawn at random by each process.
+    pub(in crate::fleet) process: u64,
+    /// Number of the thread.
+    pub(in crate::fleet) thread: u16,
+}
+
+impl RequestIds {
+    fn id(self, number: u64) -> RequestId {
+        let within = u64::from(self.thread) << 48 | number;
+        RequestId::new(u128::from(self.process) << 64 | u128::from(within))
+    }
+}
+
 /// Carries the traffic of one thread. Cheap to clone.
 #[derive(Clone)]
 pub(in crate::fleet) struct Front {
@@ -85,7 +103,7 @@
     fn new_request_id(&self) -> RequestId {
         let number = self.next_id.get();
         self.next_id.set(number + 1);
-        RequestId::new(u128::from(self.host.incarnation) << 64 | u128::from(number))
+        self.ids.id(number)
     }
 }
 
@@ -105,11 +123,11 @@
         limits: FrontLimits,
         control: UnboundedSender<WorkerMessage>,
         host: HostId,
-        first_id: u64,
+        ids: RequestIds,
     ) -> Self {
         let links = Links::default();
-        let next_id = Cell::new(first_id);
-        let shared = FrontShared { dialect, knowledge, links, limits, control, host, next_id };
+        let next_id = Cell::new(0);
+        let shared = FrontShared { dialect, knowledge, links, limits, control, host, ids, next_id };
         Self { shared: Rc::new(shared) }
     }
 
@@ -163,7 +181,8 @@
         let usage = text(names.usage).and_then(|value| (self.dialect.read_usage)(value));
         let id = self.new_request_id();
         let question = self.question(id, &plan, &route, workspace.as_ref(), usage, body.len());
-        let question = question.ok_or_else(|| early(NotRunReason::NoRunner.into()))?;
+        let mut question = question.ok_or_else(|| early(NotRunReason::NoRunner.into()))?;
+        question.limit = until - arrived;
         let mut headers = end_to_end(&head.headers);
         for name in names.host_only {
             headers.remove(*name);
@@ -237,7 +256,8 @@
             prefix: Vec::new(),
             body_bytes: u32::try_from(body_bytes).unwrap_or(u32::MAX),
         };
-        Some(Question { record, upstream, cost, sent_before: 0 })
+        let limit = route.time_limit;
+        Some(Question { record, upstream, cost, limit, sent_before: 0 })
     }
 }
 
--- a/crates/node/src/fleet/front/mod.rs
+++ b/crates/node/src/fleet/front/mod.rs
@@ -18,6 +18,6 @@
 mod serve;
 
 pub(super) use self::{
-    handler::{Front, FrontLimits},
+    handler::{Front, FrontLimits, RequestIds},
     serve::serve,
 };
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -29,7 +29,7 @@
 use super::{
     control::{BeginStop, FleetControl, Inlets, Outlets},
     dialect::Dialect,
-    front::{Front, FrontLimits, serve},
+    front::{Front, FrontLimits, RequestIds, serve},
     health::Health,
     knowledge::Knowledge,
     registration::keep_registered,
@@ -102,7 +102,7 @@
         platform.dialect,
         knowledge.clone(),
         store.clone(),
-        Coordinator::new(fleet.region.clone(), fleet.retry),
+        Coordinator::new(fleet.retry, fleet.quotas),
         inlets,
         outlets,
     )
@@ -118,6 +118,7 @@
     let (stop_tx, stop_rx) = watch::channel(false);
     let key = format!("{}{}", platform.dialect.keys.members, settings.name);
     let registration = actix_rt::spawn(keep_registered(store, key, me.clone(), stop_rx));
+    let process = rand::random();
     let (closing_tx, closing) = watch::channel(false);
     listeners.callers.set_nonblocking(true)?;
     for number in 0..settings.workers {
@@ -127,7 +128,7 @@
             limits: FrontLimits { proof_age },
             control: workers_tx.clone(),
             host: me.id.clone(),
-            number,
+            ids: RequestIds { process, thread: number as u16 },
         };
         worker.start(listeners.callers.try_clone()?, closing.clone());
     }
@@ -164,16 +165,14 @@
     limits: FrontLimits,
     control: UnboundedSender<WorkerMessage>,
     host: HostId,
-    number: usize,
+    ids: RequestIds,
 }
 
 impl Worker {
     fn start(self, listener: std::net::TcpListener, closing: watch::Receiver<bool>) {
         Arbiter::new().spawn_fn(move || {
-            let Self { dialect, knowledge, limits, control, host, number } = self;
-            // Each thread numbers its requests in a range of its own.
-            let first_id = (number as u64) << 48;
-            let front = Front::new(dialect, knowledge, limits, control, host, first_id);
+            let Self { dialect, knowledge, limits, control, host, ids } = self;
+            let front = Front::new(dialect, knowledge, limits, control, host, ids);
             actix_rt::spawn(serve(listener, front, closing));
         });
     }
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -129,5 +129,19 @@
     ),
     spec("fleet", "retry-ratio", Some("0.2"), NUMBER, "Repeats allowed for each request."),
     spec("fleet", "retry-slack", Some("50"), NUMBER, "Repeats allowed in a window besides."),
+    spec(
+        "fleet",
+        "quota-overage",
+        Some("0"),
+        NUMBER,
+        "Part of a workspace's quota that may be used besides it.",
+    ),
+    spec(
+        "fleet",
+        "quota-slack",
+        Some("0"),
+        NUMBER,
+        "Units of a quota that may be used besides, so that hosts which lose each\nother need not refuse what lies within it.",
+    ),
     spec("fleet", "retry-window", Some("10s"), DURATION, "Window of the repeats."),
 ];
--- a/crates/node/src/settings/platform.rs
+++ b/crates/node/src/settings/platform.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use comfreyway_core::{fleet::RetryRule, ids::RegionName};
+use comfreyway_core::{
+    fleet::{QuotaRule, RetryRule},
+    ids::RegionName,
+};
 
 /// The way to the platform's key-value service and host list.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,6 +42,8 @@
     pub key_revocation: Duration,
     /// What is allowed of sending requests to a second runner.
     pub retry: RetryRule,
+    /// By how much quotas of workspaces may be exceeded.
+    pub quotas: QuotaRule,
 }
 
 impl FleetSettings {
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use comfreyway_core::{fleet::RetryRule, ids::HostName};
+use comfreyway_core::{
+    fleet::{QuotaRule, RetryRule},
+    ids::HostName,
+};
 use ini::{Ini, ParseOption};
 
 use super::{
@@ -133,9 +136,13 @@
             slack: self.value("fleet", "retry-slack")?,
             window_s: window.as_secs_f64(),
         };
+        let quotas = QuotaRule {
+            overage: self.value("fleet", "quota-overage")?,
+            slack: self.value("fleet", "quota-slack")?,
+        };
         let region = self.value("fleet", "region")?;
         let key_revocation = self.value("fleet", "key-revocation")?;
-        Ok(FleetSettings { store, region, key_revocation, retry })
+        Ok(FleetSettings { store, region, key_revocation, retry, quotas })
     }
 
     fn endpoints(&self) -> Result<Vec<SocketAddr>, SettingsError> {
--- a/crates/testkit/examples/capacity.rs
+++ b/crates/testkit/examples/capacity.rs
@@ -10,7 +10,7 @@
 
 fn main() -> ExitCode {
     if env::args().any(|arg| arg == "--config") {
-        return comfreyway_node::run::main();
+        return comfreyway_node::run::main(comfreyway_adapter::platform());
     }
     let options = options().run();
     let result = actix_rt::System::new().block_on(async {
--- a/crates/testkit/examples/load/main.rs
+++ b/crates/testkit/examples/load/main.rs
@@ -18,7 +18,7 @@
 
 fn main() -> ExitCode {
     if env::args().any(|arg| arg == "--config") {
-        return comfreyway_node::run::main();
+        return comfreyway_node::run::main(comfreyway_adapter::platform());
     }
     match trial::run() {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/testkit/examples/quickstart/main.rs
+++ b/crates/testkit/examples/quickstart/main.rs
@@ -18,7 +18,7 @@
 
 fn main() -> ExitCode {
     if env::args().any(|arg| arg == "--config") {
-        return comfreyway_node::run::main();
+        return comfreyway_node::run::main(comfreyway_adapter::platform());
     }
     match actix_rt::System::new().block_on(tour()) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/testkit/src/experiment/run.rs
+++ b/crates/testkit/src/experiment/run.rs
@@ -146,7 +146,6 @@
                 name: self.names[number].clone(),
                 data_centre: spec.data_centre.parse().expect("a valid name"),
                 initial_limit: INITIAL_LIMIT,
-                places: None,
                 engine: true,
                 leaving: false,
             };
