--- a/crates/node/src/fleet/front/serve.rs
+++ b/crates/node/src/fleet/front/serve.rs
@@ -74,7 +74,7 @@
     let mut connection = pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|closing| *closing) => {
+        () = turned_true(&mut closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -83,3 +83,12 @@
         log::debug!("connection of a caller ended: {e}");
     }
 }
+
+/// Waits until the value is true. The value is not kept borrowed, which would
+/// block its sender.
+async fn turned_true(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        // The process ends with the sender; its connections end with it.
+        std::future::pending::<()>().await;
+    }
+}
