Let the class's tier decide among workspaces of one tier

Ruled out: idle places (55 of 55 taken), slow learning (rates within a tenth of the engines'). Change: the workspace's tier goes first and the class's decides among equals.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -171,6 +171,11 @@
         self.upstreams.values().map(|ranked| ranked.ranking.waiting()).sum()
     }
 
+    /// The rankings of all upstreams.
+    pub fn rankings(&self) -> impl Iterator<Item = (&UpstreamName, &Ranking)> {
+        self.upstreams.iter().map(|(name, ranked)| (name, &ranked.ranking))
+    }
+
     /// The ranking of one upstream.
     #[must_use]
     pub fn ranking(&self, upstream: &UpstreamName) -> Option<&Ranking> {
--- a/crates/core/src/fleet/plan.rs
+++ b/crates/core/src/fleet/plan.rs
@@ -86,6 +86,34 @@
     pub quota: Quota,
 }
 
+/// Tiers of classes within one tier of a workspace.
+const CLASS_TIERS: u8 = 16;
+
+impl Workspace {
+    /// The tier of a request of this workspace: the workspace's own tier goes
+    /// first, and that of the class decides among equals.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use comfreyway_core::{fleet::{Quota, Workspace}, ids::Tier};
+    ///
+    /// let name = "union-desk".parse().unwrap();
+    /// let workspace = Workspace { name, tier: Some(Tier(1)), quota: Quota::default() };
+    /// assert!(workspace.tier_of(Tier(0)) < workspace.tier_of(Tier(2)));
+    /// ```
+    #[must_use]
+    pub fn tier_of(&self, class: Tier) -> Tier {
+        match self.tier {
+            None => class,
+            Some(own) => {
+                let within = class.0.min(CLASS_TIERS - 1);
+                Tier(own.0.saturating_mul(CLASS_TIERS).saturating_add(within))
+            }
+        }
+    }
+}
+
 /// An upstream as the operators describe it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UpstreamPlan {
--- a/crates/core/src/fleet/ranking/state.rs
+++ b/crates/core/src/fleet/ranking/state.rs
@@ -236,3 +236,24 @@
         Some(granted)
     }
 }
+
+impl std::fmt::Display for Ranking {
+    /// One line for a log: what waits, and each runner with its load and rates.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let busy: usize = self.runners.values().map(RunnerState::in_progress).sum();
+        write!(f, "{} wait, {busy} in progress;", self.queue.len())?;
+        for (name, runner) in &self.runners {
+            let (load, places) = (runner.in_progress(), runner.places);
+            let (prefill, decode) = (runner.prefill_us(), runner.decode_us());
+            write!(f, " {name} {load}/{places} {prefill:.0}/{decode:.0} us")?;
+            write!(f, " {} pending", runner.pending_prompt)?;
+            if runner.failures > 0 {
+                write!(f, " {} failures", runner.failures)?;
+            }
+            if runner.leaving {
+                write!(f, " leaving")?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -32,6 +32,9 @@
 /// Time between two looks at everything that changes by itself.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two lines on the load of the upstreams.
+const STATUS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Which prefix of the store some news are about.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Topic {
@@ -218,6 +221,11 @@
         self.follow_store(Topic::Members, keys.members, OTHER_WAIT);
         self.follow_own(cx);
         cx.run_interval(REVIEW_INTERVAL, Self::review);
+        cx.run_interval(STATUS_INTERVAL, |control, _| {
+            for (upstream, ranking) in control.coordinator.rankings() {
+                log::info!("{upstream}: {ranking}");
+            }
+        });
     }
 }
 
--- a/crates/node/src/fleet/front/handler.rs
+++ b/crates/node/src/fleet/front/handler.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
     fleet::{Plan, Question, Route, Workspace},
-    ids::{HostId, RequestId, Tier, WorkspaceName},
+    ids::{HostId, RequestId, WorkspaceName},
     outcome::NotRunReason,
     request::RequestRecord,
 };
@@ -241,7 +241,7 @@
             Some((prompt, generated)) => f64::from(prompt) + f64::from(generated),
             None => quota.plain_cost,
         };
-        let tier: Tier = workspace.and_then(|w| w.tier).unwrap_or(route.tier);
+        let tier = workspace.map_or(route.tier, |w| w.tier_of(route.tier));
         let name = workspace.map(|w| w.name.clone());
         let record = RequestRecord {
             id,
