--- a/crates/node/src/fleet/front/handler.rs
+++ b/crates/node/src/fleet/front/handler.rs
@@ -36,6 +36,10 @@
 /// Time after which a host without a usable configuration is asked again.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
+/// Time after which a request comes again that met a stopping host; another
+/// host takes it at once.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
 /// Workspace of requests that need no key.
 const PUBLIC_WORKSPACE: &str = "public";
 
@@ -160,6 +164,10 @@
         let (head, mut body) = req.into_parts();
         let unread = !body.is_end_stream();
         let early = |reason: Refused| (reason, unread);
+        if self.knowledge.is_refusing() {
+            // What is left of the stop limit may be too short for an answer.
+            return Err(early(Refused(NotRunReason::Stopping, Some(STOPPING_RETRY))));
+        }
         let plan = self
             .knowledge
             .plan()
--- a/crates/node/src/fleet/knowledge.rs
+++ b/crates/node/src/fleet/knowledge.rs
@@ -17,6 +17,7 @@
     /// Microseconds; zero for never.
     proven_us: AtomicU64,
     stopping: AtomicBool,
+    refusing: AtomicBool,
     in_progress: AtomicUsize,
 }
 
@@ -27,6 +28,7 @@
             plan: RwLock::default(),
             proven_us: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
         }
     }
@@ -58,6 +60,15 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Takes no new request from now on.
+    pub(super) fn refuse(&self) {
+        self.refusing.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::Relaxed)
+    }
+
     pub(super) fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::Relaxed)
     }
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -178,15 +178,18 @@
     }
 }
 
-/// Answers everything, and closes unused connections once the balancer sends
-/// no new ones.
+/// Answers everything. Once the balancer sends no new callers, closes unused
+/// connections and refuses what still comes.
 async fn drain(knowledge: &Knowledge, closing: &watch::Sender<bool>, limit: Option<Duration>) {
     let started = Instant::now();
     let limit = limit.map(|limit| limit.saturating_sub(STOP_MARGIN));
     loop {
         let elapsed = started.elapsed();
         if elapsed >= BALANCER_TIME {
-            closing.send_replace(true);
+            if !knowledge.is_refusing() {
+                knowledge.refuse();
+                closing.send_replace(true);
+            }
             if knowledge.in_progress() == 0 {
                 break;
             }
