Prove the fleet's path with real daemons against stand-ins of store and runners

Tests for requests, answers that runners spoil, leaving and odd runners, configuration that changes or may be old, quotas, hosts that are lost, and the planned stop. Three found faults: - A request that failed went to the runner that had failed it.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -189,7 +189,7 @@
         question: Question,
         out: &mut Vec<(HostId, Tell)>,
     ) {
-        let Question { record, upstream, cost, limit, sent_before } = question;
+        let Question { record, upstream, cost, limit, sent_before, avoid } = question;
         let (id, share) = (record.id, self.share);
         if self.open.contains_key(&id) {
             return;
@@ -211,7 +211,7 @@
         self.note_open(host, &upstream, &record.workspace, id, cost, false);
         let left = limit.saturating_sub(record.age);
         self.rank(&upstream, out, |ranking, decisions| {
-            ranking.submit(now, record, left, decisions);
+            ranking.submit(now, record, left, avoid, decisions);
         });
     }
 
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -31,6 +31,9 @@
     /// Runners that it was sent to before.
     #[serde(rename = "n")]
     pub sent_before: u32,
+    /// The runner that it was sent to last; another one is tried first.
+    #[serde(rename = "v")]
+    pub avoid: Option<RunnerName>,
 }
 
 /// What a host tells its coordinator.
--- a/crates/core/src/fleet/ranking/placing.rs
+++ b/crates/core/src/fleet/ranking/placing.rs
@@ -34,10 +34,15 @@
     /// Looks for a runner for a request.
     pub(super) fn place(&self, now: MonoTime, waiting: &Waiting) -> Place {
         let length = self.expected_length(&waiting.record.class);
-        let left = waiting.due.since(now).as_micros() as f64;
+        let left = waiting.times.due.since(now).as_micros() as f64;
         let mut best: Option<(f64, bool, &RunnerName)> = None;
         let mut could_later = false;
-        for (name, runner) in &self.runners {
+        let others = self
+            .runners
+            .iter()
+            .any(|(name, runner)| runner.is_usable(now) && waiting.avoid.as_ref() != Some(name));
+        let avoid = waiting.avoid.as_ref().filter(|_| others);
+        for (name, runner) in self.runners.iter().filter(|(name, _)| Some(*name) != avoid) {
             let first = self.first_us(runner, waiting);
             let in_time = first <= left;
             if !runner.has_place(now) || !self.spares_others(runner, waiting) {
--- a/crates/core/src/fleet/ranking/queue.rs
+++ b/crates/core/src/fleet/ranking/queue.rs
@@ -3,21 +3,29 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    ids::{HostId, RequestId, Tier},
+    ids::{HostId, RequestId, RunnerName, Tier},
     request::RequestRecord,
     time::MonoTime,
 };
 
-/// A waiting request.
-#[derive(Clone, Debug)]
-pub(super) struct Waiting {
-    pub(super) record: RequestRecord,
+/// Points in time of a waiting request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Times {
     /// When the target ends.
     pub(super) due: MonoTime,
     /// When the caller gets its final answer at the latest.
     pub(super) until: MonoTime,
     /// When it is refused if it still waits.
     pub(super) refuse_at: MonoTime,
+}
+
+/// A waiting request.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    pub(super) record: RequestRecord,
+    pub(super) times: Times,
+    /// The runner that it was sent to last.
+    pub(super) avoid: Option<RunnerName>,
     pub(super) late: bool,
     order: Order,
 }
@@ -46,15 +54,14 @@
     pub(super) fn insert(
         &mut self,
         record: RequestRecord,
-        due: MonoTime,
-        until: MonoTime,
-        refuse_at: MonoTime,
+        times: Times,
         rank_by: MonoTime,
+        avoid: Option<RunnerName>,
     ) {
         self.next_number += 1;
         let id = record.id;
         let order = (record.tier, false, rank_by, self.next_number);
-        let waiting = Waiting { record, due, until, refuse_at, late: false, order };
+        let waiting = Waiting { record, times, avoid, late: false, order };
         self.order.insert((order, id));
         self.waiting.insert(id, waiting);
     }
--- a/crates/core/src/fleet/ranking/state.rs
+++ b/crates/core/src/fleet/ranking/state.rs
@@ -9,7 +9,12 @@
     time::MonoTime,
 };
 
-use super::{Failure, RunnerState, ewma::Ewma, placing::Place, queue::Queue};
+use super::{
+    Failure, RunnerState,
+    ewma::Ewma,
+    placing::Place,
+    queue::{Queue, Times},
+};
 
 /// Waiting requests that are looked at for one free place.
 const LOOK_AHEAD: usize = 48;
@@ -91,12 +96,14 @@
         self.runners.remove(name);
     }
 
-    /// A request waits. `left` is the time until its final answer.
+    /// A request waits. `left` is the time until its final answer, `avoid` the
+    /// runner that it was sent to last.
     pub fn submit(
         &mut self,
         now: MonoTime,
         record: RequestRecord,
         left: Duration,
+        avoid: Option<RunnerName>,
         out: &mut Vec<Decision>,
     ) {
         let id = record.id;
@@ -107,7 +114,7 @@
             out.push(Decision::Refuse(record.entry, id, NotRunReason::Shed, after));
             return;
         }
-        self.enqueue(now, record, now + left);
+        self.enqueue(now, record, now + left, avoid);
         self.grant(now, out);
     }
 
@@ -133,7 +140,8 @@
         {
             runner.fail(now, failure);
         }
-        self.enqueue(now, granted.record, granted.until);
+        let avoid = failure.is_some().then_some(granted.runner);
+        self.enqueue(now, granted.record, granted.until, avoid);
         self.grant(now, out);
     }
 
@@ -158,11 +166,11 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
         self.grant(now, out);
-        let expired = self.queue.iter().filter(|(_, waiting)| now >= waiting.refuse_at);
+        let expired = self.queue.iter().filter(|(_, waiting)| now >= waiting.times.refuse_at);
         for id in expired.map(|(id, _)| id).collect::<Vec<_>>() {
             let Some(waiting) = self.queue.remove(id) else { continue };
             let wait = self.backlog(waiting.record.tier);
-            let after = self.retry_after(wait, waiting.until.since(now));
+            let after = self.retry_after(wait, waiting.times.until.since(now));
             let reason = match self.runners.is_empty() {
                 true => NotRunReason::NoRunner,
                 false => NotRunReason::TargetUnreachable,
@@ -177,11 +185,18 @@
         (self.queue.len() > 0).then(|| now + REVIEW)
     }
 
-    fn enqueue(&mut self, now: MonoTime, record: RequestRecord, until: MonoTime) {
+    fn enqueue(
+        &mut self,
+        now: MonoTime,
+        record: RequestRecord,
+        until: MonoTime,
+        avoid: Option<RunnerName>,
+    ) {
         let due = now + record.target.limit().saturating_sub(record.age);
         let rank_by = due - self.least_first(now, record.prefill_tokens);
         let refuse_at = Self::hold_until(now, until.since(now));
-        self.queue.insert(record, due, until, refuse_at, rank_by);
+        let times = Times { due, until, refuse_at };
+        self.queue.insert(record, times, rank_by, avoid);
     }
 
     /// Grants as long as a waiting request finds a runner.
@@ -189,7 +204,7 @@
         while let Some((id, runner)) = self.next_grant(now) {
             let Some(waiting) = self.queue.remove(id) else { return };
             out.push(Decision::Grant(waiting.record.entry.clone(), id, runner.clone()));
-            self.start(now, waiting.record, runner, waiting.until);
+            self.start(now, waiting.record, runner, waiting.times.until);
         }
     }
 
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -157,7 +157,8 @@
             }
         }
         let paused = (runner.paused_until > now).then_some(runner.paused_until);
-        let reopen = runner.reopens_at(now).max(paused);
+        // A runner that is gone gets no more work, so nothing waits for it.
+        let reopen = runner.reopens_at(now).max(paused).filter(|_| !slot.gone);
         if reopen != slot.reopen {
             if let Some(old) = std::mem::replace(&mut slot.reopen, reopen) {
                 timers.cancel(old, Timer::Reopen(ix));
--- a/crates/node/src/fleet/front/exchange.rs
+++ b/crates/node/src/fleet/front/exchange.rs
@@ -75,7 +75,7 @@
 /// Takes an admitted request to its answer.
 pub(super) async fn exchange(front: &Front, call: Call) -> Response<AnswerBody> {
     let mut sent = 0;
-    let mut ticket = front.submit(&call, sent);
+    let mut ticket = front.submit(&call, sent, None);
     loop {
         let reason = match reach(&front.links, &call, &mut ticket, None).await {
             Reached::NotRun(reason, after) if sent == 0 => {
@@ -125,7 +125,7 @@
             return unknown(&call, reason);
         }
         log::info!("request {} is sent once more: {reason}", call.caller_id);
-        ticket = front.submit(&call, sent);
+        ticket = front.submit(&call, sent, ticket.runner().cloned());
     }
 }
 
--- a/crates/node/src/fleet/front/handler.rs
+++ b/crates/node/src/fleet/front/handler.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
     fleet::{Plan, Question, Route, Workspace},
-    ids::{HostId, RequestId, WorkspaceName},
+    ids::{HostId, RequestId, RunnerName, WorkspaceName},
     outcome::NotRunReason,
     request::RequestRecord,
 };
@@ -96,11 +96,12 @@
 
 impl FrontShared {
     /// Asks for a runner. `sent` is the number of runners that the request was
-    /// sent to before.
-    pub(super) fn submit(&self, call: &Call, sent: u32) -> Ticket {
+    /// sent to before, `avoid` the last of them.
+    pub(super) fn submit(&self, call: &Call, sent: u32, avoid: Option<RunnerName>) -> Ticket {
         let mut question = call.question.clone();
         question.record.age = call.arrived.elapsed();
         question.sent_before = sent;
+        question.avoid = avoid;
         Ticket::submit(self.control.clone(), question)
     }
 
@@ -265,7 +266,7 @@
             body_bytes: u32::try_from(body_bytes).unwrap_or(u32::MAX),
         };
         let limit = route.time_limit;
-        Some(Question { record, upstream, cost, limit, sent_before: 0 })
+        Some(Question { record, upstream, cost, limit, sent_before: 0, avoid: None })
     }
 }
 
--- a/crates/node/src/fleet/front/relay.rs
+++ b/crates/node/src/fleet/front/relay.rs
@@ -162,7 +162,8 @@
             if !resumable || !may_repeat(&self.call, self.sent) {
                 return Err(RelayError::Broken);
             }
-            self.ticket = self.front.submit(&self.call, self.sent);
+            let avoid = self.ticket.runner().cloned();
+            self.ticket = self.front.submit(&self.call, self.sent, avoid);
             let after = self.events.last_id();
             let links = &self.front.links;
             match reach(links, &self.call, &mut self.ticket, after).await {
--- a/crates/node/src/fleet/front/serve.rs
+++ b/crates/node/src/fleet/front/serve.rs
@@ -66,7 +66,11 @@
         let front = front.clone();
         async move { Ok::<_, Infallible>(front.handle(req).await) }
     });
+    // A connection that comes while the host stops gets one answer, which says
+    // that nothing was run.
+    let last = *closing.borrow();
     let connection = http1::Builder::new()
+        .keep_alive(!last)
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(head_bytes)
@@ -74,7 +78,7 @@
     let mut connection = pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = turned_true(&mut closing) => {
+        () = turned_true(&mut closing), if !last => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/node/src/fleet/ticket.rs
+++ b/crates/node/src/fleet/ticket.rs
@@ -4,7 +4,7 @@
 
 use comfreyway_core::{
     fleet::{Question, RunnerEntry, RunnerKey},
-    ids::RequestId,
+    ids::{RequestId, RunnerName},
     outcome::{NotRunReason, RetryReason},
     request::DispatchEnd,
 };
@@ -51,6 +51,7 @@
     control: UnboundedSender<WorkerMessage>,
     verdicts: UnboundedReceiver<Verdict>,
     stage: Stage,
+    runner: Option<RunnerName>,
 }
 
 impl Ticket {
@@ -58,7 +59,7 @@
     pub(super) fn submit(control: UnboundedSender<WorkerMessage>, question: Question) -> Self {
         let (tx, verdicts) = unbounded_channel();
         let id = question.record.id;
-        let ticket = Self { id, control, verdicts, stage: Stage::Waiting };
+        let ticket = Self { id, control, verdicts, stage: Stage::Waiting, runner: None };
         ticket.tell(WorkerMessage::Submit(Box::new(question), tx));
         ticket
     }
@@ -67,13 +68,21 @@
     pub(super) async fn verdict(&mut self) -> Option<Verdict> {
         let verdict = self.verdicts.recv().await;
         match &verdict {
-            Some(Verdict::Dispatch(_)) => self.stage = Stage::Sent,
+            Some(Verdict::Dispatch(runner)) => {
+                self.stage = Stage::Sent;
+                self.runner = Some(runner.key.name.clone());
+            }
             Some(Verdict::Refuse(..)) => self.stage = Stage::Closed,
             None => {}
         }
         verdict
     }
 
+    /// The runner that the last verdict named.
+    pub(super) fn runner(&self) -> Option<&RunnerName> {
+        self.runner.as_ref()
+    }
+
     /// The runner certainly did not run the request; it waits again.
     pub(super) fn not_run(&mut self, reason: RetryReason) {
         self.stage = Stage::Waiting;
--- a/crates/testkit/src/daemon/settings.rs
+++ b/crates/testkit/src/daemon/settings.rs
@@ -14,6 +14,7 @@
 enum PlatformSettings {
     Embedded { initial_configuration: PathBuf },
     Etcd { key_value: SocketAddr, host_list: Option<SocketAddr> },
+    Store(SocketAddr),
 }
 
 /// What differs between the settings of daemons in one test.
@@ -33,6 +34,7 @@
     platform: PlatformSettings,
     known_peers: Vec<(String, SocketAddr)>,
     limits: Vec<(String, String)>,
+    fleet: Vec<(String, String)>,
 }
 
 impl DaemonSettings {
@@ -59,6 +61,22 @@
         Self::new(name, PlatformSettings::Etcd { key_value, host_list })
     }
 
+    /// A daemon that serves a fleet through the store at this address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub fn with_store(name: &str, store: SocketAddr) -> io::Result<Self> {
+        Self::new(name, PlatformSettings::Store(store))
+    }
+
+    /// Sets a key of the section `fleet`.
+    #[must_use]
+    pub fn with_fleet(mut self, key: &str, value: &str) -> Self {
+        self.fleet.push((key.to_owned(), value.to_owned()));
+        self
+    }
+
     fn new(name: &str, platform: PlatformSettings) -> io::Result<Self> {
         Ok(Self {
             name: name.to_owned(),
@@ -70,6 +88,7 @@
             platform,
             known_peers: Vec::new(),
             limits: Vec::new(),
+            fleet: Vec::new(),
         })
     }
 
@@ -125,6 +144,10 @@
         for (key, value) in &self.limits {
             writeln!(out, "{key} = {value}")?;
         }
+        writeln!(out, "[fleet]")?;
+        for (key, value) in &self.fleet {
+            writeln!(out, "{key} = {value}")?;
+        }
         writeln!(out, "[peers]")?;
         for (name, address) in &self.known_peers {
             writeln!(out, "{name} = {address}")?;
@@ -138,6 +161,10 @@
                 writeln!(out, "kind = embedded")?;
                 writeln!(out, "initial-configuration = {}", initial_configuration.display())
             }
+            PlatformSettings::Store(address) => {
+                writeln!(out, "kind = store")?;
+                writeln!(out, "store = {address}")
+            }
             PlatformSettings::Etcd { key_value, host_list } => {
                 writeln!(out, "kind = etcd")?;
                 writeln!(out, "key-value = {key_value}")?;
--- a/crates/testkit/src/daemon/signal.rs
+++ b/crates/testkit/src/daemon/signal.rs
@@ -9,6 +9,8 @@
     Terminate,
     /// Ends the process at once.
     Kill,
+    /// Says that settings changed.
+    Hangup,
     /// Freezes the process.
     Stop,
     /// Lets a frozen process go on.
@@ -20,6 +22,7 @@
         match self {
             Self::Terminate => libc::SIGTERM,
             Self::Kill => libc::SIGKILL,
+            Self::Hangup => libc::SIGHUP,
             Self::Stop => libc::SIGSTOP,
             Self::Continue => libc::SIGCONT,
         }
--- /dev/null
+++ b/crates/testkit/src/fleet_runner/handler.rs
@@ -0,0 +1,93 @@
+//! The answers of a runner.
+
+use std::{io, sync::PoisonError, time::Duration};
+
+use actix_web::{
+    HttpRequest, HttpResponse,
+    body::SizedStream,
+    http::StatusCode,
+    web::{Bytes, Data},
+};
+use futures_util::{StreamExt, stream};
+
+use super::{RunnerManner, RunnerRun, Shared};
+
+/// Time for the pieces before a cut to leave the process.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
+const REQUEST_ID: &str = "x-comfreyway-request-id";
+const SIGNATURE: &str = "x-comfreyway-runner-signature";
+const NOT_EXECUTED: &str = "x-comfreyway-not-executed";
+const EXPECTED: &str = "x-comfreyway-expect-runner";
+
+pub(super) async fn answer(runner: Data<Shared>, req: HttpRequest, body: Bytes) -> HttpResponse {
+    let manner = *runner.manner.lock().unwrap_or_else(PoisonError::into_inner);
+    let header = |name: &str| {
+        let value = req.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let id = header(REQUEST_ID);
+    let expected = header(EXPECTED);
+    if manner == RunnerManner::OtherRunner || (!expected.is_empty() && expected != runner.name) {
+        let mut res = HttpResponse::build(StatusCode::MISDIRECTED_REQUEST);
+        return res.insert_header((REQUEST_ID, id)).finish();
+    }
+    if manner == RunnerManner::Full {
+        let mut res = HttpResponse::ServiceUnavailable();
+        return res.insert_header((REQUEST_ID, id)).insert_header((NOT_EXECUTED, "1")).finish();
+    }
+    note(&runner, &req, &id, &body);
+    runner.gate.passed().await;
+    let mut res = HttpResponse::Ok();
+    res.insert_header((REQUEST_ID, id.clone()));
+    if manner != RunnerManner::Unsigned {
+        res.insert_header((SIGNATURE, runner.name.clone()));
+    }
+    let after = header("last-event-id").parse().unwrap_or(0);
+    match manner {
+        RunnerManner::Stream(count) => res.streaming(events(after, count, None)),
+        RunnerManner::CutAfter(count) => {
+            let torn = format!("id: {}\nda", count + 1);
+            res.streaming(events(after, count, Some(torn)))
+        }
+        RunnerManner::Fails => res.status(StatusCode::INTERNAL_SERVER_ERROR).body("failed"),
+        RunnerManner::Breaks => {
+            let broken = stream::once(async { Err::<Bytes, _>(io::Error::other("broken")) });
+            HttpResponse::Ok().insert_header((REQUEST_ID, id)).body(SizedStream::new(9, broken))
+        }
+        RunnerManner::ForeignAnswer => {
+            HttpResponse::Ok().insert_header((REQUEST_ID, "another")).body("foreign")
+        }
+        _ => res.body(format!("answer of {}", runner.name)),
+    }
+}
+
+fn note(runner: &Shared, req: &HttpRequest, id: &str, body: &[u8]) {
+    let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+    let headers = req.headers().iter();
+    let run = RunnerRun {
+        request_id: id.to_owned(),
+        target: req.uri().to_string(),
+        headers: headers.map(|(n, v)| (n.to_string(), text(v.as_bytes()))).collect(),
+        body: body.to_vec(),
+    };
+    runner.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
+}
+
+/// Events after `after` up to `count`, then a torn one and a broken connection.
+fn events(
+    after: u64,
+    count: u64,
+    torn: Option<String>,
+) -> impl futures_util::Stream<Item = io::Result<Bytes>> {
+    let whole = (after + 1..=count).map(|n| Ok(Bytes::from(format!("id: {n}\ndata: e{n}\n\n"))));
+    let torn = torn.map(Bytes::from);
+    let cut = usize::from(torn.is_some());
+    let pieces = whole.chain(torn.map(Ok)).collect::<Vec<_>>();
+    let end = stream::once(async {
+        // The server drops what it has not written when a body fails.
+        tokio::time::sleep(FLUSH_TIME).await;
+        Err(io::Error::other("cut on purpose"))
+    });
+    stream::iter(pieces).chain(end.take(cut))
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`engine`]: a model engine with batching, cache, resume and cancel.
 //! - [`service`]: a plain service with a log of its calls.
 //! - [`kv`]: the key-value service with outage, delay, lost replies and rates.
+//! - [`store`]: the store of a platform that hosts whole fleets.
+//! - [`fleet_runner`]: a runner of such a fleet.
 //! - [`hosts`]: the host list with a lag.
 //! - [`daemon`]: real daemon processes.
 //! - [`proxy`]: a TCP proxy that injects faults on one link.
@@ -20,6 +22,7 @@
 pub mod daemon;
 pub mod engine;
 pub mod experiment;
+pub mod fleet_runner;
 pub mod gate;
 pub mod hosts;
 pub mod kv;
@@ -30,6 +33,7 @@
 pub mod run_log;
 pub mod server;
 pub mod service;
+pub mod store;
 
 pub use self::{
     gate::Gate,
--- /dev/null
+++ b/tests/testsuite/fleet/hosts.rs
@@ -0,0 +1,73 @@
+//! Several hosts, and what is left when some of them go.
+
+use comfreyway_testkit::{
+    daemon::{Signal, eventually},
+    fleet_runner::RunnerManner,
+    store::{StoreFaults, StoreOutage},
+};
+
+use super::site::{Site, call, try_call};
+
+/// Waits until a host asks another one.
+async fn asks_another(host: &crate::support::Daemon) {
+    let log = || async { host.log().contains(" answers").then_some(()) };
+    eventually(log).await.expect("the host found no coordinator");
+}
+
+#[actix_rt::test]
+async fn a_host_goes_on_when_its_coordinator_is_killed() {
+    let site = Site::new().with_runner("survey", "r1", RunnerManner::Whole);
+    let first = site.host("h1").await;
+    let second = site.host("h2").await;
+    asks_another(&second).await;
+    assert_eq!(call(&second, "id-1", "/lookup/").await.status, 200);
+    first.signal(Signal::Kill).unwrap();
+    for number in 2..6 {
+        assert_eq!(call(&second, &format!("id-{number}"), "/lookup/").await.status, 200);
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_that_waits_is_placed_by_the_next_coordinator() {
+    let site = Site::new().with_runner("survey", "r1", RunnerManner::Whole);
+    let first = site.host("h1").await;
+    let second = site.host("h2").await;
+    asks_another(&second).await;
+    site.runners[0].gate().close();
+    // Both places are taken through the first host, the next request waits.
+    let held = async {
+        let taken = || async { (site.runners[0].runs().len() == 2).then_some(()) };
+        eventually(taken).await.expect("the places are not taken");
+        let lose = async {
+            first.signal(Signal::Kill).unwrap();
+            let lost = || async { second.log().contains("is lost").then_some(()) };
+            eventually(lost).await.expect("the second host did not notice");
+            site.runners[0].gate().open();
+        };
+        futures_util::join!(call(&second, "id-3", "/lookup/"), lose).0
+    };
+    let cut = [try_call(&first, "id-1"), try_call(&first, "id-2")];
+    let (answer, _) = futures_util::join!(held, futures_util::future::join_all(cut));
+    assert_eq!(answer.status, 200);
+}
+
+#[actix_rt::test]
+async fn an_outage_of_the_store_stops_no_request() {
+    let site = Site::new().with_runner("survey", "r1", RunnerManner::Whole);
+    let host = site.host("h1").await;
+    for outage in [StoreOutage::Busy, StoreOutage::Silent, StoreOutage::OverRate] {
+        site.store.set_faults(StoreFaults::with_outage(outage));
+        assert_eq!(call(&host, "id-1", "/open/").await.status, 200, "{outage:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_host_that_stops_takes_its_entry_out_of_the_store() {
+    let site = Site::new();
+    let mut host = site.host("h1").await;
+    let listed = || async { (site.store.list("comfreyway/hosts/").len() == 1).then_some(()) };
+    eventually(listed).await.expect("the host is not in the store");
+    host.signal(Signal::Terminate).unwrap();
+    assert!(host.exited().await.unwrap().success());
+    assert!(site.store.list("comfreyway/hosts/").is_empty());
+}
--- /dev/null
+++ b/tests/testsuite/fleet/mod.rs
@@ -0,0 +1,9 @@
+//! Serving a fleet through the platform's store, with real daemons.
+
+mod answers;
+mod configuration;
+mod hosts;
+mod requests;
+mod runners;
+mod site;
+mod stopping;
--- /dev/null
+++ b/tests/testsuite/fleet/site.rs
@@ -0,0 +1,190 @@
+//! A store, runners and daemons of one test.
+
+use std::collections::BTreeMap;
+
+use awc::Client;
+use comfreyway_testkit::{
+    daemon::DaemonSettings,
+    fleet_runner::{FleetRunner, RunnerManner},
+    store::StoreStandIn,
+};
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use crate::support::Daemon;
+
+pub(super) const ID: &str = "x-comfreyway-request-id";
+pub(super) const KEY: &str = "x-api-key";
+pub(super) const DEADLINE: &str = "x-comfreyway-request-deadline-ms";
+pub(super) const USAGE: &str = "x-comfreyway-token-usage";
+
+/// Key of the workspace `desk`.
+pub(super) const DESK_KEY: &str = "key-of-desk";
+
+/// A store with a configuration and runners.
+pub(super) struct Site {
+    pub(super) store: StoreStandIn,
+    pub(super) runners: Vec<FleetRunner>,
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) status: u16,
+    pub(super) headers: BTreeMap<String, String>,
+    /// None if the answer broke off.
+    pub(super) body: Option<String>,
+}
+
+impl Answer {
+    pub(super) fn reason(&self) -> String {
+        let body = self.body.as_deref().unwrap_or_default();
+        let read = serde_json::from_str::<Value>(body).unwrap_or_default();
+        read["reason"].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+impl Site {
+    /// A site whose configuration is in the store.
+    pub(super) fn new() -> Self {
+        let site = Self { store: StoreStandIn::start().unwrap(), runners: Vec::new() };
+        site.put_configuration(configuration(1));
+        site
+    }
+
+    pub(super) fn put_configuration(&self, configuration: Value) {
+        self.store.put("op/config", configuration.to_string().as_bytes());
+    }
+
+    /// Adds a runner of an upstream.
+    pub(super) fn with_runner(mut self, upstream: &str, name: &str, manner: RunnerManner) -> Self {
+        let runner = FleetRunner::start(name, manner).unwrap();
+        self.put_runner(&runner, upstream, "ready");
+        self.runners.push(runner);
+        self
+    }
+
+    pub(super) fn put_runner(&self, runner: &FleetRunner, upstream: &str, state: &str) {
+        let entry = json!({
+            "service": upstream, "address": runner.address().to_string(), "zone": "medeu",
+            "version": "v1", "slots": 2, "state": state, "coldLeftMs": 0, "seq": 1,
+        });
+        let key = format!("servers/{}", runner.name());
+        self.store.put(&key, entry.to_string().as_bytes());
+    }
+
+    pub(super) fn settings(&self, name: &str) -> DaemonSettings {
+        let settings = DaemonSettings::with_store(name, self.store.address()).unwrap();
+        settings.with_workers(1).with_fleet("region", "almaty")
+    }
+
+    /// Starts a host and waits until it takes callers.
+    pub(super) async fn host(&self, name: &str) -> Daemon {
+        Daemon::start_ready(self.settings(name)).await
+    }
+}
+
+/// The configuration of the tests: a plain service `survey` and an engine
+/// `dala`.
+pub(super) fn configuration(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": "desk.example", "prefix": prefix, "kind": kind,
+            "timeoutMs": 8000, "sloMs": 4000, "priority": 1, "service": service,
+            "attempts": 2, "public": false, "sticky": false, "resumable": false,
+        })
+    };
+    let mut resumable = route("report", "/report/", "streaming", "dala");
+    resumable["resumable"] = json!(true);
+    resumable["gapTargetMs"] = json!(1000);
+    let mut open = route("open", "/open/", "safe", "survey");
+    open["public"] = json!(true);
+    json!({
+        "version": version,
+        "routes": [
+            route("lookup", "/lookup/", "safe", "survey"),
+            route("count", "/lookup/count/", "unsafe", "survey"),
+            route("tags", "/tags/", "streaming", "dala"),
+            resumable,
+            open,
+        ],
+        "services": [
+            { "name": "survey", "healthCheck": "/health", "maxConns": 100 },
+            { "name": "dala", "healthCheck": "/health", "maxConns": 100,
+              "engine": { "slots": 2, "stride": 3 } },
+        ],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 100_000,
+                    "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+        "tenants": [
+            { "name": "desk", "apiKeys": [DESK_KEY], "priority": 1, "unit": "tokens",
+              "plainTokens": 200, "ratePerS": 0, "burst": 0 },
+        ],
+    })
+}
+
+/// Sends a request of the workspace `desk` to a host.
+pub(super) async fn call(host: &Daemon, id: &str, path: &str) -> Answer {
+    call_with(host, id, path, &[(KEY, DESK_KEY)], "question").await
+}
+
+/// Looks something up at a host that may be stopping or killed. None if the
+/// connection is closed without an answer.
+pub(super) async fn try_call(host: &Daemon, id: &str) -> Option<Answer> {
+    send(host, id, "/lookup/", &[(KEY, DESK_KEY)], "").await
+}
+
+/// Sends a request and returns all bytes of the answer. The HTTP client of the
+/// other calls takes a chunked body that breaks off for a whole one.
+pub(super) async fn raw_call(host: &Daemon, path: &str) -> String {
+    let mut stream = TcpStream::connect(host.settings().callers).await.unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: desk.example\r\n{ID}: raw\r\n{KEY}: {DESK_KEY}\r\n\
+         content-length: 0\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    // A reset after the last bytes is one way for an answer to break off.
+    let _ = stream.read_to_end(&mut bytes).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Sends a request with these headers.
+pub(super) async fn call_with(
+    host: &Daemon,
+    id: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    send(host, id, path, headers, body).await.expect("the host gave no answer")
+}
+
+async fn send(
+    host: &Daemon,
+    id: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<Answer> {
+    let client = Client::builder().disable_timeout().no_default_headers().finish();
+    let url = format!("http://{}{path}", host.settings().callers);
+    let mut req = client.post(url).no_decompress();
+    req = req.insert_header(("host", "desk.example")).insert_header((ID, id));
+    for (name, value) in headers {
+        req = req.insert_header((*name, *value));
+    }
+    let mut res = req.send_body(body.to_owned()).await.ok()?;
+    let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+    let headers = res.headers().iter();
+    let headers = headers.map(|(n, v)| (n.to_string(), text(v.as_bytes()))).collect();
+    let body = res.body().await.ok().map(|body| text(&body));
+    Some(Answer { status: res.status().as_u16(), headers, body })
+}
+
+/// The text of so many events of a stand-in's stream.
+pub(super) fn events(count: u64) -> String {
+    (1..=count).map(|n| format!("id: {n}\ndata: e{n}\n\n")).collect()
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod config_change;
 mod config_fleet;
 mod config_spread;
+mod fleet;
 mod hosts;
 mod operator_day;
 mod planned_stop;
