Test the decisions of a fleet, and start quotas without slack full

Cause: without slack a bucket started empty but for the first request, so that requests within the quota were refused. Seen by a test of the coordinator.

--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -65,7 +65,10 @@
         let QuotaRule { overage, slack } = self.rule;
         let rate = share.of(quota.rate_per_s * (1.0 + overage));
         let burst = share.of(quota.burst * (1.0 + overage) + slack * SLACK_IN_BUCKET);
-        let level = share.of(slack * SLACK_AT_START).min(burst).max(cost.min(burst));
+        // Without slack a coordinator that takes over would have to refuse what
+        // lies within the quota.
+        let start = if slack > 0.0 { share.of(slack * SLACK_AT_START) } else { burst };
+        let level = start.min(burst).max(cost.min(burst));
         let bucket = self.buckets.entry(workspace.clone()).or_insert(Bucket { level, at: now });
         let gained = now.since(bucket.at).as_secs_f64() * rate;
         bucket.level = (bucket.level + gained).min(burst);
--- /dev/null
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -0,0 +1,118 @@
+//! One coordinator before several hosts.
+
+use std::{sync::Arc, time::Duration};
+
+use comfreyway_core::{
+    fleet::{
+        Ask, CallerLimits, Coordinator, Plan, Quota, QuotaRule, RetryRule, RunnerNews, Tell,
+        UpstreamPlan, Workspace,
+    },
+    ids::HostId,
+    outcome::{NotRunReason, RetryReason},
+    request::DispatchEnd,
+};
+
+use crate::support::{at, entry, host, id, question};
+
+const RETRIES: RetryRule = RetryRule { ratio: 0.2, slack: 5.0, window_s: 10.0 };
+
+fn plan(rate_per_s: f64) -> Arc<Plan> {
+    let limits = CallerLimits {
+        head_bytes: 1,
+        body_bytes: 1,
+        read_time: Duration::from_secs(1),
+        idle_time: Duration::from_secs(1),
+    };
+    let upstream = UpstreamPlan { engine: true, connections: 10, tokens_per_event: 3 };
+    let quota = Quota { rate_per_s, burst: 1_000.0, by_tokens: true, plain_cost: 1.0 };
+    let workspace = Workspace { name: "desk".parse().unwrap(), tier: None, quota };
+    let plan = Plan::new(1, 1, limits).with_upstream("dala".parse().unwrap(), upstream);
+    Arc::new(plan.with_workspace(workspace, ["key".to_owned()]))
+}
+
+fn coordinator() -> Coordinator {
+    let mut coordinator = Coordinator::new(RETRIES, QuotaRule::default());
+    coordinator.set_plan(plan(0.0));
+    coordinator.host_joined(host("h1"));
+    coordinator.runner_news(at(0), &RunnerNews::Up(entry("a", 1, false)), &mut Vec::new());
+    coordinator
+}
+
+fn ask(coordinator: &mut Coordinator, ms: u64, ask: Ask) -> Vec<(HostId, Tell)> {
+    let mut out = Vec::new();
+    coordinator.ask(at(ms), &host("h1"), ask, &mut out);
+    out
+}
+
+fn place(coordinator: &mut Coordinator, number: u128, cost: f64) -> Vec<(HostId, Tell)> {
+    ask(coordinator, 0, Ask::Place(Box::new(question(number, cost))))
+}
+
+#[test]
+fn a_host_alone_of_four_uses_its_share_of_a_runner() {
+    let mut coordinator = coordinator();
+    coordinator.set_known_hosts(4);
+    let grants = |c: &mut Coordinator, from: u128| {
+        (from..from + 5).filter(|number| !place(c, *number, 1.0).is_empty()).count()
+    };
+    assert_eq!(grants(&mut coordinator, 0), 1);
+    for name in ["h2", "h3", "h4"] {
+        coordinator.host_joined(host(name));
+    }
+    let mut out = Vec::new();
+    coordinator.tick(at(1), &mut out);
+    assert_eq!(out.len(), 3, "all four places serve all four hosts");
+}
+
+#[test]
+fn beyond_its_quota_a_workspace_is_refused_and_what_was_refused_is_not_counted() {
+    let mut coordinator = coordinator();
+    coordinator.set_plan(plan(1.0));
+    assert!(matches!(place(&mut coordinator, 1, 900.0)[..], [(_, Tell::Grant(..))]));
+    let refused = place(&mut coordinator, 2, 900.0);
+    let over = NotRunReason::OverQuota;
+    assert!(matches!(refused[..], [(_, Tell::Refuse(_, reason, _))] if reason == over));
+    assert!(matches!(place(&mut coordinator, 3, 90.0)[..], [(_, Tell::Grant(..))]));
+}
+
+#[test]
+fn repeats_stop_when_the_budget_is_spent() {
+    let mut coordinator = coordinator();
+    place(&mut coordinator, 1, 1.0);
+    let mut turned_away = 0;
+    for round in 0..20 {
+        let ms = 200 * (round + 1);
+        let told = ask(&mut coordinator, ms, Ask::Back(id(1), RetryReason::TurnedAway));
+        turned_away += told.iter().filter(|(_, t)| matches!(t, Tell::Refuse(..))).count();
+        coordinator.tick(at(ms + 150), &mut Vec::new());
+    }
+    assert_eq!(turned_away, 1, "the request is refused once");
+}
+
+#[test]
+fn the_places_of_a_host_that_is_lost_serve_the_others() {
+    let mut coordinator = coordinator();
+    coordinator.host_joined(host("h2"));
+    for number in 0..4 {
+        place(&mut coordinator, number, 1.0);
+    }
+    let mut out = Vec::new();
+    let mut other = question(9, 1.0);
+    other.record.entry = host("h2");
+    coordinator.ask(at(1), &host("h2"), Ask::Place(Box::new(other)), &mut out);
+    assert!(out.is_empty());
+    coordinator.host_left(at(2), &host("h1"), &mut out);
+    assert!(
+        matches!(&out[..], [(to, Tell::Grant(granted, _))] if *to == host("h2") && *granted == id(9))
+    );
+}
+
+#[test]
+fn a_request_that_two_hosts_name_alike_would_be_lost() {
+    // Identities hold a number that each process draws; this shows why.
+    let mut coordinator = coordinator();
+    place(&mut coordinator, 1, 1.0);
+    assert!(place(&mut coordinator, 1, 1.0).is_empty());
+    ask(&mut coordinator, 1, Ask::Ended(id(1), DispatchEnd::Cancelled));
+    assert_eq!(place(&mut coordinator, 1, 1.0).len(), 1);
+}
--- /dev/null
+++ b/crates/core/tests/fleet/main.rs
@@ -0,0 +1,10 @@
+//! Decisions for a fleet: ranking, quotas, runners, and whom a host asks.
+
+#![allow(clippy::unwrap_used)]
+
+mod coordinator;
+mod desk;
+mod directory;
+mod quotas;
+mod ranking;
+mod support;
--- /dev/null
+++ b/crates/core/tests/fleet/support.rs
@@ -0,0 +1,68 @@
+//! Requests and runners of the tests.
+
+use std::{net::SocketAddr, time::Duration};
+
+use comfreyway_core::{
+    fleet::{Question, RunnerEntry, RunnerKey},
+    ids::{HostId, RequestId, RunnerName, Tier},
+    request::{RequestRecord, Target},
+    time::MonoTime,
+};
+
+pub(crate) fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(ms)
+}
+
+pub(crate) fn host(name: &str) -> HostId {
+    HostId { name: name.parse().unwrap(), incarnation: 1 }
+}
+
+pub(crate) fn name(text: &str) -> RunnerName {
+    text.parse().unwrap()
+}
+
+pub(crate) fn id(number: u128) -> RequestId {
+    RequestId::new(number)
+}
+
+/// A streamed request with a target of 800 ms and 250 ms between tokens.
+pub(crate) fn record(number: u128, tier: u8, prompt: u32) -> RequestRecord {
+    RequestRecord {
+        id: id(number),
+        entry: host("h1"),
+        workspace: "desk".parse().unwrap(),
+        class: format!("class-{tier}").parse().unwrap(),
+        tier: Tier(tier),
+        target: Target::Stream {
+            first_token: Duration::from_millis(800),
+            between_tokens: Duration::from_millis(250),
+        },
+        age: Duration::ZERO,
+        prefill_tokens: prompt,
+        max_decode_tokens: None,
+        prefix: Vec::new(),
+        body_bytes: 0,
+    }
+}
+
+pub(crate) fn question(number: u128, cost: f64) -> Question {
+    Question {
+        record: record(number, 1, 1_000),
+        upstream: "dala".parse().unwrap(),
+        cost,
+        limit: Duration::from_secs(12),
+        sent_before: 0,
+        avoid: None,
+    }
+}
+
+pub(crate) fn entry(runner: &str, born_ms: u64, leaving: bool) -> RunnerEntry {
+    RunnerEntry {
+        key: RunnerKey { name: name(runner), born_ms: Some(born_ms) },
+        upstream: "dala".parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "medeu".parse().unwrap(),
+        places: 4,
+        leaving,
+    }
+}
