Let only the coordinator call the store, and pass on what it hears

A host that the store turned away refused every key although its peers knew that it was good. Change: one watch of all keys, one call a second, at the coordinator. The other hosts hear changes and the age of the proof over their sessions, call the store themselves when the proof is older than 1.7 s, and leave a coordinator that has not reached the store for 2.5 s. Measured: two tests with real daemons (calls counted at the store's stand-in; a host behind a cut proxy believes keys, and refuses one that is revoked).

--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -16,17 +16,22 @@
 };
 use comfreyway_platform::Store;
 use futures_util::stream;
-use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender};
+use tokio::{
+    sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender},
+    task::JoinHandle,
+};
 
 use super::{
     dialect::Dialect,
-    feed::{FeedNews, Followed, follow},
+    feed::FeedNews,
     knowledge::Knowledge,
+    mirror::Mirror,
     sessions::{SessionEvent, ToCoordinator, ToHost, dial},
     ticket::{Verdict, WorkerMessage},
 };
 
 mod coordination;
+mod relaying;
 mod store_news;
 
 /// Time between two looks at everything that changes by itself.
@@ -35,33 +40,39 @@
 /// Time between two lines on the load of the upstreams.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Which prefix of the store some news are about.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Topic {
-    Plan,
-    Runners,
-    Members,
-}
-
-/// Longest wait of a call for changes of the configuration. Each answer proves
-/// that the configuration is the newest, so this bounds the age of the proof.
-const PLAN_WAIT: Duration = Duration::from_millis(1_000);
-
-/// Longest wait of a call for other changes.
-const OTHER_WAIT: Duration = Duration::from_secs(25);
-
 /// The session with the coordinator that this host asks.
 struct CoordinatorLink {
     host: HostId,
     /// None until the session is up.
     tx: Option<Sender<ToCoordinator>>,
+    relay: Relay,
+}
+
+/// What comes from the coordinator instead of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Relay {
+    /// Nothing.
+    Off,
+    /// Everything was asked for.
+    Asked,
+    /// Every change.
+    On,
+}
+
+/// A host that asks this one.
+struct AskingHost {
+    /// Tells its sessions apart.
+    session: u64,
+    tx: Sender<ToHost>,
+    /// True if it hears of every change of the store.
+    synced: bool,
 }
 
 /// Where events come from.
 pub(super) struct Inlets {
     pub(super) workers: UnboundedReceiver<WorkerMessage>,
     pub(super) sessions: UnboundedReceiver<SessionEvent>,
-    pub(super) store: UnboundedReceiver<(Topic, FeedNews)>,
+    pub(super) store: UnboundedReceiver<FeedNews>,
 }
 
 /// Holds the state of all decisions of this host.
@@ -70,7 +81,7 @@
     dialect: Dialect,
     knowledge: Arc<Knowledge>,
     store: Rc<dyn Store>,
-    store_tx: UnboundedSender<(Topic, FeedNews)>,
+    store_tx: UnboundedSender<FeedNews>,
     session_tx: UnboundedSender<SessionEvent>,
     inlets: Option<Inlets>,
     directory: RunnerDirectory,
@@ -81,8 +92,11 @@
     suspects: BTreeMap<HostId, MonoTime>,
     link: Option<CoordinatorLink>,
     /// Hosts that ask this one.
-    hosts: BTreeMap<HostId, (u64, Sender<ToHost>)>,
+    hosts: BTreeMap<HostId, AskingHost>,
     workers: HashMap<RequestId, UnboundedSender<Verdict>>,
+    mirror: Mirror,
+    /// The own feed, while it runs.
+    feed: Option<JoinHandle<()>>,
     plan_readable: bool,
     stopping: bool,
     wake: Option<(MonoTime, SpawnHandle)>,
@@ -90,7 +104,7 @@
 
 /// Sending ends of the actor's own inlets.
 pub(super) struct Outlets {
-    pub(super) store: UnboundedSender<(Topic, FeedNews)>,
+    pub(super) store: UnboundedSender<FeedNews>,
     pub(super) sessions: UnboundedSender<SessionEvent>,
 }
 
@@ -120,6 +134,8 @@
             link: None,
             hosts: BTreeMap::new(),
             workers: HashMap::new(),
+            mirror: Mirror::default(),
+            feed: None,
             plan_readable: true,
             stopping: false,
             wake: None,
@@ -130,12 +146,6 @@
         self.knowledge.clock.now()
     }
 
-    fn follow_store(&self, topic: Topic, prefix: &'static str, wait: Duration) {
-        let followed = Followed { prefix, wait };
-        let (store, clock) = (self.store.clone(), self.knowledge.clock);
-        actix_rt::spawn(follow(store, clock, followed, topic, self.store_tx.clone()));
-    }
-
     /// Carries out what the desk and the coordinator have decided.
     fn carry_out(&mut self, actions: Vec<DeskAction>, tells: Vec<(HostId, Tell)>) {
         let now = self.now();
@@ -215,10 +225,7 @@
             cx.add_stream(receive(inlets.sessions));
             cx.add_stream(receive(inlets.store));
         }
-        let keys = self.dialect.keys;
-        self.follow_store(Topic::Plan, keys.plan, PLAN_WAIT);
-        self.follow_store(Topic::Runners, keys.runners, OTHER_WAIT);
-        self.follow_store(Topic::Members, keys.members, OTHER_WAIT);
+        self.start_feed();
         self.follow_own(cx);
         cx.run_interval(REVIEW_INTERVAL, Self::review);
         cx.run_interval(STATUS_INTERVAL, |control, _| {
@@ -274,13 +281,10 @@
     fn finished(&mut self, _: &mut Self::Context) {}
 }
 
-impl StreamHandler<(Topic, FeedNews)> for FleetControl {
-    fn handle(&mut self, (topic, news): (Topic, FeedNews), cx: &mut Self::Context) {
-        match topic {
-            Topic::Plan => self.plan_news(news),
-            Topic::Runners => self.runner_entries(news),
-            Topic::Members => self.member_entries(news, cx),
-        }
+impl StreamHandler<FeedNews> for FleetControl {
+    fn handle(&mut self, news: FeedNews, cx: &mut Self::Context) {
+        // News that the own feed had sent before it was stopped are still true.
+        self.store_news(news, cx);
         self.arm(cx);
     }
 
@@ -300,8 +304,8 @@
 
     fn handle(&mut self, _: BeginStop, cx: &mut Self::Context) {
         self.stopping = true;
-        for (_, tx) in self.hosts.values() {
-            if tx.try_send(ToHost::Leaving).is_err() {
+        for host in self.hosts.values() {
+            if host.tx.try_send(ToHost::Leaving).is_err() {
                 log::debug!("a host can't be told of the stop; its session will end");
             }
         }
@@ -312,8 +316,13 @@
 impl FleetControl {
     fn dial(&mut self, to: &Member) {
         log::info!("asking coordinator {} at {}", to.id, to.address);
-        self.link = Some(CoordinatorLink { host: to.id.clone(), tx: None });
-        actix_rt::spawn(dial(self.me.id.clone(), to.clone(), self.session_tx.clone()));
+        self.link = Some(CoordinatorLink { host: to.id.clone(), tx: None, relay: Relay::Off });
+        actix_rt::spawn(dial(
+            self.me.id.clone(),
+            to.clone(),
+            self.knowledge.clock,
+            self.session_tx.clone(),
+        ));
     }
 
     fn elected(&self, now: MonoTime) -> Option<Member> {
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use actix::Context;
-use comfreyway_core::ids::HostId;
+use comfreyway_core::{ids::HostId, time::MonoTime};
+use comfreyway_platform::Revision;
 
 use crate::fleet::sessions::{SessionEvent, ToCoordinator, ToHost};
 
-use super::FleetControl;
+use super::{AskingHost, FleetControl};
 
 /// Time for which a host is not asked after its session failed.
 const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
@@ -54,9 +55,9 @@
     pub(super) fn session_event(&mut self, event: SessionEvent, cx: &mut Context<Self>) {
         let now = self.now();
         match event {
-            SessionEvent::HostUp(host, number, tx) => {
+            SessionEvent::HostUp(host, session, tx) => {
                 log::info!("host {host} asks this one");
-                self.hosts.insert(host.clone(), (number, tx));
+                self.hosts.insert(host.clone(), AskingHost { session, tx, synced: false });
                 self.coordinator.host_joined(host);
             }
             SessionEvent::FromHost(host, ToCoordinator::Ask(ask)) => {
@@ -65,15 +66,15 @@
                 self.carry_out(Vec::new(), tells);
             }
             SessionEvent::FromHost(host, ToCoordinator::Ping(sent)) => {
-                let revision = self.knowledge.plan().map_or(0, |plan| plan.revision);
                 let age = now.since(self.knowledge.proven());
-                self.send_to_host(&host, ToHost::Pong(sent, revision, age));
+                self.send_to_host(&host, ToHost::Pong(sent, self.mirror.at().0, age));
             }
+            SessionEvent::FromHost(host, ToCoordinator::Sync) => self.sync(&host),
             SessionEvent::FromHost(host, ToCoordinator::Hello(..)) => {
                 log::warn!("host {host} greets twice");
             }
-            SessionEvent::HostDown(host, number) => {
-                if self.hosts.get(&host).is_some_and(|(present, _)| *present == number) {
+            SessionEvent::HostDown(host, session) => {
+                if self.hosts.get(&host).is_some_and(|asking| asking.session == session) {
                     log::info!("host {host} asks no more");
                     self.hosts.remove(&host);
                     let mut tells = Vec::new();
@@ -94,7 +95,15 @@
                 self.desk.told(Some(&host), tell, &mut actions);
                 self.carry_out(actions, Vec::new());
             }
-            SessionEvent::FromCoordinator(_, ToHost::Pong(..)) => {}
+            SessionEvent::FromCoordinator(host, ToHost::Pong(sent, at, age)) => {
+                self.relayed_proof(&host, MonoTime::from_micros(sent), Revision(at), age);
+            }
+            SessionEvent::FromCoordinator(host, ToHost::All(items, at)) => {
+                self.relayed_all(&host, items, Revision(at), cx);
+            }
+            SessionEvent::FromCoordinator(host, ToHost::Changes(items, at)) => {
+                self.relayed_changes(&host, items, Revision(at), cx);
+            }
             SessionEvent::FromCoordinator(host, ToHost::Leaving) => {
                 self.suspects.insert(host, now + LEAVING_TIME);
                 self.choose_coordinator(cx);
@@ -112,8 +121,8 @@
     }
 
     pub(super) fn send_to_host(&mut self, host: &HostId, message: ToHost) {
-        let Some((_, tx)) = self.hosts.get(host) else { return };
-        if tx.try_send(message).is_err() {
+        let Some(asking) = self.hosts.get(host) else { return };
+        if asking.tx.try_send(message).is_err() {
             log::warn!("host {host} does not read what it is told; its session ends");
             self.hosts.remove(host);
         }
--- /dev/null
+++ b/crates/node/src/fleet/control/relaying.rs
@@ -0,0 +1,165 @@
+//! Who calls the store: the coordinator, and every host that it tells nothing.
+//!
+//! A host believes its coordinator only as far as the coordinator proves that
+//! it knows the newest state of the store. It starts its own feed when the
+//! proof grows old, and stops it when the coordinator knows at least as much.
+
+use std::time::Duration;
+
+use actix::Context;
+use comfreyway_core::{ids::HostId, time::MonoTime};
+use comfreyway_platform::{KvEvent, Revision, Versioned};
+
+use crate::fleet::{
+    feed::{FeedNews, follow},
+    mirror::MirroredItem,
+    sessions::{ToCoordinator, ToHost},
+};
+
+use super::{FleetControl, Relay};
+
+/// Age of the proof from which a host calls the store itself. A feed proves
+/// once a second.
+const OLD_PROOF: Duration = Duration::from_millis(1_700);
+
+/// Age of the coordinator's proof up to which it is asked for everything.
+const FRESH_PROOF: Duration = Duration::from_millis(1_300);
+
+/// Age of a coordinator's proof from which hosts that reach the store ask
+/// another one.
+const BLIND_PROOF: Duration = Duration::from_millis(2_500);
+
+/// Time for which such a coordinator is not asked.
+const BLIND_TIME: Duration = Duration::from_secs(4);
+
+impl FleetControl {
+    /// Calls the store from now on, after what is known.
+    pub(super) fn start_feed(&mut self) {
+        if self.feed.is_some() {
+            return;
+        }
+        let after = Some(self.mirror.at()).filter(|at| at.0 > 0);
+        let (store, clock) = (self.store.clone(), self.knowledge.clock);
+        let following = follow(store, clock, after, self.store_tx.clone());
+        self.feed = Some(actix_rt::spawn(following));
+    }
+
+    fn stop_feed(&mut self) {
+        if let Some(feed) = self.feed.take() {
+            feed.abort();
+        }
+    }
+
+    /// Starts the own feed if nobody proves what is known.
+    pub(super) fn review_feed(&mut self) {
+        let relayed = self.link.as_ref().is_some_and(|link| link.relay == Relay::On);
+        let age = self.now().since(self.knowledge.proven());
+        if self.feed.is_none() && (!relayed || age > OLD_PROOF) {
+            if relayed {
+                log::info!("the coordinator's proof is {age:?} old; calling the store");
+            }
+            self.start_feed();
+        }
+    }
+
+    /// The coordinator knows all changes up to `at`, proved `age` before it
+    /// answered a question that was sent at `sent`.
+    pub(super) fn relayed_proof(
+        &mut self,
+        host: &HostId,
+        sent: MonoTime,
+        at: Revision,
+        age: Duration,
+    ) {
+        let mine = self.mirror.at();
+        let own_age = self.now().since(self.knowledge.proven());
+        let Some(link) = self.link.as_mut().filter(|link| link.host == *host) else { return };
+        if age > BLIND_PROOF && own_age <= FRESH_PROOF {
+            log::info!("coordinator {host} has not reached the store for {age:?}");
+            self.suspects.insert(host.clone(), self.now() + BLIND_TIME);
+            return;
+        }
+        match link.relay {
+            Relay::Off if age <= FRESH_PROOF && at.0 > 0 && at >= mine => {
+                link.relay = Relay::Asked;
+                self.send_to_coordinator(host, ToCoordinator::Sync);
+            }
+            Relay::On if at >= mine => {
+                if self.plan_readable && self.knowledge.plan().is_some() {
+                    self.knowledge.prove(sent - age);
+                }
+                if age <= FRESH_PROOF {
+                    self.stop_feed();
+                }
+            }
+            Relay::Off | Relay::Asked | Relay::On => {}
+        }
+    }
+
+    pub(super) fn relayed_all(
+        &mut self,
+        host: &HostId,
+        items: Vec<MirroredItem>,
+        at: Revision,
+        cx: &mut Context<Self>,
+    ) {
+        let mine = self.mirror.at();
+        let Some(link) = self.link.as_mut().filter(|link| link.host == *host) else { return };
+        if at < mine {
+            // The own feed was faster meanwhile.
+            link.relay = Relay::Off;
+            return;
+        }
+        link.relay = Relay::On;
+        log::info!("coordinator {host} tells of the store, from revision {} on", at.0);
+        let items = items.into_iter().filter_map(|item| match item.into() {
+            KvEvent::Put(item) => Some(item),
+            KvEvent::Delete { .. } => None,
+        });
+        let items: Vec<Versioned> = items.collect();
+        self.store_news(FeedNews::All(items, at), cx);
+    }
+
+    pub(super) fn relayed_changes(
+        &mut self,
+        host: &HostId,
+        items: Vec<MirroredItem>,
+        at: Revision,
+        cx: &mut Context<Self>,
+    ) {
+        let link = self.link.as_ref().filter(|link| link.host == *host);
+        if link.is_some_and(|link| link.relay == Relay::On) {
+            let events = items.into_iter().map(KvEvent::from).collect();
+            self.store_news(FeedNews::Changes(events, at), cx);
+        }
+    }
+
+    /// Tells a host everything, and every change from now on.
+    pub(super) fn sync(&mut self, host: &HostId) {
+        let Some(asking) = self.hosts.get_mut(host) else { return };
+        asking.synced = true;
+        let (items, at) = (self.mirror.items(), self.mirror.at().0);
+        self.send_to_host(host, ToHost::All(items, at));
+    }
+
+    /// Passes changes on to the hosts that hear of the store from this one.
+    pub(super) fn pass_on(&mut self, events: &[KvEvent], at: Revision) {
+        let synced = self.hosts.iter().filter(|(_, asking)| asking.synced);
+        let synced: Vec<HostId> = synced.map(|(host, _)| host.clone()).collect();
+        if events.is_empty() || synced.is_empty() {
+            return;
+        }
+        let items: Vec<_> = events.iter().map(MirroredItem::from).collect();
+        for host in synced {
+            self.send_to_host(&host, ToHost::Changes(items.clone(), at.0));
+        }
+    }
+
+    /// Tells everything anew to the hosts that hear of the store from this one.
+    pub(super) fn pass_all_on(&mut self) {
+        let synced = self.hosts.iter().filter(|(_, asking)| asking.synced);
+        for host in synced.map(|(host, _)| host.clone()).collect::<Vec<_>>() {
+            self.sync(&host);
+        }
+    }
+}
--- a/crates/node/src/fleet/control/store_news.rs
+++ b/crates/node/src/fleet/control/store_news.rs
@@ -14,25 +14,75 @@
 use super::FleetControl;
 
 impl FleetControl {
-    pub(super) fn plan_news(&mut self, news: FeedNews) {
+    /// Takes in what the store, or the coordinator in its place, says.
+    pub(super) fn store_news(&mut self, news: FeedNews, cx: &mut Context<Self>) {
+        let now = self.now();
         match news {
-            FeedNews::All(items) => {
-                let key = self.dialect.keys.plan;
-                if let Some(item) = items.into_iter().find(|item| item.key == key) {
-                    self.apply_plan(&item);
+            FeedNews::All(items, at) => {
+                if at < self.mirror.at() {
+                    return;
                 }
+                self.mirror.replace(&items, at);
+                self.apply_all(&items, cx);
+                self.pass_all_on();
             }
-            FeedNews::Change(KvEvent::Put(item)) if item.key == self.dialect.keys.plan => {
-                self.apply_plan(&item);
+            FeedNews::Changes(mut events, at) => {
+                let known = self.mirror.at();
+                events.retain(|event| event.revision() > known);
+                self.mirror.change(&events, at);
+                for event in &events {
+                    self.apply_change(event, cx);
+                }
+                self.pass_on(&events, at);
             }
-            FeedNews::Change(_) => {}
             FeedNews::Proven(at) => {
                 if self.plan_readable && self.knowledge.plan().is_some() {
                     self.knowledge.prove(at);
                 }
             }
-            FeedNews::Lost(e) => log::info!("the configuration can't be followed: {e}"),
-            FeedNews::Returned => log::info!("the configuration is followed again"),
+            FeedNews::Lost(e) => log::info!("the store can't be followed: {e}"),
+            FeedNews::Returned => {
+                log::info!("the store is followed again");
+                self.directory.store_returned(now);
+            }
+        }
+    }
+
+    fn apply_all(&mut self, items: &[Versioned], cx: &mut Context<Self>) {
+        let keys = self.dialect.keys;
+        if let Some(item) = items.iter().find(|item| item.key == keys.plan) {
+            self.apply_plan(item);
+        }
+        let runners = items.iter().filter(|item| item.key.starts_with(keys.runners));
+        let entries = runners.filter_map(|item| self.read_runner(item)).collect();
+        let mut out = Vec::new();
+        self.directory.list(self.now(), entries, &mut out);
+        self.runner_news(out);
+        self.members.clear();
+        for item in items.iter().filter(|item| item.key.starts_with(keys.members)) {
+            self.put_member(item);
+        }
+        self.members_changed(cx);
+    }
+
+    fn apply_change(&mut self, event: &KvEvent, cx: &mut Context<Self>) {
+        let keys = self.dialect.keys;
+        if event.key().starts_with(keys.runners) {
+            self.apply_runner(event);
+        } else if event.key().starts_with(keys.members) {
+            match event {
+                KvEvent::Put(item) => self.put_member(item),
+                KvEvent::Delete { key, .. } => {
+                    if let Some(name) = self.member_name(key) {
+                        self.members.remove(&name);
+                    }
+                }
+            }
+            self.members_changed(cx);
+        } else if let KvEvent::Put(item) = event
+            && item.key == keys.plan
+        {
+            self.apply_plan(item);
         }
     }
 
@@ -56,33 +106,16 @@
         }
     }
 
-    pub(super) fn runner_entries(&mut self, news: FeedNews) {
-        let now = self.now();
-        let mut out = Vec::new();
-        match news {
-            FeedNews::All(items) => {
-                let entries = items.iter().filter_map(|item| self.read_runner(item)).collect();
-                self.directory.list(now, entries, &mut out);
-            }
-            FeedNews::Change(KvEvent::Put(item)) => match self.read_runner(&item) {
-                Some(entry) => self.directory.put(now, entry, &mut out),
-                None => {
-                    if let Some(name) = self.runner_name(&item.key) {
-                        self.directory.vanish(now, &name, &mut out);
-                    }
-                }
-            },
-            FeedNews::Change(KvEvent::Delete { key, .. }) => {
-                if let Some(name) = self.runner_name(&key) {
-                    self.directory.vanish(now, &name, &mut out);
-                }
-            }
-            FeedNews::Proven(_) => {}
-            FeedNews::Lost(e) => log::info!("the runners can't be followed: {e}"),
-            FeedNews::Returned => {
-                log::info!("the runners are followed again");
-                self.directory.store_returned(now);
-            }
+    fn apply_runner(&mut self, event: &KvEvent) {
+        let Some(name) = self.runner_name(event.key()) else { return };
+        let entry = match event {
+            KvEvent::Put(item) => self.read_runner(item),
+            KvEvent::Delete { .. } => None,
+        };
+        let (now, mut out) = (self.now(), Vec::new());
+        match entry {
+            Some(entry) => self.directory.put(now, entry, &mut out),
+            None => self.directory.vanish(now, &name, &mut out),
         }
         self.runner_news(out);
     }
@@ -118,27 +151,7 @@
         }
     }
 
-    pub(super) fn member_entries(&mut self, news: FeedNews, cx: &mut Context<Self>) {
-        match news {
-            FeedNews::All(items) => {
-                self.members.clear();
-                for item in items {
-                    self.put_member(&item);
-                }
-            }
-            FeedNews::Change(KvEvent::Put(item)) => self.put_member(&item),
-            FeedNews::Change(KvEvent::Delete { key, .. }) => {
-                if let Some(name) = self.member_name(&key) {
-                    self.members.remove(&name);
-                }
-            }
-            FeedNews::Proven(_) => return,
-            FeedNews::Lost(e) => {
-                log::info!("the hosts can't be followed: {e}");
-                return;
-            }
-            FeedNews::Returned => return,
-        }
+    fn members_changed(&mut self, cx: &mut Context<Self>) {
         let others = self.members.keys().filter(|name| **name != self.me.id.name).count();
         self.coordinator.set_known_hosts(others + 1);
         self.choose_coordinator(cx);
@@ -165,6 +178,7 @@
         self.directory.tick(now, &mut news);
         self.runner_news(news);
         self.choose_coordinator(cx);
+        self.review_feed();
         self.arm(cx);
     }
 }
--- a/crates/node/src/fleet/feed.rs
+++ b/crates/node/src/fleet/feed.rs
@@ -1,4 +1,7 @@
-//! Follows one prefix of the store.
+//! Follows the store.
+//!
+//! One watch covers all keys of the fleet: each of its answers proves that
+//! everything known is current, whatever it is about.
 
 use std::{rc::Rc, time::Duration};
 
@@ -8,6 +11,13 @@
 
 use crate::control::Clock;
 
+/// Prefix of all keys.
+const EVERYTHING: &str = "";
+
+/// Longest wait of one call for changes. Each answer proves what is known, so
+/// this bounds the age of the proof.
+const WAIT: Duration = Duration::from_millis(1_000);
+
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
 
@@ -15,14 +25,14 @@
 /// two seconds of the store's return.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
-/// What the store holds under a prefix, and what changes there.
+/// What the store holds and what changes there.
 #[derive(Debug)]
 pub(super) enum FeedNews {
-    /// Everything under the prefix.
-    All(Vec<Versioned>),
-    /// One change.
-    Change(KvEvent),
-    /// Everything told so far was complete at this time.
+    /// Everything, as of a revision.
+    All(Vec<Versioned>, Revision),
+    /// Changes up to a revision.
+    Changes(Vec<KvEvent>, Revision),
+    /// What was told so far was complete at this time.
     Proven(MonoTime),
     /// The store does not answer.
     Lost(StoreError),
@@ -30,76 +40,67 @@
     Returned,
 }
 
-/// What is followed.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Followed {
-    pub(super) prefix: &'static str,
-    /// Longest time that one call waits for changes.
-    pub(super) wait: Duration,
-}
-
-/// Follows a prefix until the receiver is gone. `tag` marks the news.
-pub(super) async fn follow<T>(
+/// Follows the store after a revision, or from a list where none is given,
+/// until the receiver is gone.
+pub(super) async fn follow(
     store: Rc<dyn Store>,
     clock: Clock,
-    followed: Followed,
-    tag: T,
-    tx: UnboundedSender<(T, FeedNews)>,
-) where
-    T: Copy,
-{
-    let mut feed = Feed { store, clock, followed, tag, tx, lost: false, failures: 0 };
-    while feed.run().await.is_some() {}
+    after: Option<Revision>,
+    tx: UnboundedSender<FeedNews>,
+) {
+    let mut feed = Feed { store, clock, tx, lost: false, failures: 0 };
+    let mut after = after;
+    while let Some(next) = feed.step(after).await {
+        after = next;
+    }
 }
 
-struct Feed<T> {
+struct Feed {
     store: Rc<dyn Store>,
     clock: Clock,
-    followed: Followed,
-    tag: T,
-    tx: UnboundedSender<(T, FeedNews)>,
+    tx: UnboundedSender<FeedNews>,
     lost: bool,
     failures: u32,
 }
 
-impl<T> Feed<T>
-where
-    T: Copy,
-{
-    /// Lists once and watches until the history is gone. None if nobody listens.
-    async fn run(&mut self) -> Option<()> {
-        let asked = self.clock.now();
-        let listed = self.store.list(self.followed.prefix).await;
-        let Listing { items, at } = match listed {
-            Ok(listing) => listing,
-            Err(e) => return self.fail(e).await,
+impl Feed {
+    /// One call. Returns where to go on; none if nobody listens.
+    async fn step(&mut self, after: Option<Revision>) -> Option<Option<Revision>> {
+        let result = match after {
+            None => self.list().await,
+            Some(after) => self.watch(after).await,
         };
-        self.answered()?;
-        self.tell(FeedNews::All(items))?;
-        self.tell(FeedNews::Proven(asked))?;
-        let mut after = at;
-        loop {
-            match self.watch(after).await {
-                Ok(at) => after = at?,
-                Err(StoreError::HistoryGone) => return Some(()),
-                Err(e) => self.fail(e).await?,
+        match result {
+            Ok(at) => at.map(Some),
+            Err(StoreError::HistoryGone) => Some(None),
+            Err(e) => {
+                self.fail(e).await?;
+                Some(after)
             }
         }
     }
 
+    async fn list(&mut self) -> Result<Option<Revision>, StoreError> {
+        let asked = self.clock.now();
+        let Listing { items, at } = self.store.list(EVERYTHING).await?;
+        let told = self.answered().and_then(|()| {
+            self.tell(FeedNews::All(items, at))?;
+            self.tell(FeedNews::Proven(asked))
+        });
+        Ok(told.map(|()| at))
+    }
+
     async fn watch(&mut self, after: Revision) -> Result<Option<Revision>, StoreError> {
-        let Followed { prefix, wait } = self.followed;
         let asked = self.clock.now();
-        let Changes { events, at } = self.store.watch(prefix, after, wait).await?;
+        let Changes { events, at } = self.store.watch(EVERYTHING, after, WAIT).await?;
+        let at = at.max(after);
         // An answer without changes was given after the whole wait.
-        let proven = if events.is_empty() { (asked + wait).min(self.clock.now()) } else { asked };
+        let proven = if events.is_empty() { (asked + WAIT).min(self.clock.now()) } else { asked };
         let told = self.answered().and_then(|()| {
-            for event in events {
-                self.tell(FeedNews::Change(event))?;
-            }
+            self.tell(FeedNews::Changes(events, at))?;
             self.tell(FeedNews::Proven(proven))
         });
-        Ok(told.map(|()| at.max(after)))
+        Ok(told.map(|()| at))
     }
 
     fn answered(&mut self) -> Option<()> {
@@ -121,6 +122,6 @@
     }
 
     fn tell(&self, news: FeedNews) -> Option<()> {
-        self.tx.send((self.tag, news)).ok()
+        self.tx.send(news).ok()
     }
 }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -5,7 +5,8 @@
 //! - `front` carries traffic: it reads requests, waits for a verdict, sends the
 //!   request to a runner and passes the answer on.
 //! - `control` holds the state of all decisions ([`comfreyway_core::fleet`]).
-//! - `feed` follows the store, `registration` keeps this host's entry there,
+//! - `feed` follows the store; the coordinator's hosts hear from it what it
+//!   heard (`mirror`), so that few hosts call the store. `registration` keeps this host's entry there,
 //!   `sessions` carries the messages between hosts.
 
 mod control;
@@ -15,6 +16,7 @@
 mod health;
 mod knowledge;
 mod links;
+mod mirror;
 mod registration;
 mod run;
 mod sessions;
--- a/crates/node/src/fleet/sessions.rs
+++ b/crates/node/src/fleet/sessions.rs
@@ -23,7 +23,9 @@
     tungstenite::{self, Message, protocol::WebSocketConfig},
 };
 
-use super::links::watch_silence;
+use crate::control::Clock;
+
+use super::{links::watch_silence, mirror::MirroredItem};
 
 /// Time between two signs of life.
 const PING_INTERVAL: Duration = Duration::from_millis(200);
@@ -42,7 +44,7 @@
 const QUEUE: usize = 8_192;
 
 /// Largest frame in bytes.
-const MAX_FRAME_BYTES: usize = 1 << 20;
+const MAX_FRAME_BYTES: usize = 4 << 20;
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -59,6 +61,10 @@
     /// Asks for a sign of life. Holds microseconds of the asking host's clock.
     #[serde(rename = "p")]
     Ping(u64),
+    /// Asks for everything that the coordinator knows of the store, and for
+    /// what changes from then on.
+    #[serde(rename = "s")]
+    Sync,
 }
 
 /// What a coordinator sends.
@@ -67,10 +73,16 @@
     /// An answer.
     #[serde(rename = "t")]
     Tell(Tell),
-    /// Answers a ping with its value and the age of the coordinator's proof
-    /// that its configuration, of this revision, is the newest.
+    /// Answers a ping with its value, the store's revision up to which the
+    /// coordinator knows all changes, and the age of the proof of that.
     #[serde(rename = "p")]
     Pong(u64, u64, Duration),
+    /// Everything that the coordinator knows of the store, as of a revision.
+    #[serde(rename = "a")]
+    All(Vec<MirroredItem>, u64),
+    /// Changes up to a revision.
+    #[serde(rename = "c")]
+    Changes(Vec<MirroredItem>, u64),
     /// The coordinator is stopping: ask another one.
     #[serde(rename = "l")]
     Leaving,
@@ -200,9 +212,14 @@
 }
 
 /// Keeps a session with a coordinator. Ends with it.
-pub(super) async fn dial(me: HostId, to: Member, events: UnboundedSender<SessionEvent>) {
+pub(super) async fn dial(
+    me: HostId,
+    to: Member,
+    clock: Clock,
+    events: UnboundedSender<SessionEvent>,
+) {
     let host = to.id.clone();
-    if let Err(e) = ask_coordinator(me, &to, &events).await {
+    if let Err(e) = ask_coordinator(me, &to, clock, &events).await {
         log::info!("session with coordinator {host} ended: {e}");
     }
     if events.send(SessionEvent::CoordinatorDown(host)).is_err() {
@@ -213,6 +230,7 @@
 async fn ask_coordinator(
     me: HostId,
     to: &Member,
+    clock: Clock,
     events: &UnboundedSender<SessionEvent>,
 ) -> Result<(), SessionError> {
     let connecting = connect(me, to.address, to.token);
@@ -221,7 +239,6 @@
     let (tx, mut queue) = channel(QUEUE);
     tell(events, SessionEvent::CoordinatorUp(to.id.clone(), tx))?;
     let mut ticks = interval(PING_INTERVAL);
-    let start = Instant::now();
     let mut heard = Instant::now();
     loop {
         tokio::select! {
@@ -237,8 +254,8 @@
                 if heard.elapsed() > COORDINATOR_SILENCE {
                     return Err(SessionError::Silence);
                 }
-                let us = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
-                write(&mut socket, &ToCoordinator::Ping(us)).await?;
+                let sent = clock.now().as_micros();
+                write(&mut socket, &ToCoordinator::Ping(sent)).await?;
             }
         }
     }
--- a/tests/testsuite/fleet/hosts.rs
+++ b/tests/testsuite/fleet/hosts.rs
@@ -1,12 +1,13 @@
 //! Several hosts, and what is left when some of them go.
 
 use comfreyway_testkit::{
-    daemon::{Signal, eventually},
+    daemon::{DaemonSettings, Signal, eventually},
     fleet_runner::RunnerManner,
-    store::{StoreFaults, StoreOutage},
+    proxy::FaultProxy,
+    store::{StoreCall, StoreFaults, StoreOutage},
 };
 
-use super::site::{Site, call, try_call};
+use super::site::{DESK_KEY, KEY, Site, call, call_with, configuration, try_call};
 
 /// Waits until a host asks another one.
 async fn asks_another(host: &crate::support::Daemon) {
@@ -71,3 +72,57 @@
     assert!(host.exited().await.unwrap().success());
     assert!(site.store.list("comfreyway/hosts/").is_empty());
 }
+
+/// Calls to the store are few and paid for.
+#[actix_rt::test]
+async fn only_the_coordinator_watches_the_store_and_the_others_hear_it_from_there() {
+    let site = Site::new().with_runner("survey", "r1", RunnerManner::Whole);
+    let first = site.host("h1").await;
+    let second = site.host("h2").await;
+    let third = site.host("h3").await;
+    for host in [&second, &third] {
+        let told = || async { host.log().contains("tells of the store").then_some(()) };
+        eventually(told).await.expect("the host hears nothing from its coordinator");
+    }
+    let mut changed = configuration(9);
+    changed["routes"][0]["prefix"] = serde_json::json!("/moved/");
+    site.put_configuration(changed);
+    for host in [&first, &second, &third] {
+        let moved = || async {
+            (call_with(host, "id-1", "/moved/", &[(KEY, DESK_KEY)], "").await.status == 200)
+                .then_some(())
+        };
+        eventually(moved).await.expect("the change did not reach every host");
+    }
+    // One host watches, once a second. On a busy machine another one may call
+    // the store for a while when the proof comes late.
+    let few = || async {
+        let before = site.store.calls(StoreCall::Watch);
+        actix_rt::time::sleep(std::time::Duration::from_secs(2)).await;
+        (site.store.calls(StoreCall::Watch) - before <= 3).then_some(())
+    };
+    eventually(few).await.expect("every host watches the store");
+}
+
+#[actix_rt::test]
+async fn a_host_that_can_not_reach_the_store_believes_keys_as_its_coordinator_proves_them() {
+    let site = Site::new().with_runner("survey", "r1", RunnerManner::Whole);
+    let first = site.host("h1").await;
+    let proxy = FaultProxy::start(site.store.address()).unwrap();
+    let settings = DaemonSettings::with_store("h2", proxy.address()).unwrap();
+    let settings = settings.with_workers(1).with_fleet("key-revocation", "3s");
+    let second = crate::support::Daemon::start_ready(settings).await;
+    let told = || async { second.log().contains("tells of the store").then_some(()) };
+    eventually(told).await.expect("the host hears nothing from its coordinator");
+    proxy.partition().unwrap();
+    // Longer than the time for which an old proof counts.
+    actix_rt::time::sleep(std::time::Duration::from_secs(4)).await;
+    assert_eq!(call(&second, "id-1", "/lookup/").await.status, 200);
+    let mut revoked = configuration(5);
+    revoked["tenants"][0]["apiKeys"] = serde_json::json!(["new-key"]);
+    site.put_configuration(revoked);
+    let refused =
+        || async { (call(&second, "id-2", "/lookup/").await.status == 401).then_some(()) };
+    eventually(refused).await.expect("the key is still believed");
+    drop(first);
+}
