Write one numbered line for each decision, on a log that never blocks

Cause: the fleet's part logged free text to standard error, which blocks when its reader stops, and told neither the version nor the times that decided.

--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -82,4 +82,64 @@
     SecretWrong = "CF0407", Warn, "operators' call without the secret";
     /// An operator asked for a planned stop.
     StopRequested = "CF0408", Info, "operator asked for a planned stop";
+    /// The answer went to its caller whole. Fields: id, class, workspace, upstream, runner, sent, waited_ms, first_ms, total_ms, status, revision.
+    RequestAnswered = "CF0501", Info, "request answered";
+    /// Fields: id, reason, class, workspace, waited_ms, retry_ms, revision, proof_ms.
+    RequestRefused = "CF0502", Info, "request refused, not run";
+    /// Fields: id, reason, runner, sent, total_ms.
+    RequestOutcomeUnknown = "CF0503", Warn, "outcome of request unknown, told to its caller";
+    /// Fields: id, runner, address, waited_ms, left_ms, after.
+    RequestDispatched = "CF0504", Info, "request sent to runner";
+    /// Fields: id, runner, reason.
+    RunnerTurnedAway = "CF0505", Info, "runner did not run request, it waits again";
+    /// Fields: id, runner, cause, after, after_ms.
+    RunnerAnswerBroken = "CF0506", Warn, "runner gave no usable answer";
+    /// Fields: id, sent, reason, after.
+    RequestSentAgain = "CF0507", Info, "request goes to another runner";
+    /// Fields: id, reason, after, total_ms.
+    StreamCut = "CF0508", Warn, "stream cut, its caller sees no end";
+    /// Fields: id, stage, runner, total_ms.
+    RequestAbandoned = "CF0509", Info, "caller left before the answer's end";
+    /// Fields: version, revision.
+    PlanInForce = "CF0511", Info, "fleet configuration in force";
+    /// Fields: revision, cause.
+    PlanUnreadable = "CF0512", Error, "fleet configuration can't be read";
+    /// Fields: key, cause.
+    EntryUnreadable = "CF0513", Warn, "entry of the store can't be used";
+    /// Fields: runner, upstream, places.
+    RunnerUsable = "CF0521", Info, "runner may be used";
+    /// Fields: runner, upstream.
+    RunnerLeaving = "CF0522", Info, "runner is leaving";
+    /// Fields: runner, upstream.
+    RunnerGone = "CF0523", Info, "runner is gone";
+    /// Fields: host, address.
+    CoordinatorChosen = "CF0531", Info, "another host coordinates";
+    /// Fields: host.
+    CoordinatorAnswers = "CF0532", Info, "session with the coordinator is up";
+    /// Fields: host, cause.
+    CoordinatorLost = "CF0533", Info, "session with the coordinator is lost";
+    /// Fields: host, proof_ms.
+    CoordinatorBlind = "CF0534", Info, "coordinator does not reach the store";
+    /// Fields: host.
+    HostAsks = "CF0535", Info, "host asks this one";
+    /// Fields: host, cause.
+    HostLeft = "CF0536", Info, "host asks this one no more";
+    /// Fields: host.
+    HostMuted = "CF0537", Warn, "session ends, its queue is full";
+    /// Fields: cause.
+    StoreLost = "CF0541", Warn, "store can't be followed";
+    /// Fields: revision.
+    StoreReturned = "CF0542", Info, "store is followed again";
+    /// Fields: host, revision.
+    StoreRelayed = "CF0543", Info, "coordinator tells of the store";
+    /// Fields: proof_ms.
+    StoreAskedDirectly = "CF0544", Info, "coordinator's proof is old, calling the store";
+    /// Fields: cause.
+    RegistrationFailed = "CF0545", Info, "own entry in the store can't be written";
+    /// Fields: upstream, load. Written by the host that coordinates, once a second.
+    LoadStatus = "CF0551", Info, "load of an upstream";
+    /// Fields: lines.
+    LinesDropped = "CF0601", Warn, "log lines dropped";
+    /// Fields: port, cause.
+    ListenerFailed = "CF0602", Warn, "connection can't be accepted";
 }
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -21,6 +21,8 @@
     task::JoinHandle,
 };
 
+use crate::events::{Event, log_event};
+
 use super::{
     dialect::Dialect,
     feed::FeedNews,
@@ -229,8 +231,11 @@
         self.follow_own(cx);
         cx.run_interval(REVIEW_INTERVAL, Self::review);
         cx.run_interval(STATUS_INTERVAL, |control, _| {
+            if control.desk.coordinator().is_some() {
+                return;
+            }
             for (upstream, ranking) in control.coordinator.rankings() {
-                log::info!("{upstream}: {ranking}");
+                log_event!(Event::LoadStatus, upstream:% = upstream, load:% = ranking);
             }
         });
     }
@@ -315,7 +320,7 @@
 
 impl FleetControl {
     fn dial(&mut self, to: &Member) {
-        log::info!("asking coordinator {} at {}", to.id, to.address);
+        log_event!(Event::CoordinatorChosen, host:% = to.id, address:% = to.address);
         self.link = Some(CoordinatorLink { host: to.id.clone(), tx: None, relay: Relay::Off });
         actix_rt::spawn(dial(
             self.me.id.clone(),
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -6,7 +6,10 @@
 use comfreyway_core::{ids::HostId, time::MonoTime};
 use comfreyway_platform::Revision;
 
-use crate::fleet::sessions::{SessionEvent, ToCoordinator, ToHost};
+use crate::{
+    events::{Event, log_event},
+    fleet::sessions::{SessionEvent, ToCoordinator, ToHost},
+};
 
 use super::{AskingHost, FleetControl};
 
@@ -56,7 +59,7 @@
         let now = self.now();
         match event {
             SessionEvent::HostUp(host, session, tx) => {
-                log::info!("host {host} asks this one");
+                log_event!(Event::HostAsks, host:% = host);
                 self.hosts.insert(host.clone(), AskingHost { session, tx, synced: false });
                 self.coordinator.host_joined(host);
             }
@@ -75,7 +78,7 @@
             }
             SessionEvent::HostDown(host, session) => {
                 if self.hosts.get(&host).is_some_and(|asking| asking.session == session) {
-                    log::info!("host {host} asks no more");
+                    log_event!(Event::HostLeft, host:% = host, cause = "its session ended");
                     self.hosts.remove(&host);
                     let mut tells = Vec::new();
                     self.coordinator.host_left(now, &host, &mut tells);
@@ -86,7 +89,7 @@
                 let Some(link) = self.link.as_mut().filter(|link| link.host == host) else {
                     return;
                 };
-                log::info!("coordinator {host} answers");
+                log_event!(Event::CoordinatorAnswers, host:% = host);
                 link.tx = Some(tx);
                 self.follow_other(host);
             }
@@ -110,7 +113,6 @@
             }
             SessionEvent::CoordinatorDown(host) => {
                 if self.link.as_ref().is_some_and(|link| link.host == host) {
-                    log::info!("coordinator {host} is lost");
                     self.link = None;
                     self.suspects.insert(host, now + SUSPECT_TIME);
                     self.follow_own(cx);
@@ -123,7 +125,7 @@
     pub(super) fn send_to_host(&mut self, host: &HostId, message: ToHost) {
         let Some(asking) = self.hosts.get(host) else { return };
         if asking.tx.try_send(message).is_err() {
-            log::warn!("host {host} does not read what it is told; its session ends");
+            log_event!(Event::HostMuted, host:% = host);
             self.hosts.remove(host);
         }
     }
@@ -132,7 +134,7 @@
         let link = self.link.as_ref().filter(|link| link.host == *host);
         let Some(tx) = link.and_then(|link| link.tx.as_ref()) else { return };
         if tx.try_send(message).is_err() {
-            log::warn!("coordinator {host} can't be told; its session ends");
+            log_event!(Event::HostMuted, host:% = host);
             self.link = None;
         }
     }
--- a/crates/node/src/fleet/control/relaying.rs
+++ b/crates/node/src/fleet/control/relaying.rs
@@ -10,6 +10,7 @@
 use comfreyway_core::{ids::HostId, time::MonoTime};
 use comfreyway_platform::{KvEvent, Revision, Versioned};
 
+use crate::events::{Event, log_event};
 use crate::fleet::{
     feed::{FeedNews, follow},
     mirror::MirroredItem,
@@ -56,7 +57,7 @@
         let age = self.now().since(self.knowledge.proven());
         if self.feed.is_none() && (!relayed || age > OLD_PROOF) {
             if relayed {
-                log::info!("the coordinator's proof is {age:?} old; calling the store");
+                log_event!(Event::StoreAskedDirectly, proof_ms = age.as_millis() as u64);
             }
             self.start_feed();
         }
@@ -75,7 +76,7 @@
         let own_age = self.now().since(self.knowledge.proven());
         let Some(link) = self.link.as_mut().filter(|link| link.host == *host) else { return };
         if age > BLIND_PROOF && own_age <= FRESH_PROOF {
-            log::info!("coordinator {host} has not reached the store for {age:?}");
+            log_event!(Event::CoordinatorBlind, host:% = host, proof_ms = age.as_millis() as u64);
             self.suspects.insert(host.clone(), self.now() + BLIND_TIME);
             return;
         }
@@ -111,7 +112,7 @@
             return;
         }
         link.relay = Relay::On;
-        log::info!("coordinator {host} tells of the store, from revision {} on", at.0);
+        log_event!(Event::StoreRelayed, host:% = host, revision = at.0);
         let items = items.into_iter().filter_map(|item| match item.into() {
             KvEvent::Put(item) => Some(item),
             KvEvent::Delete { .. } => None,
--- a/crates/node/src/fleet/control/store_news.rs
+++ b/crates/node/src/fleet/control/store_news.rs
@@ -9,7 +9,10 @@
 };
 use comfreyway_platform::{KvEvent, Versioned};
 
-use crate::fleet::feed::FeedNews;
+use crate::{
+    events::{Event, log_event},
+    fleet::feed::FeedNews,
+};
 
 use super::FleetControl;
 
@@ -40,9 +43,9 @@
                     self.knowledge.prove(at);
                 }
             }
-            FeedNews::Lost(e) => log::info!("the store can't be followed: {e}"),
+            FeedNews::Lost(e) => log_event!(Event::StoreLost, cause:% = e),
             FeedNews::Returned => {
-                log::info!("the store is followed again");
+                log_event!(Event::StoreReturned, revision = self.mirror.at().0);
                 self.directory.store_returned(now);
             }
         }
@@ -93,7 +96,7 @@
         }
         match (self.dialect.read_plan)(&item.value, item.revision.0) {
             Ok(plan) => {
-                log::info!("configuration {} at revision {} in force", plan.version, plan.revision);
+                log_event!(Event::PlanInForce, version = plan.version, revision = plan.revision);
                 let plan = Arc::new(plan);
                 self.plan_readable = true;
                 self.knowledge.set_plan(plan.clone());
@@ -101,7 +104,7 @@
             }
             Err(e) => {
                 self.plan_readable = false;
-                log::error!("configuration at revision {}: {e}", item.revision.0);
+                log_event!(Event::PlanUnreadable, revision = item.revision.0, cause:% = e);
             }
         }
     }
@@ -129,7 +132,7 @@
         match (self.dialect.read_runner)(name, &item.value) {
             Ok(entry) => Some(entry),
             Err(e) => {
-                log::warn!("entry {} names no runner to use: {e}", item.key);
+                log_event!(Event::EntryUnreadable, key = item.key.as_str(), cause:% = e);
                 None
             }
         }
@@ -139,11 +142,22 @@
         let now = self.now();
         for news in news {
             match &news {
-                RunnerNews::Up(entry) => {
-                    log::info!("runner {} of {} may be used", entry.key.name, entry.upstream);
-                }
-                RunnerNews::Leaving(entry) => log::info!("runner {} is leaving", entry.key.name),
-                RunnerNews::Gone(entry) => log::info!("runner {} is gone", entry.key.name),
+                RunnerNews::Up(entry) => log_event!(
+                    Event::RunnerUsable,
+                    runner:% = entry.key.name,
+                    upstream:% = entry.upstream,
+                    places = entry.places
+                ),
+                RunnerNews::Leaving(entry) => log_event!(
+                    Event::RunnerLeaving,
+                    runner:% = entry.key.name,
+                    upstream:% = entry.upstream
+                ),
+                RunnerNews::Gone(entry) => log_event!(
+                    Event::RunnerGone,
+                    runner:% = entry.key.name,
+                    upstream:% = entry.upstream
+                ),
             }
             let mut tells = Vec::new();
             self.coordinator.runner_news(now, &news, &mut tells);
@@ -167,7 +181,11 @@
             (Some(name), Ok(member)) if name == member.id.name => {
                 self.members.insert(name, member);
             }
-            _ => log::warn!("entry {} names no host", item.key),
+            _ => log_event!(
+                Event::EntryUnreadable,
+                key = item.key.as_str(),
+                cause = "it names no host"
+            ),
         }
     }
 
--- a/crates/node/src/fleet/front/attempt.rs
+++ b/crates/node/src/fleet/front/attempt.rs
@@ -15,6 +15,7 @@
 };
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::events::{Event, log_event};
 use crate::fleet::{
     dialect::header,
     links::{LinkFailure, Links, Sender},
@@ -60,34 +61,27 @@
 ) -> (Attempt, bool) {
     let sent = Instant::now();
     let req = call.request_to(runner, after);
-    log::info!("request {} goes to runner {}", call.caller_id, runner.key.name);
+    log_event!(
+        Event::RequestDispatched,
+        id = call.caller_id.as_str(),
+        runner:% = runner.key.name,
+        address:% = runner.address,
+        waited_ms = call.arrived.elapsed().as_millis() as u64,
+        left_ms = call.until.saturating_duration_since(sent).as_millis() as u64,
+        after:? = after
+    );
     let sending = links.send(&runner.key, runner.address, req);
     let (res, sender) = match timeout_at(call.until, sending).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(LinkFailure::NotSent(reason))) => return (Attempt::NotRun(reason), false),
         Ok(Err(LinkFailure::Unknown(cause))) => {
-            log::info!(
-                "request {} at runner {}: no answer: {cause}",
-                call.caller_id,
-                runner.key.name
-            );
+            note_broken(call, runner, &cause, sent);
             return (Attempt::Unknown(UnknownReason::UpstreamBroke), false);
         }
         Err(_) => return (Attempt::Unknown(UnknownReason::UpstreamTimeout), false),
     };
-    log::info!(
-        "request {}: runner {} answers {} after {} ms",
-        call.caller_id,
-        runner.key.name,
-        res.status(),
-        sent.elapsed().as_millis()
-    );
     if !echoes(call, &res) {
-        log::warn!(
-            "request {} at runner {}: the answer belongs to another request",
-            call.caller_id,
-            runner.key.name
-        );
+        note_broken(call, runner, "the answer belongs to another request", sent);
         return (Attempt::Unknown(UnknownReason::UpstreamBroke), false);
     }
     let (head, body) = res.into_parts();
@@ -97,7 +91,7 @@
         Answering { runner: runner.key.clone(), status, headers, body, sent, sender, keep };
     let other_runner = status == StatusCode::MISDIRECTED_REQUEST;
     if other_runner || answering.headers.contains_key(call.names.not_executed) {
-        answering.discard(links).await;
+        answering.discard(&call.caller_id, links).await;
         let reason = match other_runner {
             true => RetryReason::RunnerLeaving,
             false => RetryReason::TurnedAway,
@@ -105,11 +99,7 @@
         return (Attempt::NotRun(reason), other_runner);
     }
     if status.is_success() && !answering.is_signed(call) {
-        log::warn!(
-            "request {} at runner {}: the answer is not the runner's own",
-            call.caller_id,
-            runner.key.name
-        );
+        note_broken(call, runner, "the answer is not the runner's own", sent);
         return (Attempt::Unknown(UnknownReason::UpstreamBroke), false);
     }
     (Attempt::Answers(Box::new(answering)), false)
@@ -122,7 +112,11 @@
     }
 
     /// Reads the body to its end.
-    pub(super) async fn read_whole(&mut self, until: Instant) -> Result<Bytes, UnknownReason> {
+    pub(super) async fn read_whole(
+        &mut self,
+        id: &str,
+        until: Instant,
+    ) -> Result<Bytes, UnknownReason> {
         let mut whole = BytesMut::new();
         loop {
             match timeout_at(until, self.body.frame()).await {
@@ -134,7 +128,13 @@
                     }
                 }
                 Ok(Some(Err(e))) => {
-                    log::info!("runner {}: the answer broke off: {e}", self.runner.name);
+                    log_event!(
+                        Event::RunnerAnswerBroken,
+                        id = id,
+                        runner:% = self.runner.name,
+                        cause:% = e,
+                        after_ms = self.sent.elapsed().as_millis() as u64
+                    );
                     return Err(UnknownReason::UpstreamBroke);
                 }
             }
@@ -149,14 +149,24 @@
         links.keep(&self.runner, self.sender, self.keep);
     }
 
-    async fn discard(mut self, links: &Links) {
+    async fn discard(mut self, id: &str, links: &Links) {
         let until = Instant::now() + REFUSAL_BODY_TIME;
-        if timeout(REFUSAL_BODY_TIME, self.read_whole(until)).await.is_ok_and(|r| r.is_ok()) {
+        if timeout(REFUSAL_BODY_TIME, self.read_whole(id, until)).await.is_ok_and(|r| r.is_ok()) {
             self.keep_connection(links);
         }
     }
 }
 
+fn note_broken(call: &Call, runner: &RunnerEntry, cause: &str, sent: Instant) {
+    log_event!(
+        Event::RunnerAnswerBroken,
+        id = call.caller_id.as_str(),
+        runner:% = runner.key.name,
+        cause = cause,
+        after_ms = sent.elapsed().as_millis() as u64
+    );
+}
+
 fn echoes(call: &Call, res: &Response<Incoming>) -> bool {
     let echoed = res.headers().get(header(call.names.request_id));
     echoed.is_some_and(|id| id.as_bytes() == call.caller_id.as_bytes())
--- a/crates/node/src/fleet/front/exchange.rs
+++ b/crates/node/src/fleet/front/exchange.rs
@@ -9,6 +9,7 @@
 use hyper::{Response, StatusCode, header::HeaderValue};
 use tokio::time::{Instant, timeout_at};
 
+use crate::events::{Event, log_event};
 use crate::fleet::{
     links::Links,
     ticket::{Ticket, Verdict},
@@ -60,10 +61,11 @@
         match attempt {
             Attempt::Answers(answering) => return Reached::Answers(answering),
             Attempt::NotRun(reason) => {
-                log::info!(
-                    "request {} not run by runner {}: {reason}; it waits again",
-                    call.caller_id,
-                    runner.key.name
+                log_event!(
+                    Event::RunnerTurnedAway,
+                    id = call.caller_id.as_str(),
+                    runner:% = runner.key.name,
+                    reason = reason.as_str()
                 );
                 ticket.not_run(reason);
             }
@@ -79,21 +81,20 @@
     loop {
         let reason = match reach(&front.links, &call, &mut ticket, None).await {
             Reached::NotRun(reason, after) if sent == 0 => {
-                log::info!(
-                    "request {} refused: {reason}, after {} ms, retry after {} ms",
-                    call.caller_id,
-                    call.arrived.elapsed().as_millis(),
-                    after.as_millis()
-                );
+                front.note_refused(&call, reason, after);
+                ticket.give_up();
                 return not_run(Some(&call), reason, Some(after));
             }
-            Reached::NotRun(..) => return unknown(&call, UnknownReason::UpstreamBroke),
+            Reached::NotRun(..) => {
+                ticket.give_up();
+                return lost(&call, &ticket, sent, UnknownReason::UpstreamBroke);
+            }
             Reached::Unknown(reason) => reason,
             Reached::Answers(mut answering) => {
                 if answering.status.is_success() && call.route.streaming {
                     return relay(front, call, ticket, answering, sent + 1);
                 }
-                match answering.read_whole(call.until).await {
+                match answering.read_whole(&call.caller_id, call.until).await {
                     Ok(body) => {
                         let status = answering.status;
                         let again = status.is_server_error() && may_repeat(&call, sent + 1);
@@ -102,6 +103,7 @@
                             ticket.ended(DispatchEnd::Cancelled);
                         } else {
                             ticket.ended(complete(&answering));
+                            note_answered(&call, &answering, sent + 1, None);
                             let mut res = Response::new(whole(body));
                             *res.status_mut() = own_status(status);
                             *res.headers_mut() = end_to_end(&answering.headers);
@@ -121,14 +123,51 @@
         sent += 1;
         ticket.ended(DispatchEnd::Failed);
         if !may_repeat(&call, sent) {
-            log::info!("request {}: outcome unknown: {reason}", call.caller_id);
-            return unknown(&call, reason);
+            return lost(&call, &ticket, sent, reason);
         }
-        log::info!("request {} is sent once more: {reason}", call.caller_id);
+        log_event!(
+            Event::RequestSentAgain,
+            id = call.caller_id.as_str(),
+            sent = sent,
+            reason = reason.as_str()
+        );
         ticket = front.submit(&call, sent, ticket.runner().cloned());
     }
 }
 
+/// Tells the caller that the request may have run.
+fn lost(call: &Call, ticket: &Ticket, sent: u32, reason: UnknownReason) -> Response<AnswerBody> {
+    log_event!(
+        Event::RequestOutcomeUnknown,
+        id = call.caller_id.as_str(),
+        reason = reason.as_str(),
+        runner:? = ticket.runner().map(ToString::to_string),
+        sent = sent,
+        total_ms = call.arrived.elapsed().as_millis() as u64
+    );
+    unknown(call, reason)
+}
+
+/// Notes an answer that went to its caller whole. `first` is the time of its
+/// first event, if it is a stream.
+pub(super) fn note_answered(call: &Call, answering: &Answering, sent: u32, first: Option<Instant>) {
+    let since = |at: Instant| at.saturating_duration_since(call.arrived).as_millis() as u64;
+    log_event!(
+        Event::RequestAnswered,
+        id = call.caller_id.as_str(),
+        class:% = call.route.class,
+        workspace:% = call.question.record.workspace,
+        upstream:% = call.question.upstream,
+        runner:% = answering.runner.name,
+        sent = sent,
+        waited_ms = since(answering.sent),
+        first_ms = since(first.unwrap_or_else(Instant::now)),
+        total_ms = since(Instant::now()),
+        status = answering.status.as_u16(),
+        revision = call.plan.revision
+    );
+}
+
 /// True if the request may go to another runner after `sent` ones.
 pub(super) fn may_repeat(call: &Call, sent: u32) -> bool {
     let left = call.until.saturating_duration_since(Instant::now());
--- a/crates/node/src/fleet/front/handler.rs
+++ b/crates/node/src/fleet/front/handler.rs
@@ -13,13 +13,14 @@
 use hyper::{
     HeaderMap, Request, Response, Uri,
     body::{Body, Incoming},
-    header::HOST,
+    header::{HOST, HeaderValue},
 };
 use tokio::{
     sync::mpsc::UnboundedSender,
     time::{Instant, timeout_at},
 };
 
+use crate::events::{Event, log_event};
 use crate::fleet::{
     dialect::{Dialect, header},
     knowledge::{InProgress, Knowledge},
@@ -102,7 +103,22 @@
         question.record.age = call.arrived.elapsed();
         question.sent_before = sent;
         question.avoid = avoid;
-        Ticket::submit(self.control.clone(), question)
+        Ticket::submit(self.control.clone(), question, &call.caller_id)
+    }
+
+    /// Notes a request that no runner ran.
+    pub(super) fn note_refused(&self, call: &Call, reason: NotRunReason, after: Duration) {
+        let record = &call.question.record;
+        log_event!(
+            Event::RequestRefused,
+            id = call.caller_id.as_str(),
+            reason = reason.as_str(),
+            class:% = record.class,
+            workspace:% = record.workspace,
+            waited_ms = call.arrived.elapsed().as_millis() as u64,
+            retry_ms = after.as_millis() as u64,
+            revision = call.plan.revision
+        );
     }
 
     fn new_request_id(&self) -> RequestId {
@@ -138,9 +154,11 @@
 
     /// Answers one request.
     pub(super) async fn handle(self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let id = req.headers().get(header(self.dialect.headers.request_id)).cloned();
         let mut res = match self.admit(req, self.knowledge.begin()).await {
             Ok(call) => exchange(&self, call).await,
             Err((Refused(reason, after), unread)) => {
+                self.note_turned_down(id.as_ref(), reason);
                 let mut res = not_run(None, reason, after);
                 if unread {
                     close_after(&mut res);
@@ -154,6 +172,18 @@
         res
     }
 
+    /// Notes a request that was refused before anything was asked for it.
+    fn note_turned_down(&self, id: Option<&HeaderValue>, reason: NotRunReason) {
+        let proof = self.knowledge.clock.now().since(self.knowledge.proven());
+        log_event!(
+            Event::RequestRefused,
+            id = id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
+            reason = reason.as_str(),
+            revision = self.knowledge.plan().map_or(0, |plan| plan.revision),
+            proof_ms = proof.as_millis() as u64
+        );
+    }
+
     /// Checks and reads a request. The second value of an error is true if the
     /// body was not read to its end.
     async fn admit(
@@ -226,7 +256,6 @@
         }
         let age = self.knowledge.clock.now().since(self.knowledge.proven());
         if age > self.limits.proof_age {
-            log::info!("keyed request refused: the configuration was proved {age:?} ago");
             return Err(Refused(NotRunReason::StaleConfiguration, Some(NOT_READY_RETRY)));
         }
         let workspace = key.and_then(|key| plan.workspace_of(key)).cloned();
--- a/crates/node/src/fleet/front/relay.rs
+++ b/crates/node/src/fleet/front/relay.rs
@@ -13,14 +13,17 @@
 use hyper::{HeaderMap, Response, body::Frame, header::CONTENT_LENGTH};
 use tokio::time::{Instant, timeout_at};
 
-use crate::fleet::ticket::Ticket;
+use crate::{
+    events::{Event, log_event},
+    fleet::ticket::Ticket,
+};
 
 use super::{
     answer::{AnswerBody, RelayError, streamed},
     attempt::Answering,
     call::{Call, end_to_end},
     event_buffer::EventBuffer,
-    exchange::{Reached, may_repeat, reach},
+    exchange::{Reached, may_repeat, note_answered, reach},
     handler::{Front, FrontShared},
 };
 
@@ -101,7 +104,7 @@
                 Ok(frame) => frame,
                 Err(_) => {
                     self.ticket.ended(DispatchEnd::Cancelled);
-                    log::info!("request {}: stream cut at its time limit", self.call.caller_id);
+                    self.note_cut("time-limit");
                     return Step::Fail(RelayError::TimeLimit);
                 }
             };
@@ -120,13 +123,16 @@
                     return Step::Pass(passed);
                 }
                 Some(Err(e)) => {
-                    log::info!(
-                        "request {} at runner {}: stream broke off after event {:?}: {e}",
-                        self.call.caller_id,
-                        answering.runner.name,
-                        self.events.last_id()
+                    log_event!(
+                        Event::RunnerAnswerBroken,
+                        id = self.call.caller_id.as_str(),
+                        runner:% = answering.runner.name,
+                        cause:% = e,
+                        after:? = self.events.last_id(),
+                        after_ms = answering.sent.elapsed().as_millis() as u64
                     );
                     if let Err(e) = self.go_on().await {
+                        self.note_cut("runner-broke");
                         return Step::Fail(e);
                     }
                 }
@@ -148,11 +154,22 @@
                 first_token: first,
                 total,
             }));
+            note_answered(&self.call, &answering, self.sent, self.first_event);
             answering.keep_connection(&self.front.links);
         }
         rest
     }
 
+    fn note_cut(&self, reason: &str) {
+        log_event!(
+            Event::StreamCut,
+            id = self.call.caller_id.as_str(),
+            reason = reason,
+            after:? = self.events.last_id(),
+            total_ms = self.call.arrived.elapsed().as_millis() as u64
+        );
+    }
+
     /// Continues a broken stream at another runner, if that is allowed.
     async fn go_on(&mut self) -> Result<(), RelayError> {
         self.answering = None;
@@ -168,10 +185,12 @@
             let links = &self.front.links;
             match reach(links, &self.call, &mut self.ticket, after).await {
                 Reached::Answers(answering) if answering.status.is_success() => {
-                    log::info!(
-                        "request {}: stream goes on at runner {} after event {after:?}",
-                        self.call.caller_id,
-                        answering.runner.name
+                    log_event!(
+                        Event::RequestSentAgain,
+                        id = self.call.caller_id.as_str(),
+                        sent = self.sent + 1,
+                        reason = UnknownReason::UpstreamBroke.as_str(),
+                        after:? = after
                     );
                     self.sent += 1;
                     self.events.restart();
@@ -180,7 +199,10 @@
                     self.answering = Some(answering);
                     return Ok(());
                 }
-                Reached::NotRun(..) => return Err(RelayError::Broken),
+                Reached::NotRun(..) => {
+                    self.ticket.give_up();
+                    return Err(RelayError::Broken);
+                }
                 Reached::Unknown(UnknownReason::UpstreamTimeout) => {
                     return Err(RelayError::TimeLimit);
                 }
--- a/crates/node/src/fleet/front/serve.rs
+++ b/crates/node/src/fleet/front/serve.rs
@@ -6,7 +6,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpStream, sync::watch, time::sleep};
 
-use crate::fleet::links::watch_silence;
+use crate::{
+    events::{Event, log_event},
+    fleet::links::watch_silence,
+};
 
 use super::handler::Front;
 
@@ -33,7 +36,7 @@
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(e) => {
-            log::error!("the callers' address can't be served: {e}");
+            log_event!(Event::ListenerFailed, port = "callers", cause:% = e);
             return;
         }
     };
@@ -50,7 +53,7 @@
                 actix_rt::spawn(serve_connection(stream, front.clone(), closing.clone()));
             }
             Err(e) => {
-                log::warn!("a connection can't be accepted: {e}");
+                log_event!(Event::ListenerFailed, port = "callers", cause:% = e);
                 sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/node/src/fleet/health.rs
+++ b/crates/node/src/fleet/health.rs
@@ -17,7 +17,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::time::sleep;
 
-use crate::metrics::Metrics;
+use crate::{
+    events::{Event, log_event},
+    metrics::Metrics,
+};
 
 use super::knowledge::Knowledge;
 
@@ -39,7 +42,7 @@
         let listener = match tokio::net::TcpListener::from_std(listener) {
             Ok(listener) => listener,
             Err(e) => {
-                log::error!("the operators' address can't be served: {e}");
+                log_event!(Event::ListenerFailed, port = "operators", cause:% = e);
                 return;
             }
         };
@@ -47,7 +50,7 @@
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
                 Err(e) => {
-                    log::warn!("an operator's connection can't be accepted: {e}");
+                    log_event!(Event::ListenerFailed, port = "operators", cause:% = e);
                     sleep(ACCEPT_PAUSE).await;
                     continue;
                 }
--- a/crates/node/src/fleet/registration.rs
+++ b/crates/node/src/fleet/registration.rs
@@ -6,6 +6,8 @@
 use comfreyway_platform::{LeaseId, Store, StoreError};
 use tokio::{sync::watch, time::sleep};
 
+use crate::events::{Event, log_event};
+
 /// Time after which the entry of a host that is gone disappears.
 const LEASE_TTL: Duration = Duration::from_millis(4_000);
 
@@ -28,7 +30,7 @@
             let pause = match renew(&*store, &key, &member, &mut lease).await {
                 Ok(()) => RENEW_INTERVAL,
                 Err(e) => {
-                    log::info!("this host's entry in the store can't be renewed: {e}");
+                    log_event!(Event::RegistrationFailed, cause:% = e);
                     RETRY_PAUSE
                 }
             };
@@ -42,7 +44,7 @@
     if let Some(lease) = lease
         && let Err(e) = store.end_lease(lease).await
     {
-        log::info!("this host's entry in the store can't be removed: {e}");
+        log_event!(Event::RegistrationFailed, cause:% = e);
     }
 }
 
--- a/crates/node/src/fleet/sessions.rs
+++ b/crates/node/src/fleet/sessions.rs
@@ -23,7 +23,10 @@
     tungstenite::{self, Message, protocol::WebSocketConfig},
 };
 
-use crate::control::Clock;
+use crate::{
+    control::Clock,
+    events::{Event, log_event},
+};
 
 use super::{links::watch_silence, mirror::MirroredItem};
 
@@ -156,12 +159,12 @@
                 let events = events.clone();
                 actix_rt::spawn(async move {
                     if let Err(e) = serve_host(stream, token, number, &events).await {
-                        log::info!("session of host at {peer} ended: {e}");
+                        log_event!(Event::HostLeft, host:% = peer, cause:% = e);
                     }
                 });
             }
             Err(e) => {
-                log::warn!("a host's connection can't be accepted: {e}");
+                log_event!(Event::ListenerFailed, port = "peers", cause:% = e);
                 sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -220,7 +223,7 @@
 ) {
     let host = to.id.clone();
     if let Err(e) = ask_coordinator(me, &to, clock, &events).await {
-        log::info!("session with coordinator {host} ended: {e}");
+        log_event!(Event::CoordinatorLost, host:% = host, cause:% = e);
     }
     if events.send(SessionEvent::CoordinatorDown(host)).is_err() {
         log::debug!("nobody listens for sessions any more");
--- a/crates/node/src/fleet/ticket.rs
+++ b/crates/node/src/fleet/ticket.rs
@@ -1,6 +1,6 @@
 //! One request between a traffic thread and the control thread.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use comfreyway_core::{
     fleet::{Question, RunnerEntry, RunnerKey},
@@ -10,6 +10,8 @@
 };
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+use crate::events::{Event, log_event};
+
 /// What a traffic thread tells the control thread.
 #[derive(Debug)]
 pub(super) enum WorkerMessage {
@@ -52,14 +54,28 @@
     verdicts: UnboundedReceiver<Verdict>,
     stage: Stage,
     runner: Option<RunnerName>,
+    caller_id: String,
+    submitted: Instant,
 }
 
 impl Ticket {
     /// Submits a request.
-    pub(super) fn submit(control: UnboundedSender<WorkerMessage>, question: Question) -> Self {
+    pub(super) fn submit(
+        control: UnboundedSender<WorkerMessage>,
+        question: Question,
+        caller_id: &str,
+    ) -> Self {
         let (tx, verdicts) = unbounded_channel();
         let id = question.record.id;
-        let ticket = Self { id, control, verdicts, stage: Stage::Waiting, runner: None };
+        let ticket = Self {
+            id,
+            control,
+            verdicts,
+            stage: Stage::Waiting,
+            runner: None,
+            caller_id: caller_id.to_owned(),
+            submitted: Instant::now(),
+        };
         ticket.tell(WorkerMessage::Submit(Box::new(question), tx));
         ticket
     }
@@ -100,6 +116,13 @@
         }
     }
 
+    /// The request is refused, unless that was decided before.
+    pub(super) fn give_up(&mut self) {
+        if std::mem::replace(&mut self.stage, Stage::Closed) == Stage::Waiting {
+            self.tell(WorkerMessage::Withdraw(self.id));
+        }
+    }
+
     /// This run of a runner takes no more work.
     pub(super) fn runner_ended(&self, key: &RunnerKey) {
         self.tell(WorkerMessage::RunnerEnded(key.clone()));
@@ -114,10 +137,23 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        match self.stage {
-            Stage::Waiting => self.tell(WorkerMessage::Withdraw(self.id)),
-            Stage::Sent => self.tell(WorkerMessage::Ended(self.id, DispatchEnd::Cancelled)),
-            Stage::Closed => {}
-        }
+        let stage = match self.stage {
+            Stage::Waiting => {
+                self.tell(WorkerMessage::Withdraw(self.id));
+                "waiting"
+            }
+            Stage::Sent => {
+                self.tell(WorkerMessage::Ended(self.id, DispatchEnd::Cancelled));
+                "sent"
+            }
+            Stage::Closed => return,
+        };
+        log_event!(
+            Event::RequestAbandoned,
+            id = self.caller_id.as_str(),
+            stage = stage,
+            runner:? = self.runner.as_ref().map(ToString::to_string),
+            total_ms = self.submitted.elapsed().as_millis() as u64
+        );
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! workers carry traffic. They meet in typed messages only: a worker asks once
 //! per request and reports once per outcome, never per token. [`settings`]
 //! holds what differs from host to host, [`cli`] the daemon's command line.
+//! [`logging`] writes the log without ever blocking.
 //! [`http`] is the callers' interface, [`metrics`] and [`events`] show what it does.
 //! [`peers`] holds the sessions between daemons, [`config`] the operators'
 //! configuration, [`operator`] their HTTP interface.
@@ -19,6 +20,7 @@
 pub mod fleet;
 pub mod health;
 pub mod http;
+pub mod logging;
 pub mod membership;
 pub mod metrics;
 pub mod operator;
--- a/crates/node/src/run/main.rs
+++ b/crates/node/src/run/main.rs
@@ -5,6 +5,7 @@
 use crate::{
     cli::{EXIT_BAD_SETTINGS, Prepared, daemon_command, prepare},
     fleet::{self, FleetPlatform},
+    logging::QueueWriter,
     settings::{Platform, Settings},
 };
 
@@ -17,8 +18,15 @@
 /// settings name a store for the whole fleet.
 #[must_use]
 pub fn main(platform: FleetPlatform) -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER))
-        .init();
+    let env = env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER);
+    let mut log = env_logger::Builder::from_env(env);
+    match QueueWriter::start(std::io::stdout()) {
+        Ok(writer) => log.target(env_logger::Target::Pipe(Box::new(writer))).init(),
+        Err(e) => {
+            log.init();
+            log::error!("the log is written without its queue: {e}");
+        }
+    }
     let command = daemon_command().run();
     match prepare(&command) {
         Ok(Prepared::Print(text)) => {
--- a/tests/testsuite/fleet/configuration.rs
+++ b/tests/testsuite/fleet/configuration.rs
@@ -36,7 +36,7 @@
     changed["tenants"][0]["apiKeys"] = json!(["new-key"]);
     changed["routes"][0]["prefix"] = json!("/moved/");
     site.put_configuration(changed);
-    let log = || async { host.log().contains("configuration 7 at revision").then_some(()) };
+    let log = || async { host.log().contains("CF0511 version=7").then_some(()) };
     eventually(log).await.expect("the new version did not come into force");
     assert_eq!(call(&host, "id-1", "/moved/").await.status, 401);
     let new = [(KEY, "new-key")];
--- a/tests/testsuite/fleet/hosts.rs
+++ b/tests/testsuite/fleet/hosts.rs
@@ -11,7 +11,7 @@
 
 /// Waits until a host asks another one.
 async fn asks_another(host: &crate::support::Daemon) {
-    let log = || async { host.log().contains(" answers").then_some(()) };
+    let log = || async { host.log().contains("CF0532").then_some(()) };
     eventually(log).await.expect("the host found no coordinator");
 }
 
@@ -41,7 +41,7 @@
         eventually(taken).await.expect("the places are not taken");
         let lose = async {
             first.signal(Signal::Kill).unwrap();
-            let lost = || async { second.log().contains("is lost").then_some(()) };
+            let lost = || async { second.log().contains("CF0533").then_some(()) };
             eventually(lost).await.expect("the second host did not notice");
             site.runners[0].gate().open();
         };
@@ -81,7 +81,7 @@
     let second = site.host("h2").await;
     let third = site.host("h3").await;
     for host in [&second, &third] {
-        let told = || async { host.log().contains("tells of the store").then_some(()) };
+        let told = || async { host.log().contains("CF0543").then_some(()) };
         eventually(told).await.expect("the host hears nothing from its coordinator");
     }
     let mut changed = configuration(9);
@@ -112,7 +112,7 @@
     let settings = DaemonSettings::with_store("h2", proxy.address()).unwrap();
     let settings = settings.with_workers(1).with_fleet("key-revocation", "3s");
     let second = crate::support::Daemon::start_ready(settings).await;
-    let told = || async { second.log().contains("tells of the store").then_some(()) };
+    let told = || async { second.log().contains("CF0543").then_some(()) };
     eventually(told).await.expect("the host hears nothing from its coordinator");
     proxy.partition().unwrap();
     // Longer than the time for which an old proof counts.
--- a/tests/testsuite/fleet/runners.rs
+++ b/tests/testsuite/fleet/runners.rs
@@ -16,7 +16,7 @@
     site.store.delete("servers/r2");
     let log = || async {
         let log = host.log();
-        let known = log.contains("runner r1 is leaving") && log.contains("runner r2 is gone");
+        let known = log.contains("CF0522 runner=r1") && log.contains("CF0523 runner=r2");
         known.then_some(())
     };
     eventually(log).await.expect("the host did not hear of the runners");
@@ -51,7 +51,7 @@
     site.store.delete("servers/late");
     site.store.compact();
     let site = site.with_runner("survey", "r2", RunnerManner::Whole);
-    let log = || async { host.log().contains("runner r2 of survey may be used").then_some(()) };
+    let log = || async { host.log().contains("CF0521 runner=r2").then_some(()) };
     eventually(log).await.expect("the host did not hear of the new runner");
     assert_eq!(site.runners.len(), 2);
 }
