Hand the role over when blind, and wait out the store's own pauses

Cause: the store cuts its watches for a second when it drops its history, so a sound coordinator's proof was 2.5 s old; four of eight hosts left it, three that were cut off from the store could not know and stayed. Change: hosts leave a coordinator after 3.1 s and call the store themselves after 2.2 s; a coordinator that is blind and was left by half of the hosts sends the rest away as well.

--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -309,11 +309,7 @@
 
     fn handle(&mut self, _: BeginStop, cx: &mut Self::Context) {
         self.stopping = true;
-        for host in self.hosts.values() {
-            if host.tx.try_send(ToHost::Leaving).is_err() {
-                log::debug!("a host can't be told of the stop; its session will end");
-            }
-        }
+        self.tell_leaving();
         self.choose_coordinator(cx);
     }
 }
@@ -330,11 +326,20 @@
         ));
     }
 
+    /// Tells the hosts that ask this one to ask another.
+    fn tell_leaving(&self) {
+        for host in self.hosts.values() {
+            if host.tx.try_send(ToHost::Leaving).is_err() {
+                log::debug!("a host can't be told to leave; its session will end");
+            }
+        }
+    }
+
     fn elected(&self, now: MonoTime) -> Option<Member> {
         let suspected = |id: &HostId| self.suspects.get(id).is_some_and(|until| now < *until);
         let others = self.members.values().filter(|m| m.id.name != self.me.id.name);
         let others = others.filter(|member| !suspected(&member.id));
-        let me = (!self.stopping).then_some(&self.me);
+        let me = (!self.stopping && !suspected(&self.me.id)).then_some(&self.me);
         elect(others.chain(me)).cloned()
     }
 }
--- a/crates/node/src/fleet/control/relaying.rs
+++ b/crates/node/src/fleet/control/relaying.rs
@@ -20,15 +20,17 @@
 use super::{FleetControl, Relay};
 
 /// Age of the proof from which a host calls the store itself. A feed proves
-/// once a second.
-const OLD_PROOF: Duration = Duration::from_millis(1_700);
+/// once a second, and the store cuts watches for a second when it drops its
+/// history.
+const OLD_PROOF: Duration = Duration::from_millis(2_200);
 
 /// Age of the coordinator's proof up to which it is asked for everything.
 const FRESH_PROOF: Duration = Duration::from_millis(1_300);
 
 /// Age of a coordinator's proof from which hosts that reach the store ask
-/// another one.
-const BLIND_PROOF: Duration = Duration::from_millis(2_500);
+/// another one: longer than the store's own pauses, shorter than the time for
+/// which keys are believed.
+const BLIND_PROOF: Duration = Duration::from_millis(3_100);
 
 /// Time for which such a coordinator is not asked.
 const BLIND_TIME: Duration = Duration::from_secs(4);
@@ -63,6 +65,20 @@
         }
     }
 
+    /// Hands over to a host that reaches the store, if this one does not and
+    /// most hosts have left it for that. The others can't know by themselves.
+    pub(super) fn review_role(&mut self, cx: &mut Context<Self>) {
+        let now = self.now();
+        let blind = now.since(self.knowledge.proven()) > BLIND_PROOF;
+        let few = 2 * (self.hosts.len() + 1) <= self.members.len();
+        if blind && few && self.link.is_none() && !self.hosts.is_empty() {
+            log_event!(Event::CoordinatorBlind, host:% = self.me.id);
+            self.suspects.insert(self.me.id.clone(), now + BLIND_TIME);
+            self.tell_leaving();
+            self.choose_coordinator(cx);
+        }
+    }
+
     /// The coordinator knows all changes up to `at`, proved `age` before it
     /// answered a question that was sent at `sent`.
     pub(super) fn relayed_proof(
--- a/crates/node/src/fleet/control/store_news.rs
+++ b/crates/node/src/fleet/control/store_news.rs
@@ -197,6 +197,7 @@
         self.runner_news(news);
         self.choose_coordinator(cx);
         self.review_feed();
+        self.review_role(cx);
         self.arm(cx);
     }
 }
