Keep a sound coordinator, and leave more of the quotas' slack unused

With each change every host decides by itself for a moment and the next coordinator starts anew: quotas were overrun by 0.4 to 1.7 in 100. One overrun (1,177,094 of 1,171,922) came without a change in its window; its cause is not found. Ruled out: a second coordinator at that moment (one wrote its load throughout). Change: a coordinator is kept while it is sound, a host that asks this one is no candidate, and two groups find together through the older coordinator. A fresh bucket starts with 0.15 of the slack (0.45), a full one holds 0.2 (0.35). The dispatch line tells workspace and cost.

--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -19,12 +19,13 @@
 }
 
 /// Part of the slack that a full bucket holds besides its burst.
-const SLACK_IN_BUCKET: f64 = 0.35;
+const SLACK_IN_BUCKET: f64 = 0.2;
 
 /// Part of the slack with which a bucket starts. A coordinator that takes over
-/// does not know what was used lately, so that both parts together stay below
-/// the slack.
-const SLACK_AT_START: f64 = 0.45;
+/// does not know what was used lately, and before it every host may have decided
+/// by itself: this part twice, and the one above, stay below the slack. The
+/// bucket fills at once, since a quota is above what is used on most days.
+const SLACK_AT_START: f64 = 0.15;
 
 /// Time within which a request that was not run gives back what it took: the
 /// way to the coordinator and back, for what is refused on its arrival.
--- a/crates/core/tests/fleet/quotas.rs
+++ b/crates/core/tests/fleet/quotas.rs
@@ -52,6 +52,20 @@
     assert!(before + after <= allowed(), "{} of {}", before + after, allowed());
 }
 
+/// The coordinator is lost, every host decides by itself for a moment, and then
+/// the next coordinator does.
+#[test]
+fn the_sum_over_a_change_with_hosts_alone_meanwhile_stays_within_the_allowance() {
+    let mut first = Quotas::new(RULE);
+    let start = quotas_after_rest(&mut first);
+    let mut sum = passed(&mut first, start, start + 4_000, Share::new(8, 8));
+    for _ in 0..8 {
+        sum += passed(&mut Quotas::new(RULE), 14_000, 14_300, Share::new(1, 8));
+    }
+    sum += passed(&mut Quotas::new(RULE), 14_300, 18_000, Share::new(8, 8));
+    assert!(sum <= allowed(), "{sum} of {}", allowed());
+}
+
 /// Three of eight hosts are cut off from the rest.
 #[test]
 fn the_sum_over_hosts_that_lost_each_other_stays_within_the_allowance() {
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -88,7 +88,7 @@
     RequestRefused = "CF0502", Info, "request refused, not run";
     /// Fields: id, reason, runner, sent, total_ms.
     RequestOutcomeUnknown = "CF0503", Warn, "outcome of request unknown, told to its caller";
-    /// Fields: id, runner, address, waited_ms, left_ms, after.
+    /// Fields: id, runner, address, workspace, cost, waited_ms, left_ms, after.
     RequestDispatched = "CF0504", Info, "request sent to runner";
     /// Fields: id, runner, reason.
     RunnerTurnedAway = "CF0505", Info, "runner did not run request, it waits again";
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -338,6 +338,8 @@
     fn elected(&self, now: MonoTime) -> Option<Member> {
         let suspected = |id: &HostId| self.suspects.get(id).is_some_and(|until| now < *until);
         let others = self.members.values().filter(|m| m.id.name != self.me.id.name);
+        // A host that asks this one coordinates nobody.
+        let others = others.filter(|member| !self.hosts.contains_key(&member.id));
         let others = others.filter(|member| !suspected(&member.id));
         let me = (!self.stopping && !suspected(&self.me.id)).then_some(&self.me);
         elect(others.chain(me)).cloned()
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -42,10 +42,17 @@
         self.carry_out(Vec::new(), tells);
     }
 
-    /// Chooses the coordinator anew from the hosts that are known.
+    /// Chooses the coordinator anew from the hosts that are known. A sound one
+    /// is kept: each change costs the quotas' memory and asks for all requests
+    /// again. Two groups of hosts find together because the younger of their
+    /// coordinators asks the older one.
     pub(super) fn choose_coordinator(&mut self, cx: &mut Context<Self>) {
         let now = self.now();
         self.suspects.retain(|_, until| now < *until);
+        let kept = self.link.as_ref().filter(|link| self.desk.coordinator() == Some(&link.host));
+        if kept.is_some_and(|link| !self.suspects.contains_key(&link.host)) {
+            return;
+        }
         let wanted = self.elected(now).filter(|member| member.id != self.me.id);
         let present = self.link.as_ref().map(|link| &link.host);
         if present == wanted.as_ref().map(|member| &member.id) {
@@ -54,6 +61,7 @@
         self.link = None;
         self.follow_own(cx);
         if let Some(member) = wanted {
+            self.tell_leaving();
             self.dial(&member);
         }
     }
--- a/crates/node/src/fleet/front/attempt.rs
+++ b/crates/node/src/fleet/front/attempt.rs
@@ -66,6 +66,8 @@
         id = call.caller_id.as_str(),
         runner:% = runner.key.name,
         address:% = runner.address,
+        workspace:% = call.question.record.workspace,
+        cost = call.question.cost,
         waited_ms = call.arrived.elapsed().as_millis() as u64,
         left_ms = call.until.saturating_duration_since(sent).as_millis() as u64,
         after:? = after
