Refuse within the caller's patience

Ruled out: streams too long for their deadline (13 abandoned at a runner). Change: a request is refused when it has waited half of its caller's patience, and on arrival when the backlog takes over 0.35 of it.

--- a/crates/core/src/fleet/ranking/state.rs
+++ b/crates/core/src/fleet/ranking/state.rs
@@ -110,7 +110,7 @@
         if self.queue.contains(id) || self.flights.contains_key(&id) {
             return;
         }
-        if let Some(after) = self.refuse_at_arrival(record.tier, left) {
+        if let Some(after) = self.refuse_at_arrival(&record, left) {
             out.push(Decision::Refuse(record.entry, id, NotRunReason::Shed, after));
             return;
         }
@@ -194,7 +194,7 @@
     ) {
         let due = now + record.target.limit().saturating_sub(record.age);
         let rank_by = due - self.least_first(now, record.prefill_tokens);
-        let refuse_at = Self::hold_until(now, until.since(now));
+        let refuse_at = Self::hold_until(now, &record, until.since(now));
         let times = Times { due, until, refuse_at };
         self.queue.insert(record, times, rank_by, avoid);
     }
