Let a workspace use what its window allows

Change: a quarter of the slack comes in evenly over the window, 0.35 stands in a full bucket, and a bucket starts full where a whole window is known.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -85,7 +85,10 @@
     }
 
     /// A host asks this coordinator from now on.
-    pub fn host_joined(&mut self, host: HostId) {
+    pub fn host_joined(&mut self, now: MonoTime, host: HostId) {
+        if self.asking.is_empty() {
+            self.quotas.begin(now);
+        }
         if self.asking.insert(host) {
             self.update_share();
         }
--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -16,15 +16,19 @@
     pub overage: f64,
     /// Units that may be used besides.
     pub slack: f64,
+    /// Length in seconds of the windows that quotas are judged over.
+    pub window_s: f64,
 }
 
 /// Part of the slack that a full bucket holds besides its burst.
-const SLACK_IN_BUCKET: f64 = 0.2;
+const SLACK_IN_BUCKET: f64 = 0.35;
+
+/// Part of the slack that comes in evenly over a window.
+const SLACK_IN_RATE: f64 = 0.25;
 
 /// Part of the slack with which a bucket starts. A coordinator that takes over
 /// does not know what was used lately, and before it every host may have decided
-/// by itself: this part twice, and the one above, stay below the slack. The
-/// bucket fills at once, since a quota is above what is used on most days.
+/// by itself: this part twice, and the two above, stay below the slack.
 const SLACK_AT_START: f64 = 0.15;
 
 /// Time within which a request that was not run gives back what it took: the
@@ -42,13 +46,21 @@
 pub struct Quotas {
     rule: QuotaRule,
     buckets: BTreeMap<WorkspaceName, Bucket>,
+    /// Since when everything that was used is known.
+    since: Option<MonoTime>,
 }
 
 impl Quotas {
     /// Buckets that nothing was taken from.
     #[must_use]
     pub fn new(rule: QuotaRule) -> Self {
-        Self { rule, buckets: BTreeMap::new() }
+        Self { rule, ..Self::default() }
+    }
+
+    /// Decides from now on, without knowing what was used before.
+    pub fn begin(&mut self, now: MonoTime) {
+        self.buckets.clear();
+        self.since = Some(now);
     }
 
     /// Takes `cost` from the workspace's quota, or tells when it may be there.
@@ -67,12 +79,15 @@
         if quota.rate_per_s <= 0.0 {
             return Ok(());
         }
-        let QuotaRule { overage, slack } = self.rule;
-        let rate = share.of(quota.rate_per_s * (1.0 + overage));
+        let QuotaRule { overage, slack, window_s } = self.rule;
+        let spread = slack * SLACK_IN_RATE / window_s.max(1.0);
+        let rate = share.of(quota.rate_per_s * (1.0 + overage) + spread);
         let burst = share.of(quota.burst * (1.0 + overage) + slack * SLACK_IN_BUCKET);
-        // Without slack a coordinator that takes over would have to refuse what
-        // lies within the quota.
-        let start = if slack > 0.0 { share.of(slack * SLACK_AT_START) } else { burst };
+        // What was used before the last window does not matter any more. Without
+        // slack, a start below the quota would refuse what lies within it.
+        let since = self.since.unwrap_or_default();
+        let known = now.since(since).as_secs_f64() >= window_s || slack <= 0.0;
+        let start = if known { burst } else { share.of(slack * SLACK_AT_START) };
         let level = start.min(burst).max(cost.min(burst));
         let bucket = self.buckets.entry(workspace.clone()).or_insert(Bucket { level, at: now });
         let gained = now.since(bucket.at).as_secs_f64() * rate;
--- a/crates/core/tests/fleet/coordinator.rs
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -33,7 +33,7 @@
 fn coordinator() -> Coordinator {
     let mut coordinator = Coordinator::new(RETRIES, QuotaRule::default());
     coordinator.set_plan(plan(0.0));
-    coordinator.host_joined(host("h1"));
+    coordinator.host_joined(at(0), host("h1"));
     coordinator.runner_news(at(0), &RunnerNews::Up(entry("a", 1, false)), &mut Vec::new());
     coordinator
 }
@@ -52,16 +52,23 @@
 fn a_host_alone_of_four_uses_its_share_of_a_runner() {
     let mut coordinator = coordinator();
     coordinator.set_known_hosts(4);
-    let grants = |c: &mut Coordinator, from: u128| {
-        (from..from + 5).filter(|number| !place(c, *number, 1.0).is_empty()).count()
-    };
-    assert_eq!(grants(&mut coordinator, 0), 1);
+    assert_eq!(grants(&mut coordinator, 0..5), 1);
     for name in ["h2", "h3", "h4"] {
-        coordinator.host_joined(host(name));
+        coordinator.host_joined(at(0), host(name));
     }
     let mut out = Vec::new();
     coordinator.tick(at(1), &mut out);
-    assert_eq!(out.len(), 3, "all four places serve all four hosts");
+    // The others may have been refused for the backlog of the one place.
+    let sum = 1 + count(&out) + grants(&mut coordinator, 10..20);
+    assert_eq!(sum, 4, "all four places serve all four hosts");
+}
+
+fn count(told: &[(HostId, Tell)]) -> usize {
+    told.iter().filter(|(_, tell)| matches!(tell, Tell::Grant(..))).count()
+}
+
+fn grants(coordinator: &mut Coordinator, numbers: std::ops::Range<u128>) -> usize {
+    numbers.map(|number| count(&place(coordinator, number, 1.0))).sum()
 }
 
 #[test]
@@ -92,7 +99,7 @@
 #[test]
 fn the_places_of_a_host_that_is_lost_serve_the_others() {
     let mut coordinator = coordinator();
-    coordinator.host_joined(host("h2"));
+    coordinator.host_joined(at(0), host("h2"));
     for number in 0..4 {
         place(&mut coordinator, number, 1.0);
     }
--- a/crates/core/tests/fleet/quotas.rs
+++ b/crates/core/tests/fleet/quotas.rs
@@ -6,10 +6,17 @@
 
 use crate::support::at;
 
-const RULE: QuotaRule = QuotaRule { overage: 0.1, slack: 190_000.0 };
+const RULE: QuotaRule = QuotaRule { overage: 0.1, slack: 190_000.0, window_s: 8.0 };
 const QUOTA: Quota =
     Quota { rate_per_s: 100_000.0, burst: 100_000.0, by_tokens: true, plain_cost: 200.0 };
 
+/// Quotas of a coordinator that takes over at this time.
+fn begun(ms: u64) -> Quotas {
+    let mut quotas = Quotas::new(RULE);
+    quotas.begin(at(ms));
+    quotas
+}
+
 /// Tokens that pass in a window, when the workspace sends without end.
 fn passed(quotas: &mut Quotas, from_ms: u64, to_ms: u64, share: Share) -> f64 {
     let workspace = "desk".parse().unwrap();
@@ -48,7 +55,7 @@
     let mut first = Quotas::new(RULE);
     let nothing_before = quotas_after_rest(&mut first);
     let before = passed(&mut first, nothing_before, nothing_before + 4_000, Share::new(8, 8));
-    let after = passed(&mut Quotas::new(RULE), 14_000, 18_000, Share::new(8, 8));
+    let after = passed(&mut begun(14_000), 14_000, 18_000, Share::new(8, 8));
     assert!(before + after <= allowed(), "{} of {}", before + after, allowed());
 }
 
@@ -60,18 +67,18 @@
     let start = quotas_after_rest(&mut first);
     let mut sum = passed(&mut first, start, start + 4_000, Share::new(8, 8));
     for _ in 0..8 {
-        sum += passed(&mut Quotas::new(RULE), 14_000, 14_300, Share::new(1, 8));
+        sum += passed(&mut begun(14_000), 14_000, 14_300, Share::new(1, 8));
     }
-    sum += passed(&mut Quotas::new(RULE), 14_300, 18_000, Share::new(8, 8));
+    sum += passed(&mut begun(14_300), 14_300, 18_000, Share::new(8, 8));
     assert!(sum <= allowed(), "{sum} of {}", allowed());
 }
 
 /// Three of eight hosts are cut off from the rest.
 #[test]
 fn the_sum_over_hosts_that_lost_each_other_stays_within_the_allowance() {
-    let mut sum = passed(&mut Quotas::new(RULE), 0, 8_000, Share::new(5, 8));
+    let mut sum = passed(&mut begun(0), 0, 8_000, Share::new(5, 8));
     for _ in 0..3 {
-        sum += passed(&mut Quotas::new(RULE), 0, 8_000, Share::new(1, 8));
+        sum += passed(&mut begun(0), 0, 8_000, Share::new(1, 8));
     }
     assert!(sum <= allowed(), "{sum} of {}", allowed());
 }
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -24,7 +24,7 @@
     pub(super) fn follow_own(&mut self, _: &mut Context<Self>) {
         let now = self.now();
         let mut actions = Vec::new();
-        self.coordinator.host_joined(self.me.id.clone());
+        self.coordinator.host_joined(now, self.me.id.clone());
         self.desk.follow(now, None, &mut actions);
         self.carry_out(actions, Vec::new());
     }
@@ -72,7 +72,7 @@
             SessionEvent::HostUp(host, session, tx) => {
                 log_event!(Event::HostAsks, host:% = host);
                 self.hosts.insert(host.clone(), AskingHost { session, tx, synced: false });
-                self.coordinator.host_joined(host);
+                self.coordinator.host_joined(now, host);
             }
             SessionEvent::FromHost(host, ToCoordinator::Ask(ask)) => {
                 let mut tells = Vec::new();
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -143,5 +143,6 @@
         NUMBER,
         "Units of a quota that may be used besides, so that hosts which lose each\nother need not refuse what lies within it.",
     ),
+    spec("fleet", "quota-window", Some("8s"), DURATION, "Window that quotas are judged over."),
     spec("fleet", "retry-window", Some("10s"), DURATION, "Window of the repeats."),
 ];
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -139,6 +139,7 @@
         let quotas = QuotaRule {
             overage: self.value("fleet", "quota-overage")?,
             slack: self.value("fleet", "quota-slack")?,
+            window_s: self.value::<Duration>("fleet", "quota-window")?.as_secs_f64(),
         };
         let region = self.value("fleet", "region")?;
         let key_revocation = self.value("fleet", "key-revocation")?;
