--- a/crates/core/src/fleet/directory.rs
+++ b/crates/core/src/fleet/directory.rs
@@ -48,7 +48,7 @@
     pub fn list(&mut self, now: MonoTime, entries: Vec<RunnerEntry>, out: &mut Vec<RunnerNews>) {
         let listed: Vec<_> = entries.iter().map(|entry| entry.key.name.clone()).collect();
         for entry in entries {
-            self.put(now, entry, out);
+            self.put(entry, out);
         }
         let missing = self.known.keys().filter(|name| !listed.contains(name));
         for name in missing.cloned().collect::<Vec<_>>() {
@@ -57,7 +57,7 @@
     }
 
     /// Takes in one written entry.
-    pub fn put(&mut self, now: MonoTime, entry: RunnerEntry, out: &mut Vec<RunnerNews>) {
+    pub fn put(&mut self, entry: RunnerEntry, out: &mut Vec<RunnerNews>) {
         if self.ended.get(&entry.key.name) == Some(&entry.key) {
             return;
         }
@@ -80,7 +80,6 @@
             true => RunnerNews::Leaving(entry.clone()),
             false => RunnerNews::Up(entry.clone()),
         });
-        let _ = now;
         self.known.insert(entry.key.name.clone(), Known { entry, missing_since: None });
     }
 
--- a/crates/core/tests/fleet/directory.rs
+++ b/crates/core/tests/fleet/directory.rs
@@ -4,15 +4,9 @@
 
 use crate::support::{at, entry, name};
 
-fn put(
-    directory: &mut RunnerDirectory,
-    ms: u64,
-    runner: &str,
-    born: u64,
-    leaving: bool,
-) -> Vec<RunnerNews> {
+fn put(directory: &mut RunnerDirectory, runner: &str, born: u64, leaving: bool) -> Vec<RunnerNews> {
     let mut out = Vec::new();
-    directory.put(at(ms), entry(runner, born, leaving), &mut out);
+    directory.put(entry(runner, born, leaving), &mut out);
     out
 }
 
@@ -25,17 +19,17 @@
 #[test]
 fn a_run_that_is_leaving_never_comes_back() {
     let mut directory = RunnerDirectory::default();
-    put(&mut directory, 0, "a", 1, false);
-    put(&mut directory, 1, "a", 1, true);
-    assert!(put(&mut directory, 2, "a", 1, false).is_empty());
+    put(&mut directory, "a", 1, false);
+    put(&mut directory, "a", 1, true);
+    assert!(put(&mut directory, "a", 1, false).is_empty());
     assert!(directory.usable(&name("a")).is_none());
 }
 
 #[test]
 fn a_new_run_under_the_same_name_is_another_runner() {
     let mut directory = RunnerDirectory::default();
-    put(&mut directory, 0, "a", 1, true);
-    let news = put(&mut directory, 1, "a", 2, false);
+    put(&mut directory, "a", 1, true);
+    let news = put(&mut directory, "a", 2, false);
     assert!(matches!(news[..], [RunnerNews::Gone(_), RunnerNews::Up(_)]), "{news:?}");
     assert!(directory.usable(&name("a")).is_some());
 }
@@ -43,20 +37,20 @@
 #[test]
 fn a_removed_entry_is_gone_at_once_on_a_calm_day() {
     let mut directory = RunnerDirectory::default();
-    put(&mut directory, 0, "a", 1, false);
+    put(&mut directory, "a", 1, false);
     assert!(matches!(vanish(&mut directory, 1, "a")[..], [RunnerNews::Gone(_)]));
 }
 
 #[test]
 fn an_entry_that_lapsed_in_an_outage_has_two_seconds_to_come_back() {
     let mut directory = RunnerDirectory::default();
-    put(&mut directory, 0, "a", 1, false);
-    put(&mut directory, 0, "b", 1, false);
+    put(&mut directory, "a", 1, false);
+    put(&mut directory, "b", 1, false);
     directory.store_returned(at(10_000));
     assert!(vanish(&mut directory, 10_001, "a").is_empty());
     assert!(vanish(&mut directory, 10_001, "b").is_empty());
     assert!(directory.usable(&name("a")).is_some());
-    put(&mut directory, 11_000, "a", 1, false);
+    put(&mut directory, "a", 1, false);
     let mut out = Vec::new();
     directory.tick(at(12_000), &mut out);
     assert!(out.is_empty());
@@ -78,11 +72,11 @@
 #[test]
 fn an_address_that_another_runner_holds_ends_the_run() {
     let mut directory = RunnerDirectory::default();
-    put(&mut directory, 0, "a", 1, false);
+    put(&mut directory, "a", 1, false);
     let key = entry("a", 1, false).key;
     let mut out = Vec::new();
     directory.refused_as_leaving(&key, &mut out);
     assert!(matches!(out[..], [RunnerNews::Gone(_)]));
-    assert!(put(&mut directory, 1, "a", 1, false).is_empty(), "a stale entry revives nothing");
-    assert_eq!(put(&mut directory, 2, "a", 2, false).len(), 1);
+    assert!(put(&mut directory, "a", 1, false).is_empty(), "a stale entry revives nothing");
+    assert_eq!(put(&mut directory, "a", 2, false).len(), 1);
 }
--- a/crates/core/tests/fleet/quotas.rs
+++ b/crates/core/tests/fleet/quotas.rs
@@ -48,6 +48,18 @@
     10_000
 }
 
+/// A coordinator that has decided for a whole window knows what was used.
+#[test]
+fn a_workspace_that_comes_first_after_a_window_may_use_its_burst() {
+    let mut fresh = begun(0);
+    let mut seasoned = begun(0);
+    let whole = Share::new(8, 8);
+    assert!(passed(&mut fresh, 1_000, 1_001, whole) < 0.4 * QUOTA.burst);
+    let steps: f64 =
+        (0..30).map(|step| passed(&mut seasoned, 9_000 + step, 9_001 + step, whole)).sum();
+    assert!(steps >= QUOTA.burst, "{steps}");
+}
+
 /// The coordinator is lost in the middle of a window, and the next one does not
 /// know what was used.
 #[test]
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -228,7 +228,7 @@
             cx.add_stream(receive(inlets.store));
         }
         self.start_feed();
-        self.follow_own(cx);
+        self.follow_own();
         cx.run_interval(REVIEW_INTERVAL, Self::review);
         cx.run_interval(STATUS_INTERVAL, |control, _| {
             if control.desk.coordinator().is_some() {
@@ -279,7 +279,7 @@
 
 impl StreamHandler<SessionEvent> for FleetControl {
     fn handle(&mut self, event: SessionEvent, cx: &mut Self::Context) {
-        self.session_event(event, cx);
+        self.session_event(event);
         self.arm(cx);
     }
 
@@ -289,7 +289,7 @@
 impl StreamHandler<FeedNews> for FleetControl {
     fn handle(&mut self, news: FeedNews, cx: &mut Self::Context) {
         // News that the own feed had sent before it was stopped are still true.
-        self.store_news(news, cx);
+        self.store_news(news);
         self.arm(cx);
     }
 
@@ -307,10 +307,10 @@
 impl actix::Handler<BeginStop> for FleetControl {
     type Result = ();
 
-    fn handle(&mut self, _: BeginStop, cx: &mut Self::Context) {
+    fn handle(&mut self, _: BeginStop, _: &mut Self::Context) {
         self.stopping = true;
         self.tell_leaving();
-        self.choose_coordinator(cx);
+        self.choose_coordinator();
     }
 }
 
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use actix::Context;
 use comfreyway_core::{ids::HostId, time::MonoTime};
 use comfreyway_platform::Revision;
 
@@ -21,7 +20,7 @@
 
 impl FleetControl {
     /// Decides by this host's own coordinator from now on.
-    pub(super) fn follow_own(&mut self, _: &mut Context<Self>) {
+    pub(super) fn follow_own(&mut self) {
         let now = self.now();
         let mut actions = Vec::new();
         self.coordinator.host_joined(now, self.me.id.clone());
@@ -46,7 +45,7 @@
     /// is kept: each change costs the quotas' memory and asks for all requests
     /// again. Two groups of hosts find together because the younger of their
     /// coordinators asks the older one.
-    pub(super) fn choose_coordinator(&mut self, cx: &mut Context<Self>) {
+    pub(super) fn choose_coordinator(&mut self) {
         let now = self.now();
         self.suspects.retain(|_, until| now < *until);
         let kept = self.link.as_ref().filter(|link| self.desk.coordinator() == Some(&link.host));
@@ -59,14 +58,14 @@
             return;
         }
         self.link = None;
-        self.follow_own(cx);
+        self.follow_own();
         if let Some(member) = wanted {
             self.tell_leaving();
             self.dial(&member);
         }
     }
 
-    pub(super) fn session_event(&mut self, event: SessionEvent, cx: &mut Context<Self>) {
+    pub(super) fn session_event(&mut self, event: SessionEvent) {
         let now = self.now();
         match event {
             SessionEvent::HostUp(host, session, tx) => {
@@ -113,21 +112,21 @@
                 self.relayed_proof(&host, MonoTime::from_micros(sent), Revision(at), age);
             }
             SessionEvent::FromCoordinator(host, ToHost::All(items, at)) => {
-                self.relayed_all(&host, items, Revision(at), cx);
+                self.relayed_all(&host, items, Revision(at));
             }
             SessionEvent::FromCoordinator(host, ToHost::Changes(items, at)) => {
-                self.relayed_changes(&host, items, Revision(at), cx);
+                self.relayed_changes(&host, items, Revision(at));
             }
             SessionEvent::FromCoordinator(host, ToHost::Leaving) => {
                 self.suspects.insert(host, now + LEAVING_TIME);
-                self.choose_coordinator(cx);
+                self.choose_coordinator();
             }
             SessionEvent::CoordinatorDown(host) => {
                 if self.link.as_ref().is_some_and(|link| link.host == host) {
                     self.link = None;
                     self.suspects.insert(host, now + SUSPECT_TIME);
-                    self.follow_own(cx);
-                    self.choose_coordinator(cx);
+                    self.follow_own();
+                    self.choose_coordinator();
                 }
             }
         }
--- a/crates/node/src/fleet/control/relaying.rs
+++ b/crates/node/src/fleet/control/relaying.rs
@@ -6,7 +6,6 @@
 
 use std::time::Duration;
 
-use actix::Context;
 use comfreyway_core::{ids::HostId, time::MonoTime};
 use comfreyway_platform::{KvEvent, Revision, Versioned};
 
@@ -67,7 +66,7 @@
 
     /// Hands over to a host that reaches the store, if this one does not and
     /// most hosts have left it for that. The others can't know by themselves.
-    pub(super) fn review_role(&mut self, cx: &mut Context<Self>) {
+    pub(super) fn review_role(&mut self) {
         let now = self.now();
         let blind = now.since(self.knowledge.proven()) > BLIND_PROOF;
         let few = 2 * (self.hosts.len() + 1) <= self.members.len();
@@ -75,7 +74,7 @@
             log_event!(Event::CoordinatorBlind, host:% = self.me.id);
             self.suspects.insert(self.me.id.clone(), now + BLIND_TIME);
             self.tell_leaving();
-            self.choose_coordinator(cx);
+            self.choose_coordinator();
         }
     }
 
@@ -116,13 +115,7 @@
         }
     }
 
-    pub(super) fn relayed_all(
-        &mut self,
-        host: &HostId,
-        items: Vec<MirroredItem>,
-        at: Revision,
-        cx: &mut Context<Self>,
-    ) {
+    pub(super) fn relayed_all(&mut self, host: &HostId, items: Vec<MirroredItem>, at: Revision) {
         let mine = self.mirror.at();
         let Some(link) = self.link.as_mut().filter(|link| link.host == *host) else { return };
         if at < mine {
@@ -137,7 +130,7 @@
             KvEvent::Delete { .. } => None,
         });
         let items: Vec<Versioned> = items.collect();
-        self.store_news(FeedNews::All(items, at), cx);
+        self.store_news(FeedNews::All(items, at));
     }
 
     pub(super) fn relayed_changes(
@@ -145,12 +138,11 @@
         host: &HostId,
         items: Vec<MirroredItem>,
         at: Revision,
-        cx: &mut Context<Self>,
     ) {
         let link = self.link.as_ref().filter(|link| link.host == *host);
         if link.is_some_and(|link| link.relay == Relay::On) {
             let events = items.into_iter().map(KvEvent::from).collect();
-            self.store_news(FeedNews::Changes(events, at), cx);
+            self.store_news(FeedNews::Changes(events, at));
         }
     }
 
--- a/crates/node/src/fleet/control/store_news.rs
+++ b/crates/node/src/fleet/control/store_news.rs
@@ -18,7 +18,7 @@
 
 impl FleetControl {
     /// Takes in what the store, or the coordinator in its place, says.
-    pub(super) fn store_news(&mut self, news: FeedNews, cx: &mut Context<Self>) {
+    pub(super) fn store_news(&mut self, news: FeedNews) {
         let now = self.now();
         match news {
             FeedNews::All(items, at) => {
@@ -26,7 +26,7 @@
                     return;
                 }
                 self.mirror.replace(&items, at);
-                self.apply_all(&items, cx);
+                self.apply_all(&items);
                 self.pass_all_on();
             }
             FeedNews::Changes(mut events, at) => {
@@ -34,7 +34,7 @@
                 events.retain(|event| event.revision() > known);
                 self.mirror.change(&events, at);
                 for event in &events {
-                    self.apply_change(event, cx);
+                    self.apply_change(event);
                 }
                 self.pass_on(&events, at);
             }
@@ -51,7 +51,7 @@
         }
     }
 
-    fn apply_all(&mut self, items: &[Versioned], cx: &mut Context<Self>) {
+    fn apply_all(&mut self, items: &[Versioned]) {
         let keys = self.dialect.keys;
         if let Some(item) = items.iter().find(|item| item.key == keys.plan) {
             self.apply_plan(item);
@@ -65,10 +65,10 @@
         for item in items.iter().filter(|item| item.key.starts_with(keys.members)) {
             self.put_member(item);
         }
-        self.members_changed(cx);
+        self.members_changed();
     }
 
-    fn apply_change(&mut self, event: &KvEvent, cx: &mut Context<Self>) {
+    fn apply_change(&mut self, event: &KvEvent) {
         let keys = self.dialect.keys;
         if event.key().starts_with(keys.runners) {
             self.apply_runner(event);
@@ -81,7 +81,7 @@
                     }
                 }
             }
-            self.members_changed(cx);
+            self.members_changed();
         } else if let KvEvent::Put(item) = event
             && item.key == keys.plan
         {
@@ -117,7 +117,7 @@
         };
         let (now, mut out) = (self.now(), Vec::new());
         match entry {
-            Some(entry) => self.directory.put(now, entry, &mut out),
+            Some(entry) => self.directory.put(entry, &mut out),
             None => self.directory.vanish(now, &name, &mut out),
         }
         self.runner_news(out);
@@ -165,10 +165,10 @@
         }
     }
 
-    fn members_changed(&mut self, cx: &mut Context<Self>) {
+    fn members_changed(&mut self) {
         let others = self.members.keys().filter(|name| **name != self.me.id.name).count();
         self.coordinator.set_known_hosts(others + 1);
-        self.choose_coordinator(cx);
+        self.choose_coordinator();
     }
 
     fn member_name(&self, key: &str) -> Option<HostName> {
@@ -195,9 +195,9 @@
         let mut news = Vec::new();
         self.directory.tick(now, &mut news);
         self.runner_news(news);
-        self.choose_coordinator(cx);
+        self.choose_coordinator();
         self.review_feed();
-        self.review_role(cx);
+        self.review_role();
         self.arm(cx);
     }
 }
--- a/crates/node/src/fleet/front/event_buffer.rs
+++ b/crates/node/src/fleet/front/event_buffer.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+#[cfg(test)]
+mod tests;
+
 /// Holds back the bytes of an event until it is whole, so that a stream that
 /// breaks off can go on at an exact event.
 #[derive(Debug, Default)]
@@ -84,34 +87,3 @@
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn partial_events_are_held_back() {
-        let mut events = EventBuffer::default();
-        assert_eq!(events.push(b"id: 1\ndata: a\n"), "");
-        assert_eq!(events.push(b"\nid: 2\ndata"), "id: 1\ndata: a\n\n");
-        assert_eq!(events.last_id(), Some(1));
-        assert_eq!(events.rest(), "id: 2\ndata");
-    }
-
-    #[test]
-    fn a_resumed_run_repeats_no_event() {
-        let mut events = EventBuffer::default();
-        events.push(b"id: 1\n\nid: 2\n\nid: 3");
-        events.restart();
-        assert_eq!(events.push(b"id: 2\n\nid: 3\n\n"), "id: 3\n\n");
-        assert_eq!(events.events(), 3);
-    }
-
-    #[test]
-    fn line_ends_of_both_kinds_are_found_across_pieces() {
-        let mut events = EventBuffer::default();
-        assert_eq!(events.push(b"id: 7\r\n\r"), "");
-        assert_eq!(events.push(b"\nid: 8"), "id: 7\r\n\r\n");
-        assert_eq!(events.last_id(), Some(7));
-    }
-}
--- /dev/null
+++ b/crates/node/src/fleet/front/event_buffer/tests.rs
@@ -0,0 +1,29 @@
+//! Whole events only, and none twice.
+
+use super::*;
+
+#[test]
+fn partial_events_are_held_back() {
+    let mut events = EventBuffer::default();
+    assert_eq!(events.push(b"id: 1\ndata: a\n"), "");
+    assert_eq!(events.push(b"\nid: 2\ndata"), "id: 1\ndata: a\n\n");
+    assert_eq!(events.last_id(), Some(1));
+    assert_eq!(events.rest(), "id: 2\ndata");
+}
+
+#[test]
+fn a_resumed_run_repeats_no_event() {
+    let mut events = EventBuffer::default();
+    events.push(b"id: 1\n\nid: 2\n\nid: 3");
+    events.restart();
+    assert_eq!(events.push(b"id: 2\n\nid: 3\n\n"), "id: 3\n\n");
+    assert_eq!(events.events(), 3);
+}
+
+#[test]
+fn line_ends_of_both_kinds_are_found_across_pieces() {
+    let mut events = EventBuffer::default();
+    assert_eq!(events.push(b"id: 7\r\n\r"), "");
+    assert_eq!(events.push(b"\nid: 8"), "id: 7\r\n\r\n");
+    assert_eq!(events.last_id(), Some(7));
+}
