Leave most of the quotas' slack to changes of coordinator

Ruled out: first requests for free, quotas given back late. Change: 0.1 of the slack in a full bucket (0.35) and 0.1 over a window (0.25): one coordinator's bound is 1,020,000.

--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -21,10 +21,10 @@
 }
 
 /// Part of the slack that a full bucket holds besides its burst.
-const SLACK_IN_BUCKET: f64 = 0.35;
+const SLACK_IN_BUCKET: f64 = 0.1;
 
 /// Part of the slack that comes in evenly over a window.
-const SLACK_IN_RATE: f64 = 0.25;
+const SLACK_IN_RATE: f64 = 0.1;
 
 /// Part of the slack with which a bucket starts. A coordinator that takes over
 /// does not know what was used lately, and before it every host may have decided
