Wait for the log's last lines at the end of the process

Change: the end of the process waits for the queue, at most 200 ms. Tests: logging, the last of 1,000 lines is written; a reader that stopped holds up nothing for long.

--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -14,6 +14,7 @@
         mpsc::{SyncSender, TrySendError, sync_channel},
     },
     thread,
+    time::{Duration, Instant},
 };
 
 use crate::events::Event;
@@ -24,6 +25,12 @@
 /// Lines that wait from which on only important ones are taken.
 const USUAL_LINES: usize = QUEUE_LINES * 3 / 4;
 
+/// Longest wait for the queue at the end of the process.
+const DRAIN_TIME: Duration = Duration::from_millis(200);
+
+/// Time between two looks at the queue at the end of the process.
+const DRAIN_POLL: Duration = Duration::from_millis(1);
+
 /// Parts of a line that make it important.
 const IMPORTANT: [&[u8]; 3] = [b" WARN ", b" ERROR ", b"event=CF0502"];
 
@@ -36,6 +43,12 @@
 }
 
 impl QueueWriter {
+    /// The way to wait for the lines that it took.
+    #[must_use]
+    pub fn drain(&self) -> LogDrain {
+        LogDrain(self.waiting.clone())
+    }
+
     /// Starts a thread that writes to `out`.
     ///
     /// # Errors
@@ -51,14 +64,16 @@
         let writer = Self { tx, waiting: waiting.clone(), dropped: dropped.clone() };
         thread::Builder::new().name("log".to_owned()).spawn(move || {
             for line in rx {
-                waiting.fetch_sub(1, Ordering::Relaxed);
                 let lost = dropped.swap(0, Ordering::Relaxed);
                 // Nobody reads a log that can't be written.
                 let written = match lost {
                     0 => Ok(()),
                     lost => writeln!(out, "{}", dropped_line(lost)),
                 };
-                if written.and_then(|()| out.write_all(&line)).is_err() {
+                let written = written.and_then(|()| out.write_all(&line));
+                let written = written.and_then(|()| out.flush());
+                waiting.fetch_sub(1, Ordering::Relaxed);
+                if written.is_err() {
                     return;
                 }
             }
@@ -67,6 +82,21 @@
     }
 }
 
+/// Waits at the end of the process for the lines that are still in the queue.
+#[derive(Clone, Debug)]
+pub struct LogDrain(Arc<AtomicUsize>);
+
+impl LogDrain {
+    /// Waits until everything is written, but not without limit: nobody may
+    /// read the log.
+    pub fn wait(&self) {
+        let limit = Instant::now() + DRAIN_TIME;
+        while self.0.load(Ordering::Relaxed) > 0 && Instant::now() < limit {
+            thread::sleep(DRAIN_POLL);
+        }
+    }
+}
+
 fn dropped_line(lines: u64) -> String {
     let event = Event::LinesDropped;
     format!("{} {} event={} lines={lines}", event.level(), event.text(), event.code())
--- a/crates/node/src/run/main.rs
+++ b/crates/node/src/run/main.rs
@@ -20,13 +20,26 @@
 pub fn main(platform: FleetPlatform) -> ExitCode {
     let env = env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER);
     let mut log = env_logger::Builder::from_env(env);
-    match QueueWriter::start(std::io::stdout()) {
-        Ok(writer) => log.target(env_logger::Target::Pipe(Box::new(writer))).init(),
+    let drain = match QueueWriter::start(std::io::stdout()) {
+        Ok(writer) => {
+            let drain = writer.drain();
+            log.target(env_logger::Target::Pipe(Box::new(writer))).init();
+            Some(drain)
+        }
         Err(e) => {
             log.init();
             log::error!("the log is written without its queue: {e}");
+            None
         }
+    };
+    let code = run_command(platform);
+    if let Some(drain) = drain {
+        drain.wait();
     }
+    code
+}
+
+fn run_command(platform: FleetPlatform) -> ExitCode {
     let command = daemon_command().run();
     match prepare(&command) {
         Ok(Prepared::Print(text)) => {
--- a/crates/node/tests/logging.rs
+++ b/crates/node/tests/logging.rs
@@ -79,3 +79,27 @@
     let kept = written.lines().filter(|line| line.contains("number=")).count();
     assert_eq!(lines + kept, 20_000);
 }
+
+/// The last lines of a process once got lost with it.
+#[test]
+fn the_end_of_the_process_waits_for_the_last_lines() {
+    let out = Gated::default();
+    out.open();
+    let mut log = QueueWriter::start(out.clone()).unwrap();
+    let drain = log.drain();
+    for number in 0..1_000 {
+        log.write_all(format!("INFO line={number}\n").as_bytes()).unwrap();
+    }
+    drain.wait();
+    let written = String::from_utf8(out.0.state.lock().unwrap().written.clone()).unwrap();
+    assert!(written.ends_with("line=999\n"));
+}
+
+#[test]
+fn the_end_of_the_process_does_not_wait_for_a_reader_that_stopped() {
+    let out = Gated::default();
+    let mut log = QueueWriter::start(out.clone()).unwrap();
+    log.write_all(b"INFO never read\n").unwrap();
+    log.drain().wait();
+    out.open();
+}
