Let no share of a quota be used at two coordinators

Its buckets had filled for the whole cut at the rate of all hosts, while another coordinator granted the same workspace its burst; the hosts then ask the first again, which grants the burst once more. The same after a pause of the process (before it hears that its hosts have left) and for 1.5 s in which hosts that went silent were still counted. Change: hosts lend their share by lease (600 ms after the sending of the last sign of life, below the 700 ms after which a host decides alone); buckets fill by the shares lent at the time; what is not known after a share came is again unknown for a window.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -79,27 +79,42 @@
     }
 
     /// Hosts that the fleet has, for the share of those that ask.
-    pub fn set_known_hosts(&mut self, hosts: usize) {
+    pub fn set_known_hosts(&mut self, now: MonoTime, hosts: usize) {
         self.known_hosts = hosts;
+        self.quotas.set_known_hosts(now, hosts);
         self.update_share();
     }
 
-    /// A host asks this coordinator from now on.
+    /// This host asks its own coordinator from now on.
+    pub fn begin(&mut self, now: MonoTime, me: HostId) {
+        self.quotas.begin(now, me.clone());
+        self.note_asking(me);
+    }
+
+    /// Another host asks this coordinator from now on.
     pub fn host_joined(&mut self, now: MonoTime, host: HostId) {
-        if self.asking.is_empty() {
-            self.quotas.begin(now);
-        }
+        self.quotas.host_joined(now, host.clone());
+        self.note_asking(host);
+    }
+
+    fn note_asking(&mut self, host: HostId) {
         if self.asking.insert(host) {
             self.update_share();
         }
     }
 
+    /// A host has sent a sign of life. `sent` is a time of the host's own clock.
+    pub fn host_heard(&mut self, now: MonoTime, host: &HostId, sent: MonoTime) {
+        self.quotas.host_heard(now, host, sent);
+    }
+
     /// A host is gone or asks another coordinator.
     pub fn host_left(&mut self, now: MonoTime, host: &HostId, out: &mut Vec<(HostId, Tell)>) {
         if !self.asking.remove(host) {
             return;
         }
         self.open.retain(|_, open| open.host != *host);
+        self.quotas.host_left(now, host);
         self.update_share();
         for upstream in self.names() {
             self.rank(now, &upstream, out, |ranking, decisions| {
@@ -210,7 +225,7 @@
             }
         } else {
             let quota = self.quota(&record.workspace);
-            if let Err(wait) = self.quotas.take(now, &record.workspace, quota, share, cost) {
+            if let Err(wait) = self.quotas.take(now, &record.workspace, quota, cost) {
                 out.push((host.clone(), Tell::Refuse(id, NotRunReason::OverQuota, wait)));
                 return;
             }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -37,7 +37,7 @@
     member::{Member, elect},
     message::{Ask, Question, Tell},
     plan::{CallerLimits, Plan, Quota, Repeat, Route, UpstreamPlan, Workspace},
-    quota::{QuotaRule, Quotas},
+    quota::{QuotaRule, Quotas, SHARE_LEASE},
     ranking::{Decision, Failure, Ranking, RunnerState},
     runner::{RunnerEntry, RunnerKey},
     share::Share,
--- a/crates/core/tests/fleet/coordinator.rs
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -33,7 +33,7 @@
 fn coordinator() -> Coordinator {
     let mut coordinator = Coordinator::new(RETRIES, QuotaRule::default());
     coordinator.set_plan(plan(0.0));
-    coordinator.host_joined(at(0), host("h1"));
+    coordinator.begin(at(0), host("h1"));
     coordinator.runner_news(at(0), &RunnerNews::Up(entry("a", 1, false)), &mut Vec::new());
     coordinator
 }
@@ -51,7 +51,7 @@
 #[test]
 fn a_host_alone_of_four_uses_its_share_of_a_runner() {
     let mut coordinator = coordinator();
-    coordinator.set_known_hosts(4);
+    coordinator.set_known_hosts(at(0), 4);
     assert_eq!(grants(&mut coordinator, 0..5), 1);
     for name in ["h2", "h3", "h4"] {
         coordinator.host_joined(at(0), host(name));
--- a/crates/core/tests/fleet/quotas.rs
+++ b/crates/core/tests/fleet/quotas.rs
@@ -2,28 +2,58 @@
 
 use std::time::Duration;
 
-use comfreyway_core::fleet::{Quota, QuotaRule, Quotas, RetryBudget, RetryRule, Share};
+use comfreyway_core::{
+    fleet::{Quota, QuotaRule, Quotas, RetryBudget, RetryRule, Share},
+    ids::HostId,
+};
 
-use crate::support::at;
+use crate::support::{at, host};
 
 const RULE: QuotaRule = QuotaRule { overage: 0.1, slack: 190_000.0, window_s: 8.0 };
 const QUOTA: Quota =
     Quota { rate_per_s: 100_000.0, burst: 100_000.0, by_tokens: true, plain_cost: 200.0 };
 
-/// Quotas of a coordinator that takes over at this time.
-fn begun(ms: u64) -> Quotas {
-    let mut quotas = Quotas::new(RULE);
-    quotas.begin(at(ms));
-    quotas
+/// Quotas of a coordinator, and the hosts that ask it.
+struct Deciding {
+    quotas: Quotas,
+    others: Vec<HostId>,
+    /// When the others sent their last signs of life.
+    pinged_ms: u64,
+}
+
+impl Deciding {
+    /// Takes over at this time, for `hosts` of eight.
+    fn new(ms: u64, rule: QuotaRule, hosts: usize) -> Self {
+        let mut quotas = Quotas::new(rule);
+        quotas.set_known_hosts(at(ms), 8);
+        quotas.begin(at(ms), host("h0"));
+        let others: Vec<_> = (1..hosts).map(|number| host(&format!("h{number}"))).collect();
+        for other in &others {
+            quotas.host_joined(at(ms), other.clone());
+        }
+        Self { quotas, others, pinged_ms: ms }
+    }
+
+    fn begun(ms: u64, hosts: usize) -> Self {
+        Self::new(ms, RULE, hosts)
+    }
+
+    fn take(&mut self, ms: u64, quota: Quota, cost: f64) -> Result<(), Duration> {
+        while self.pinged_ms + 200 <= ms {
+            self.pinged_ms += 200;
+            for other in &self.others {
+                self.quotas.host_heard(at(self.pinged_ms), other, at(self.pinged_ms));
+            }
+        }
+        self.quotas.take(at(ms), &"desk".parse().unwrap(), quota, cost)
+    }
 }
 
 /// Tokens that pass in a window, when the workspace sends without end.
-fn passed(quotas: &mut Quotas, from_ms: u64, to_ms: u64, share: Share) -> f64 {
-    let workspace = "desk".parse().unwrap();
+fn passed(deciding: &mut Deciding, from_ms: u64, to_ms: u64) -> f64 {
     let times = from_ms..to_ms;
-    let takes = times.map(|ms| {
-        (0..4).filter(|_| quotas.take(at(ms), &workspace, QUOTA, share, 4_000.0).is_ok()).count()
-    });
+    let takes =
+        times.map(|ms| (0..4).filter(|_| deciding.take(ms, QUOTA, 4_000.0).is_ok()).count());
     takes.sum::<usize>() as f64 * 4_000.0
 }
 
@@ -34,29 +64,26 @@
 
 #[test]
 fn nothing_within_the_quota_is_refused() {
-    let mut quotas = Quotas::new(RULE);
-    let workspace = "desk".parse().unwrap();
+    let mut quotas = Deciding::begun(0, 8);
     for ms in (0..20_000).step_by(40) {
-        let taken = quotas.take(at(ms), &workspace, QUOTA, Share::new(8, 8), 4_000.0);
+        let taken = quotas.take(ms, QUOTA, 4_000.0);
         assert_eq!(taken, Ok(()), "at {ms} ms");
     }
 }
 
 /// Lets a quota fill up, and returns when it is full.
-fn quotas_after_rest(quotas: &mut Quotas) -> u64 {
-    passed(quotas, 0, 1, Share::new(8, 8));
+fn quotas_after_rest(quotas: &mut Deciding) -> u64 {
+    passed(quotas, 0, 1);
     10_000
 }
 
 /// A coordinator that has decided for a whole window knows what was used.
 #[test]
 fn a_workspace_that_comes_first_after_a_window_may_use_its_burst() {
-    let mut fresh = begun(0);
-    let mut seasoned = begun(0);
-    let whole = Share::new(8, 8);
-    assert!(passed(&mut fresh, 1_000, 1_001, whole) < 0.4 * QUOTA.burst);
-    let steps: f64 =
-        (0..30).map(|step| passed(&mut seasoned, 9_000 + step, 9_001 + step, whole)).sum();
+    let mut fresh = Deciding::begun(0, 8);
+    let mut seasoned = Deciding::begun(0, 8);
+    assert!(passed(&mut fresh, 1_000, 1_001) < 0.4 * QUOTA.burst);
+    let steps: f64 = (0..30).map(|step| passed(&mut seasoned, 9_000 + step, 9_001 + step)).sum();
     assert!(steps >= QUOTA.burst, "{steps}");
 }
 
@@ -64,10 +91,10 @@
 /// know what was used.
 #[test]
 fn the_sum_over_two_coordinators_in_turn_stays_within_the_allowance() {
-    let mut first = Quotas::new(RULE);
+    let mut first = Deciding::begun(0, 8);
     let nothing_before = quotas_after_rest(&mut first);
-    let before = passed(&mut first, nothing_before, nothing_before + 4_000, Share::new(8, 8));
-    let after = passed(&mut begun(14_000), 14_000, 18_000, Share::new(8, 8));
+    let before = passed(&mut first, nothing_before, nothing_before + 4_000);
+    let after = passed(&mut Deciding::begun(14_000, 8), 14_000, 18_000);
     assert!(before + after <= allowed(), "{} of {}", before + after, allowed());
 }
 
@@ -75,13 +102,13 @@
 /// the next coordinator does.
 #[test]
 fn the_sum_over_a_change_with_hosts_alone_meanwhile_stays_within_the_allowance() {
-    let mut first = Quotas::new(RULE);
+    let mut first = Deciding::begun(0, 8);
     let start = quotas_after_rest(&mut first);
-    let mut sum = passed(&mut first, start, start + 4_000, Share::new(8, 8));
+    let mut sum = passed(&mut first, start, start + 4_000);
     for _ in 0..8 {
-        sum += passed(&mut begun(14_000), 14_000, 14_300, Share::new(1, 8));
+        sum += passed(&mut Deciding::begun(14_000, 1), 14_000, 14_300);
     }
-    sum += passed(&mut begun(14_300), 14_300, 18_000, Share::new(8, 8));
+    sum += passed(&mut Deciding::begun(14_300, 8), 14_300, 18_000);
     assert!(sum <= allowed(), "{sum} of {}", allowed());
 }
 
@@ -90,70 +117,63 @@
 /// be a large one.
 #[test]
 fn the_sum_over_two_changes_with_large_requests_stays_within_the_allowance() {
-    let workspace = "desk".parse().unwrap();
     let alone = |ms: u64| -> f64 {
-        let taken = (0..8).filter(|_| {
-            begun(ms).take(at(ms), &workspace, QUOTA, Share::new(1, 8), 12_000.0).is_ok()
-        });
+        let taken = (0..8).filter(|_| Deciding::begun(ms, 1).take(ms, QUOTA, 12_000.0).is_ok());
         taken.count() as f64 * 12_000.0
     };
-    let mut first = Quotas::new(RULE);
+    let mut first = Deciding::begun(0, 8);
     let start = quotas_after_rest(&mut first);
-    let mut sum = passed(&mut first, start, start + 3_000, Share::new(8, 8));
+    let mut sum = passed(&mut first, start, start + 3_000);
     sum += alone(13_000);
-    sum += passed(&mut begun(13_000), 13_000, 15_000, Share::new(8, 8));
+    sum += passed(&mut Deciding::begun(13_000, 8), 13_000, 15_000);
     sum += alone(15_000);
-    sum += passed(&mut begun(15_000), 15_000, 18_000, Share::new(8, 8));
+    sum += passed(&mut Deciding::begun(15_000, 8), 15_000, 18_000);
     assert!(sum <= allowed(), "{sum} of {}", allowed());
 }
 
 /// Three of eight hosts are cut off from the rest.
 #[test]
 fn the_sum_over_hosts_that_lost_each_other_stays_within_the_allowance() {
-    let mut sum = passed(&mut begun(0), 0, 8_000, Share::new(5, 8));
+    let mut sum = passed(&mut Deciding::begun(0, 5), 0, 8_000);
     for _ in 0..3 {
-        sum += passed(&mut begun(0), 0, 8_000, Share::new(1, 8));
+        sum += passed(&mut Deciding::begun(0, 1), 0, 8_000);
     }
     assert!(sum <= allowed(), "{sum} of {}", allowed());
 }
 
 #[test]
 fn a_refusal_tells_when_the_quota_suffices() {
-    let mut quotas = Quotas::new(QuotaRule::default());
-    let workspace = "desk".parse().unwrap();
+    let mut quotas = Deciding::new(0, QuotaRule::default(), 8);
     let quota = Quota { rate_per_s: 10.0, burst: 100.0, ..QUOTA };
-    let whole = Share::new(1, 1);
-    assert_eq!(quotas.take(at(0), &workspace, quota, whole, 100.0), Ok(()));
-    let wait = quotas.take(at(0), &workspace, quota, whole, 50.0).unwrap_err();
+    assert_eq!(quotas.take(0, quota, 100.0), Ok(()));
+    let wait = quotas.take(0, quota, 50.0).unwrap_err();
     assert_eq!(wait, Duration::from_secs(5));
-    assert_eq!(quotas.take(at(5_000), &workspace, quota, whole, 50.0), Ok(()));
+    assert_eq!(quotas.take(5_000, quota, 50.0), Ok(()));
 }
 
 /// Requests of a burst wait, and are refused one after the other some seconds
 /// later, while others of the workspace run.
 #[test]
 fn what_is_refused_after_waiting_lets_no_others_run() {
-    let mut quotas = Quotas::new(RULE);
+    let mut quotas = Deciding::begun(0, 8);
     let workspace = "desk".parse().unwrap();
-    let whole = Share::new(8, 8);
-    let waited = passed(&mut quotas, 0, 5_000, whole);
+    let waited = passed(&mut quotas, 0, 5_000);
     let mut sum = 0.0;
     for ms in 5_000..13_000 {
-        quotas.give_back(at(ms), &workspace, waited / 8_000.0, at(ms - 5_000));
-        sum += passed(&mut quotas, ms, ms + 1, whole);
+        quotas.quotas.give_back(at(ms), &workspace, waited / 8_000.0, at(ms - 5_000));
+        sum += passed(&mut quotas, ms, ms + 1);
     }
     assert!(sum <= allowed(), "{sum} of {}", allowed());
 }
 
 #[test]
 fn what_was_not_run_goes_back_to_the_quota() {
-    let mut quotas = Quotas::new(QuotaRule::default());
+    let mut quotas = Deciding::new(0, QuotaRule::default(), 8);
     let workspace = "desk".parse().unwrap();
     let quota = Quota { rate_per_s: 1.0, burst: 100.0, ..QUOTA };
-    let whole = Share::new(1, 1);
-    quotas.take(at(0), &workspace, quota, whole, 100.0).unwrap();
-    quotas.give_back(at(0), &workspace, 100.0, at(0));
-    assert_eq!(quotas.take(at(0), &workspace, quota, whole, 100.0), Ok(()));
+    quotas.take(0, quota, 100.0).unwrap();
+    quotas.quotas.give_back(at(0), &workspace, 100.0, at(0));
+    assert_eq!(quotas.take(0, quota, 100.0), Ok(()));
 }
 
 #[test]
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -23,7 +23,7 @@
     pub(super) fn follow_own(&mut self) {
         let now = self.now();
         let mut actions = Vec::new();
-        self.coordinator.host_joined(now, self.me.id.clone());
+        self.coordinator.begin(now, self.me.id.clone());
         self.desk.follow(now, None, &mut actions);
         self.carry_out(actions, Vec::new());
     }
@@ -79,6 +79,7 @@
                 self.carry_out(Vec::new(), tells);
             }
             SessionEvent::FromHost(host, ToCoordinator::Ping(sent)) => {
+                self.coordinator.host_heard(now, &host, MonoTime::from_micros(sent));
                 let age = now.since(self.knowledge.proven());
                 self.send_to_host(&host, ToHost::Pong(sent, self.mirror.at().0, age));
             }
--- a/crates/node/src/fleet/sessions.rs
+++ b/crates/node/src/fleet/sessions.rs
@@ -7,7 +7,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use comfreyway_core::{
-    fleet::{Ask, Member, Tell},
+    fleet::{Ask, Member, SHARE_LEASE, Tell},
     ids::HostId,
 };
 use futures_util::{SinkExt, StreamExt};
@@ -37,6 +37,9 @@
 /// than a loaded host may take to answer, far shorter than a caller's target.
 const COORDINATOR_SILENCE: Duration = Duration::from_millis(700);
 
+// A host uses its share by itself only when its coordinator no longer may.
+const _: () = assert!(SHARE_LEASE.as_millis() < COORDINATOR_SILENCE.as_millis());
+
 /// Silence of a host after which its requests count as gone.
 const HOST_SILENCE: Duration = Duration::from_millis(1_500);
 
