Decide for a fleet without passing over all runners or all that waits

Cause: at the coordinator of the grown site a request cost as much as its queue times its runners: the backlog was summed over every waiting request, each time over every runner, at each arrival and refusal; each grant looked at all runners for each of 48 requests. Expected work is linear in prompt and length now, which is the same where a slow runner is slow at both.

--- a/crates/core/src/fleet/ranking/mod.rs
+++ b/crates/core/src/fleet/ranking/mod.rs
@@ -19,6 +19,7 @@
 mod placing;
 mod queue;
 mod refusing;
+mod roster;
 mod runner;
 mod state;
 
--- a/crates/core/src/fleet/ranking/placing.rs
+++ b/crates/core/src/fleet/ranking/placing.rs
@@ -4,7 +4,7 @@
 
 use crate::{ids::RunnerName, request::Target, time::MonoTime};
 
-use super::{Ranking, RunnerState, queue::Waiting, runner::FIXED_FIRST_US};
+use super::{Ranking, RunnerState, queue::Waiting, roster::WHOLE_WEIGHT, runner::FIXED_FIRST_US};
 
 /// Share of the target between tokens that prompts of others may take.
 const GAP_SHARE: f64 = 0.7;
@@ -13,10 +13,6 @@
 /// that are prefilled between two of its events.
 const EVENT_STEPS: f64 = 3.0;
 
-/// Weight of the time that a request keeps its place, against the time to its
-/// start: a place that is free again sooner serves the next request.
-const WHOLE_WEIGHT: f64 = 0.1;
-
 /// Where a request can go now.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Place {
@@ -24,9 +20,9 @@
     InTime(RunnerName),
     /// This runner, too late for the target.
     Late(RunnerName),
-    /// No runner now, but one that is busy could still meet the target.
+    /// This or no runner now, but a busy one could still meet the target.
     Later,
-    /// No runner has a place.
+    /// No runner has a place for it.
     None,
 }
 
@@ -37,16 +33,14 @@
         let left = waiting.times.due.since(now).as_micros() as f64;
         let mut best: Option<(f64, bool, &RunnerName)> = None;
         let mut could_later = false;
-        let others = self
-            .runners
-            .iter()
-            .any(|(name, runner)| runner.is_usable(now) && waiting.avoid.as_ref() != Some(name));
-        let avoid = waiting.avoid.as_ref().filter(|_| others);
-        for (name, runner) in self.runners.iter().filter(|(name, _)| Some(*name) != avoid) {
+        let avoid = waiting.avoid.as_ref();
+        let others = || self.runners.free(now).chain(self.runners.full(now));
+        let avoid = avoid.filter(|avoid| others().any(|(name, _)| name != *avoid));
+        for (name, runner) in self.runners.free(now).filter(|(name, _)| Some(*name) != avoid) {
             let first = self.first_us(runner, waiting);
             let in_time = first <= left;
-            if !runner.has_place(now) || !self.spares_others(runner, waiting) {
-                could_later |= in_time && runner.is_usable(now);
+            if !self.spares_others(runner, waiting) {
+                could_later |= in_time;
                 continue;
             }
             let whole = if self.engine { runner.decode_us() * length } else { 0.0 };
@@ -58,11 +52,12 @@
                 best = Some((cost, in_time, name));
             }
         }
+        let busy = |(_, runner): (_, &RunnerState)| self.first_us(runner, waiting) <= left;
         match best {
             Some((_, true, name)) => Place::InTime(name.clone()),
-            Some((_, false, _)) if could_later && !waiting.late => Place::Later,
+            Some((_, false, name)) if waiting.late => Place::Late(name.clone()),
+            Some(_) if could_later || self.runners.full(now).any(busy) => Place::Later,
             Some((_, false, name)) => Place::Late(name.clone()),
-            None if could_later => Place::Later,
             None => Place::None,
         }
     }
@@ -70,8 +65,7 @@
     /// Expected time to the first token, or to the answer of a plain service.
     fn first_us(&self, runner: &RunnerState, waiting: &Waiting) -> f64 {
         if !self.engine {
-            let load = runner.in_progress() as f64 / f64::from(runner.places.max(1));
-            return runner.service_us() * (1.0 + load);
+            return runner.service_us() * (1.0 + runner.load());
         }
         let tokens = runner.pending_prompt + waiting.record.prefill_tokens;
         FIXED_FIRST_US + runner.prefill_us() * f64::from(tokens)
@@ -92,12 +86,12 @@
     }
 
     /// Least time to the first token at any runner that is usable.
-    pub(super) fn least_first(&self, now: MonoTime, prompt: u32) -> Duration {
-        let usable = self.runners.values().filter(|runner| runner.is_usable(now));
-        let us = usable.map(|runner| match self.engine {
-            true => FIXED_FIRST_US + runner.prefill_us() * f64::from(prompt),
-            false => runner.service_us(),
-        });
-        Duration::from_micros(us.fold(f64::INFINITY, f64::min).min(1e9) as u64)
+    pub(super) fn least_first(&self, prompt: u32) -> Duration {
+        let sums = self.runners.sums();
+        let us = match self.engine {
+            true => FIXED_FIRST_US + sums.least_prefill_us * f64::from(prompt),
+            false => sums.least_service_us,
+        };
+        Duration::from_micros(us.min(1e9) as u64)
     }
 }
--- a/crates/core/src/fleet/ranking/queue.rs
+++ b/crates/core/src/fleet/ranking/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    ids::{HostId, RequestId, RunnerName, Tier},
+    ids::{ClassName, HostId, RequestId, RunnerName, Tier},
     request::RequestRecord,
     time::MonoTime,
 };
@@ -38,6 +38,9 @@
 pub(super) struct Queue {
     waiting: BTreeMap<RequestId, Waiting>,
     order: BTreeSet<(Order, RequestId)>,
+    expiring: BTreeSet<(MonoTime, RequestId)>,
+    /// Requests and their prompt tokens together.
+    sums: BTreeMap<(Tier, ClassName), (usize, u64)>,
     next_number: u64,
 }
 
@@ -61,6 +64,10 @@
         self.next_number += 1;
         let id = record.id;
         let order = (record.tier, false, rank_by, self.next_number);
+        let sum = self.sums.entry((record.tier, record.class.clone())).or_default();
+        sum.0 += 1;
+        sum.1 += u64::from(record.prefill_tokens);
+        self.expiring.insert((times.refuse_at, id));
         let waiting = Waiting { record, times, avoid, late: false, order };
         self.order.insert((order, id));
         self.waiting.insert(id, waiting);
@@ -69,9 +76,33 @@
     pub(super) fn remove(&mut self, id: RequestId) -> Option<Waiting> {
         let waiting = self.waiting.remove(&id)?;
         self.order.remove(&(waiting.order, id));
+        self.expiring.remove(&(waiting.times.refuse_at, id));
+        let kind = (waiting.record.tier, waiting.record.class.clone());
+        if let Some(sum) = self.sums.get_mut(&kind) {
+            sum.0 -= 1;
+            sum.1 -= u64::from(waiting.record.prefill_tokens);
+            if sum.0 == 0 {
+                self.sums.remove(&kind);
+            }
+        }
         Some(waiting)
     }
 
+    /// Takes out a request that has waited as long as it may.
+    pub(super) fn take_expired(&mut self, now: MonoTime) -> Option<Waiting> {
+        let (refuse_at, id) = *self.expiring.first()?;
+        if refuse_at > now {
+            return None;
+        }
+        self.remove(id)
+    }
+
+    /// Tier and class with the number of waiting requests and their prompt
+    /// tokens together.
+    pub(super) fn sums(&self) -> impl Iterator<Item = (Tier, &ClassName, usize, u64)> {
+        self.sums.iter().map(|((tier, class), (count, prompt))| (*tier, class, *count, *prompt))
+    }
+
     /// The request can't meet its target any more.
     pub(super) fn mark_late(&mut self, id: RequestId) {
         let Some(waiting) = self.waiting.get_mut(&id).filter(|waiting| !waiting.late) else {
@@ -89,10 +120,6 @@
         ids.filter_map(|id| self.waiting.get(&id).map(|waiting| (id, waiting)))
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = (RequestId, &Waiting)> {
-        self.waiting.iter().map(|(id, waiting)| (*id, waiting))
-    }
-
     /// Requests of a host that is gone.
     pub(super) fn of_host(&self, host: &HostId) -> Vec<RequestId> {
         let own = self.waiting.iter().filter(|(_, waiting)| waiting.record.entry == *host);
--- a/crates/core/src/fleet/ranking/refusing.rs
+++ b/crates/core/src/fleet/ranking/refusing.rs
@@ -40,16 +40,14 @@
     /// Expected time until the requests of this tier and of higher ones that
     /// wait now are started.
     pub(super) fn backlog(&self, tier: Tier) -> Duration {
-        let ahead = self.queue.iter().filter(|(_, waiting)| waiting.record.tier <= tier);
+        let ahead = self.queue.sums().filter(|(of, ..)| *of <= tier);
         let work: f64 = ahead
-            .map(|(_, waiting)| {
-                let length = self.expected_length(&waiting.record.class);
-                self.expected_time(waiting.record.prefill_tokens, length).as_secs_f64()
+            .map(|(_, class, count, prompt)| {
+                self.expected_us(count as f64, prompt as f64, self.expected_length(class))
             })
             .sum();
-        let places: u32 =
-            self.runners.values().filter(|runner| !runner.leaving).map(|r| r.places).sum();
-        Duration::from_secs_f64(work / f64::from(places.max(1)))
+        let places = self.runners.sums().places.max(1);
+        Duration::from_micros((work / f64::from(places)) as u64)
     }
 
     /// The time after which a request may come again, if it has to be refused
@@ -73,8 +71,7 @@
     }
 
     fn usable_places(&self) -> usize {
-        let usable = self.runners.values().filter(|runner| !runner.leaving);
-        usable.map(|runner| runner.places as usize).sum::<usize>() / QUEUE_DIVISOR
+        self.runners.sums().places as usize / QUEUE_DIVISOR
     }
 
     /// When a request that waits is refused.
--- a/crates/core/src/fleet/ranking/runner.rs
+++ b/crates/core/src/fleet/ranking/runner.rs
@@ -93,9 +93,18 @@
     }
 
     pub(super) fn has_place(&self, now: MonoTime) -> bool {
+        self.is_usable(now) && !self.is_full()
+    }
+
+    pub(super) fn is_full(&self) -> bool {
         // After failures in a row, one request tries whether it works again.
         let places = if self.failures > 1 { 1 } else { self.places };
-        self.is_usable(now) && self.flights.len() < places as usize
+        self.flights.len() >= places as usize
+    }
+
+    /// Part of the places that are taken.
+    pub(super) fn load(&self) -> f64 {
+        self.flights.len() as f64 / f64::from(self.places.max(1))
     }
 
     pub(super) fn prefill_us(&self) -> f64 {
--- a/crates/core/src/fleet/ranking/state.rs
+++ b/crates/core/src/fleet/ranking/state.rs
@@ -14,6 +14,7 @@
     ewma::Ewma,
     placing::Place,
     queue::{Queue, Times},
+    roster::Roster,
 };
 
 /// Waiting requests that are looked at for one free place.
@@ -47,7 +48,7 @@
 pub struct Ranking {
     pub(super) engine: bool,
     pub(super) chunk_tokens: f64,
-    pub(super) runners: BTreeMap<RunnerName, RunnerState>,
+    pub(super) runners: Roster,
     pub(super) queue: Queue,
     pub(super) flights: BTreeMap<RequestId, Granted>,
     pub(super) lengths: BTreeMap<ClassName, Ewma>,
@@ -57,10 +58,12 @@
     /// A ranking without runners. `engine` is true for model engines.
     #[must_use]
     pub fn new(engine: bool) -> Self {
+        let mut runners = Roster::default();
+        runners.set_engine(engine);
         Self {
             engine,
             chunk_tokens: CHUNK_TOKENS,
-            runners: BTreeMap::new(),
+            runners,
             queue: Queue::default(),
             flights: BTreeMap::new(),
             lengths: BTreeMap::new(),
@@ -70,12 +73,12 @@
     /// What the operators say of the upstream.
     pub fn set_engine(&mut self, engine: bool) {
         self.engine = engine;
+        self.runners.set_engine(engine);
     }
 
-    /// Runners by name.
-    #[must_use]
-    pub fn runners(&self) -> &BTreeMap<RunnerName, RunnerState> {
-        &self.runners
+    /// The runners, by name.
+    pub fn runners(&self) -> impl Iterator<Item = (&RunnerName, &RunnerState)> {
+        self.runners.iter()
     }
 
     /// Requests that wait.
@@ -86,9 +89,7 @@
 
     /// A runner joined, or its description changed.
     pub fn runner_up(&mut self, name: RunnerName, places: u32, leaving: bool) {
-        let runner = self.runners.entry(name).or_insert_with(|| RunnerState::new(places));
-        runner.places = places;
-        runner.leaving = leaving;
+        self.runners.up(name, places, leaving);
     }
 
     /// A runner is gone.
@@ -106,6 +107,7 @@
         avoid: Option<RunnerName>,
         out: &mut Vec<Decision>,
     ) {
+        self.runners.refresh(now);
         let id = record.id;
         if self.queue.contains(id) || self.flights.contains_key(&id) {
             return;
@@ -135,11 +137,10 @@
         out: &mut Vec<Decision>,
     ) {
         let Some(granted) = self.release(id) else { return };
-        if let Some(runner) = self.runners.get_mut(&granted.runner)
-            && let Some(failure) = failure
-        {
-            runner.fail(now, failure);
+        if let Some(failure) = failure {
+            self.runners.change(&granted.runner, |runner| runner.fail(now, failure));
         }
+        self.runners.refresh(now);
         let avoid = failure.is_some().then_some(granted.runner);
         self.enqueue(now, granted.record, granted.until, avoid);
         self.grant(now, out);
@@ -165,10 +166,10 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
+        self.runners.refresh(now);
         self.grant(now, out);
-        let expired = self.queue.iter().filter(|(_, waiting)| now >= waiting.times.refuse_at);
-        for id in expired.map(|(id, _)| id).collect::<Vec<_>>() {
-            let Some(waiting) = self.queue.remove(id) else { continue };
+        while let Some(waiting) = self.queue.take_expired(now) {
+            let id = waiting.record.id;
             let wait = self.backlog(waiting.record.tier);
             let after = self.retry_after(wait, waiting.times.until.since(now));
             let reason = match self.runners.is_empty() {
@@ -193,7 +194,7 @@
         avoid: Option<RunnerName>,
     ) {
         let due = now + record.target.limit().saturating_sub(record.age);
-        let rank_by = due - self.least_first(now, record.prefill_tokens);
+        let rank_by = due - self.least_first(record.prefill_tokens);
         let refuse_at = Self::hold_until(now, &record, until.since(now));
         let times = Times { due, until, refuse_at };
         self.queue.insert(record, times, rank_by, avoid);
@@ -209,9 +210,7 @@
     }
 
     fn next_grant(&mut self, now: MonoTime) -> Option<(RequestId, RunnerName)> {
-        if !self.runners.values().any(|runner| runner.has_place(now)) {
-            return None;
-        }
+        self.runners.free(now).next()?;
         let mut late = Vec::new();
         let mut found = None;
         for (id, waiting) in self.queue.first(LOOK_AHEAD) {
@@ -237,17 +236,14 @@
     }
 
     fn start(&mut self, now: MonoTime, record: RequestRecord, name: RunnerName, until: MonoTime) {
-        if let Some(runner) = self.runners.get_mut(&name) {
-            runner.start(now, record.id, record.prefill_tokens);
-        }
+        let (id, prompt) = (record.id, record.prefill_tokens);
+        self.runners.change(&name, |runner| runner.start(now, id, prompt));
         self.flights.insert(record.id, Granted { record, runner: name, until });
     }
 
     fn release(&mut self, id: RequestId) -> Option<Granted> {
         let granted = self.flights.remove(&id)?;
-        if let Some(runner) = self.runners.get_mut(&granted.runner) {
-            runner.end(id);
-        }
+        self.runners.change(&granted.runner, |runner| runner.end(id));
         Some(granted)
     }
 }
@@ -255,9 +251,9 @@
 impl std::fmt::Display for Ranking {
     /// One line for a log: what waits, and each runner with its load and rates.
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let busy: usize = self.runners.values().map(RunnerState::in_progress).sum();
+        let busy: usize = self.runners.iter().map(|(_, runner)| runner.in_progress()).sum();
         write!(f, "{} wait, {busy} in progress;", self.queue.len())?;
-        for (name, runner) in &self.runners {
+        for (name, runner) in self.runners.iter() {
             let (load, places) = (runner.in_progress(), runner.places);
             let (prefill, decode) = (runner.prefill_us(), runner.decode_us());
             write!(f, " {name} {load}/{places} {prefill:.0}/{decode:.0} us")?;
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -78,6 +78,7 @@
     pub(super) workers: UnboundedReceiver<WorkerMessage>,
     pub(super) sessions: UnboundedReceiver<SessionEvent>,
     pub(super) store: UnboundedReceiver<FeedNews>,
+    pub(super) outlets: Outlets,
 }
 
 /// Holds the state of all decisions of this host.
@@ -123,15 +124,14 @@
         coordinator: Coordinator,
         metrics: FleetMetrics,
         inlets: Inlets,
-        outlets: Outlets,
     ) -> Self {
         Self {
             me,
             dialect,
             knowledge,
             store,
-            store_tx: outlets.store,
-            session_tx: outlets.sessions,
+            store_tx: inlets.outlets.store.clone(),
+            session_tx: inlets.outlets.sessions.clone(),
             inlets: Some(inlets),
             directory: RunnerDirectory::default(),
             desk: Desk::default(),
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -103,8 +103,8 @@
     let (workers_tx, workers) = unbounded_channel();
     let (session_tx, sessions) = unbounded_channel();
     let (store_tx, store_news) = unbounded_channel();
-    let inlets = Inlets { workers, sessions, store: store_news };
     let outlets = Outlets { store: store_tx, sessions: session_tx.clone() };
+    let inlets = Inlets { workers, sessions, store: store_news, outlets };
     let control = FleetControl::new(
         me.clone(),
         platform.dialect,
@@ -113,7 +113,6 @@
         Coordinator::new(fleet.retry, fleet.quotas),
         fleet_metrics.clone(),
         inlets,
-        outlets,
     )
     .start();
 
--- a/crates/node/src/metrics/fleet.rs
+++ b/crates/node/src/metrics/fleet.rs
@@ -158,9 +158,8 @@
         for (upstream, ranking) in rankings {
             silent.remove(upstream);
             known.insert(upstream.clone());
-            let runners = ranking.runners().values();
-            let places = runners.clone().map(|runner| u64::from(runner.places)).sum();
-            let busy = runners.map(|runner| runner.in_progress() as u64).sum();
+            let places = ranking.runners().map(|(_, runner)| u64::from(runner.places)).sum();
+            let busy = ranking.runners().map(|(_, runner)| runner.in_progress() as u64).sum();
             self.set_load(upstream, ranking.waiting() as u64, busy, places);
         }
         for upstream in silent {
