Let one of the strongest hosts coordinate, and play faults one upon the other

A host tells its share of a processor in its entry; of those with most (by doubling), the one that has run longest coordinates.

--- a/crates/core/src/fleet/ranking/learning.rs
+++ b/crates/core/src/fleet/ranking/learning.rs
@@ -57,14 +57,13 @@
                 DispatchEnd::Cancelled => {}
             }
         });
-        if let DispatchEnd::Complete(usage) = end {
-            if engine
-                && (self.lengths.len() < MAX_CLASSES
-                    || self.lengths.contains_key(&granted.record.class))
-            {
-                let length = self.lengths.entry(granted.record.class).or_default();
-                length.observe(f64::from(usage.decode_tokens));
-            }
+        if let DispatchEnd::Complete(usage) = end
+            && engine
+            && (self.lengths.len() < MAX_CLASSES
+                || self.lengths.contains_key(&granted.record.class))
+        {
+            let length = self.lengths.entry(granted.record.class).or_default();
+            length.observe(f64::from(usage.decode_tokens));
         }
     }
 
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -91,6 +91,7 @@
         id: HostId { name: settings.name.clone(), incarnation: incarnation_now() },
         address: settings.listen.peers,
         token: rand::random(),
+        millicores: (settings.processor * 1_000.0) as u32,
     };
     let fleet_metrics = {
         let knowledge = knowledge.clone();
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -40,6 +40,13 @@
     spec("host", "name", None, "name", "Name of this host. Unique among all hosts."),
     spec("host", "data-centre", None, "name", "Data centre that this host stands in."),
     spec("host", "workers", Some("2"), COUNT, "Threads that carry callers' traffic."),
+    spec(
+        "host",
+        "processor",
+        Some("1"),
+        NUMBER,
+        "Cores, or part of one, that this host may use. In a fleet, one of the hosts\nwith most coordinates.",
+    ),
     spec("listen", "callers", Some("127.0.0.1:8080"), ADDRESS, "Address for callers."),
     spec("listen", "peers", Some("127.0.0.1:8081"), ADDRESS, "Address for other daemons."),
     spec("listen", "operators", Some("127.0.0.1:8082"), ADDRESS, "Address for operators."),
--- a/crates/node/src/settings/process.rs
+++ b/crates/node/src/settings/process.rs
@@ -26,6 +26,8 @@
     pub data_centre: DataCentreName,
     /// Number of threads that carry callers' traffic.
     pub workers: usize,
+    /// Cores, or part of one, that this host may use.
+    pub processor: f64,
     /// Addresses that the process listens on.
     pub listen: Listen,
     /// Secret of the peers' and operators' ports.
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -39,6 +39,7 @@
         name: source.value("host", "name")?,
         data_centre: source.value("host", "data-centre")?,
         workers: source.value::<Count>("host", "workers")?.0,
+        processor: source.value("host", "processor")?,
         listen: Listen {
             callers: source.value("listen", "callers")?,
             peers: source.value("listen", "peers")?,
--- a/crates/testkit/src/daemon/process.rs
+++ b/crates/testkit/src/daemon/process.rs
@@ -124,6 +124,11 @@
         status.await.ok_or_else(late)
     }
 
+    /// True if the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// What the daemon has logged so far.
     #[must_use]
     pub fn log(&self) -> String {
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -6,4 +6,5 @@
 mod requests;
 mod runners;
 mod site;
+mod soak;
 mod stopping;
--- a/tests/testsuite/fleet/site.rs
+++ b/tests/testsuite/fleet/site.rs
@@ -1,6 +1,6 @@
 //! A store, runners and daemons of one test.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use awc::Client;
 use comfreyway_testkit::{
@@ -68,10 +68,7 @@
     }
 
     pub(super) fn put_runner(&self, runner: &FleetRunner, upstream: &str, state: &str) {
-        let entry = json!({
-            "service": upstream, "address": runner.address().to_string(), "zone": "medeu",
-            "version": "v1", "slots": 2, "state": state, "coldLeftMs": 0, "seq": 1,
-        });
+        let entry = runner_entry(runner.address(), upstream, state);
         let key = format!("servers/{}", runner.name());
         self.store.put(&key, entry.to_string().as_bytes());
     }
@@ -87,6 +84,14 @@
     }
 }
 
+/// The entry of a runner in the store.
+pub(super) fn runner_entry(address: SocketAddr, upstream: &str, state: &str) -> Value {
+    json!({
+        "service": upstream, "address": address.to_string(), "zone": "medeu",
+        "version": "v1", "slots": 2, "state": state, "coldLeftMs": 0, "seq": 1,
+    })
+}
+
 /// The configuration of the tests: a plain service `survey` and an engine
 /// `dala`.
 pub(super) fn configuration(version: u64) -> Value {
