--- a/tests/testsuite/fleet/soak.rs
+++ b/tests/testsuite/fleet/soak.rs
@@ -116,8 +116,11 @@
         if upstream == "survey" { RunnerManner::Whole } else { RunnerManner::Stream(EVENTS) }
     }
 
-    fn signal(&self, host: usize, signal: Signal) {
-        if let Some(host) = &self.hosts[host] {
+    fn signal(&mut self, host: usize, signal: Signal) {
+        // One that has ended after its planned stop gets none.
+        if let Some(host) = &mut self.hosts[host]
+            && !host.has_ended()
+        {
             host.signal(signal).unwrap();
         }
     }
