Keep classes and pools in the platform's store; remove the etcd gateway and the host list

Cause: the users' platform has neither; its store gives conditional writes, leases, watches, and entries of runners that tell which are draining. A second client, stand-in and settings were code that nobody runs. Ruled out: removing the product's own interface over several hosts with them; its tests have a subject still and now run against the store's stand-in. Change: KeyValue and HostList over the one store client (platform/); one stand-in of the store with rates, delays, lost replies that are done later, cuts, silence and compaction; kind = etcd becomes kind = store with configuration = own. Tests removed with their subject: the gateway's messages (platform tests/wire), the host list's own client (testkit tests/hosts), several gateways asked in turn. A 503 is now certainly not done, and tested as such; late writes are new.

--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -8,7 +8,7 @@
     fleet::{Coordinator, Member},
     ids::HostId,
 };
-use comfreyway_platform::Store;
+use comfreyway_platform::{HostList, KeyValue, Store};
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     sync::{
@@ -54,13 +54,18 @@
 /// Time for the store to take this host's entry out.
 const DEREGISTER_TIME: Duration = Duration::from_millis(500);
 
-/// A platform that hosts whole fleets.
+/// A platform that hosts whole fleets. Its store also serves the product's own
+/// interface.
 #[derive(Clone, Copy)]
 pub struct FleetPlatform {
     /// Its names and formats.
     pub dialect: Dialect,
     /// Makes a client of its store at this address, on the calling thread.
     pub connect: fn(SocketAddr) -> Rc<dyn Store>,
+    /// The same as a key-value service.
+    pub key_value: fn(SocketAddr) -> Rc<dyn KeyValue>,
+    /// The runners in the store, as a list that tells which are leaving.
+    pub host_list: fn(SocketAddr) -> Rc<dyn HostList>,
 }
 
 /// Runs a host until it is told to stop.
@@ -95,9 +100,7 @@
     };
     let fleet_metrics = {
         let knowledge = knowledge.clone();
-        FleetMetrics::new(&metrics.meter(), metrics.traffic().clone(), move || {
-            knowledge.clock.now().since(knowledge.proven())
-        })
+        metrics.fleet(move || knowledge.clock.now().since(knowledge.proven()))
     };
     let store = (platform.connect)(fleet.store);
     let store: Rc<dyn Store> = Rc::new(CountedStore::new(store, fleet_metrics.clone()));
--- a/crates/node/src/metrics/fleet.rs
+++ b/crates/node/src/metrics/fleet.rs
@@ -25,23 +25,29 @@
 
 /// What a request's times are told apart by.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct RequestLabels<'a> {
-    pub(crate) class: &'a ClassName,
-    pub(crate) tier: Tier,
-    pub(crate) upstream: &'a UpstreamName,
+pub struct RequestLabels<'a> {
+    /// Class of the request.
+    pub class: &'a ClassName,
+    /// Its tier, that of its workspace included.
+    pub tier: Tier,
+    /// The upstream that ran it.
+    pub upstream: &'a UpstreamName,
 }
 
 /// Times of an answered request since its arrival.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct RequestTimes {
-    pub(crate) waited: Duration,
-    pub(crate) first_byte: Duration,
-    pub(crate) whole: Duration,
+pub struct RequestTimes {
+    /// To the last dispatch.
+    pub waited: Duration,
+    /// To the first byte of the answer.
+    pub first_byte: Duration,
+    /// To the answer's end.
+    pub whole: Duration,
 }
 
 /// Instruments of a host that serves a fleet. Cheap to clone.
 #[derive(Clone, Debug)]
-pub(crate) struct FleetMetrics {
+pub struct FleetMetrics {
     traffic: TrafficMetrics,
     streams_cut: Counter<u64>,
     abandoned: Counter<u64>,
@@ -56,7 +62,7 @@
 impl FleetMetrics {
     /// Adds the instruments to a meter. `proof_age` gives the age of the proof
     /// that the configuration is the newest.
-    pub(crate) fn new<F>(meter: &Meter, traffic: TrafficMetrics, proof_age: F) -> Self
+    pub(super) fn new<F>(meter: &Meter, traffic: TrafficMetrics, proof_age: F) -> Self
     where
         F: Fn() -> Duration + Send + Sync + 'static,
     {
@@ -102,11 +108,14 @@
         for stage in ["waiting", "sent"] {
             metrics.abandoned.add(0, &[KeyValue::new("stage", stage)]);
         }
+        for reason in ["time-limit", "runner-broke"] {
+            metrics.streams_cut.add(0, &[KeyValue::new("reason", reason)]);
+        }
         metrics
     }
 
     /// Counts a request that was answered whole.
-    pub(crate) fn answered(&self, labels: RequestLabels<'_>, times: RequestTimes) {
+    pub fn answered(&self, labels: RequestLabels<'_>, times: RequestTimes) {
         let labels_of = [
             KeyValue::new("class", labels.class.as_str().to_owned()),
             KeyValue::new("tier", i64::from(labels.tier.0)),
@@ -117,39 +126,39 @@
     }
 
     /// Counts a request that was not run.
-    pub(crate) fn not_run(&self, reason: NotRunReason) {
+    pub fn not_run(&self, reason: NotRunReason) {
         self.traffic.not_run(reason);
     }
 
     /// Counts a request of unknown outcome.
-    pub(crate) fn unknown(&self, reason: UnknownReason) {
+    pub fn unknown(&self, reason: UnknownReason) {
         self.traffic.unknown(reason);
     }
 
     /// Counts a grant that was not used.
-    pub(crate) fn retried(&self, reason: RetryReason) {
+    pub fn retried(&self, reason: RetryReason) {
         self.traffic.retried(reason);
     }
 
     /// Counts a stream whose caller saw no end.
-    pub(crate) fn stream_cut(&self, reason: &'static str) {
+    pub fn stream_cut(&self, reason: &'static str) {
         self.streams_cut.add(1, &[KeyValue::new("reason", reason)]);
     }
 
     /// Counts a request whose caller left.
-    pub(crate) fn abandoned(&self, stage: &'static str) {
+    pub fn abandoned(&self, stage: &'static str) {
         self.abandoned.add(1, &[KeyValue::new("stage", stage)]);
     }
 
     /// Counts a call to the store.
-    pub(crate) fn store_call(&self, kind: &'static str, outcome: &'static str) {
+    pub fn store_call(&self, kind: &'static str, outcome: &'static str) {
         let labels = [KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)];
         self.store_calls.add(1, &labels);
     }
 
     /// Records the load of the upstreams that this host coordinates. What it
     /// coordinates no more is at zero.
-    pub(crate) fn load<'a, I>(&self, rankings: I)
+    pub fn load<'a, I>(&self, rankings: I)
     where
         I: Iterator<Item = (&'a UpstreamName, &'a Ranking)>,
     {
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -9,8 +9,10 @@
 mod registry;
 mod traffic;
 
-pub(crate) use self::{
-    control_probe::probe_control,
+pub(crate) use self::control_probe::probe_control;
+pub use self::{
+    error::MetricsError,
     fleet::{FleetMetrics, RequestLabels, RequestTimes},
+    registry::Metrics,
+    traffic::TrafficMetrics,
 };
-pub use self::{error::MetricsError, registry::Metrics, traffic::TrafficMetrics};
--- a/crates/node/src/metrics/registry.rs
+++ b/crates/node/src/metrics/registry.rs
@@ -1,10 +1,12 @@
 //! The registry of all metrics of one process.
 
+use std::time::Duration;
+
 use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use super::{MetricsError, TrafficMetrics};
+use super::{FleetMetrics, MetricsError, TrafficMetrics};
 
 /// Name of the meter that all instruments belong to.
 const METER_NAME: &str = "comfreyway";
@@ -55,6 +57,15 @@
         &self.traffic
     }
 
+    /// The instruments of a host that serves a fleet. `proof_age` gives the age of
+    /// the proof that the configuration is the newest.
+    pub fn fleet<F>(&self, proof_age: F) -> FleetMetrics
+    where
+        F: Fn() -> Duration + Send + Sync + 'static,
+    {
+        FleetMetrics::new(&self.meter(), self.traffic.clone(), proof_age)
+    }
+
     /// A meter for the instruments of another part.
     #[must_use]
     pub fn meter(&self) -> Meter {
--- a/crates/node/src/run/control_thread.rs
+++ b/crates/node/src/run/control_thread.rs
@@ -13,6 +13,7 @@
 use crate::{
     config::{ConfigActor, ConfigHandle, split_peer_events},
     control::{Control, ControlHandle},
+    fleet::FleetPlatform,
     peers::{PeerMetrics, PeersSettings, ResultCall, start_peers},
     settings::{Secret, Settings},
 };
@@ -37,10 +38,11 @@
     pub(crate) async fn start(
         host: HostId,
         settings: &Settings,
+        platform: FleetPlatform,
         peers_listener: TcpListener,
         peer_metrics: PeerMetrics,
     ) -> Result<Self, RunError> {
-        let platform = settings.platform.clone();
+        let of_settings = settings.platform.clone();
         let (results_tx, results) = unbounded_channel();
         let peers_settings = peers_settings(&host, settings, &peers_listener)?
             .with_results(results_tx)
@@ -50,7 +52,7 @@
         let (tx, queue) = unbounded_channel();
         let (started, config) = oneshot::channel();
         Arbiter::new().spawn_fn(move || {
-            let key_value = key_value(&platform);
+            let key_value = key_value(&of_settings, platform);
             let name = host.name.clone();
             let Ok(listener) = tokio::net::TcpListener::from_std(peers_listener) else { return };
             let (peers, events) = start_peers(peers_settings, listener);
@@ -60,7 +62,7 @@
             let control = Control::new(host, config.document(), queue)
                 .with_key_value(key_value, names)
                 .with_peers(peers, events);
-            match host_list(&platform) {
+            match host_list(&of_settings, platform) {
                 Some(list) => control.with_host_list(list).start(),
                 None => control.start(),
             };
--- a/crates/node/src/run/daemon.rs
+++ b/crates/node/src/run/daemon.rs
@@ -10,6 +10,7 @@
     config::{ConfigHandle, register_version_gauge},
     control::incarnation_now,
     events::{Event, log_event},
+    fleet::FleetPlatform,
     health,
     http::{self, Phase, Traffic},
     metrics::{Metrics, probe_control},
@@ -32,18 +33,19 @@
 /// # Errors
 ///
 /// Fails if the daemon can't start.
-pub fn run(settings: Settings) -> Result<(), RunError> {
-    actix_rt::System::new().block_on(run_on_system(settings))
+pub fn run(settings: Settings, platform: FleetPlatform) -> Result<(), RunError> {
+    actix_rt::System::new().block_on(run_on_system(settings, platform))
 }
 
-async fn run_on_system(settings: Settings) -> Result<(), RunError> {
+async fn run_on_system(settings: Settings, platform: FleetPlatform) -> Result<(), RunError> {
     let listeners = Listeners::bind(&settings.listen)?;
     let mut signals = StopSignals::new()?;
     let metrics = Arc::new(Metrics::new()?);
     let host = HostId { name: settings.name.clone(), incarnation: incarnation_now() };
     let peer_metrics = PeerMetrics::new(&metrics.meter());
     let peers_listener = listeners.peers.try_clone()?;
-    let thread = ControlThread::start(host, &settings, peers_listener, peer_metrics).await?;
+    let thread =
+        ControlThread::start(host, &settings, platform, peers_listener, peer_metrics).await?;
     put_initial(&settings, &thread.config).await?;
     actix_rt::spawn(probe_control(thread.control.clone(), metrics.traffic().clone()));
     let document = thread.config.document();
--- a/crates/node/src/run/main.rs
+++ b/crates/node/src/run/main.rs
@@ -65,6 +65,6 @@
 fn start(settings: Settings, platform: FleetPlatform) -> Result<(), RunError> {
     match &settings.platform {
         Platform::Store(fleet) => fleet::run(&settings, fleet, platform),
-        Platform::Embedded { .. } | Platform::Etcd { .. } => run(settings),
+        Platform::Embedded { .. } | Platform::OwnClasses { .. } => run(settings, platform),
     }
 }
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -61,8 +61,8 @@
         "platform",
         "kind",
         Some("embedded"),
-        "embedded, etcd or store",
-        "Where the key-value service is: in this process, an etcd v3 JSON gateway, or\nthe store of a platform that hosts the whole fleet.",
+        "embedded or store",
+        "Where everything is kept that hosts share: in this process, for a first\ntrial, or in the platform's store.",
     ),
     spec(
         "platform",
@@ -73,17 +73,10 @@
     ),
     spec(
         "platform",
-        "key-value",
-        Some(""),
-        "IP numbers and ports, separated by commas",
-        "Addresses of the gateway. Required with etcd.",
-    ),
-    spec(
-        "platform",
-        "host-list",
-        Some(""),
-        "IP number and port; empty for none",
-        "Address of the platform's host list. Used with etcd.",
+        "configuration",
+        Some("operators"),
+        "operators or own",
+        "Who writes the configuration in the store: the platform's operators, with\nroutes, keys and runners, or comfreyway, with classes and pools.",
     ),
     spec(
         "platform",
--- a/crates/node/src/settings/platform.rs
+++ b/crates/node/src/settings/platform.rs
@@ -7,20 +7,19 @@
     ids::RegionName,
 };
 
-/// The way to the platform's key-value service and host list.
+/// The way to the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Platform {
-    /// Both are kept in this process, for a first trial.
+    /// Everything is kept in this process, for a first trial.
     Embedded {
         /// File with the configuration to start with.
         initial_configuration: Option<PathBuf>,
     },
-    /// An etcd v3 JSON gateway, and a host list if there is one.
-    Etcd {
-        /// Addresses of the gateway, at least one.
-        endpoints: Vec<SocketAddr>,
-        /// Address of the host list.
-        host_list: Option<SocketAddr>,
+    /// A store that holds classes, runners and hosts of the product's own
+    /// interface.
+    OwnClasses {
+        /// Address of the store.
+        store: SocketAddr,
     },
     /// A store that holds configuration, runners and hosts.
     Store(FleetSettings),
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -108,29 +108,32 @@
     fn platform(&self) -> Result<Platform, SettingsError> {
         let kind = self.value::<String>("platform", "kind")?;
         let initial = self.existing_file("platform", "initial-configuration")?;
-        let endpoints = self.endpoints()?;
-        let host_list = self.optional("platform", "host-list")?;
+        let configuration = self.value::<String>("platform", "configuration")?;
         match kind.as_str() {
             "embedded" => Ok(Platform::Embedded { initial_configuration: initial }),
-            "etcd" if endpoints.is_empty() => {
-                let expected = "IP numbers and ports of the gateway, as kind is etcd";
-                Err(self.bad_value("platform", "key-value", "", expected))
-            }
-            "etcd" if initial.is_some() => {
-                let expected = "no value, as kind is etcd";
+            "store" if initial.is_some() => {
+                let expected = "no value, as kind is store";
                 Err(self.bad_value("platform", "initial-configuration", "a file", expected))
             }
-            "etcd" => Ok(Platform::Etcd { endpoints, host_list }),
-            "store" => self.fleet().map(Platform::Store),
-            _ => Err(self.bad_value("platform", "kind", &kind, "embedded, etcd or store")),
+            "store" => match configuration.as_str() {
+                "operators" => self.fleet().map(Platform::Store),
+                "own" => Ok(Platform::OwnClasses { store: self.store()? }),
+                other => {
+                    Err(self.bad_value("platform", "configuration", other, "operators or own"))
+                }
+            },
+            _ => Err(self.bad_value("platform", "kind", &kind, "embedded or store")),
         }
     }
 
+    fn store(&self) -> Result<SocketAddr, SettingsError> {
+        let expected = "IP number and port of the store, as kind is store";
+        let missing = || self.bad_value("platform", "store", "", expected);
+        self.optional("platform", "store")?.ok_or_else(missing)
+    }
+
     fn fleet(&self) -> Result<FleetSettings, SettingsError> {
-        let Some(store) = self.optional("platform", "store")? else {
-            let expected = "IP number and port of the store, as kind is store";
-            return Err(self.bad_value("platform", "store", "", expected));
-        };
+        let store = self.store()?;
         let window: Duration = self.value("fleet", "retry-window")?;
         let retry = RetryRule {
             ratio: self.value("fleet", "retry-ratio")?,
@@ -147,18 +150,6 @@
         Ok(FleetSettings { store, region, key_revocation, retry, quotas })
     }
 
-    fn endpoints(&self) -> Result<Vec<SocketAddr>, SettingsError> {
-        let list = self.value::<String>("platform", "key-value")?;
-        let parts = list.split(',').map(str::trim).filter(|part| !part.is_empty());
-        let expected = SocketAddr::EXPECTED;
-        parts
-            .map(|part| {
-                SocketAddr::parse(part)
-                    .ok_or_else(|| self.bad_value("platform", "key-value", part, expected))
-            })
-            .collect()
-    }
-
     fn peers(&self) -> Result<BTreeMap<HostName, SocketAddr>, SettingsError> {
         let mut peers = BTreeMap::new();
         let Some(section) = self.ini.section(Some(PEERS_SECTION)) else { return Ok(peers) };
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -4,8 +4,12 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use comfreyway_core::outcome::{NotRunReason, RetryReason, UnknownReason};
-use comfreyway_node::metrics::Metrics;
+use comfreyway_core::{
+    fleet::Ranking,
+    ids::Tier,
+    outcome::{NotRunReason, RetryReason, UnknownReason},
+};
+use comfreyway_node::metrics::{Metrics, RequestLabels, RequestTimes};
 
 const PAGE: &str = include_str!("../../../docs/operators/metrics.md");
 
@@ -18,6 +22,10 @@
     traffic.first_byte(Duration::from_millis(1));
     traffic.whole(Duration::from_millis(1));
     traffic.control_queue(Duration::from_millis(1));
+    let fleet = metrics.fleet(|| Duration::from_millis(1));
+    fleet.store_call("watch", "done");
+    let upstream = "dala".parse().unwrap();
+    fleet.load([(&upstream, &Ranking::new(true))].into_iter());
     metrics.render().unwrap()
 }
 
@@ -42,3 +50,43 @@
         assert!(text.contains(&line), "{line}");
     }
 }
+
+/// A host that coordinates an upstream no more shows no load of it.
+#[test]
+fn the_load_of_an_upstream_is_that_of_its_coordinator() {
+    let metrics = Metrics::new().unwrap();
+    let fleet = metrics.fleet(|| Duration::ZERO);
+    let upstream = "dala".parse().unwrap();
+    let mut ranking = Ranking::new(true);
+    ranking.runner_up("r1".parse().unwrap(), 4, false);
+    fleet.load([(&upstream, &ranking)].into_iter());
+    let places = |metrics: &Metrics| {
+        let text = metrics.render().unwrap();
+        let line = text.lines().find(|line| line.starts_with("comfreyway_upstream_places{"));
+        line.unwrap().rsplit(' ').next().unwrap().to_owned()
+    };
+    assert_eq!(places(&metrics), "4");
+    fleet.load(std::iter::empty());
+    assert_eq!(places(&metrics), "0");
+}
+
+/// Times of requests are told apart by class, tier and upstream.
+#[test]
+fn a_fleets_answer_counts_once_in_each_phase() {
+    let metrics = Metrics::new().unwrap();
+    let fleet = metrics.fleet(|| Duration::ZERO);
+    let (class, upstream) = ("report".parse().unwrap(), "dala".parse().unwrap());
+    let labels = RequestLabels { class: &class, tier: Tier(2), upstream: &upstream };
+    let times = RequestTimes {
+        waited: Duration::from_millis(1),
+        first_byte: Duration::from_millis(90),
+        whole: Duration::from_secs(1),
+    };
+    fleet.answered(labels, times);
+    let text = metrics.render().unwrap();
+    for phase in ["waiting", "first_byte", "whole_answer"] {
+        let labels = r#"{class="report",tier="2",upstream="dala"}"#;
+        let line = format!("comfreyway_{phase}_seconds_count{labels} 1");
+        assert!(text.contains(&line), "{line} in {text}");
+    }
+}
--- a/crates/platform/src/embedded/history.rs
+++ b/crates/platform/src/embedded/history.rs
@@ -24,6 +24,12 @@
         }
     }
 
+    /// Forgets all changes up to the present revision.
+    pub(super) fn forget(&mut self, present: Revision) {
+        self.changes.clear();
+        self.forgotten = present;
+    }
+
     /// The changes after `after` of keys with this prefix, or none if some of
     /// them are forgotten.
     pub(super) fn after(&self, prefix: &str, after: Revision) -> Option<Vec<KvEvent>> {
--- a/crates/platform/src/embedded/mod.rs
+++ b/crates/platform/src/embedded/mod.rs
@@ -5,9 +5,8 @@
 //! and reads the time from a clock.
 
 mod history;
-mod host_list;
 mod key_value;
 mod lease;
 mod store;
 
-pub use self::{host_list::EmbeddedHostList, key_value::EmbeddedKeyValue, store::Store};
+pub use self::{key_value::EmbeddedKeyValue, store::Store};
--- a/crates/platform/src/embedded/store.rs
+++ b/crates/platform/src/embedded/store.rs
@@ -153,6 +153,17 @@
         self.history.after(prefix, after).ok_or_else(forgotten)
     }
 
+    /// Forgets all changes so far, for watches that start in the past.
+    pub fn compact(&mut self) {
+        self.history.forget(self.revision);
+    }
+
+    /// True if the lease has not lapsed.
+    pub fn has_lease(&mut self, id: LeaseId, now: Duration) -> bool {
+        self.expire(now);
+        self.leases.contains_key(&id)
+    }
+
     /// Time of the next lapse of a lease.
     #[must_use]
     pub fn next_lapse(&self) -> Option<Duration> {
--- a/crates/testkit/examples/quickstart/fleet.rs
+++ b/crates/testkit/examples/quickstart/fleet.rs
@@ -8,8 +8,8 @@
 use comfreyway_testkit::{
     daemon::{DaemonProcess, DaemonSettings, Signal, eventually},
     engine::{EngineSettings, EngineStandIn},
-    kv::KvStandIn,
     service::ServiceStandIn,
+    store::StoreStandIn,
 };
 
 use crate::Failure;
@@ -25,7 +25,7 @@
     daemons: Vec<DaemonProcess>,
     engines: Vec<EngineStandIn>,
     portal: ServiceStandIn,
-    _key_value: KvStandIn,
+    _key_value: StoreStandIn,
 }
 
 impl Fleet {
@@ -37,7 +37,7 @@
             .map(EngineStandIn::start)
             .collect::<io::Result<_>>()?;
         let portal = ServiceStandIn::start()?;
-        let key_value = KvStandIn::start()?;
+        let key_value = StoreStandIn::start()?;
         let daemons = start_daemons(key_value.address())?;
         let mut fleet = Self { daemons, engines, portal, _key_value: key_value };
         fleet.configure().await?;
@@ -116,7 +116,7 @@
 
 fn start_daemons(key_value: SocketAddr) -> Result<Vec<DaemonProcess>, Failure> {
     let settings: Vec<_> = (1..=HOSTS)
-        .map(|n| DaemonSettings::with_etcd(&format!("host-{n}"), key_value, None))
+        .map(|n| DaemonSettings::with_own_classes(&format!("host-{n}"), key_value))
         .collect::<io::Result<_>>()?;
     let addresses: Vec<_> = settings.iter().map(|s| (s.name.clone(), s.peers)).collect();
     let program = env::current_exe()?;
