Keep connections to a runner within its limit, and read what comes from outside without trust

Connections: unused ones to a runner are shared by the hosts of the fleet (68 hosts before 540 connections keep 7 each), so that all together stay within the runner's limit while its places are taken. A fleet's host tells the product's operators where the configuration is (403).

--- a/crates/core/src/fleet/plan.rs
+++ b/crates/core/src/fleet/plan.rs
@@ -125,6 +125,26 @@
     pub tokens_per_event: u32,
 }
 
+impl UpstreamPlan {
+    /// Unused connections that one of `hosts` hosts may keep to a runner with so
+    /// many places, so that all hosts together stay within the limit of the
+    /// runner while all its places are taken.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use comfreyway_core::fleet::UpstreamPlan;
+    ///
+    /// let upstream = UpstreamPlan { engine: true, connections: 540, tokens_per_event: 5 };
+    /// assert_eq!(upstream.unused_connections(4, 68), 7);
+    /// assert_eq!(upstream.unused_connections(4, 1_000), 0);
+    /// ```
+    #[must_use]
+    pub fn unused_connections(&self, places: u32, hosts: usize) -> usize {
+        self.connections.saturating_sub(places) as usize / hosts.max(1)
+    }
+}
+
 /// Limits on what callers send.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerLimits {
--- a/crates/node/src/fleet/control/store_news.rs
+++ b/crates/node/src/fleet/control/store_news.rs
@@ -168,6 +168,7 @@
     fn members_changed(&mut self) {
         let others = self.members.keys().filter(|name| **name != self.me.id.name).count();
         self.coordinator.set_known_hosts(self.now(), others + 1);
+        self.knowledge.set_hosts(others + 1);
         self.choose_coordinator();
     }
 
--- a/crates/node/src/fleet/front/attempt.rs
+++ b/crates/node/src/fleet/front/attempt.rs
@@ -50,6 +50,8 @@
     pub(super) sent: Instant,
     sender: Sender,
     keep: Option<Duration>,
+    /// Unused connections that may be kept to the runner.
+    most_unused: usize,
 }
 
 /// Sends a request and checks that the answer belongs to it.
@@ -89,8 +91,12 @@
     let (head, body) = res.into_parts();
     let keep = keep_time(&head.headers);
     let (status, headers) = (head.status, head.headers);
+    let upstream = call.plan.upstreams.get(&runner.upstream);
+    let most_unused =
+        upstream.map_or(0, |plan| plan.unused_connections(runner.places, call.known_hosts));
+    let key = runner.key.clone();
     let answering =
-        Answering { runner: runner.key.clone(), status, headers, body, sent, sender, keep };
+        Answering { runner: key, status, headers, body, sent, sender, keep, most_unused };
     let other_runner = status == StatusCode::MISDIRECTED_REQUEST;
     if other_runner || answering.headers.contains_key(call.names.not_executed) {
         answering.discard(&call.caller_id, links).await;
@@ -148,7 +154,7 @@
 
     /// Keeps the connection after the body's end.
     pub(super) fn keep_connection(self, links: &Links) {
-        links.keep(&self.runner, self.sender, self.keep);
+        links.keep(&self.runner, self.sender, self.keep, self.most_unused);
     }
 
     async fn discard(mut self, id: &str, links: &Links) {
--- a/crates/node/src/fleet/front/call.rs
+++ b/crates/node/src/fleet/front/call.rs
@@ -41,6 +41,8 @@
     pub(super) workspace: Option<WorkspaceName>,
     /// What the coordinator is asked.
     pub(super) question: Question,
+    /// Hosts of the fleet when the request arrived.
+    pub(super) known_hosts: usize,
     pub(super) arrived: Instant,
     /// When the caller gets a final answer at the latest.
     pub(super) until: Instant,
--- a/crates/node/src/fleet/front/handler.rs
+++ b/crates/node/src/fleet/front/handler.rs
@@ -246,6 +246,7 @@
             plan,
             route,
             question,
+            known_hosts: self.knowledge.hosts(),
             arrived,
             until,
             _counted: counted,
--- a/crates/node/src/fleet/health.rs
+++ b/crates/node/src/fleet/health.rs
@@ -27,6 +27,15 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Calls of the product's own operators.
+const OWN_CALLS: &str = "/v1/";
+
+/// Answer to them, for the client's user.
+const NOT_OURS: &str = "this host serves a fleet whose configuration the platform's operators \
+                        write to the platform's store; change it there. For classes and pools of \
+                        its own, a host needs configuration = own in the section platform of its \
+                        settings";
+
 /// Serves `/live`, `/ready` and `/metrics`.
 #[derive(Clone)]
 pub(super) struct Health {
@@ -80,6 +89,7 @@
                 Ok(metrics) => text(StatusCode::OK, metrics),
                 Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
             },
+            _ if path.starts_with(OWN_CALLS) => text(StatusCode::FORBIDDEN, NOT_OURS),
             _ => text(StatusCode::NOT_FOUND, "no such page\n"),
         }
     }
--- a/crates/node/src/fleet/knowledge.rs
+++ b/crates/node/src/fleet/knowledge.rs
@@ -19,6 +19,7 @@
     stopping: AtomicBool,
     refusing: AtomicBool,
     in_progress: AtomicUsize,
+    hosts: AtomicUsize,
 }
 
 impl Knowledge {
@@ -30,9 +31,19 @@
             stopping: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
+            hosts: AtomicUsize::new(1),
         }
     }
 
+    /// Hosts of the fleet, this one included.
+    pub(super) fn hosts(&self) -> usize {
+        self.hosts.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_hosts(&self, hosts: usize) {
+        self.hosts.store(hosts, Ordering::Relaxed);
+    }
+
     /// The configuration in force.
     pub(super) fn plan(&self) -> Option<Arc<Plan>> {
         self.plan.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
--- a/crates/node/src/fleet/links.rs
+++ b/crates/node/src/fleet/links.rs
@@ -38,7 +38,8 @@
 /// Time for sent bytes to be acknowledged before a connection is broken.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_secs(3);
 
-/// Unused connections kept for one runner.
+/// Unused connections kept for one runner at the most; a runner works on a few
+/// requests at a time.
 const MAX_IDLE: usize = 16;
 
 /// The sending side of a connection.
@@ -93,15 +94,21 @@
     }
 
     /// Keeps a connection after a whole answer. `keep` is the time for which
-    /// the runner keeps it, if it told.
-    pub(super) fn keep(&self, runner: &RunnerKey, sender: Sender, keep: Option<Duration>) {
+    /// the runner keeps it, if it told, `most` how many may be kept.
+    pub(super) fn keep(
+        &self,
+        runner: &RunnerKey,
+        sender: Sender,
+        keep: Option<Duration>,
+        most: usize,
+    ) {
         let time = keep.map_or(IDLE_TIME, |time| time.saturating_sub(IDLE_MARGIN));
         if sender.is_closed() || time.is_zero() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let idle = idle.entry(runner.clone()).or_default();
-        if idle.len() < MAX_IDLE {
+        if idle.len() < most.min(MAX_IDLE) {
             idle.push(Idle { sender, until: Instant::now() + time });
         }
     }
--- a/tests/testsuite/fleet/configuration.rs
+++ b/tests/testsuite/fleet/configuration.rs
@@ -11,6 +11,22 @@
 
 use super::site::{DESK_KEY, KEY, Site, USAGE, call, call_with, configuration};
 
+/// An operator who takes a fleet's host for one with classes of its own is told
+/// where the configuration is, and nothing changes.
+#[actix_rt::test]
+async fn the_product_s_own_operators_are_told_where_the_configuration_is() {
+    let site = Site::new();
+    let host = site.host("h1").await;
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_comfreyway"));
+    let server = format!("--server={}", host.settings().operators);
+    command.args([&server, "class", "set", "quote", "tier=1"]);
+    let output = actix_rt::task::spawn_blocking(move || command.output().unwrap()).await.unwrap();
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(1), "{told}");
+    assert!(told.contains("403") && told.contains("configuration = own"), "{told}");
+    assert_eq!(site.store.list(""), ["comfreyway/hosts/h1", "op/config"]);
+}
+
 #[actix_rt::test]
 async fn a_host_without_configuration_is_not_ready_and_refuses() {
     let site = Site::new().with_runner("survey", "r1", RunnerManner::Whole);
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod configuration;
+mod garbage;
 mod hosts;
 mod requests;
 mod runners;
