--- a/crates/cli/src/story/cause.rs
+++ b/crates/cli/src/story/cause.rs
@@ -158,8 +158,21 @@
     let stage = end.field("stage").unwrap_or("?");
     let total = end.number("total_ms").unwrap_or_default();
     let outcome = format!("its caller left after {total} ms");
-    let text = format!("the caller left at the stage {stage}");
+    let sent = story.steps.iter().rev().find(|line| line.event == "CF0504");
     let mut evidence = failures(story);
+    let text = match sent.filter(|_| stage == "sent") {
+        Some(sent) => {
+            let runner = sent.field("runner").unwrap_or("?");
+            let had = match (sent.at_ms, end.at_ms) {
+                (Some(from), Some(to)) => to.saturating_sub(from),
+                _ => total,
+            };
+            evidence.extend(news_of(story, end, runner));
+            evidence.extend(news_of(story, sent, runner));
+            format!("runner {runner} had it for {had} ms and had not answered it whole")
+        }
+        None => format!("it waited for a runner all the while ({stage})"),
+    };
     evidence.extend(load(story, end));
     Cause { outcome, text, evidence }
 }
--- a/crates/cli/src/story/line.rs
+++ b/crates/cli/src/story/line.rs
@@ -18,7 +18,7 @@
 /// ```
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LogLine<'a> {
-    /// Where the line was read from.
+    /// The host that stands before the line, or where the line was read from.
     pub source: &'a str,
     /// Time of day in milliseconds, or time since an experiment's start; none
     /// if the line begins with no time.
@@ -41,6 +41,10 @@
         let (event, rest) = rest.split_once(' ').unwrap_or((rest, ""));
         let (before, text) = head.rsplit_once("] ").unwrap_or(("", head));
         let at_ms = before.split([' ', '[', '\t']).find_map(time_ms);
+        // A log that was collected from many hosts names them before the line.
+        let lead = before.split('[').next().unwrap_or_default();
+        let host = lead.split_whitespace().rfind(|word| time_ms(word).is_none());
+        let source = host.filter(|word| !word.starts_with('-')).unwrap_or(source);
         Some(Self { source, at_ms, event, text, fields: fields(rest) })
     }
 
--- a/crates/cli/tests/story.rs
+++ b/crates/cli/tests/story.rs
@@ -110,6 +110,25 @@
     assert!(story.contains("200 units of desk went to runners"), "{story}");
 }
 
+/// A collector writes time and host before each line.
+#[test]
+fn a_line_that_names_its_host_is_that_host_s() {
+    let line = "   12.250 h7 [2026-12-03T10:00:00Z INFO  comfreyway] daemon started event=CF0101";
+    let line = LogLine::parse("all", line).unwrap();
+    assert_eq!((line.source, line.at_ms), ("h7", Some(12_250)));
+}
+
+#[test]
+fn a_caller_that_left_names_the_runner_that_was_silent() {
+    let log = "\
+        [10:00:00.000 INFO  comfreyway] request sent to runner event=CF0504 id=h8 runner=r1 \
+        workspace=desk cost=9 waited_ms=2 left_ms=11994 after=None
+        [10:00:11.995 INFO  comfreyway] caller left before the answer's end event=CF0509 id=h8 \
+        stage=sent runner=Some(\"r1\") total_ms=11996";
+    let story = told("h8", &[("h1", log)]);
+    assert!(story.contains("runner r1 had it for 11995 ms"), "{story}");
+}
+
 #[test]
 fn lines_that_are_no_events_are_passed_over() {
     assert_eq!(LogLine::parse("h1", "thread 'main' panicked at nothing"), None);
