Break a fleet's promises on purpose, and test the four that nobody caught

Sixteen lines were broken one by one; four passed all tests: the id of an answer not checked (the stand-in's foreign answer was unsigned, which hid it), a stop that refuses at once, a share of a quota that counts as known when its host joins, and a request found late that keeps its place.

--- a/crates/core/tests/fleet/quotas.rs
+++ b/crates/core/tests/fleet/quotas.rs
@@ -87,6 +87,23 @@
     assert!(steps >= QUOTA.burst, "{steps}");
 }
 
+/// A host that has decided alone for a window knows nothing of what the hosts
+/// that ask it from now on have let a workspace use.
+#[test]
+fn the_share_of_a_host_that_joins_late_is_not_known() {
+    let mut quotas = Deciding::begun(0, 1);
+    passed(&mut quotas, 0, 1);
+    for number in 1..8 {
+        quotas.quotas.host_joined(at(9_000), host(&format!("h{number}")));
+    }
+    let other = "another".parse().unwrap();
+    let mut units = 0.0;
+    while quotas.quotas.take(at(9_001), &other, QUOTA, 4_000.0).is_ok() {
+        units += 4_000.0;
+    }
+    assert!(units < 0.4 * QUOTA.burst, "{units}");
+}
+
 /// The coordinator is lost in the middle of a window, and the next one does not
 /// know what was used.
 #[test]
--- a/crates/core/tests/fleet/ranking.rs
+++ b/crates/core/tests/fleet/ranking.rs
@@ -95,6 +95,24 @@
     assert_eq!(granted(&out)[0].0, 2, "a late answer is still an answer");
 }
 
+/// A request that was found late before stays behind one that came after it and
+/// can still be in time.
+#[test]
+fn what_was_found_late_stays_behind_what_can_still_be_in_time() {
+    let mut ranking = engine(&[("a", 1)]);
+    submit(&mut ranking, at(0), 1, 1, 500);
+    submit(&mut ranking, at(0), 2, 1, 500);
+    submit(&mut ranking, at(900), 3, 1, 500);
+    let mut out = Vec::new();
+    ranking.ended(at(1_000), id(1), DispatchEnd::Cancelled);
+    ranking.tick(at(1_000), &mut out);
+    submit(&mut ranking, at(1_050), 4, 1, 500);
+    out.clear();
+    ranking.ended(at(1_100), id(3), DispatchEnd::Cancelled);
+    ranking.tick(at(1_100), &mut out);
+    assert_eq!(granted(&out)[0].0, 4, "request 2 was late at 1,000 ms already");
+}
+
 /// A third of the engines is several times slower: a long prompt waits for a
 /// fast one that is free in time, a short one behind it does not wait.
 #[test]
--- a/crates/testkit/src/fleet_runner/handler.rs
+++ b/crates/testkit/src/fleet_runner/handler.rs
@@ -56,7 +56,9 @@
             HttpResponse::Ok().insert_header((REQUEST_ID, id)).body(SizedStream::new(9, broken))
         }
         RunnerManner::ForeignAnswer => {
-            HttpResponse::Ok().insert_header((REQUEST_ID, "another")).body("foreign")
+            let mut res = HttpResponse::Ok();
+            res.insert_header((REQUEST_ID, "another"));
+            res.insert_header((SIGNATURE, runner.name.clone())).body("foreign")
         }
         _ => res.body(format!("answer of {}", runner.name)),
     }
--- a/tests/testsuite/fleet/stopping.rs
+++ b/tests/testsuite/fleet/stopping.rs
@@ -36,6 +36,20 @@
     assert!(host.exited().await.unwrap().success());
 }
 
+/// The balancer still sends callers to a host for a while after it has stopped
+/// being ready; they are served, each on its last connection.
+#[actix_rt::test]
+async fn callers_that_the_balancer_still_sends_are_served() {
+    let site = Site::new().with_runner("survey", "r1", RunnerManner::Whole);
+    let host = site.host("h1").await;
+    host.signal(Signal::Terminate).unwrap();
+    let unready = || async { (!host.is_ready().await).then_some(()) };
+    eventually(unready).await.expect("the host stays ready");
+    let first = try_call(&host, "id-1").await.expect("the host closed at once");
+    assert_eq!(first.status, 200, "{first:?}");
+    assert_eq!(first.headers.get("connection").map(String::as_str), Some("close"));
+}
+
 #[actix_rt::test]
 async fn a_signal_that_settings_changed_cuts_nothing() {
     let site = Site::new().with_runner("dala", "e1", RunnerManner::Stream(5));
