Let a host that asks another one coordinate nobody

The logs show two groups from 6.8 s to 27.7 s: a host that had begun to ask another coordinator took in five hosts that asked it, and decided for them with their share of the runners; nothing parts them while both sessions are sound. They came to it because a coordinator sent its hosts away as soon as it dialled an older host, which was frozen and accepted the connection. Change: a host that asks another one tells those that come to leave, and takes no questions; a coordinator sends its hosts away only once the other one has answered. Test: testsuite fleet a_host_that_asks_another_one_coordinates_nobody.

--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -39,6 +39,13 @@
         self.carry_out(actions, Vec::new());
         self.coordinator.host_left(now, &self.me.id.clone(), &mut tells);
         self.carry_out(Vec::new(), tells);
+        // Not before the other one has shown that it answers.
+        self.tell_leaving();
+    }
+
+    /// True if another host's coordinator decides for this one.
+    fn follows_other(&self) -> bool {
+        self.desk.coordinator().is_some()
     }
 
     /// Chooses the coordinator anew from the hosts that are known. A sound one
@@ -60,7 +67,6 @@
         self.link = None;
         self.follow_own();
         if let Some(member) = wanted {
-            self.tell_leaving();
             self.dial(&member);
         }
     }
@@ -71,8 +77,15 @@
             SessionEvent::HostUp(host, session, tx) => {
                 log_event!(Event::HostAsks, host:% = host);
                 self.hosts.insert(host.clone(), AskingHost { session, tx, synced: false });
-                self.coordinator.host_joined(now, host);
+                if self.follows_other() {
+                    // Whoever asks another one coordinates nobody: the hosts that
+                    // ask it would be a group of their own for as long as both last.
+                    self.send_to_host(&host, ToHost::Leaving);
+                } else {
+                    self.coordinator.host_joined(now, host);
+                }
             }
+            SessionEvent::FromHost(_, ToCoordinator::Ask(_)) if self.follows_other() => {}
             SessionEvent::FromHost(host, ToCoordinator::Ask(ask)) => {
                 let mut tells = Vec::new();
                 self.coordinator.ask(now, &host, ask, &mut tells);
@@ -119,7 +132,10 @@
                 self.relayed_changes(&host, items, Revision(at));
             }
             SessionEvent::FromCoordinator(host, ToHost::Leaving) => {
-                self.suspects.insert(host, now + LEAVING_TIME);
+                // One that was never followed asks another one itself for now.
+                let followed = self.desk.coordinator() == Some(&host);
+                let time = if followed { LEAVING_TIME } else { SUSPECT_TIME };
+                self.suspects.insert(host, now + time);
                 self.choose_coordinator();
             }
             SessionEvent::CoordinatorDown(host) => {
--- a/tests/testsuite/fleet/hosts.rs
+++ b/tests/testsuite/fleet/hosts.rs
@@ -7,6 +7,11 @@
     store::{StoreFaults, StoreOutage},
 };
 
+use comfreyway_platform::KeyValue;
+use futures_util::{SinkExt, StreamExt};
+use serde_json::{Value, json};
+use tokio_tungstenite::tungstenite::Message;
+
 use super::site::{DESK_KEY, KEY, Site, call, call_with, configuration, try_call};
 
 /// Waits until a host asks another one.
@@ -52,6 +57,28 @@
     assert_eq!(answer.status, 200);
 }
 
+/// A host that asks another one sends away whoever asks it. It once kept them, and
+/// two groups of hosts shared the runners until a connection broke.
+#[actix_rt::test]
+async fn a_host_that_asks_another_one_coordinates_nobody() {
+    let site = Site::new().with_runner("survey", "r1", RunnerManner::Whole);
+    let _first = site.host("h1").await;
+    let second = site.host("h2").await;
+    asks_another(&second).await;
+    assert_eq!(call(&second, "id-1", "/lookup/").await.status, 200);
+    let entry = site.store.keys().get("comfreyway/hosts/h2").await.unwrap().unwrap();
+    let entry: Value = serde_json::from_slice(&entry.value).unwrap();
+    let url = format!("ws://{}/fleet", second.settings().peers);
+    let (mut socket, _) = tokio_tungstenite::connect_async(url).await.unwrap();
+    let hello = json!({ "h": [{ "name": "h3", "incarnation": 1 }, entry["token"]] });
+    let mut frame = Vec::new();
+    ciborium::into_writer(&hello, &mut frame).unwrap();
+    socket.send(Message::binary(frame)).await.unwrap();
+    let told = socket.next().await.unwrap().unwrap().into_data();
+    let told: Value = ciborium::from_reader(&told[..]).unwrap();
+    assert_eq!(told, json!("l"), "it is told to leave");
+}
+
 #[actix_rt::test]
 async fn an_outage_of_the_store_stops_no_request() {
     let site = Site::new().with_runner("survey", "r1", RunnerManner::Whole);
