--- a/crates/testkit/src/store/mod.rs
+++ b/crates/testkit/src/store/mod.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod faults;
 mod handlers;
+mod lease_clock;
 mod rate;
 
 use std::{io, net::SocketAddr, sync::Arc};
@@ -22,15 +23,24 @@
     faults::{StoreFaults, StoreOutage},
 };
 
-use self::{calls::Counters, faults::FaultSwitch};
+use self::{calls::Counters, faults::FaultSwitch, lease_clock::LeaseClock};
 
-#[derive(Default)]
 pub(crate) struct Shared {
     keys: EmbeddedKeyValue,
+    clock: Arc<LeaseClock>,
     faults: FaultSwitch,
     counters: Counters,
 }
 
+impl Shared {
+    fn new() -> Self {
+        let clock = Arc::new(LeaseClock::new());
+        let of_keys = clock.clone();
+        let keys = EmbeddedKeyValue::with_clock(move || of_keys.now());
+        Self { keys, clock, faults: FaultSwitch::default(), counters: Counters::default() }
+    }
+}
+
 /// A running store.
 pub struct StoreStandIn {
     address: SocketAddr,
@@ -61,7 +71,7 @@
     /// # });
     /// ```
     pub fn start() -> io::Result<Self> {
-        let shared = Arc::new(Shared::default());
+        let shared = Arc::new(Shared::new());
         // Nobody else takes the port of this address while the store is stopped.
         let server = serve(own_address(), &shared)?;
         Ok(Self { address: server.address(), shared, server: Some(server) })
@@ -109,6 +119,11 @@
         self.shared.keys.with_store(|keys, _| embedded::Store::compact(keys));
     }
 
+    /// Holds all leases at the time that they have left, or lets them go on.
+    pub fn pause_leases(&self, pause: bool) {
+        self.shared.clock.pause(pause);
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: StoreFaults) {
         self.shared.faults.set(faults);
--- a/crates/testkit/tests/key_value.rs
+++ b/crates/testkit/tests/key_value.rs
@@ -266,6 +266,21 @@
     assert!(watch.next().await.unwrap().is_err());
 }
 
+#[actix_rt::test]
+async fn leases_that_pause_in_an_outage_lapse_after_it() {
+    let standin = StoreStandIn::start().unwrap();
+    let kv = client(&standin);
+    let ttl = Duration::from_millis(100);
+    standin.pause_leases(true);
+    let lease = kv.grant_lease(ttl).await.unwrap();
+    kv.compare_and_swap("a", Revision(0), b"1".to_vec(), Some(lease)).await.unwrap();
+    actix_rt::time::sleep(3 * ttl).await;
+    assert!(kv.get("a").await.unwrap().is_some());
+    standin.pause_leases(false);
+    let gone = || async { kv.get("a").await.unwrap().is_none().then_some(()) };
+    eventually(gone).await.expect("the lease lapses");
+}
+
 #[actix_rt::test]
 async fn keys_outlive_a_stop_of_the_service() {
     let mut standin = StoreStandIn::start().unwrap();
