--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -31,8 +31,9 @@
     feed::FeedNews,
     knowledge::Knowledge,
     mirror::Mirror,
-    sessions::{Frame, SessionEvent, ToCoordinator, ToHost, dial},
+    sessions::{SessionEvent, dial},
     ticket::{Verdict, WorkerMessage},
+    wire::{Frame, ToCoordinator, ToHost},
 };
 
 mod coordination;
@@ -336,7 +337,7 @@
 
     /// Tells the hosts that ask this one to ask another.
     fn tell_leaving(&self) {
-        let Some(frame) = Frame::new(&ToHost::Leaving) else { return };
+        let Some(frame) = coordination::frame(&ToHost::Leaving) else { return };
         for host in self.hosts.values() {
             if host.tx.try_send(frame.clone()).is_err() {
                 log::debug!("a host can't be told to leave; its session will end");
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -7,7 +7,10 @@
 
 use crate::{
     events::{Event, log_event},
-    fleet::sessions::{Frame, SessionEvent, ToCoordinator, ToHost},
+    fleet::{
+        sessions::SessionEvent,
+        wire::{Frame, ToCoordinator, ToHost},
+    },
 };
 
 use super::{AskingHost, FleetControl};
@@ -152,7 +155,7 @@
     }
 
     pub(super) fn send_to_host(&mut self, host: &HostId, message: &ToHost) {
-        if let Some(frame) = Frame::new(message) {
+        if let Some(frame) = frame(message) {
             self.send_frame(host, frame);
         }
     }
@@ -174,3 +177,8 @@
         }
     }
 }
+
+/// None, with a line in the log, if the message can't be written.
+pub(super) fn frame(message: &ToHost) -> Option<Frame> {
+    Frame::new(message).map_err(|e| log::error!("a message to a host is lost: {e}")).ok()
+}
--- a/crates/node/src/fleet/control/relaying.rs
+++ b/crates/node/src/fleet/control/relaying.rs
@@ -13,10 +13,10 @@
 use crate::fleet::{
     feed::{FeedNews, follow},
     mirror::{CatchUp, ChangeSet, Complete},
-    sessions::{Frame, ToCoordinator, ToHost},
+    wire::{Frame, ToCoordinator, ToHost},
 };
 
-use super::{FleetControl, Relay};
+use super::{FleetControl, Relay, coordination::frame};
 
 /// Age of the proof from which a host calls the store itself. A sound feed
 /// proves once a second, and its proof is heard 0.2 s later.
@@ -177,7 +177,7 @@
         let CatchUp { changes, complete } = self.mirror.since(from);
         let changes = changes.into_iter().map(ToHost::Changes);
         let messages = changes.chain([ToHost::Complete(complete)]);
-        messages.filter_map(|message| Frame::new(&message)).collect()
+        messages.filter_map(|message| frame(&message)).collect()
     }
 
     fn synced(&self) -> Vec<HostId> {
@@ -192,7 +192,7 @@
             return;
         }
         let changes = ToHost::Changes(ChangeSet::new(events, after, at));
-        let Some(frame) = Frame::new(&changes) else { return };
+        let Some(frame) = frame(&changes) else { return };
         for host in synced {
             self.send_frame(&host, frame.clone());
         }
--- a/crates/node/src/fleet/mirror.rs
+++ b/crates/node/src/fleet/mirror.rs
@@ -24,7 +24,7 @@
 /// matter here are text; any other one arrives empty and can't be read there
 /// either.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(super) struct MirroredItem {
+pub struct MirroredItem {
     #[serde(rename = "k")]
     key: String,
     /// None for a key that was deleted.
@@ -64,7 +64,7 @@
 
 /// Changes for a host that knows all up to an earlier revision.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(super) struct ChangeSet {
+pub struct ChangeSet {
     #[serde(rename = "i")]
     items: Vec<MirroredItem>,
     /// What the host has to know before.
@@ -88,7 +88,7 @@
 
 /// The end of what a host lacked.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(super) struct Complete {
+pub struct Complete {
     /// Fingerprints of all keys, if the deletions were not among the changes:
     /// what the host has besides them was deleted.
     #[serde(rename = "k")]
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -6,8 +6,9 @@
 //!   request to a runner and passes the answer on.
 //! - `control` holds the state of all decisions ([`comfreyway_core::fleet`]).
 //! - `feed` follows the store; the coordinator's hosts hear from it what it
-//!   heard (`mirror`), so that few hosts call the store. `registration` keeps this host's entry there,
-//!   `sessions` carries the messages between hosts.
+//!   heard (`mirror`), so that few hosts call the store. `registration` keeps this
+//!   host's entry there.
+//! - `sessions` keeps the connections between hosts; [`wire`] holds the messages.
 
 mod control;
 mod counted_store;
@@ -22,6 +23,7 @@
 mod run;
 mod sessions;
 mod ticket;
+pub mod wire;
 
 pub use self::{
     dialect::{Dialect, DialectError, HeaderNames, StoreKeys},
--- a/crates/testkit/src/capacity/mod.rs
+++ b/crates/testkit/src/capacity/mod.rs
@@ -6,6 +6,7 @@
 
 mod configuration;
 mod control;
+mod coordination;
 mod data_path;
 mod hosts;
 mod memory;
@@ -42,6 +43,9 @@
     if options.includes(Part::Hosts) {
         hosts::hosts(options).await?.into_iter().for_each(&mut show);
     }
+    if options.includes(Part::Coordination) {
+        coordination::coordination(options).await?.into_iter().for_each(&mut show);
+    }
     if let Some(file) = &options.csv {
         fs::write(file, csv)?;
     }
--- a/crates/testkit/src/capacity/options.rs
+++ b/crates/testkit/src/capacity/options.rs
@@ -15,6 +15,8 @@
     Control,
     /// Cost of control by hosts, with calls to the key-value service.
     Hosts,
+    /// Cost of coordinating a fleet by hosts, requests and runners.
+    Coordination,
 }
 
 impl FromStr for Part {
@@ -26,7 +28,8 @@
             "memory" => Ok(Self::Memory),
             "control" => Ok(Self::Control),
             "hosts" => Ok(Self::Hosts),
-            _ => Err("expected data, memory, control or hosts".to_owned()),
+            "coordination" => Ok(Self::Coordination),
+            _ => Err("expected data, memory, control, hosts or coordination".to_owned()),
         }
     }
 }
@@ -56,7 +59,7 @@
 #[must_use]
 pub fn options() -> OptionParser<CapacityOptions> {
     let parts = long("part")
-        .help("Run this part only: data, memory, control or hosts; may be repeated")
+        .help("Run this part only: data, memory, control, hosts or coordination; may be repeated")
         .argument("PART")
         .many();
     let seconds =
