Pass over requests that find no runner for the same reason

Cause: while all engines work on something, each event looks at up to 48 waiting requests and compares each with all looked-at runners, in vain.

Change: in one look through the queue, a prompt at least as long as one that found no runner, with streams that may pause no longer, is passed over: the rule that refused the first refuses it too.

--- a/crates/core/src/fleet/ranking/state.rs
+++ b/crates/core/src/fleet/ranking/state.rs
@@ -5,7 +5,7 @@
 use crate::{
     ids::{ClassName, HostId, RequestId, RunnerName},
     outcome::NotRunReason,
-    request::RequestRecord,
+    request::{RequestRecord, Target},
     time::MonoTime,
 };
 
@@ -213,8 +213,13 @@
         self.runners.free(now).next()?;
         let mut late = Vec::new();
         let mut found = None;
+        let mut hopeless = Hopeless::default();
         for (id, waiting) in self.queue.first(LOOK_AHEAD) {
+            if hopeless.includes(&waiting.record) {
+                continue;
+            }
             match self.place(now, waiting) {
+                Place::None if waiting.avoid.is_none() => hopeless.add(&waiting.record),
                 Place::InTime(runner) => {
                     found = Some((id, runner));
                     break;
@@ -248,6 +253,34 @@
     }
 }
 
+/// What found no runner in one look through the queue. A longer prompt finds
+/// none either, nor one whose streams may pause for less: while many wait for
+/// the same, few of them are compared with the runners.
+#[derive(Debug, Default)]
+struct Hopeless {
+    /// Prompts with the longest pause of their streams.
+    found_none: Vec<(u32, Duration)>,
+}
+
+impl Hopeless {
+    fn add(&mut self, record: &RequestRecord) {
+        self.found_none.push(Self::needs(record));
+    }
+
+    fn includes(&self, record: &RequestRecord) -> bool {
+        let (prompt, pause) = Self::needs(record);
+        self.found_none.iter().any(|(least, most)| prompt >= *least && pause <= *most)
+    }
+
+    fn needs(record: &RequestRecord) -> (u32, Duration) {
+        let pause = match record.target {
+            Target::Stream { between_tokens, .. } => between_tokens,
+            Target::Whole(_) => Duration::MAX,
+        };
+        (record.prefill_tokens, pause)
+    }
+}
+
 impl std::fmt::Display for Ranking {
     /// One line for a log: what waits, and each runner with its load and rates.
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
