Take in runners and hosts together, and re-rank only what changed

Cause: while hundreds of hosts start, every host hears of one host after the other. Each changed the share of the runners' places, and with it all runners were ranked anew, on every host: 380 x 2,200. A list of the store ranked and summed all runners once for each of them, and compared each known name with the whole list.

Change: news of runners is taken in at once, with one decision at the end; a share re-ranks only runners whose places change by it; listed names are a set.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -13,17 +13,20 @@
 
 use comfreyway_core::{
     fleet::{
-        Ask, Coordinator, Question, QuotaRule, RetryRule, RunnerEntry, RunnerKey, RunnerNews, Tell,
+        Ask, Coordinator, Question, QuotaRule, RetryRule, RunnerDirectory, RunnerEntry, RunnerKey,
+        RunnerNews, Tell,
     },
     ids::{HostId, RequestId, Tier},
     request::{DispatchEnd, RequestRecord, Target, Usage},
     time::MonoTime,
 };
-use criterion::{BenchmarkId, Criterion};
+use criterion::{BatchSize, BenchmarkId, Criterion};
 
 const RUNNERS: [usize; 3] = [12, 140, 2_200];
 const WAITING: [usize; 3] = [0, 100, 2_000];
 const HOSTS: u128 = 68;
+/// Hosts that start at once.
+const ALL_HOSTS: usize = 380;
 const PLACES: u32 = 4;
 const PROMPT_TOKENS: u32 = 3_000;
 /// Time between two requests.
@@ -47,17 +50,8 @@
         let mut coordinator = Coordinator::new(rule, QuotaRule::default());
         let now = MonoTime::from_millis(1_000);
         coordinator.begin(now, host(0));
-        for number in 0..runners {
-            let entry = RunnerEntry {
-                key: RunnerKey { name: name(number), born_ms: Some(1) },
-                upstream: "dala".parse().unwrap_or_else(|_| unreachable!()),
-                address: SocketAddr::from(([127, 0, 0, 1], 1)),
-                data_centre: "medeu".parse().unwrap_or_else(|_| unreachable!()),
-                places: PLACES,
-                leaving: false,
-            };
-            coordinator.runner_news(now, &RunnerNews::Up(entry), &mut Vec::new());
-        }
+        let news: Vec<_> = (0..runners).map(|number| RunnerNews::Up(entry(number))).collect();
+        coordinator.runner_news(now, &news, &mut Vec::new());
         let mut fleet = Self { coordinator, now, next: 0, running: VecDeque::new() };
         for _ in 0..runners * PLACES as usize + waiting {
             fleet.arrive();
@@ -124,6 +118,17 @@
     }
 }
 
+fn entry(number: usize) -> RunnerEntry {
+    RunnerEntry {
+        key: RunnerKey { name: name(number), born_ms: Some(1) },
+        upstream: "dala".parse().unwrap_or_else(|_| unreachable!()),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "medeu".parse().unwrap_or_else(|_| unreachable!()),
+        places: PLACES,
+        leaving: false,
+    }
+}
+
 fn name(number: usize) -> comfreyway_core::ids::RunnerName {
     format!("r{number}").parse().unwrap_or_else(|_| unreachable!())
 }
@@ -151,8 +156,51 @@
     group.finish();
 }
 
+/// All hosts start at once: each one lists the runners, hears of one host after
+/// the other, and one of them is asked by all.
+fn start(c: &mut Criterion) {
+    let mut group = c.benchmark_group("fleet_start");
+    group.sample_size(10).measurement_time(Duration::from_secs(1));
+    group.warm_up_time(Duration::from_millis(100));
+    for runners in RUNNERS {
+        group.bench_function(BenchmarkId::new("list", runners), |b| {
+            b.iter(|| list(runners));
+        });
+        group.bench_function(BenchmarkId::new("hosts_380", runners), |b| {
+            b.iter_batched(
+                || list(runners),
+                |mut coordinator| {
+                    let now = MonoTime::from_millis(1_000);
+                    for number in 1..ALL_HOSTS {
+                        coordinator.set_known_hosts(now, number);
+                        coordinator.host_joined(now, host(number as u128));
+                    }
+                    coordinator
+                },
+                BatchSize::LargeInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+fn list(runners: usize) -> Coordinator {
+    let rule = RetryRule { ratio: 0.2, slack: 100.0, window_s: 10.0 };
+    let mut coordinator = Coordinator::new(rule, QuotaRule::default());
+    let now = MonoTime::from_millis(1_000);
+    coordinator.begin(now, host(0));
+    let entries = (0..runners).map(entry).collect();
+    let (mut directory, mut news) = (RunnerDirectory::default(), Vec::new());
+    directory.list(now, entries, &mut news);
+    // The store lists all runners anew.
+    directory.list(now, (0..runners).map(entry).collect(), &mut Vec::new());
+    coordinator.runner_news(now, &news, &mut Vec::new());
+    coordinator
+}
+
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     request(&mut criterion);
+    start(&mut criterion);
     criterion.final_summary();
 }
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -123,23 +123,31 @@
         }
     }
 
-    /// Takes in what changed about a runner.
-    pub fn runner_news(&mut self, now: MonoTime, news: &RunnerNews, out: &mut Vec<(HostId, Tell)>) {
-        let (entry, gone) = match news {
-            RunnerNews::Up(entry) | RunnerNews::Leaving(entry) => (entry, false),
-            RunnerNews::Gone(entry) => (entry, true),
-        };
-        let name = entry.key.name.clone();
-        let share = self.share;
-        let ranked = self.ranked(now, &entry.upstream);
-        if gone {
-            ranked.runners.remove(&name);
-            ranked.ranking.runner_gone(&name);
-        } else {
-            ranked.runners.insert(name.clone(), (entry.places, entry.leaving));
-            ranked.ranking.runner_up(name, share.of_places(entry.places), entry.leaving);
+    /// Takes in what changed about runners, and then decides.
+    pub fn runner_news(
+        &mut self,
+        now: MonoTime,
+        news: &[RunnerNews],
+        out: &mut Vec<(HostId, Tell)>,
+    ) {
+        let mut changed = BTreeSet::new();
+        for news in news {
+            let entry = news.entry();
+            let name = entry.key.name.clone();
+            let share = self.share;
+            let ranked = self.ranked(now, &entry.upstream);
+            if let RunnerNews::Gone(_) = news {
+                ranked.runners.remove(&name);
+                ranked.ranking.runner_gone(&name);
+            } else {
+                ranked.runners.insert(name.clone(), (entry.places, entry.leaving));
+                ranked.ranking.runner_up(name, share.of_places(entry.places), entry.leaving);
+            }
+            changed.insert(&entry.upstream);
+        }
+        for upstream in changed {
+            self.rank(now, upstream, out, |ranking, decisions| ranking.tick(now, decisions));
         }
-        self.rank(now, &entry.upstream, out, |ranking, decisions| ranking.tick(now, decisions));
     }
 
     /// Takes in what a host asks or reports.
@@ -317,13 +325,15 @@
 
     fn update_share(&mut self) {
         let share = Share::new(self.asking.len(), self.known_hosts);
-        if share == self.share {
-            return;
-        }
-        self.share = share;
+        let before = std::mem::replace(&mut self.share, share);
         for ranked in self.upstreams.values_mut() {
             for (name, (places, leaving)) in &ranked.runners {
-                ranked.ranking.runner_up(name.clone(), share.of_places(*places), *leaving);
+                // Hundreds of hosts come one after the other, few of them change
+                // the share of so few places.
+                let places_now = share.of_places(*places);
+                if places_now != before.of_places(*places) {
+                    ranked.ranking.runner_up(name.clone(), places_now, *leaving);
+                }
             }
         }
     }
--- a/crates/core/src/fleet/directory.rs
+++ b/crates/core/src/fleet/directory.rs
@@ -1,6 +1,9 @@
 //! One opinion on each runner, from entries that come and go.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{ids::RunnerName, time::MonoTime};
 
@@ -21,6 +24,16 @@
     Gone(RunnerEntry),
 }
 
+impl RunnerNews {
+    /// The runner's entry, for one that is gone the last one.
+    #[must_use]
+    pub fn entry(&self) -> &RunnerEntry {
+        match self {
+            Self::Up(entry) | Self::Leaving(entry) | Self::Gone(entry) => entry,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     entry: RunnerEntry,
@@ -46,7 +59,7 @@
 
     /// Takes in all entries at once.
     pub fn list(&mut self, now: MonoTime, entries: Vec<RunnerEntry>, out: &mut Vec<RunnerNews>) {
-        let listed: Vec<_> = entries.iter().map(|entry| entry.key.name.clone()).collect();
+        let listed: BTreeSet<_> = entries.iter().map(|entry| entry.key.name.clone()).collect();
         for entry in entries {
             self.put(entry, out);
         }
--- a/crates/core/tests/fleet/coordinator.rs
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -34,7 +34,7 @@
     let mut coordinator = Coordinator::new(RETRIES, QuotaRule::default());
     coordinator.set_plan(plan(0.0));
     coordinator.begin(at(0), host("h1"));
-    coordinator.runner_news(at(0), &RunnerNews::Up(entry("a", 1, false)), &mut Vec::new());
+    coordinator.runner_news(at(0), &[RunnerNews::Up(entry("a", 1, false))], &mut Vec::new());
     coordinator
 }
 
--- a/crates/core/tests/fleet/quota_changes.rs
+++ b/crates/core/tests/fleet/quota_changes.rs
@@ -85,7 +85,7 @@
         coordinator.begin(at(now_ms), name(me));
         let mut runner = entry("a", 1, false);
         runner.places = 100_000;
-        coordinator.runner_news(at(now_ms), &RunnerNews::Up(runner), &mut Vec::new());
+        coordinator.runner_news(at(now_ms), &[RunnerNews::Up(runner)], &mut Vec::new());
         let asked_by = BTreeMap::new();
         Self {
             coordinator,
--- a/crates/node/src/fleet/control/store_news.rs
+++ b/crates/node/src/fleet/control/store_news.rs
@@ -141,8 +141,8 @@
 
     pub(super) fn runner_news(&mut self, news: Vec<RunnerNews>) {
         let now = self.now();
-        for news in news {
-            match &news {
+        for news in &news {
+            match news {
                 RunnerNews::Up(entry) => log_event!(
                     Event::RunnerUsable,
                     runner:% = entry.key.name,
@@ -160,10 +160,10 @@
                     upstream:% = entry.upstream
                 ),
             }
-            let mut tells = Vec::new();
-            self.coordinator.runner_news(now, &news, &mut tells);
-            self.carry_out(Vec::new(), tells);
         }
+        let mut tells = Vec::new();
+        self.coordinator.runner_news(now, &news, &mut tells);
+        self.carry_out(Vec::new(), tells);
     }
 
     fn members_changed(&mut self) {
