Log many new runners, and the load of many, in one line

Cause: every host that started before 1,400 runners wrote a line for each, 207,000 lines on 148 hosts within a second, on hosts of 0.12 cores; a coordinator wrote the rates of all its runners each second, some 100 KB at 2,200.

Change: more than 16 new runners are one line for each upstream (CF0524), those that leave or are gone keep theirs, which explain needs; CF0551 names at most 32 runners, of more than that only those that are not sound.

Test: a_line_tells_of_all_runners_if_they_are_few.

--- a/crates/core/src/fleet/ranking/state.rs
+++ b/crates/core/src/fleet/ranking/state.rs
@@ -26,6 +26,9 @@
 /// Prompt tokens that an engine prefills in one step.
 const CHUNK_TOKENS: f64 = 2_048.0;
 
+/// Most runners in one line of a log. Thousands would be 100 KB a second.
+const MAX_SHOWN: usize = 32;
+
 /// What the ranking decides.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decision {
@@ -282,11 +285,18 @@
 }
 
 impl std::fmt::Display for Ranking {
-    /// One line for a log: what waits, and each runner with its load and rates.
+    /// One line for a log: what waits, and each runner with its load and rates; of
+    /// many runners those that are not sound.
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let busy: usize = self.runners.iter().map(|(_, runner)| runner.in_progress()).sum();
         write!(f, "{} wait, {busy} in progress;", self.queue.len())?;
-        for (name, runner) in self.runners.iter() {
+        let all = self.runners.iter().count();
+        let few = all <= MAX_SHOWN;
+        if !few {
+            write!(f, " {all} runners, those with failures or leaving:")?;
+        }
+        let shown = |runner: &RunnerState| few || runner.failures > 0 || runner.leaving;
+        for (name, runner) in self.runners.iter().filter(|(_, r)| shown(r)).take(MAX_SHOWN) {
             let (load, places) = (runner.in_progress(), runner.places);
             let (prefill, decode) = (runner.prefill_us(), runner.decode_us());
             write!(f, " {name} {load}/{places} {prefill:.0}/{decode:.0} us")?;
--- a/crates/core/tests/fleet/ranking.rs
+++ b/crates/core/tests/fleet/ranking.rs
@@ -55,6 +55,20 @@
     grants.collect()
 }
 
+/// The line of the log stays short before thousands of runners.
+#[test]
+fn a_line_tells_of_all_runners_if_they_are_few() {
+    let mut few = engine(&[("a", 2), ("b", 2)]);
+    submit(&mut few, at(0), 1, 1, 500);
+    assert!(few.to_string().contains(" a 1/2 ") && few.to_string().contains(" b 0/2 "));
+    let mut many = Ranking::new(true);
+    for number in 0..2_000 {
+        many.runner_up(name(&format!("r{number}")), 2, number == 1_500);
+    }
+    let line = many.to_string();
+    assert!(line.contains(" 2000 runners") && line.contains(" r1500 ") && line.len() < 200);
+}
+
 #[test]
 fn a_runner_gets_no_more_than_its_places() {
     let mut ranking = engine(&[("a", 2)]);
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -112,6 +112,8 @@
     RunnerLeaving = "CF0522", Info, "runner is leaving";
     /// Fields: runner, upstream.
     RunnerGone = "CF0523", Info, "runner is gone";
+    /// Fields: upstream, runners.
+    RunnersListed = "CF0524", Info, "runners may be used";
     /// Fields: host, address.
     CoordinatorChosen = "CF0531", Info, "another host coordinates";
     /// Fields: host.
--- a/crates/node/src/fleet/control/store_news.rs
+++ b/crates/node/src/fleet/control/store_news.rs
@@ -1,11 +1,11 @@
 //! What the store says of configuration, runners and hosts.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use actix::Context;
 use comfreyway_core::{
-    fleet::{Member, RunnerNews},
-    ids::{HostName, RunnerName},
+    fleet::{Member, RunnerEntry, RunnerNews},
+    ids::{HostName, RunnerName, UpstreamName},
 };
 use comfreyway_platform::{KvEvent, Versioned};
 
@@ -16,6 +16,10 @@
 
 use super::FleetControl;
 
+/// Most new runners that are logged one by one: a host that starts before
+/// thousands of them has better to do.
+const MAX_RUNNER_LINES: usize = 16;
+
 impl FleetControl {
     /// Takes in what the store, or the coordinator in its place, says.
     pub(super) fn store_news(&mut self, news: FeedNews) {
@@ -128,7 +132,7 @@
         RunnerName::new(key.strip_prefix(self.dialect.keys.runners)?).ok()
     }
 
-    fn read_runner(&self, item: &Versioned) -> Option<comfreyway_core::fleet::RunnerEntry> {
+    fn read_runner(&self, item: &Versioned) -> Option<RunnerEntry> {
         let name = self.runner_name(&item.key)?;
         match (self.dialect.read_runner)(name, &item.value) {
             Ok(entry) => Some(entry),
@@ -140,27 +144,8 @@
     }
 
     pub(super) fn runner_news(&mut self, news: Vec<RunnerNews>) {
+        log_runners(&news);
         let now = self.now();
-        for news in &news {
-            match news {
-                RunnerNews::Up(entry) => log_event!(
-                    Event::RunnerUsable,
-                    runner:% = entry.key.name,
-                    upstream:% = entry.upstream,
-                    places = entry.places
-                ),
-                RunnerNews::Leaving(entry) => log_event!(
-                    Event::RunnerLeaving,
-                    runner:% = entry.key.name,
-                    upstream:% = entry.upstream
-                ),
-                RunnerNews::Gone(entry) => log_event!(
-                    Event::RunnerGone,
-                    runner:% = entry.key.name,
-                    upstream:% = entry.upstream
-                ),
-            }
-        }
         let mut tells = Vec::new();
         self.coordinator.runner_news(now, &news, &mut tells);
         self.carry_out(Vec::new(), tells);
@@ -203,3 +188,41 @@
         self.arm(cx);
     }
 }
+
+/// Tells of each runner; of new ones together if they are many.
+fn log_runners(news: &[RunnerNews]) {
+    let is_new = |news: &&RunnerNews| matches!(news, RunnerNews::Up(_));
+    if news.iter().filter(is_new).count() <= MAX_RUNNER_LINES {
+        news.iter().for_each(log_runner);
+        return;
+    }
+    let mut counts: BTreeMap<&UpstreamName, usize> = BTreeMap::new();
+    for news in news {
+        match news {
+            RunnerNews::Up(entry) => *counts.entry(&entry.upstream).or_default() += 1,
+            RunnerNews::Leaving(_) | RunnerNews::Gone(_) => log_runner(news),
+        }
+    }
+    for (upstream, runners) in counts {
+        log_event!(Event::RunnersListed, upstream:% = upstream, runners = runners);
+    }
+}
+
+fn log_runner(news: &RunnerNews) {
+    let RunnerEntry { key, upstream, places, .. } = news.entry();
+    let (runner, places) = (&key.name, *places);
+    match news {
+        RunnerNews::Up(_) => log_event!(
+            Event::RunnerUsable,
+            runner:% = runner,
+            upstream:% = upstream,
+            places = places
+        ),
+        RunnerNews::Leaving(_) => {
+            log_event!(Event::RunnerLeaving, runner:% = runner, upstream:% = upstream);
+        }
+        RunnerNews::Gone(_) => {
+            log_event!(Event::RunnerGone, runner:% = runner, upstream:% = upstream);
+        }
+    }
+}
