--- a/crates/node/src/fleet/feed.rs
+++ b/crates/node/src/fleet/feed.rs
@@ -18,6 +18,11 @@
 /// this bounds the age of the proof.
 const WAIT: Duration = Duration::from_millis(1_000);
 
+/// Time between two calls for changes. While hundreds of hosts start, each one's
+/// entry is a change; a call for each of them from each host is over the store's
+/// rate. Far below the second after which changes have to be in force.
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// First pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
 
@@ -100,6 +105,7 @@
             self.tell(FeedNews::Changes(events, at))?;
             self.tell(FeedNews::Proven(proven))
         });
+        sleep(MIN_INTERVAL.saturating_sub(self.clock.now().since(asked))).await;
         Ok(told.map(|()| at))
     }
 
