Count a host on its newest session only

Cause: a host that gives a session up and asks again may be known to its coordinator by the former session. What that session had asked stayed open, the host's Place or Adopt on the new one was ignored, and the former's end counted as one of a session long gone: a runner's place was held until the coordinator ended. A host whose queue was full was forgotten with its requests left open.

Ruled out: the desk's withdrawals; they go to the coordinator on the session that is over and can't arrive.

Change: sessions have rising numbers, a newer one voids what the older asked, a late older one is closed, and messages of a former session count for nothing.

Decisions are the same while sessions end in order.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -22,7 +22,7 @@
 const TURNED_AWAY_RETRY: Duration = Duration::from_millis(500);
 
 /// What is kept of an open request besides the ranking's own record.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Open {
     host: HostId,
     upstream: UpstreamName,
@@ -33,7 +33,7 @@
     granted: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Ranked {
     ranking: Ranking,
     budget: RetryBudget,
@@ -42,7 +42,7 @@
 }
 
 /// Decides for the requests of the hosts that ask it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Coordinator {
     rule: RetryRule,
     plan: Option<Arc<Plan>>,
--- a/crates/core/src/fleet/desk.rs
+++ b/crates/core/src/fleet/desk.rs
@@ -36,7 +36,7 @@
 }
 
 /// The requests of one host.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Desk {
     open: BTreeMap<RequestId, Open>,
     coordinator: Option<HostId>,
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 //! so two coordinators at the same time may overfill a runner for a moment and
 //! can't run a request twice.
 
+mod asking;
 mod budget;
 mod coordinator;
 mod desk;
@@ -30,6 +31,7 @@
 mod share;
 
 pub use self::{
+    asking::{AskingHosts, SessionUp},
     budget::{RetryBudget, RetryRule},
     coordinator::Coordinator,
     desk::{Desk, DeskAction},
--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -69,7 +69,7 @@
 /// the coordinator that it asks. The buckets fill at the rate of the shares that
 /// are lent at the moment: what a host used by itself, or at another
 /// coordinator, is never had again here.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Quotas {
     rule: QuotaRule,
     buckets: BTreeMap<WorkspaceName, Bucket>,
--- a/crates/core/src/fleet/ranking/queue.rs
+++ b/crates/core/src/fleet/ranking/queue.rs
@@ -34,7 +34,7 @@
 type Order = (Tier, bool, MonoTime, u64);
 
 /// Waiting requests in order.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     waiting: BTreeMap<RequestId, Waiting>,
     order: BTreeSet<(Order, RequestId)>,
--- a/crates/core/src/fleet/ranking/roster.rs
+++ b/crates/core/src/fleet/ranking/roster.rs
@@ -69,7 +69,7 @@
 }
 
 /// The runners of one upstream.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Roster {
     engine: bool,
     runners: BTreeMap<RunnerName, (Rank, RunnerState)>,
--- a/crates/core/src/fleet/ranking/state.rs
+++ b/crates/core/src/fleet/ranking/state.rs
@@ -47,7 +47,7 @@
 }
 
 /// Order and placement of the requests of one upstream.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Ranking {
     pub(super) engine: bool,
     pub(super) chunk_tokens: f64,
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod coordinator;
 mod desk;
 mod directory;
+mod model;
 mod quota_changes;
 mod quotas;
 mod ranking;
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -9,7 +9,7 @@
 
 use actix::{Actor, AsyncContext, Context, SpawnHandle, StreamHandler};
 use comfreyway_core::{
-    fleet::{Coordinator, Desk, DeskAction, Member, RunnerDirectory, Tell, elect},
+    fleet::{AskingHosts, Coordinator, Desk, DeskAction, Member, RunnerDirectory, Tell, elect},
     ids::{HostId, HostName, RequestId},
     outcome::RetryReason,
     time::MonoTime,
@@ -67,8 +67,6 @@
 
 /// A host that asks this one.
 struct AskingHost {
-    /// Tells its sessions apart.
-    session: u64,
     tx: Sender<Frame>,
     /// True if it hears of every change of the store.
     synced: bool,
@@ -100,7 +98,7 @@
     suspects: BTreeMap<HostId, MonoTime>,
     link: Option<CoordinatorLink>,
     /// Hosts that ask this one.
-    hosts: BTreeMap<HostId, AskingHost>,
+    hosts: AskingHosts<AskingHost>,
     workers: HashMap<RequestId, UnboundedSender<Verdict>>,
     mirror: Mirror,
     /// The own feed, while it runs.
@@ -141,7 +139,7 @@
             members: BTreeMap::new(),
             suspects: BTreeMap::new(),
             link: None,
-            hosts: BTreeMap::new(),
+            hosts: AskingHosts::default(),
             workers: HashMap::new(),
             mirror: Mirror::default(),
             feed: None,
@@ -338,7 +336,7 @@
     /// Tells the hosts that ask this one to ask another.
     fn tell_leaving(&self) {
         let Some(frame) = coordination::frame(&ToHost::Leaving) else { return };
-        for host in self.hosts.values() {
+        for (_, host) in self.hosts.iter() {
             if host.tx.try_send(frame.clone()).is_err() {
                 log::debug!("a host can't be told to leave; its session will end");
             }
@@ -349,7 +347,7 @@
         let suspected = |id: &HostId| self.suspects.get(id).is_some_and(|until| now < *until);
         let others = self.members.values().filter(|m| m.id.name != self.me.id.name);
         // A host that asks this one coordinates nobody.
-        let others = others.filter(|member| !self.hosts.contains_key(&member.id));
+        let others = others.filter(|member| self.hosts.get(&member.id).is_none());
         let others = others.filter(|member| !suspected(&member.id));
         let me = (!self.stopping && !suspected(&self.me.id)).then_some(&self.me);
         elect(others.chain(me)).cloned()
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use comfreyway_core::{ids::HostId, time::MonoTime};
+use comfreyway_core::{fleet::SessionUp, ids::HostId, time::MonoTime};
 use comfreyway_platform::Revision;
+use tokio::sync::mpsc::Sender;
 
 use crate::{
     events::{Event, log_event},
@@ -79,39 +80,32 @@
         match event {
             SessionEvent::HostUp(host, session, tx) => {
                 log_event!(Event::HostAsks, host:% = host);
-                self.hosts.insert(host.clone(), AskingHost { session, tx, synced: false });
-                if self.follows_other() {
-                    // Whoever asks another one coordinates nobody: the hosts that
-                    // ask it would be a group of their own for as long as both last.
-                    self.send_to_host(&host, &ToHost::Leaving);
-                } else {
-                    self.coordinator.host_joined(now, host);
-                }
+                self.host_up(&host, session, tx);
+            }
+            SessionEvent::FromHost(host, session, _) if !self.hosts.is_present(&host, session) => {
+                log::debug!("a former session of {host} still told something");
             }
-            SessionEvent::FromHost(_, ToCoordinator::Ask(_)) if self.follows_other() => {}
-            SessionEvent::FromHost(host, ToCoordinator::Ask(ask)) => {
+            SessionEvent::FromHost(_, _, ToCoordinator::Ask(_)) if self.follows_other() => {}
+            SessionEvent::FromHost(host, _, ToCoordinator::Ask(ask)) => {
                 let mut tells = Vec::new();
                 self.coordinator.ask(now, &host, ask, &mut tells);
                 self.carry_out(Vec::new(), tells);
             }
-            SessionEvent::FromHost(host, ToCoordinator::Ping(sent)) => {
+            SessionEvent::FromHost(host, _, ToCoordinator::Ping(sent)) => {
                 self.coordinator.host_heard(now, &host, MonoTime::from_micros(sent));
                 let age = now.since(self.knowledge.proven());
                 self.send_to_host(&host, &ToHost::Pong(sent, self.mirror.at().0, age));
             }
-            SessionEvent::FromHost(host, ToCoordinator::Sync(from)) => {
+            SessionEvent::FromHost(host, _, ToCoordinator::Sync(from)) => {
                 self.sync(&host, Revision(from));
             }
-            SessionEvent::FromHost(host, ToCoordinator::Hello(..)) => {
+            SessionEvent::FromHost(host, _, ToCoordinator::Hello(..)) => {
                 log::warn!("host {host} greets twice");
             }
             SessionEvent::HostDown(host, session) => {
-                if self.hosts.get(&host).is_some_and(|asking| asking.session == session) {
+                if self.hosts.down(&host, session) {
                     log_event!(Event::HostLeft, host:% = host, cause = "its session ended");
-                    self.hosts.remove(&host);
-                    let mut tells = Vec::new();
-                    self.coordinator.host_left(now, &host, &mut tells);
-                    self.carry_out(Vec::new(), tells);
+                    self.host_left(&host);
                 }
             }
             SessionEvent::CoordinatorUp(host, tx) => {
@@ -154,6 +148,29 @@
         }
     }
 
+    /// A host asks this one from now on.
+    fn host_up(&mut self, host: &HostId, session: u64, tx: Sender<Frame>) {
+        match self.hosts.up(host, session, AskingHost { tx, synced: false }) {
+            SessionUp::First => {}
+            SessionUp::Replaces => self.host_left(host),
+            SessionUp::TooLate => return,
+        }
+        if self.follows_other() {
+            // Whoever asks another one coordinates nobody: the hosts that
+            // ask it would be a group of their own for as long as both last.
+            self.send_to_host(host, &ToHost::Leaving);
+        } else {
+            self.coordinator.host_joined(self.now(), host.clone());
+        }
+    }
+
+    /// What a host asked on a session that is over is void.
+    fn host_left(&mut self, host: &HostId) {
+        let mut tells = Vec::new();
+        self.coordinator.host_left(self.now(), host, &mut tells);
+        self.carry_out(Vec::new(), tells);
+    }
+
     pub(super) fn send_to_host(&mut self, host: &HostId, message: &ToHost) {
         if let Some(frame) = frame(message) {
             self.send_frame(host, frame);
@@ -165,6 +182,7 @@
         if asking.tx.try_send(frame).is_err() {
             log_event!(Event::HostMuted, host:% = host);
             self.hosts.remove(host);
+            self.host_left(host);
         }
     }
 
--- a/crates/node/src/fleet/sessions.rs
+++ b/crates/node/src/fleet/sessions.rs
@@ -51,7 +51,7 @@
     /// A host asks this one from now on. The number tells its sessions apart.
     HostUp(HostId, u64, Sender<Frame>),
     /// A frame of a host.
-    FromHost(HostId, ToCoordinator),
+    FromHost(HostId, u64, ToCoordinator),
     /// A session with a host has ended.
     HostDown(HostId, u64),
     /// The coordinator can be asked.
@@ -99,14 +99,14 @@
         timeout(GREETING_TIME, accepting).await.map_err(|_| SessionError::Greeting)??;
     let (tx, mut queue) = channel(QUEUE);
     tell(events, SessionEvent::HostUp(host.clone(), number, tx))?;
-    let result = carry_host(&mut socket, &host, &mut queue, events).await;
+    let result = carry_host(&mut socket, (&host, number), &mut queue, events).await;
     tell(events, SessionEvent::HostDown(host, number))?;
     result
 }
 
 async fn carry_host(
     socket: &mut PeerSocket,
-    host: &HostId,
+    (host, session): (&HostId, u64),
     queue: &mut Receiver<Frame>,
     events: &UnboundedSender<SessionEvent>,
 ) -> Result<(), SessionError> {
@@ -114,7 +114,7 @@
         tokio::select! {
             frame = timeout(HOST_SILENCE, socket.read()) => {
                 let frame = frame.map_err(|_| SessionError::Silence)??;
-                tell(events, SessionEvent::FromHost(host.clone(), frame))?;
+                tell(events, SessionEvent::FromHost(host.clone(), session, frame))?;
             }
             message = queue.recv() => {
                 socket.send_all(message.ok_or(SessionError::Closed)?, queue).await?;
