Serve after the first page of the store

Cause: while 301 hosts start, each one reads 3,000 runners, 400 MB together, over the store's link of 1,000 Mbit/s; until the end none knew the configuration, and all answered not ready for three seconds.

Change: the first page, which holds the hosts and the configuration, is taken in at once and proves the configuration as of its reading. A coordinator introduces the runner of a grant to a host that has not heard of the store from it yet. A page that is refused is asked for again alone. Test, failed first: a_host_serves_before_it_has_read_all_runners.

--- a/crates/core/src/fleet/directory.rs
+++ b/crates/core/src/fleet/directory.rs
@@ -132,6 +132,12 @@
         }
     }
 
+    /// True if there is an entry of a runner, or was one of a run that ended.
+    #[must_use]
+    pub fn knows(&self, name: &RunnerName) -> bool {
+        self.known.contains_key(name) || self.ended.contains_key(name)
+    }
+
     /// The entry of a runner that may be used.
     #[must_use]
     pub fn usable(&self, name: &RunnerName) -> Option<&RunnerEntry> {
--- a/crates/core/src/fleet/runner.rs
+++ b/crates/core/src/fleet/runner.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{DataCentreName, RunnerName, UpstreamName};
 
 /// One run of a runner. A runner that starts again may keep its name.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct RunnerKey {
     /// The runner's name.
     pub name: RunnerName,
@@ -14,7 +16,7 @@
 }
 
 /// A runner's entry in the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RunnerEntry {
     /// The run.
     pub key: RunnerKey,
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -165,6 +165,7 @@
                 if host == self.me.id {
                     self.desk.told(None, tell, &mut more);
                 } else {
+                    self.introduce_runner(&host, &tell);
                     self.send_to_host(&host, &ToHost::Tell(tell));
                 }
             } else if let Some(action) = actions.pop_front() {
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -121,6 +121,11 @@
                 self.desk.told(Some(&host), tell, &mut actions);
                 self.carry_out(actions, Vec::new());
             }
+            SessionEvent::FromCoordinator(host, ToHost::Runner(entry)) => {
+                if self.link.as_ref().is_some_and(|link| link.host == host) {
+                    self.introduced(*entry);
+                }
+            }
             SessionEvent::FromCoordinator(host, ToHost::Pong(sent, at, age)) => {
                 self.relayed_proof(&host, MonoTime::from_micros(sent), Revision(at), age);
             }
--- a/crates/node/src/fleet/control/relaying.rs
+++ b/crates/node/src/fleet/control/relaying.rs
@@ -6,7 +6,11 @@
 
 use std::time::Duration;
 
-use comfreyway_core::{ids::HostId, time::MonoTime};
+use comfreyway_core::{
+    fleet::{RunnerEntry, Tell},
+    ids::HostId,
+    time::MonoTime,
+};
 use comfreyway_platform::{KvEvent, Revision};
 
 use crate::events::{Event, log_event};
@@ -109,7 +113,8 @@
         self.follow_other(host.clone());
         let Some(link) = self.link.as_mut().filter(|link| link.host == *host) else { return };
         match relay {
-            Relay::Off if age <= FRESH_PROOF && at.0 > 0 && at >= mine => {
+            // A host that has not read the store would be told all of it.
+            Relay::Off if age <= FRESH_PROOF && mine.0 > 0 && at >= mine => {
                 link.relay = Relay::Asked;
                 self.send_to_coordinator(host, ToCoordinator::Sync(mine.0));
             }
@@ -172,6 +177,27 @@
         }
     }
 
+    /// Tells a host that may not have read all of the store which runner a grant
+    /// names.
+    pub(super) fn introduce_runner(&mut self, host: &HostId, tell: &Tell) {
+        let synced = self.hosts.get(host).is_none_or(|asking| asking.synced);
+        if let (Tell::Grant(_, runner), false) = (tell, synced)
+            && let Some(entry) = self.directory.usable(runner)
+        {
+            let message = ToHost::Runner(Box::new(entry.clone()));
+            self.send_to_host(host, &message);
+        }
+    }
+
+    /// Takes in a runner that this host has not read yet.
+    pub(super) fn introduced(&mut self, entry: RunnerEntry) {
+        let mut news = Vec::new();
+        if !self.directory.knows(&entry.key.name) {
+            self.directory.put(entry, &mut news);
+        }
+        self.runner_news(news);
+    }
+
     /// What a host lacks that knows all changes up to `from`.
     fn catch_up(&self, from: Revision) -> Vec<Frame> {
         let CatchUp { changes, complete } = self.mirror.since(from);
--- a/crates/node/src/fleet/control/store_news.rs
+++ b/crates/node/src/fleet/control/store_news.rs
@@ -6,6 +6,7 @@
 use comfreyway_core::{
     fleet::{Member, RunnerEntry, RunnerNews},
     ids::{HostName, RunnerName, UpstreamName},
+    time::MonoTime,
 };
 use comfreyway_platform::{KvEvent, Versioned};
 
@@ -25,6 +26,7 @@
     pub(super) fn store_news(&mut self, news: FeedNews) {
         let now = self.now();
         match news {
+            FeedNews::Part(items, asked) => self.apply_part(items, asked),
             FeedNews::All(items, at) => {
                 if at < self.mirror.at() {
                     return;
@@ -56,6 +58,30 @@
         }
     }
 
+    /// Takes in the first part of a list, so that this host can serve while the
+    /// rest is read. What is missing from it is not gone.
+    fn apply_part(&mut self, mut items: Vec<Versioned>, asked: MonoTime) {
+        let keys = self.dialect.keys;
+        items.retain(|item| self.mirror.is_news(&KvEvent::Put(item.clone())));
+        let plan = items.iter().find(|item| item.key == keys.plan);
+        if let Some(item) = plan {
+            self.apply_plan(item);
+        }
+        let shows_plan = plan.is_some();
+        let runners = items.iter().filter(|item| item.key.starts_with(keys.runners));
+        let entries: Vec<_> = runners.filter_map(|item| self.read_runner(item)).collect();
+        let mut news = Vec::new();
+        entries.into_iter().for_each(|entry| self.directory.put(entry, &mut news));
+        self.runner_news(news);
+        for item in items.iter().filter(|item| item.key.starts_with(keys.members)) {
+            self.put_member(item);
+        }
+        self.members_changed();
+        if shows_plan {
+            self.store_news(FeedNews::Proven(asked));
+        }
+    }
+
     fn apply_all(&mut self, items: &[Versioned]) {
         let keys = self.dialect.keys;
         if let Some(item) = items.iter().find(|item| item.key == keys.plan) {
--- a/crates/node/src/fleet/counted_store.rs
+++ b/crates/node/src/fleet/counted_store.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use comfreyway_platform::{Changes, LeaseId, Listing, Revision, Store, StoreError};
+use comfreyway_platform::{Changes, LeaseId, Listing, Page, Revision, Store, StoreError};
 use futures_util::{FutureExt, future::LocalBoxFuture};
 
 use crate::metrics::FleetMetrics;
@@ -48,6 +48,14 @@
         self.count("list", self.store.list(prefix))
     }
 
+    fn page<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+    ) -> LocalBoxFuture<'a, Result<Page, StoreError>> {
+        self.count("page", self.store.page(prefix, after))
+    }
+
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
--- a/crates/node/src/fleet/feed.rs
+++ b/crates/node/src/fleet/feed.rs
@@ -6,7 +6,7 @@
 use std::{rc::Rc, time::Duration};
 
 use comfreyway_core::time::MonoTime;
-use comfreyway_platform::{Changes, KvEvent, Listing, Revision, Store, StoreError, Versioned};
+use comfreyway_platform::{Changes, KvEvent, Page, Revision, Store, StoreError, Versioned};
 use tokio::{sync::mpsc::UnboundedSender, time::sleep};
 
 use crate::control::Clock;
@@ -30,9 +30,14 @@
 /// two seconds of the store's return.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
+/// Tries for one more page before the list begins anew: some two seconds.
+const MAX_PAGE_TRIES: u32 = 6;
+
 /// What the store holds and what changes there.
 #[derive(Debug)]
 pub(super) enum FeedNews {
+    /// The first part of everything, read after this time.
+    Part(Vec<Versioned>, MonoTime),
     /// Everything, as of a revision.
     All(Vec<Versioned>, Revision),
     /// Changes up to a revision.
@@ -85,16 +90,45 @@
         }
     }
 
+    /// Lists everything. The first page is told at once: it holds the hosts and
+    /// the configuration, and thousands of runners take the store seconds while
+    /// all hosts start.
     async fn list(&mut self) -> Result<Option<Revision>, StoreError> {
         let asked = self.clock.now();
-        let Listing { items, at } = self.store.list(EVERYTHING).await?;
-        let told = self.answered().and_then(|()| {
+        let Page { mut items, at, mut more } = self.store.page(EVERYTHING, None).await?;
+        let mut told = self.answered();
+        if more {
+            told = told.and_then(|()| self.tell(FeedNews::Part(items.clone(), asked)));
+        }
+        while more && told.is_some() {
+            let last = items.last().map(|item| item.key.clone());
+            let page = self.rest(last.as_deref()).await?;
+            more = page.more;
+            items.extend(page.items);
+        }
+        let told = told.and_then(|()| {
             self.tell(FeedNews::All(items, at))?;
             self.tell(FeedNews::Proven(asked))
         });
         Ok(told.map(|()| at))
     }
 
+    /// A further page. A store that is busy is asked for it again, as the pages
+    /// before would only make it busier.
+    async fn rest(&mut self, after: Option<&str>) -> Result<Page, StoreError> {
+        let mut tries = 0;
+        loop {
+            match self.store.page(EVERYTHING, after).await {
+                Err(e) if tries < MAX_PAGE_TRIES => {
+                    tries += 1;
+                    self.pause(tries).await;
+                    log::debug!("a page of the store is asked for again: {e}");
+                }
+                result => return result,
+            }
+        }
+    }
+
     async fn watch(&mut self, after: Revision) -> Result<Option<Revision>, StoreError> {
         let asked = self.clock.now();
         let Changes { events, at } = self.store.watch(EVERYTHING, after, WAIT).await?;
@@ -121,10 +155,14 @@
         self.failures += 1;
         self.lost = true;
         self.tell(FeedNews::Lost(e))?;
-        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(10) - 1);
+        self.pause(self.failures).await;
+        Some(())
+    }
+
+    async fn pause(&self, failures: u32) {
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(failures.min(10) - 1);
         let pause = pause.min(LONGEST_PAUSE);
         sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-        Some(())
     }
 
     fn tell(&self, news: FeedNews) -> Option<()> {
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use comfreyway_core::{
-    fleet::{Ask, Tell},
+    fleet::{Ask, RunnerEntry, Tell},
     ids::HostId,
 };
 use futures_util::{SinkExt, StreamExt};
@@ -61,6 +61,10 @@
     /// coordinator knows all changes, and the age of the proof of that.
     #[serde(rename = "p")]
     Pong(u64, u64, Duration),
+    /// A runner that the next answer names, for a host that has not read all of
+    /// the store yet.
+    #[serde(rename = "n")]
+    Runner(Box<RunnerEntry>),
     /// Changes of the store.
     #[serde(rename = "c")]
     Changes(ChangeSet),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,5 +17,5 @@
     error::PlatformError,
     hosts::{HostList, HostState, ListedHost},
     kv::{CasOutcome, KeyValue, KvEvent, LeaseId, Revision, Versioned},
-    store::{Changes, Listing, Store, StoreError},
+    store::{Changes, Listing, Page, Store, StoreError},
 };
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -47,6 +47,17 @@
     pub at: Revision,
 }
 
+/// Some keys under a prefix.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Page {
+    /// The items, in order of keys.
+    pub items: Vec<Versioned>,
+    /// Changes after this revision may be missing from the items.
+    pub at: Revision,
+    /// True if there are more keys after these.
+    pub more: bool,
+}
+
 /// What changed under a prefix.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Changes {
@@ -64,6 +75,14 @@
     /// is complete together with the changes after [`Listing::at`].
     fn list<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Listing, StoreError>>;
 
+    /// Reads the first keys that start with `prefix` and come after the key
+    /// `after`, as many as the store tells at once.
+    fn page<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+    ) -> LocalBoxFuture<'a, Result<Page, StoreError>>;
+
     /// Waits at most `wait` for changes after `after` of the keys that start
     /// with `prefix`.
     fn watch<'a>(
--- a/crates/testkit/src/store/faults.rs
+++ b/crates/testkit/src/store/faults.rs
@@ -30,6 +30,7 @@
     done_later: Option<Duration>,
     reads_per_second: Option<u32>,
     writes_per_second: Option<u32>,
+    first_pages_only: bool,
 }
 
 impl StoreFaults {
@@ -77,6 +78,13 @@
         self
     }
 
+    /// Refuses every page of a list but the first.
+    #[must_use]
+    pub fn with_first_pages_only(mut self) -> Self {
+        self.first_pages_only = true;
+        self
+    }
+
     /// Refuses writes over this rate.
     #[must_use]
     pub fn with_writes_per_second(mut self, rate: u32) -> Self {
@@ -122,6 +130,10 @@
         self.lock().faults.delay
     }
 
+    pub(super) fn first_pages_only(&self) -> bool {
+        self.lock().faults.first_pages_only
+    }
+
     /// Takes one call from the read or write limit.
     pub(super) fn within_rate(&self, write: bool) -> bool {
         let mut state = self.lock();
--- a/crates/testkit/src/store/handlers.rs
+++ b/crates/testkit/src/store/handlers.rs
@@ -77,6 +77,9 @@
     if let Some(refusal) = admit(&store, CallKind::Range).await {
         return refusal;
     }
+    if !query.after.is_empty() && store.faults.first_pages_only() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
     let (found, at) =
         store.keys.with_store(|keys, now| (keys.list(&query.prefix, now), keys.revision().0));
     let rest: Vec<_> = found.iter().filter(|entry| entry.key > query.after).collect();
--- a/tests/testsuite/fleet/hosts.rs
+++ b/tests/testsuite/fleet/hosts.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use tokio_tungstenite::tungstenite::Message;
 
-use super::site::{DESK_KEY, KEY, Site, call, call_with, configuration, try_call};
+use super::site::{DESK_KEY, KEY, Site, call, call_with, configuration, runner_entry, try_call};
 
 /// Waits until a host asks another one.
 async fn asks_another(host: &crate::support::Daemon) {
@@ -57,6 +57,29 @@
     assert_eq!(answer.status, 200);
 }
 
+/// While hundreds of hosts start, thousands of runners take the store seconds. A
+/// host serves as soon as it knows the configuration and the other hosts: its
+/// coordinator tells it of the runners that it has not read.
+#[actix_rt::test]
+async fn a_host_serves_before_it_has_read_all_runners() {
+    let site = Site::new();
+    for number in 0..700 {
+        let entry = runner_entry(([127, 0, 0, 1], 9).into(), "other", "ready");
+        site.store.put(&format!("servers/n{number:03}"), entry.to_string().as_bytes());
+    }
+    let site = site.with_runner("survey", "r1", RunnerManner::Whole);
+    let _first = site.host("h1").await;
+    site.store.set_faults(StoreFaults::new().with_first_pages_only());
+    let second = site.host("h2").await;
+    asks_another(&second).await;
+    let answer = call(&second, "id-1", "/lookup/").await;
+    assert_eq!((answer.status, site.runners[0].runs().len()), (200, 1));
+    site.store.set_faults(StoreFaults::new());
+    let told = || async { second.log().contains("CF0543").then_some(()) };
+    eventually(told).await.expect("the host never read the rest");
+    assert_eq!(call(&second, "id-2", "/lookup/").await.status, 200);
+}
+
 /// A host that asks another one sends away whoever asks it. It once kept them, and
 /// two groups of hosts shared the runners until a connection broke.
 #[actix_rt::test]
