Say that a configuration is in force once it is

Cause: the line CF0511 was written before the traffic threads could see the configuration.

Change: the line comes after. Test: a_new_version_is_in_force_and_an_old_key_is_refused, which failed by it once beside load; no test without timing can hold the thread there.

Serving was never wrong: the bound runs from the store's answer, not from the line.

--- a/crates/node/src/fleet/control/store_news.rs
+++ b/crates/node/src/fleet/control/store_news.rs
@@ -127,11 +127,12 @@
         }
         match (self.dialect.read_plan)(&item.value, item.revision.0) {
             Ok(plan) => {
-                log_event!(Event::PlanInForce, version = plan.version, revision = plan.revision);
                 let plan = Arc::new(plan);
                 self.plan_readable = true;
                 self.knowledge.set_plan(plan.clone());
-                self.coordinator.set_plan(plan);
+                self.coordinator.set_plan(plan.clone());
+                // Whoever reads the line may rely on it.
+                log_event!(Event::PlanInForce, version = plan.version, revision = plan.revision);
             }
             Err(e) => {
                 self.plan_readable = false;
