Introduce runners only to a host that has not listed them all

Cause, found by reading: a host that has read the whole store and watches it by itself took in a runner named by a coordinator that does not reach the store, although it had seen that runner's removal.

Change: an introduction counts only before all entries were listed; from then on what is not known is gone. The decision is the directory's. Test, failed with the former rule: a_runner_is_introduced_only_before_all_were_listed.

--- a/crates/core/src/fleet/directory.rs
+++ b/crates/core/src/fleet/directory.rs
@@ -49,6 +49,8 @@
     ended: BTreeMap<RunnerName, RunnerKey>,
     /// Until when a vanished entry may only be lost and not gone.
     lenient_until: Option<MonoTime>,
+    /// True once all entries were taken in.
+    listed: bool,
 }
 
 impl RunnerDirectory {
@@ -59,6 +61,7 @@
 
     /// Takes in all entries at once.
     pub fn list(&mut self, now: MonoTime, entries: Vec<RunnerEntry>, out: &mut Vec<RunnerNews>) {
+        self.listed = true;
         let listed: BTreeSet<_> = entries.iter().map(|entry| entry.key.name.clone()).collect();
         for entry in entries {
             self.put(entry, out);
@@ -96,6 +99,14 @@
         self.known.insert(entry.key.name.clone(), Known { entry, missing_since: None });
     }
 
+    /// Takes in an entry that another host tells of. It counts only before all
+    /// entries were listed: from then on a runner that is not known is gone.
+    pub fn introduce(&mut self, entry: RunnerEntry, out: &mut Vec<RunnerNews>) {
+        if !self.listed && !self.known.contains_key(&entry.key.name) {
+            self.put(entry, out);
+        }
+    }
+
     /// Takes in that an entry was removed or can't be read.
     pub fn vanish(&mut self, now: MonoTime, name: &RunnerName, out: &mut Vec<RunnerNews>) {
         let Some(known) = self.known.get_mut(name) else { return };
@@ -132,12 +143,6 @@
         }
     }
 
-    /// True if there is an entry of a runner, or was one of a run that ended.
-    #[must_use]
-    pub fn knows(&self, name: &RunnerName) -> bool {
-        self.known.contains_key(name) || self.ended.contains_key(name)
-    }
-
     /// The entry of a runner that may be used.
     #[must_use]
     pub fn usable(&self, name: &RunnerName) -> Option<&RunnerEntry> {
--- a/crates/core/tests/fleet/directory.rs
+++ b/crates/core/tests/fleet/directory.rs
@@ -80,3 +80,17 @@
     assert!(put(&mut directory, "a", 1, false).is_empty(), "a stale entry revives nothing");
     assert_eq!(put(&mut directory, "a", 2, false).len(), 1);
 }
+
+/// A coordinator that does not reach the store may still grant a runner whose
+/// removal this host has seen.
+#[test]
+fn a_runner_is_introduced_only_before_all_were_listed() {
+    let (mut directory, mut out) = (RunnerDirectory::default(), Vec::new());
+    directory.introduce(entry("a", 1, false), &mut out);
+    assert_eq!(out, [RunnerNews::Up(entry("a", 1, false))]);
+    directory.list(at(0), vec![entry("a", 1, false), entry("b", 1, false)], &mut out);
+    directory.vanish(at(10), &name("b"), &mut out);
+    out.clear();
+    directory.introduce(entry("b", 1, false), &mut out);
+    assert_eq!((out, directory.usable(&name("b"))), (Vec::new(), None));
+}
--- a/crates/node/src/fleet/control/relaying.rs
+++ b/crates/node/src/fleet/control/relaying.rs
@@ -192,9 +192,7 @@
     /// Takes in a runner that this host has not read yet.
     pub(super) fn introduced(&mut self, entry: RunnerEntry) {
         let mut news = Vec::new();
-        if !self.directory.knows(&entry.key.name) {
-            self.directory.put(entry, &mut news);
-        }
+        self.directory.introduce(entry, &mut news);
         self.runner_news(news);
     }
 
