Count a request against its quota when it is sent

A request took from the bucket on its arrival and ran when it was sent, up to three seconds later; meanwhile the bucket filled up again, so a backlog and a full bucket went out in the same window.

Ruled out: repeats, which take nothing (5,000 of 1,192,763 in the window); two coordinators at once (the sum per host shows each request at one); processor time as such, which only decides who coordinates and how long the backlog is.

Change: what waits is reserved, and the bucket fills up to its burst less what is reserved, until the request is sent or is over.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -31,6 +31,8 @@
     /// When the quota was charged.
     charged: MonoTime,
     granted: bool,
+    /// True while the quota holds what it takes for when it is sent.
+    reserved: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -113,7 +115,10 @@
         if !self.asking.remove(host) {
             return;
         }
-        self.open.retain(|_, open| open.host != *host);
+        let own = self.open.extract_if(.., |_, open| open.host == *host);
+        for (_, open) in own.filter(|(_, open)| open.reserved) {
+            self.quotas.release(now, &open.workspace, open.cost);
+        }
         self.quotas.host_left(now, host);
         self.update_share();
         for upstream in self.names() {
@@ -240,6 +245,9 @@
             self.ranked(now, &upstream).budget.earn(share);
         }
         self.note_open(now, host, &upstream, &record, cost, false);
+        if let Some(open) = self.open.get_mut(&id) {
+            open.reserved = sent_before == 0;
+        }
         let left = limit.saturating_sub(record.age);
         self.rank(now, &upstream, out, |ranking, decisions| {
             ranking.submit(now, record, left, avoid, decisions);
@@ -291,13 +299,16 @@
     ) {
         let (host, upstream) = (host.clone(), upstream.clone());
         let workspace = record.workspace.clone();
-        let open = Open { host, upstream, workspace, cost, charged: now, granted };
+        let open = Open { host, upstream, workspace, cost, charged: now, granted, reserved: false };
         self.open.insert(record.id, open);
     }
 
     /// Forgets a request; what was not granted goes back to the quota.
     fn close(&mut self, now: MonoTime, id: RequestId) -> Option<Open> {
         let open = self.open.remove(&id)?;
+        if open.reserved {
+            self.quotas.release(now, &open.workspace, open.cost);
+        }
         if !open.granted {
             self.quotas.give_back(now, &open.workspace, open.cost, open.charged);
         }
@@ -356,6 +367,9 @@
                 Decision::Grant(host, id, runner) => {
                     if let Some(open) = self.open.get_mut(&id) {
                         open.granted = true;
+                        if std::mem::take(&mut open.reserved) {
+                            self.quotas.release(now, &open.workspace, open.cost);
+                        }
                     }
                     out.push((host, Tell::Grant(id, runner)));
                 }
--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -49,6 +49,9 @@
     /// The quota when it was last used.
     quota: Quota,
     level: f64,
+    /// What was taken for requests that wait. It is used when they are sent, so
+    /// the bucket does not fill up behind it.
+    reserved: f64,
     at: MonoTime,
 }
 
@@ -161,8 +164,12 @@
         let share = self.share.unwrap_or(Share::new(1, 1));
         let start = if known { burst } else { share.of(slack * SLACK_AT_START) };
         let level = start.min(burst);
-        let bucket =
-            self.buckets.entry(workspace.clone()).or_insert(Bucket { quota, level, at: now });
+        let bucket = self.buckets.entry(workspace.clone()).or_insert(Bucket {
+            quota,
+            level,
+            reserved: 0.0,
+            at: now,
+        });
         bucket.quota = quota;
         bucket.fill(now, Flow { rate, burst });
         // A request larger than the whole burst passes when the bucket is full.
@@ -171,9 +178,21 @@
             return Err(Duration::from_secs_f64((missing / rate.max(1e-9)).min(3_600.0)));
         }
         bucket.level -= cost;
+        bucket.reserved += cost;
         Ok(())
     }
 
+    /// What was taken for a request is used now, or never will be.
+    pub fn release(&mut self, now: MonoTime, workspace: &WorkspaceName, cost: f64) {
+        self.settle(now);
+        let Some(quota) = self.buckets.get(workspace).map(|bucket| bucket.quota) else { return };
+        let flow = self.flow(quota);
+        if let Some(bucket) = self.buckets.get_mut(workspace) {
+            bucket.fill(now, flow);
+            bucket.reserved = (bucket.reserved - cost).max(0.0);
+        }
+    }
+
     /// Takes into account which shares are lent now. Called before and after
     /// each change, so that no time counts for a share that was not lent in it.
     fn settle(&mut self, now: MonoTime) {
@@ -240,7 +259,7 @@
 impl Bucket {
     fn fill(&mut self, now: MonoTime, flow: Flow) {
         let gained = now.since(self.at).as_secs_f64() * flow.rate;
-        self.level = (self.level + gained).min(flow.burst);
+        self.level = (self.level + gained).min(flow.burst - self.reserved);
         self.at = now;
     }
 }
