--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -29,8 +29,8 @@
     upstream: UpstreamName,
     workspace: WorkspaceName,
     cost: f64,
-    /// When the quota was charged.
-    charged: MonoTime,
+    /// When the quota was charged; none for a retry or an adopted request.
+    charged: Option<MonoTime>,
     granted: bool,
     /// True while the quota holds a reservation for the request.
     reserved: bool,
@@ -172,9 +172,11 @@
         match update {
             RequestUpdate::Submit(req) => self.submit(now, host, *req, out),
             RequestUpdate::Adopt(req, runner) => {
-                let PlacementRequest { record, upstream, cost, .. } = *req;
-                self.record_open(now, host, &upstream, &record, cost, true);
-                self.upstream_state(now, &upstream).scheduler.adopt(now, record, runner);
+                let PlacementRequest { record, upstream, cost, time_limit, .. } = *req;
+                self.record_open(host, &upstream, &record, cost, true);
+                let time_left = time_limit.saturating_sub(record.age);
+                let scheduler = &mut self.upstream_state(now, &upstream).scheduler;
+                scheduler.adopt(now, record, time_left, runner);
             }
             RequestUpdate::Withdraw(id) => {
                 if let Some(open) = self.remove_open(now, id) {
@@ -256,9 +258,10 @@
             }
             self.upstream_state(now, &upstream).budget.deposit(share);
         }
-        self.record_open(now, host, &upstream, &record, cost, false);
-        if let Some(open) = self.open.get_mut(&id) {
-            open.reserved = prior_attempts == 0;
+        self.record_open(host, &upstream, &record, cost, false);
+        if let Some(open) = self.open.get_mut(&id).filter(|_| prior_attempts == 0) {
+            open.reserved = true;
+            open.charged = Some(now);
         }
         let time_left = time_limit.saturating_sub(record.age);
         self.step(now, &upstream, out, |scheduler, decisions| {
@@ -292,8 +295,7 @@
             let not_run = NotRunReason::TurnedAway;
             out.push((host.clone(), PlacementReply::Refuse(id, not_run, BUDGET_RETRY_AFTER)));
             self.step(now, &upstream, out, |scheduler, decisions| {
-                scheduler.requeue(now, id, failure, &mut Vec::new());
-                scheduler.withdraw(now, id, decisions);
+                scheduler.discard(now, id, failure, decisions);
             });
             return;
         }
@@ -304,7 +306,6 @@
 
     fn record_open(
         &mut self,
-        now: MonoTime,
         host: &HostId,
         upstream: &UpstreamName,
         record: &RequestRecord,
@@ -313,8 +314,15 @@
     ) {
         let (host, upstream) = (host.clone(), upstream.clone());
         let workspace = record.workspace.clone();
-        let open =
-            HostRequest { host, upstream, workspace, cost, charged: now, granted, reserved: false };
+        let open = HostRequest {
+            host,
+            upstream,
+            workspace,
+            cost,
+            charged: None,
+            granted,
+            reserved: false,
+        };
         self.open.insert(record.id, open);
     }
 
@@ -324,8 +332,8 @@
         if open.reserved {
             self.quotas.release(now, &open.workspace, open.cost);
         }
-        if !open.granted {
-            self.quotas.refund(now, &open.workspace, open.cost, open.charged);
+        if let Some(charged) = open.charged.filter(|_| !open.granted) {
+            self.quotas.refund(now, &open.workspace, open.cost, charged);
         }
         Some(open)
     }
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -44,6 +44,8 @@
 pub(super) struct Granted {
     pub(super) record: RequestRecord,
     pub(super) runner: RunnerName,
+    /// When the target ends, as of the request's arrival.
+    target_at: MonoTime,
     respond_by: MonoTime,
 }
 
@@ -120,7 +122,8 @@
             out.push(Decision::Refuse(record.entry, id, NotRunReason::Shed, retry_after));
             return;
         }
-        self.enqueue(now, record, now + time_left, avoid);
+        let target_at = target_at(now, &record);
+        self.enqueue(now, record, target_at, now + time_left, avoid);
         self.grant(now, out);
     }
 
@@ -140,20 +143,38 @@
         failure: Option<DispatchFailure>,
         out: &mut Vec<Decision>,
     ) {
-        let Some(granted) = self.release(id) else { return };
-        if let Some(failure) = failure {
-            self.runners.update(&granted.runner, |runner| runner.record_failure(now, failure));
-        }
-        self.runners.refresh(now);
+        let Some(granted) = self.release_failed(now, id, failure) else { return };
         let avoid = failure.is_some().then_some(granted.runner);
-        self.enqueue(now, granted.record, granted.respond_by, avoid);
+        self.enqueue(now, granted.record, granted.target_at, granted.respond_by, avoid);
         self.grant(now, out);
     }
 
+    /// Removes a granted request that the runner did not run and that is not sent
+    /// again.
+    pub fn discard(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        failure: Option<DispatchFailure>,
+        out: &mut Vec<Decision>,
+    ) {
+        if self.release_failed(now, id, failure).is_some() {
+            self.grant(now, out);
+        }
+    }
+
     /// Adds a request in progress at `runner` that another coordinator granted.
-    pub fn adopt(&mut self, now: MonoTime, record: RequestRecord, runner: RunnerName) {
+    /// `time_left` is the time until its response must be complete.
+    pub fn adopt(
+        &mut self,
+        now: MonoTime,
+        record: RequestRecord,
+        time_left: Duration,
+        runner: RunnerName,
+    ) {
         self.queue.remove(record.id);
-        self.start(now, record, runner, now);
+        let target_at = target_at(now, &record);
+        self.start(now, Granted { record, runner, target_at, respond_by: now + time_left });
     }
 
     /// Removes all requests of a host whose session ended or that uses another
@@ -196,10 +217,10 @@
         &mut self,
         now: MonoTime,
         record: RequestRecord,
+        target_at: MonoTime,
         respond_by: MonoTime,
         avoid: Option<RunnerName>,
     ) {
-        let target_at = now + record.target.limit().saturating_sub(record.age);
         let latest_start = target_at - self.min_first_token(record.prefill_tokens);
         let refuse_at = Self::refusal_time(now, &record, respond_by.since(now));
         let deadlines = Deadlines { target_at, respond_by, refuse_at };
@@ -211,7 +232,8 @@
         while let Some((id, runner)) = self.next_grant(now) {
             let Some(waiting) = self.queue.remove(id) else { return };
             out.push(Decision::Grant(waiting.record.entry.clone(), id, runner.clone()));
-            self.start(now, waiting.record, runner, waiting.deadlines.respond_by);
+            let Deadlines { target_at, respond_by, .. } = waiting.deadlines;
+            self.start(now, Granted { record: waiting.record, runner, target_at, respond_by });
         }
     }
 
@@ -246,16 +268,24 @@
         if found.is_none() && marked { self.next_grant(now) } else { found }
     }
 
-    fn start(
+    fn start(&mut self, now: MonoTime, granted: Granted) {
+        let (id, prompt) = (granted.record.id, granted.record.prefill_tokens);
+        self.runners.update(&granted.runner, |runner| runner.start(now, id, prompt));
+        self.granted.insert(id, granted);
+    }
+
+    fn release_failed(
         &mut self,
         now: MonoTime,
-        record: RequestRecord,
-        name: RunnerName,
-        respond_by: MonoTime,
-    ) {
-        let (id, prompt) = (record.id, record.prefill_tokens);
-        self.runners.update(&name, |runner| runner.start(now, id, prompt));
-        self.granted.insert(record.id, Granted { record, runner: name, respond_by });
+        id: RequestId,
+        failure: Option<DispatchFailure>,
+    ) -> Option<Granted> {
+        let granted = self.release(id)?;
+        if let Some(failure) = failure {
+            self.runners.update(&granted.runner, |runner| runner.record_failure(now, failure));
+        }
+        self.runners.refresh(now);
+        Some(granted)
     }
 
     fn release(&mut self, id: RequestId) -> Option<Granted> {
@@ -265,6 +295,11 @@
     }
 }
 
+/// Returns when the target of a request ends whose record has just arrived.
+fn target_at(now: MonoTime, record: &RequestRecord) -> MonoTime {
+    now + record.target.limit().saturating_sub(record.age)
+}
+
 /// Requests that found no runner in one pass through the queue. A request with
 /// at least as long a prompt and at most as long an allowed pause finds none
 /// either, so most of many similar requests need not be compared with runners.
--- a/crates/core/tests/fleet/coordinator.rs
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -12,7 +12,9 @@
     request::DispatchEnd,
 };
 
-use crate::support::{at, entry, host, id, placement_request};
+use rstest::rstest;
+
+use crate::support::{at, entry, host, id, name, placement_request};
 
 const RETRIES: RetryBudgetLimits = RetryBudgetLimits { ratio: 0.2, slack: 5.0, window_s: 10.0 };
 
@@ -137,3 +139,80 @@
     handle_update(&mut coordinator, 1, RequestUpdate::Ended(id(1), DispatchEnd::Cancelled));
     assert_eq!(submit(&mut coordinator, 1, 1.0).len(), 1);
 }
+
+/// Two runners with four slots each, no retries, and requests 1 to 9, of which
+/// the last one waits.
+fn full_coordinator() -> Coordinator {
+    let limits = RetryBudgetLimits { ratio: 0.0, slack: 0.0, window_s: 10.0 };
+    let mut coordinator = Coordinator::new(limits, QuotaTolerance::default());
+    coordinator.set_config(config(0.0));
+    coordinator.local_host_joined(at(0), host("h1"));
+    let runners = ["a", "b"].map(|name| RunnerChange::Usable(entry(name, 1, false)));
+    coordinator.apply_runner_changes(at(0), &runners, &mut Vec::new());
+    for number in 1..=9 {
+        submit(&mut coordinator, number, 1.0);
+    }
+    coordinator
+}
+
+#[rstest]
+#[case::runner_paused(RetryReason::TurnedAway)]
+#[case::connection_refused(RetryReason::ConnectRefused)]
+fn every_granted_request_gets_a_reply_when_others_are_turned_away(#[case] first: RetryReason) {
+    let mut coordinator = full_coordinator();
+    let mut replies = handle_update(&mut coordinator, 1, RequestUpdate::Requeue(id(2), first));
+    for (ms, number) in [(125, 1), (260, 3)] {
+        let update = RequestUpdate::Requeue(id(number), RetryReason::TurnedAway);
+        replies.extend(handle_update(&mut coordinator, ms, update));
+    }
+    for ms in (300..3_000).step_by(20) {
+        coordinator.tick(at(ms), &mut replies);
+    }
+    let replies_to = |number| {
+        let is_reply = |reply: &PlacementReply| match reply {
+            PlacementReply::Grant(of, _) | PlacementReply::Refuse(of, ..) => *of == id(number),
+        };
+        replies.iter().filter(|(_, reply)| is_reply(reply)).count()
+    };
+    assert_eq!(replies_to(1), 1, "refused once");
+    assert_eq!(replies_to(9), 1, "granted or refused once");
+    assert_eq!(coordinator.waiting(), 0);
+}
+
+#[test]
+fn adopted_request_that_its_runner_turns_away_is_placed_again() {
+    let mut coordinator = coordinator();
+    let adopted = RequestUpdate::Adopt(Box::new(placement_request(1, 1.0)), name("a"));
+    handle_update(&mut coordinator, 0, adopted);
+    let update = RequestUpdate::Requeue(id(1), RetryReason::TurnedAway);
+    let mut replies = handle_update(&mut coordinator, 10, update);
+    for ms in (20..400).step_by(20) {
+        coordinator.tick(at(ms), &mut replies);
+    }
+    assert!(matches!(&replies[..], [(_, PlacementReply::Grant(..))]), "{replies:?}");
+}
+
+#[test]
+fn withdrawn_retry_refunds_no_quota() {
+    let tolerance = QuotaTolerance { window_s: 8.0, ..QuotaTolerance::default() };
+    let mut coordinator = Coordinator::new(RETRIES, tolerance);
+    coordinator.set_config(config(1.0));
+    coordinator.local_host_joined(at(0), host("h1"));
+    let runner = RunnerChange::Usable(entry("a", 1, false));
+    coordinator.apply_runner_changes(at(0), &[runner], &mut Vec::new());
+    assert_eq!(
+        (10..14).map(|n| count_grants(&submit(&mut coordinator, n, 250.0))).sum::<usize>(),
+        4
+    );
+    let mut retry = placement_request(2, 1_000.0);
+    retry.prior_attempts = 1;
+    handle_update(&mut coordinator, 1, RequestUpdate::Submit(Box::new(retry)));
+    handle_update(&mut coordinator, 2, RequestUpdate::Withdraw(id(2)));
+    let request = Box::new(placement_request(3, 1_000.0));
+    let replies = handle_update(&mut coordinator, 3, RequestUpdate::Submit(request));
+    let over_quota = NotRunReason::OverQuota;
+    assert!(
+        matches!(&replies[..], [(_, PlacementReply::Refuse(_, reason, _))] if *reason == over_quota),
+        "the first four used the whole quota: {replies:?}"
+    );
+}
--- a/crates/core/tests/fleet/scheduler.rs
+++ b/crates/core/tests/fleet/scheduler.rs
@@ -26,7 +26,7 @@
     for number in 0..8 {
         let number = 1_000_000 + number;
         let start = at(0);
-        scheduler.adopt(start, record(number, 0, 1_000), name(runner));
+        scheduler.adopt(start, record(number, 0, 1_000), LEFT, name(runner));
         let first = Duration::from_micros(22_000 + prefill_us * 1_000);
         scheduler.first_token(start + first, id(number));
         let total = first + Duration::from_micros(decode_us * 100);
@@ -167,7 +167,7 @@
         train(&mut scheduler, name, if idle { 110 } else { 100 }, 17_000);
         if !idle {
             let busy = number as u128;
-            scheduler.adopt(at(4_000), record(busy, 1, 500), crate::support::name(name));
+            scheduler.adopt(at(4_000), record(busy, 1, 500), LEFT, crate::support::name(name));
             scheduler.first_token(at(4_072), id(busy));
         }
     }
@@ -279,3 +279,16 @@
     scheduler.host_left(at(2), &host("h1"), &mut out);
     assert_eq!(granted(&out), [(2, "a".to_owned())]);
 }
+
+#[test]
+fn requeued_request_keeps_the_end_of_its_target() {
+    let mut scheduler = scheduler_with(&[("a", 1)]);
+    submit(&mut scheduler, at(0), 1, 1, 500);
+    submit(&mut scheduler, at(200), 2, 1, 500);
+    let mut out = Vec::new();
+    scheduler.requeue(at(500), id(1), Some(DispatchFailure::Full), &mut out);
+    for ms in (520..700).step_by(20) {
+        scheduler.tick(at(ms), &mut out);
+    }
+    assert_eq!(granted(&out)[0].0, 1, "its target ends first");
+}
