--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -161,6 +161,21 @@
         }
     }
 
+    /// Sends a runner no requests of `host` for a while, as the runner asked.
+    pub fn rest_runner(
+        &mut self,
+        now: MonoTime,
+        host: &HostId,
+        runner: &RunnerName,
+        time: Duration,
+    ) {
+        for state in self.upstreams.values_mut() {
+            if state.runners.contains_key(runner) {
+                state.scheduler.rest_runner(now, runner, host.clone(), time);
+            }
+        }
+    }
+
     /// Handles an update from a client host.
     pub fn handle_update(
         &mut self,
--- a/crates/core/src/fleet/directory.rs
+++ b/crates/core/src/fleet/directory.rs
@@ -5,9 +5,9 @@
     time::Duration,
 };
 
-use crate::{ids::RunnerName, time::MonoTime};
+use crate::{ids::RunnerName, outcome::RetryReason, time::MonoTime};
 
-use super::{RunnerEntry, RunnerKey};
+use super::{RunnerEntry, RunnerNotice, runner_notice::RunnerNotices};
 
 /// Time after the store's recovery within which a running runner is listed again.
 /// The store's operators promise about two seconds.
@@ -45,9 +45,9 @@
 #[derive(Debug, Default)]
 pub struct RunnerDirectory {
     known: BTreeMap<RunnerName, KnownRunner>,
-    /// Runs that ended because their address responded as leaving or as another
-    /// runner. They are never used again.
-    ended_runs: BTreeMap<RunnerName, RunnerKey>,
+    /// What runners said in their responses. A run that is leaving or has ended is
+    /// never used again.
+    notices: RunnerNotices,
     /// Until then a missing entry does not mean that its runner has ended.
     relisting_until: Option<MonoTime>,
     /// True once a complete listing was applied.
@@ -79,9 +79,11 @@
     }
 
     /// Adds or updates one entry.
-    pub fn put(&mut self, entry: RunnerEntry, out: &mut Vec<RunnerChange>) {
-        if self.ended_runs.get(&entry.key.name) == Some(&entry.key) {
-            return;
+    pub fn put(&mut self, mut entry: RunnerEntry, out: &mut Vec<RunnerChange>) {
+        match self.notices.ended(&entry.key) {
+            Some(RunnerNotice::Ended(_)) => return,
+            Some(_) => entry.leaving = true,
+            None => {}
         }
         let old = self.known.get(&entry.key.name);
         if let Some(old) = old.filter(|old| old.entry.key != entry.key) {
@@ -126,19 +128,39 @@
         }
     }
 
-    /// Removes a run for good, after the runner itself showed that it accepts no
-    /// more requests.
-    pub fn end_run(&mut self, key: &RunnerKey, out: &mut Vec<RunnerChange>) {
-        self.ended_runs.insert(key.name.clone(), key.clone());
-        if self.known.get(&key.name).is_some_and(|known| known.entry.key == *key)
-            && let Some(known) = self.known.remove(&key.name)
-        {
-            out.push(RunnerChange::Removed(known.entry));
+    /// Applies what a runner said in a response, to this host or to another one.
+    /// Returns true if it was not known yet.
+    pub fn apply_notice(
+        &mut self,
+        now: MonoTime,
+        notice: &RunnerNotice,
+        out: &mut Vec<RunnerChange>,
+    ) -> bool {
+        let key = notice.key();
+        let is_new = self.notices.record(now, notice);
+        let Some(known) = self.known.get_mut(&key.name).filter(|known| known.entry.key == *key)
+        else {
+            return is_new;
+        };
+        match notice {
+            RunnerNotice::Rest(..) => {}
+            RunnerNotice::Leaving(_) if known.entry.leaving => {}
+            RunnerNotice::Leaving(_) => {
+                known.entry.leaving = true;
+                out.push(RunnerChange::Leaving(known.entry.clone()));
+            }
+            RunnerNotice::Ended(_) => {
+                if let Some(known) = self.known.remove(&key.name) {
+                    out.push(RunnerChange::Removed(known.entry));
+                }
+            }
         }
+        is_new
     }
 
     /// Removes runners whose entries were not listed again in time.
     pub fn tick(&mut self, now: MonoTime, out: &mut Vec<RunnerChange>) {
+        self.notices.tick(now);
         if self.relisting_until.is_none_or(|until| now < until) {
             return;
         }
@@ -157,6 +179,32 @@
         self.known.get(name).map(|known| &known.entry).filter(|entry| !entry.leaving)
     }
 
+    /// Returns the entry of a runner that this host may send a request to now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the runner accepts no requests, or none of this host. The notice
+    /// says so, if the runner itself did.
+    pub fn dispatchable(
+        &self,
+        now: MonoTime,
+        name: &RunnerName,
+    ) -> Result<&RunnerEntry, (RetryReason, Option<RunnerNotice>)> {
+        let Some(entry) = self.known.get(name).map(|known| &known.entry) else {
+            return Err((RetryReason::RunnerLeaving, None));
+        };
+        if entry.leaving {
+            return Err((RetryReason::RunnerLeaving, self.notices.ended(&entry.key).cloned()));
+        }
+        match self.notices.rest(now, &entry.key) {
+            Some(left) => {
+                let notice = RunnerNotice::Rest(entry.key.clone(), left);
+                Err((RetryReason::RunnerResting, Some(notice)))
+            }
+            None => Ok(entry),
+        }
+    }
+
     /// Returns the entries of all known runners.
     pub fn entries(&self) -> impl Iterator<Item = &RunnerEntry> {
         self.known.values().map(|known| &known.entry)
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod message;
 mod quota;
 mod runner;
+mod runner_notice;
 mod scheduler;
 mod sessions;
 mod share;
@@ -40,6 +41,7 @@
     message::{PlacementReply, PlacementRequest, RequestUpdate},
     quota::{QuotaTolerance, Quotas, SHARE_LEASE},
     runner::{RunnerEntry, RunnerKey},
+    runner_notice::RunnerNotice,
     scheduler::{Decision, DispatchFailure, RunnerState, UpstreamScheduler},
     sessions::{HostSessions, OpenOutcome},
     share::Share,
--- a/crates/core/src/fleet/scheduler/placement.rs
+++ b/crates/core/src/fleet/scheduler/placement.rs
@@ -37,9 +37,12 @@
         let mut best: Option<(f64, bool, &RunnerName)> = None;
         let mut in_time_later = false;
         let avoid = waiting.avoid.as_ref();
-        let candidates = || self.runners.free(now).chain(self.runners.full(now));
+        let accepts = |runner: &RunnerState| !runner.is_resting_for(now, &waiting.record.entry);
+        let free = || self.runners.free(now).filter(|(_, runner)| accepts(runner));
+        let full = || self.runners.full(now).filter(|(_, runner)| accepts(runner));
+        let candidates = || free().chain(full());
         let avoid = avoid.filter(|avoid| candidates().any(|(name, _)| name != *avoid));
-        for (name, runner) in self.runners.free(now).filter(|(name, _)| Some(*name) != avoid) {
+        for (name, runner) in free().filter(|(name, _)| Some(*name) != avoid) {
             let first_us = self.expected_first_token_us(runner, waiting);
             let in_time = first_us <= left_us;
             if !self.keeps_stream_targets(runner, waiting) {
@@ -62,7 +65,7 @@
         match best {
             Some((_, true, name)) => Placement::InTime(name.clone()),
             Some((_, false, name)) if waiting.late => Placement::Late(name.clone()),
-            Some(_) if in_time_later || self.runners.full(now).any(meets_target) => Placement::Wait,
+            Some(_) if in_time_later || full().any(meets_target) => Placement::Wait,
             Some((_, false, name)) => Placement::Late(name.clone()),
             None => Placement::None,
         }
--- a/crates/core/src/fleet/scheduler/runner.rs
+++ b/crates/core/src/fleet/scheduler/runner.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{ids::RequestId, time::MonoTime};
+use crate::{
+    ids::{HostId, RequestId},
+    time::MonoTime,
+};
 
 use super::ewma::Ewma;
 
@@ -27,9 +30,16 @@
 /// Maximum pause after failures.
 const MAX_PAUSE: Duration = Duration::from_millis(3_000);
 
+/// Number of failures from which on a runner gets a single request at a time.
+const MIN_PROBED_FAILURES: u32 = 2;
+
 /// Pause after the runner turned a request away for lack of a slot.
 const FULL_PAUSE: Duration = Duration::from_millis(120);
 
+/// Number of hosts that a runner has asked for rest from which on it is left alone
+/// by all.
+const MAX_RESTED_HOSTS: usize = 2;
+
 /// Why a dispatch to a runner failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DispatchFailure {
@@ -69,6 +79,8 @@
     pub(super) rates: Rates,
     pub(super) paused_until: MonoTime,
     pub(super) failures: u32,
+    /// Hosts whose requests the runner does not accept until the given time.
+    rests: BTreeMap<HostId, MonoTime>,
 }
 
 impl RunnerState {
@@ -81,6 +93,7 @@
             rates: Rates::default(),
             paused_until: MonoTime::ZERO,
             failures: 0,
+            rests: BTreeMap::new(),
         }
     }
 
@@ -100,7 +113,7 @@
 
     pub(super) fn is_full(&self) -> bool {
         // After repeated failures, a single request probes the runner.
-        let slots = if self.failures > 1 { 1 } else { self.slots };
+        let slots = if self.failures >= MIN_PROBED_FAILURES { 1 } else { self.slots };
         self.requests.len() >= slots as usize
     }
 
@@ -151,6 +164,24 @@
         self.paused_until = self.paused_until.max(now + pause);
     }
 
+    /// Records that the runner accepts no requests of `host` for a while. If several
+    /// hosts were told so, the runner is overloaded: it gets no requests at all, and
+    /// afterwards a single one first.
+    pub(super) fn rest(&mut self, now: MonoTime, host: HostId, until: MonoTime) {
+        self.rests.retain(|_, until| now < *until);
+        let rest = self.rests.entry(host).or_insert(until);
+        *rest = until.max(*rest);
+        if self.rests.len() >= MAX_RESTED_HOSTS {
+            self.paused_until = self.paused_until.max(until);
+            self.failures = self.failures.max(MIN_PROBED_FAILURES);
+        }
+    }
+
+    /// Returns true if the runner accepts no requests of this host.
+    pub(super) fn is_resting_for(&self, now: MonoTime, host: &HostId) -> bool {
+        self.rests.get(host).is_some_and(|until| now < *until)
+    }
+
     pub(super) fn record_success(&mut self) {
         self.failures = 0;
     }
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -58,6 +58,8 @@
     pub(super) queue: Queue,
     pub(super) granted: BTreeMap<RequestId, Granted>,
     pub(super) response_lengths: BTreeMap<ClassName, Ewma>,
+    /// Until then some runners may not accept the requests of some hosts.
+    hosts_differ_until: MonoTime,
 }
 
 impl UpstreamScheduler {
@@ -73,6 +75,7 @@
             queue: Queue::default(),
             granted: BTreeMap::new(),
             response_lengths: BTreeMap::new(),
+            hosts_differ_until: MonoTime::ZERO,
         }
     }
 
@@ -103,6 +106,13 @@
         self.runners.remove(name);
     }
 
+    /// Sends a runner no requests of `host` for a while, as the runner asked.
+    pub fn rest_runner(&mut self, now: MonoTime, name: &RunnerName, host: HostId, time: Duration) {
+        let until = now + time;
+        self.hosts_differ_until = self.hosts_differ_until.max(until);
+        self.runners.update(name, |runner| runner.rest(now, host, until));
+    }
+
     /// Submits a request. `time_left` is the time until its response must be
     /// complete, `avoid` the runner it was sent to last.
     pub fn submit(
@@ -144,8 +154,8 @@
         out: &mut Vec<Decision>,
     ) {
         let Some(granted) = self.release_failed(now, id, failure) else { return };
-        let avoid = failure.is_some().then_some(granted.runner);
-        self.enqueue(now, granted.record, granted.target_at, granted.respond_by, avoid);
+        let Granted { record, runner, target_at, respond_by } = granted;
+        self.enqueue(now, record, target_at, respond_by, Some(runner));
         self.grant(now, out);
     }
 
@@ -242,12 +252,15 @@
         let mut late = Vec::new();
         let mut found = None;
         let mut unplaceable = UnplaceableRequests::default();
+        let hosts_alike = now >= self.hosts_differ_until;
         for (id, waiting) in self.queue.first(MAX_TRIED_REQUESTS) {
             if unplaceable.includes(&waiting.record) {
                 continue;
             }
             match self.find_runner(now, waiting) {
-                Placement::None if waiting.avoid.is_none() => unplaceable.add(&waiting.record),
+                Placement::None if waiting.avoid.is_none() && hosts_alike => {
+                    unplaceable.add(&waiting.record);
+                }
                 Placement::InTime(runner) => {
                     found = Some((id, runner));
                     break;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -136,6 +136,8 @@
         OwnerChanged = "owner-changed",
         /// The runner is draining.
         RunnerLeaving = "runner-leaving",
+        /// The runner asked this host to send nothing for a while.
+        RunnerResting = "runner-resting",
         /// The runner declared that it did not execute the request.
         TurnedAway = "turned-away",
     }
--- a/crates/core/src/pool/progress.rs
+++ b/crates/core/src/pool/progress.rs
@@ -101,7 +101,10 @@
     ) {
         let Some(active) = self.release(now, id) else { return };
         match reason {
-            RetryReason::ConnectRefused | RetryReason::ConnectTimeout | RetryReason::TurnedAway => {
+            RetryReason::ConnectRefused
+            | RetryReason::ConnectTimeout
+            | RetryReason::RunnerResting
+            | RetryReason::TurnedAway => {
                 self.pause_runner(now, active.runner);
             }
             RetryReason::RunnerLeaving => self.set_leaving(now, active.runner),
--- a/crates/core/tests/fleet/directory.rs
+++ b/crates/core/tests/fleet/directory.rs
@@ -1,6 +1,11 @@
 //! State of each runner, derived from its entries in the store.
 
-use comfreyway_core::fleet::{RunnerChange, RunnerDirectory};
+use std::time::Duration;
+
+use comfreyway_core::{
+    fleet::{RunnerChange, RunnerDirectory, RunnerKey, RunnerNotice},
+    outcome::RetryReason,
+};
 
 use crate::support::{at, entry, name};
 
@@ -88,7 +93,7 @@
     put(&mut directory, "a", 1, false);
     let key = entry("a", 1, false).key;
     let mut out = Vec::new();
-    directory.end_run(&key, &mut out);
+    directory.apply_notice(at(1), &RunnerNotice::Ended(key), &mut out);
     assert!(matches!(out[..], [RunnerChange::Removed(_)]));
     assert!(put(&mut directory, "a", 1, false).is_empty(), "a stale entry does not revive the run");
     assert_eq!(put(&mut directory, "a", 2, false).len(), 1);
@@ -107,3 +112,52 @@
     directory.put_before_listing(entry("b", 1, false), &mut out);
     assert_eq!((out, directory.usable(&name("b"))), (Vec::new(), None));
 }
+
+fn key(runner: &str, started_ms: u64) -> RunnerKey {
+    RunnerKey { name: name(runner), started_ms: Some(started_ms) }
+}
+
+#[test]
+fn run_that_says_it_is_leaving_accepts_nothing_until_it_restarts() {
+    let mut directory = RunnerDirectory::default();
+    put(&mut directory, "a", 1, false);
+    let notice = RunnerNotice::Leaving(key("a", 1));
+    let mut out = Vec::new();
+    assert!(directory.apply_notice(at(1), &notice, &mut out));
+    assert!(matches!(&out[..], [RunnerChange::Leaving(_)]));
+    assert!(!directory.apply_notice(at(2), &notice, &mut out), "known already");
+    let expected = (RetryReason::RunnerLeaving, Some(notice));
+    assert_eq!(directory.dispatchable(at(2), &name("a")).unwrap_err(), expected);
+    // Its entry may be removed and listed again.
+    put(&mut directory, "a", 1, false);
+    remove(&mut directory, 3, "a");
+    put(&mut directory, "a", 1, false);
+    assert!(directory.dispatchable(at(4), &name("a")).is_err());
+    put(&mut directory, "a", 2, false);
+    assert!(directory.dispatchable(at(5), &name("a")).is_ok());
+}
+
+#[test]
+fn notice_of_an_earlier_run_does_not_affect_a_restarted_one() {
+    let mut directory = RunnerDirectory::default();
+    put(&mut directory, "a", 2, false);
+    let mut out = Vec::new();
+    directory.apply_notice(at(1), &RunnerNotice::Leaving(key("a", 1)), &mut out);
+    directory.apply_notice(at(1), &RunnerNotice::Rest(key("a", 1), Duration::MAX / 2), &mut out);
+    assert!(out.is_empty());
+    assert!(directory.dispatchable(at(2), &name("a")).is_ok());
+}
+
+#[test]
+fn resting_runner_gets_nothing_until_the_time_is_over() {
+    let mut directory = RunnerDirectory::default();
+    put(&mut directory, "a", 1, false);
+    for (ms, rest) in [(0, 2_000), (10, 500)] {
+        let rest = RunnerNotice::Rest(key("a", 1), Duration::from_millis(rest));
+        directory.apply_notice(at(ms), &rest, &mut Vec::new());
+    }
+    let (reason, notice) = directory.dispatchable(at(1_500), &name("a")).unwrap_err();
+    assert_eq!(reason, RetryReason::RunnerResting);
+    assert_eq!(notice, Some(RunnerNotice::Rest(key("a", 1), Duration::from_millis(500))));
+    assert!(directory.dispatchable(at(2_000), &name("a")).is_ok());
+}
--- a/crates/core/tests/fleet/scheduler.rs
+++ b/crates/core/tests/fleet/scheduler.rs
@@ -292,3 +292,46 @@
     }
     assert_eq!(granted(&out)[0].0, 1, "its target ends first");
 }
+
+fn submit_from(
+    scheduler: &mut UpstreamScheduler,
+    ms: u64,
+    number: u128,
+    from: &str,
+) -> Vec<String> {
+    let mut request = record(number, 1, 500);
+    request.entry = host(from);
+    let mut out = Vec::new();
+    scheduler.submit(at(ms), request, LEFT, None, &mut out);
+    granted(&out).into_iter().map(|(_, runner)| runner).collect()
+}
+
+#[test]
+fn runner_that_asked_one_host_for_rest_serves_the_others() {
+    let mut scheduler = scheduler_with(&[("a", 4)]);
+    scheduler.rest_runner(at(0), &name("a"), host("h1"), Duration::from_secs(1));
+    assert!(submit_from(&mut scheduler, 1, 1, "h1").is_empty());
+    assert_eq!(submit_from(&mut scheduler, 2, 2, "h2"), ["a"]);
+    let mut out = Vec::new();
+    scheduler.tick(at(1_000), &mut out);
+    assert_eq!(granted(&out)[0].0, 1);
+}
+
+#[test]
+fn runner_that_asked_several_hosts_for_rest_is_probed_first_afterwards() {
+    let mut scheduler = scheduler_with(&[("a", 4)]);
+    for from in ["h1", "h2"] {
+        scheduler.rest_runner(at(0), &name("a"), host(from), Duration::from_secs(1));
+    }
+    for (number, from) in [(1, "h1"), (2, "h2"), (3, "h3")] {
+        assert!(submit_from(&mut scheduler, 1, number, from).is_empty());
+    }
+    let mut out = Vec::new();
+    scheduler.tick(at(1_000), &mut out);
+    assert_eq!(granted(&out).len(), 1, "one request probes the runner");
+    let probe = id(granted(&out)[0].0);
+    scheduler.first_token(at(1_050), probe);
+    out.clear();
+    scheduler.tick(at(1_060), &mut out);
+    assert_eq!(granted(&out).len(), 2);
+}
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -133,6 +133,9 @@
     /// Many runners became usable at once; replaces one `RunnerUsable` for
     /// each. Fields: upstream, runners.
     RunnersUsable = "CF0524", Info, "runners usable";
+    /// A runner asked this host to send it nothing for a while. Fields: runner,
+    /// rest_ms.
+    RunnerResting = "CF0525", Info, "runner asked for rest";
     /// This host uses another host as its coordinator. Fields: host, address.
     CoordinatorChosen = "CF0531", Info, "another host is the coordinator";
     /// The session with the coordinator was established. Fields: host.
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -14,7 +14,6 @@
         RunnerDirectory, elect,
     },
     ids::{HostId, HostName, RequestId},
-    outcome::RetryReason,
     time::MonoTime,
 };
 use comfreyway_platform::Store;
@@ -40,6 +39,7 @@
 };
 
 mod coordination;
+mod runner_notices;
 mod store_relay;
 mod store_updates;
 
@@ -180,17 +180,21 @@
                     ClientAction::Send(Some(host), update) => {
                         self.send_to_coordinator(&host, ToCoordinator::Update(update));
                     }
-                    ClientAction::Dispatch(id, runner) => match self.directory.usable(&runner) {
-                        Some(entry) => {
-                            let decision = RequestDecision::Dispatch(Box::new(entry.clone()));
-                            self.send_decision(id, decision);
+                    ClientAction::Dispatch(id, runner) => {
+                        match self.directory.dispatchable(now, &runner) {
+                            Ok(entry) => {
+                                let decision = RequestDecision::Dispatch(Box::new(entry.clone()));
+                                self.send_decision(id, decision);
+                            }
+                            Err((reason, notice)) => {
+                                // This coordinator may not have been told yet.
+                                if let Some(notice) = notice {
+                                    self.report_notice(now, notice);
+                                }
+                                self.coordinator_client.requeue(id, reason, &mut more);
+                            }
                         }
-                        None => self.coordinator_client.requeue(
-                            id,
-                            RetryReason::RunnerLeaving,
-                            &mut more,
-                        ),
-                    },
+                    }
                     ClientAction::Refuse(id, reason, retry_after) => {
                         self.send_decision(id, RequestDecision::Refuse(reason, retry_after));
                         self.decision_txs.remove(&id);
@@ -283,11 +287,7 @@
                 self.decision_txs.remove(&id);
                 self.coordinator_client.ended(id, end, &mut actions);
             }
-            WorkerMessage::RunEnded(key) => {
-                let mut changes = Vec::new();
-                self.directory.end_run(&key, &mut changes);
-                self.apply_runner_changes(changes);
-            }
+            WorkerMessage::RunnerNotice(notice) => self.handle_own_notice(now, notice),
         }
         self.execute(actions, Vec::new());
         self.arm_timer(cx);
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -107,6 +107,9 @@
                     &ToHost::Pong(sent, self.mirror.revision().0, staleness),
                 );
             }
+            SessionEvent::FromHost(host, _, ToCoordinator::RunnerNotice(notice)) => {
+                self.handle_client_notice(now, &host, &notice);
+            }
             SessionEvent::FromHost(host, _, ToCoordinator::Sync(from)) => {
                 self.sync_client(&host, Revision(from));
             }
@@ -144,6 +147,9 @@
                     self.add_runner(*entry);
                 }
             }
+            SessionEvent::FromCoordinator(_, ToHost::RunnerNotice(notice)) => {
+                self.apply_notice(now, &notice);
+            }
             SessionEvent::FromCoordinator(host, ToHost::Pong(sent, revision, staleness)) => {
                 self.handle_pong(&host, MonoTime::from_micros(sent), Revision(revision), staleness);
             }
--- a/crates/node/src/fleet/platform_format.rs
+++ b/crates/node/src/fleet/platform_format.rs
@@ -41,6 +41,8 @@
     pub signature: &'static str,
     /// Set by a runner that did not run the request.
     pub not_executed: &'static str,
+    /// Set by a runner that is leaving, with the value `1`.
+    pub leaving: &'static str,
     /// The event after which a stream resumes.
     pub last_event_id: &'static str,
     /// Headers that only hosts may set; removed from callers' requests.
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -4,14 +4,14 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
-    fleet::{RunnerEntry, RunnerKey},
+    fleet::{RunnerEntry, RunnerKey, RunnerNotice},
     outcome::{RetryReason, UnknownReason},
 };
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_ENCODING, HeaderName},
+    header::{CONTENT_ENCODING, HeaderName, RETRY_AFTER},
 };
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -30,6 +30,9 @@
 /// complete.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 
+/// Maximum time for which a runner is left alone at its own request.
+const MAX_REST: Duration = Duration::from_secs(3_600);
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Result of an attempt, up to the response head.
@@ -56,13 +59,13 @@
 }
 
 /// Sends a request and checks that the response belongs to it. The second value
-/// is true if this run of the runner accepts no more requests.
+/// is what the runner says about itself in the response.
 pub(super) async fn attempt(
     connections: &RunnerConnections,
     request: &AdmittedRequest,
     runner: &RunnerEntry,
     after: Option<u64>,
-) -> (Attempt, bool) {
+) -> (Attempt, Option<RunnerNotice>) {
     let sent_at = Instant::now();
     let req = request.request_to(runner, after);
     log_event!(
@@ -79,16 +82,19 @@
     let sending = connections.send(&runner.key, runner.address, req);
     let (res, sender) = match timeout_at(request.deadline, sending).await {
         Ok(Ok(received)) => received,
-        Ok(Err(SendFailure::NotSent(reason))) => return (Attempt::NotRun(reason), false),
+        Ok(Err(SendFailure::NotSent(reason))) => return (Attempt::NotRun(reason), None),
         Ok(Err(SendFailure::Unknown(cause))) => {
             log_unusable_response(request, runner, &cause, sent_at);
-            return (Attempt::Unknown(UnknownReason::UpstreamBroke), false);
+            return (Attempt::Unknown(UnknownReason::UpstreamBroke), None);
         }
-        Err(_) => return (Attempt::Unknown(UnknownReason::UpstreamTimeout), false),
+        Err(_) => return (Attempt::Unknown(UnknownReason::UpstreamTimeout), None),
     };
+    // Any response on this connection is the runner's, even one to an earlier
+    // request.
+    let notice = runner_notice(request, runner, &res);
     if !echoes_request_id(request, &res) {
         log_unusable_response(request, runner, "the response belongs to another request", sent_at);
-        return (Attempt::Unknown(UnknownReason::UpstreamBroke), false);
+        return (Attempt::Unknown(UnknownReason::UpstreamBroke), notice);
     }
     let (head, body) = res.into_parts();
     let keep_alive = keep_alive_timeout(&head.headers);
@@ -114,7 +120,7 @@
             true => RetryReason::RunnerLeaving,
             false => RetryReason::TurnedAway,
         };
-        return (Attempt::NotRun(reason), other_runner);
+        return (Attempt::NotRun(reason), notice);
     }
     if status.is_success() && !response.is_signed(request) {
         log_unusable_response(
@@ -123,9 +129,9 @@
             "the runner's signature is missing, or the body is content-encoded",
             sent_at,
         );
-        return (Attempt::Unknown(UnknownReason::UpstreamBroke), false);
+        return (Attempt::Unknown(UnknownReason::UpstreamBroke), notice);
     }
-    (Attempt::Response(Box::new(response)), false)
+    (Attempt::Response(Box::new(response)), notice)
 }
 
 impl RunnerResponse {
@@ -203,6 +209,32 @@
     echoed.is_some_and(|id| id.as_bytes() == request.caller_id.as_bytes())
 }
 
+/// Returns what a runner says about itself in a response.
+fn runner_notice(
+    request: &AdmittedRequest,
+    runner: &RunnerEntry,
+    res: &Response<Incoming>,
+) -> Option<RunnerNotice> {
+    let key = || runner.key.clone();
+    if res.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Some(RunnerNotice::Ended(key()));
+    }
+    let leaving = res.headers().get(header(request.header_names.leaving));
+    if leaving.is_some_and(|value| value.as_bytes().trim_ascii() == b"1") {
+        return Some(RunnerNotice::Leaving(key()));
+    }
+    let rest = res.headers().get(RETRY_AFTER)?.to_str().ok().and_then(parse_rest);
+    rest.filter(|_| res.status() == StatusCode::SERVICE_UNAVAILABLE)
+        .map(|rest| RunnerNotice::Rest(key(), rest))
+}
+
+/// Parses the seconds, with an optional fraction, for which a runner wants no
+/// requests. Anything else, such as a date, asks for no rest.
+fn parse_rest(value: &str) -> Option<Duration> {
+    let seconds = value.trim().parse::<f64>().ok().filter(|seconds| *seconds > 0.0)?;
+    Some(Duration::from_secs_f64(seconds.min(MAX_REST.as_secs_f64())))
+}
+
 /// Returns the keep-alive timeout that the runner sent, if any.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -59,9 +59,9 @@
                 return DispatchResult::NotRun(NotRunReason::TimeLimit, TIME_LIMIT_RETRY_AFTER);
             }
         };
-        let (attempt, run_ended) = attempt(&proxy.connections, request, &runner, after).await;
-        if run_ended {
-            handle.run_ended(&runner.key);
+        let (attempt, notice) = attempt(&proxy.connections, request, &runner, after).await;
+        if let Some(notice) = notice {
+            handle.runner_notice(notice);
         }
         match attempt {
             Attempt::Response(response) => return DispatchResult::Response(response),
--- a/crates/node/src/fleet/request_handle.rs
+++ b/crates/node/src/fleet/request_handle.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use comfreyway_core::{
-    fleet::{PlacementRequest, RunnerEntry, RunnerKey},
+    fleet::{PlacementRequest, RunnerEntry, RunnerNotice},
     ids::{RequestId, RunnerName},
     outcome::{NotRunReason, RetryReason},
     request::DispatchEnd,
@@ -29,8 +29,8 @@
     FirstToken(RequestId),
     /// The request ended at its runner.
     Ended(RequestId, DispatchEnd),
-    /// This run of a runner accepts no more requests.
-    RunEnded(RunnerKey),
+    /// A runner said this about itself in a response.
+    RunnerNotice(RunnerNotice),
 }
 
 /// The control thread's decision on a request.
@@ -132,9 +132,9 @@
         }
     }
 
-    /// Reports that this run of a runner accepts no more requests.
-    pub(super) fn run_ended(&self, key: &RunnerKey) {
-        self.notify(WorkerMessage::RunEnded(key.clone()));
+    /// Reports what a runner said about itself in a response.
+    pub(super) fn runner_notice(&self, notice: RunnerNotice) {
+        self.notify(WorkerMessage::RunnerNotice(notice));
     }
 
     fn notify(&self, message: WorkerMessage) {
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use comfreyway_core::{
-    fleet::{PlacementReply, RequestUpdate, RunnerEntry},
+    fleet::{PlacementReply, RequestUpdate, RunnerEntry, RunnerNotice},
     ids::HostId,
 };
 use futures_util::{SinkExt, StreamExt};
@@ -47,6 +47,9 @@
     /// Heartbeat. Holds microseconds of the sender's clock.
     #[serde(rename = "p")]
     Ping(u64),
+    /// What a runner said about itself in a response to the sender.
+    #[serde(rename = "n")]
+    RunnerNotice(RunnerNotice),
     /// Requests the store's changes after this revision, and all later ones.
     #[serde(rename = "s")]
     Sync(u64),
@@ -66,6 +69,9 @@
     /// read the whole store yet.
     #[serde(rename = "n")]
     Runner(Box<RunnerEntry>),
+    /// What a runner said about itself in a response to another host.
+    #[serde(rename = "m")]
+    RunnerNotice(RunnerNotice),
     /// Changes of the store.
     #[serde(rename = "c")]
     Changes(ChangeSet),
--- a/crates/testkit/src/fleet_runner/handler.rs
+++ b/crates/testkit/src/fleet_runner/handler.rs
@@ -1,11 +1,15 @@
 //! Responses of a runner.
 
-use std::{io, sync::PoisonError, time::Duration};
+use std::{
+    io,
+    sync::{PoisonError, atomic::Ordering},
+    time::Duration,
+};
 
 use actix_web::{
     HttpRequest, HttpResponse,
     body::SizedStream,
-    http::StatusCode,
+    http::{StatusCode, header::RETRY_AFTER},
     web::{Bytes, Data},
 };
 use futures_util::{StreamExt, stream};
@@ -18,6 +22,7 @@
 const REQUEST_ID: &str = "x-comfreyway-request-id";
 const SIGNATURE: &str = "x-comfreyway-runner-signature";
 const NOT_EXECUTED: &str = "x-comfreyway-not-executed";
+const LEAVING: &str = "server-leaving";
 const EXPECT_RUNNER: &str = "x-comfreyway-expect-runner";
 
 pub(super) async fn respond(runner: Data<Shared>, req: HttpRequest, body: Bytes) -> HttpResponse {
@@ -26,14 +31,24 @@
         let value = req.headers().get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
+    runner.arrivals.fetch_add(1, Ordering::Relaxed);
     let id = header(REQUEST_ID);
     let expected = header(EXPECT_RUNNER);
     if mode == RunnerMode::Misdirected || (!expected.is_empty() && expected != runner.name) {
         let mut res = HttpResponse::build(StatusCode::MISDIRECTED_REQUEST);
         return res.insert_header((REQUEST_ID, id)).finish();
     }
-    if mode == RunnerMode::NotExecuted {
+    let rest = match mode {
+        RunnerMode::NotExecuted => Some(None),
+        RunnerMode::Rest(ms) => Some(Some((ms as f64 / 1e3).to_string())),
+        RunnerMode::RestHeader(value) => Some(Some(value.to_owned())),
+        _ => None,
+    };
+    if let Some(rest) = rest {
         let mut res = HttpResponse::ServiceUnavailable();
+        if let Some(rest) = rest {
+            res.insert_header((RETRY_AFTER, rest));
+        }
         return res.insert_header((REQUEST_ID, id)).insert_header((NOT_EXECUTED, "1")).finish();
     }
     record(&runner, &req, &id, &body);
@@ -43,9 +58,14 @@
     if mode != RunnerMode::Unsigned {
         res.insert_header((SIGNATURE, runner.name.clone()));
     }
+    if matches!(mode, RunnerMode::Leaving | RunnerMode::LeavingStream(_)) {
+        res.insert_header((LEAVING, "1"));
+    }
     let after = header("last-event-id").parse().unwrap_or(0);
     match mode {
-        RunnerMode::Stream(count) => res.streaming(events(after, count, None)),
+        RunnerMode::Stream(count) | RunnerMode::LeavingStream(count) => {
+            res.streaming(events(after, count, None))
+        }
         RunnerMode::CutAfter(count) => {
             let partial = format!("id: {}\nda", count + 1);
             res.streaming(events(after, count, Some(partial)))
--- a/crates/testkit/src/fleet_runner/mod.rs
+++ b/crates/testkit/src/fleet_runner/mod.rs
@@ -9,7 +9,10 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use actix_web::web::{Data, PayloadConfig, ServiceConfig, to};
@@ -34,6 +37,14 @@
     Fails,
     /// Responds with status 503 and the header for a request that was not run.
     NotExecuted,
+    /// Responds as `Whole` and says that it is leaving.
+    Leaving,
+    /// Streams this many events and says that it is leaving.
+    LeavingStream(u64),
+    /// Responds as `NotExecuted` and asks for this many milliseconds of rest.
+    Rest(u64),
+    /// Responds as `NotExecuted` with this value of the header that asks for rest.
+    RestHeader(&'static str),
     /// Responds with status 421, as a runner of another name does.
     Misdirected,
     /// Closes the connection before the response.
@@ -62,6 +73,7 @@
     mode: Mutex<RunnerMode>,
     gate: Gate,
     runs: Mutex<Vec<RunnerRun>>,
+    arrivals: AtomicUsize,
 }
 
 /// A running stand-in of a runner.
@@ -82,6 +94,7 @@
             mode: Mutex::new(mode),
             gate: Gate::default(),
             runs: Mutex::default(),
+            arrivals: AtomicUsize::new(0),
         });
         let data = Data::from(shared.clone());
         let server = LocalServer::start(ANY_PORT, move |cfg: &mut ServiceConfig| {
@@ -115,6 +128,12 @@
         &self.shared.gate
     }
 
+    /// Number of requests that reached the runner, whether it ran them or not.
+    #[must_use]
+    pub fn arrivals(&self) -> usize {
+        self.shared.arrivals.load(Ordering::Relaxed)
+    }
+
     /// The requests that the runner ran.
     #[must_use]
     pub fn runs(&self) -> Vec<RunnerRun> {
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -7,5 +7,6 @@
 mod planned_stop;
 mod requests;
 mod responses;
+mod runner_notices;
 mod runners;
 mod soak;
