--- a/crates/core/src/fleet/directory.rs
+++ b/crates/core/src/fleet/directory.rs
@@ -7,12 +7,16 @@
 
 use crate::{ids::RunnerName, outcome::RetryReason, time::MonoTime};
 
-use super::{RunnerEntry, RunnerNotice, runner_notice::RunnerNotices};
+use super::{RunnerEntry, RunnerKey, RunnerNotice, runner_notice::RunnerNotices};
 
 /// Time after the store's recovery within which a running runner is listed again.
 /// The store's operators promise about two seconds.
 const RELISTING_TIME: Duration = Duration::from_millis(2_200);
 
+/// Time for which removed entries are remembered: longer than a copy of the store is
+/// old when the store comes back from it.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
+
 /// A change of a runner's state.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RunnerChange {
@@ -48,6 +52,8 @@
     /// What runners said in their responses. A run that is leaving or has ended is
     /// never used again.
     notices: RunnerNotices,
+    /// Runs whose entries were removed, and when.
+    removed: BTreeMap<RunnerName, (RunnerKey, MonoTime)>,
     /// Until then a missing entry does not mean that its runner has ended.
     relisting_until: Option<MonoTime>,
     /// True once a complete listing was applied.
@@ -124,6 +130,7 @@
             return;
         }
         if let Some(known) = self.known.remove(name) {
+            self.removed.insert(name.clone(), (known.entry.key.clone(), now));
             out.push(RunnerChange::Removed(known.entry));
         }
     }
@@ -161,6 +168,7 @@
     /// Removes runners whose entries were not listed again in time.
     pub fn tick(&mut self, now: MonoTime, out: &mut Vec<RunnerChange>) {
         self.notices.tick(now);
+        self.removed.retain(|_, (_, at)| now.since(*at) < REMOVAL_MEMORY);
         if self.relisting_until.is_none_or(|until| now < until) {
             return;
         }
@@ -173,6 +181,12 @@
         }
     }
 
+    /// Returns true if this run's entry was removed a short time ago.
+    #[must_use]
+    pub fn was_removed(&self, key: &RunnerKey) -> bool {
+        self.removed.get(&key.name).is_some_and(|(removed, _)| removed == key)
+    }
+
     /// Returns the entry of a runner that accepts requests.
     #[must_use]
     pub fn usable(&self, name: &RunnerName) -> Option<&RunnerEntry> {
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -121,6 +121,9 @@
     FleetConfigInForce = "CF0511", Info, "fleet configuration in force";
     /// The stored fleet configuration is invalid. Fields: revision, cause.
     FleetConfigUnreadable = "CF0512", Error, "fleet configuration can't be read";
+    /// The store came back with a configuration older than the one in force, which
+    /// is kept. Fields: version, in_force, revision.
+    FleetConfigOlder = "CF0514", Warn, "stored fleet configuration is older than the one in force";
     /// A store entry is invalid. Fields: key, cause.
     EntryUnreadable = "CF0513", Warn, "store entry can't be used";
     /// A runner may receive requests. Fields: runner, upstream, places.
@@ -159,6 +162,9 @@
     /// The store state relayed by the coordinator is stale, so this host calls
     /// the store itself. Fields: proof_ms.
     StoreCalledDirectly = "CF0544", Info, "relayed state of the store is stale, calling the store";
+    /// The store came back from an older copy. `known` is the last revision that
+    /// was known before. Fields: era, known.
+    StoreRolledBack = "CF0546", Warn, "store came back from an older copy";
     /// This host could not write its own store entry. Fields: cause.
     RegistrationFailed = "CF0545", Info, "own store entry can't be written";
     /// Load of an upstream, written once a second by its coordinator. Fields:
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -39,10 +39,13 @@
 };
 
 mod coordination;
+mod rollback;
 mod runner_notices;
 mod store_relay;
 mod store_updates;
 
+use self::rollback::MissingHosts;
+
 /// Interval of the periodic checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -105,6 +108,11 @@
     clients: HostSessions<ClientSession>,
     decision_txs: HashMap<RequestId, UnboundedSender<RequestDecision>>,
     mirror: StoreMirror,
+    /// Latest era of the store that an update was from.
+    store_era: u64,
+    missing_hosts: MissingHosts,
+    /// True while the store has an older configuration than the one in force.
+    stored_config_is_older: bool,
     /// This host's own feed, while it runs.
     feed: Option<JoinHandle<()>>,
     config_readable: bool,
@@ -146,6 +154,9 @@
             clients: HostSessions::default(),
             decision_txs: HashMap::new(),
             mirror: StoreMirror::default(),
+            store_era: 0,
+            missing_hosts: MissingHosts::default(),
+            stored_config_is_older: false,
             feed: None,
             config_readable: true,
             stopping: false,
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreyway_core::{fleet::OpenOutcome, ids::HostId, time::MonoTime};
-use comfreyway_platform::Revision;
+use comfreyway_platform::{KvEvent, Revision};
 use tokio::sync::mpsc::Sender;
 
 use crate::{
@@ -147,6 +147,11 @@
                     self.add_runner(*entry);
                 }
             }
+            SessionEvent::FromCoordinator(_, ToHost::Config(item)) => {
+                if let KvEvent::Put(item) = KvEvent::from(item) {
+                    self.apply_newer_config(&item);
+                }
+            }
             SessionEvent::FromCoordinator(_, ToHost::RunnerNotice(notice)) => {
                 self.apply_notice(now, &notice);
             }
--- a/crates/node/src/fleet/control/runner_notices.rs
+++ b/crates/node/src/fleet/control/runner_notices.rs
@@ -13,6 +13,7 @@
 impl FleetControl {
     /// Handles a notice in a response to this host.
     pub(super) fn handle_own_notice(&mut self, now: MonoTime, notice: RunnerNotice) {
+        self.metrics.runner_notice(&notice);
         let is_new = self.apply_notice(now, &notice);
         if let RunnerNotice::Rest(key, rest) = &notice {
             log_event!(
--- a/crates/node/src/fleet/control/store_relay.rs
+++ b/crates/node/src/fleet/control/store_relay.rs
@@ -175,7 +175,7 @@
             // This host's own feed has read more in the meantime.
             return;
         }
-        log_event!(Event::StoreStateRelayed, host:% = host, revision = end.revision().0);
+        log_event!(Event::StoreStateRelayed, host:% = host, revision:% = end.revision());
         let deletions = self.mirror.missing_deletions(end);
         self.apply_update(FeedUpdate::Changes(deletions, end.revision()));
     }
@@ -210,6 +210,9 @@
         for frame in self.encode_changes_since(from) {
             self.send_frame(host, frame);
         }
+        if let Some(config) = self.newer_config() {
+            self.send_to_client(host, &config);
+        }
     }
 
     /// Sends the entry of a granted runner to a client host that may not have
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -8,7 +8,7 @@
     ids::{HostName, RunnerName, UpstreamName},
     time::MonoTime,
 };
-use comfreyway_platform::{KvEvent, Versioned};
+use comfreyway_platform::{KvEvent, Revision, Versioned};
 
 use crate::{
     events::{Event, log_event},
@@ -28,18 +28,26 @@
         let now = self.now();
         match update {
             FeedUpdate::FirstPage(items, requested_at) => {
+                if let Some(item) = items.first() {
+                    self.enter_era(now, item.revision);
+                }
                 self.apply_first_page(items, requested_at)
             }
-            FeedUpdate::Listing(items, revision) => {
+            FeedUpdate::Listing(mut items, revision) => {
                 if revision < self.mirror.revision() {
                     return;
                 }
+                self.enter_era(now, revision);
+                if revision.era() > self.mirror.revision().era() {
+                    items = self.keep_newer_entries(items);
+                }
                 let before = self.mirror.revision();
                 self.mirror.replace(&items, revision);
                 self.apply_listing(&items);
                 self.forward_listing(before);
             }
             FeedUpdate::Changes(mut events, revision) => {
+                self.enter_era(now, revision);
                 events.retain(|event| self.mirror.is_newer(event));
                 let before = self.mirror.revision();
                 self.mirror.apply(&events, revision);
@@ -55,7 +63,7 @@
             }
             FeedUpdate::CallFailed(e) => log_event!(Event::StoreWatchLost, cause:% = e),
             FeedUpdate::Recovered => {
-                log_event!(Event::StoreWatchRestored, revision = self.mirror.revision().0);
+                log_event!(Event::StoreWatchRestored, revision:% = self.mirror.revision());
                 self.directory.store_recovered(now);
             }
         }
@@ -66,6 +74,9 @@
     fn apply_first_page(&mut self, mut items: Vec<Versioned>, requested_at: MonoTime) {
         let keys = self.format.keys;
         items.retain(|item| self.mirror.is_newer(&KvEvent::Put(item.clone())));
+        if items.first().is_some_and(|item| item.revision.era() > self.mirror.revision().era()) {
+            items = self.keep_newer_entries(items);
+        }
         let config = items.iter().find(|item| item.key == keys.config);
         if let Some(item) = config {
             self.apply_config(item);
@@ -95,7 +106,12 @@
         let mut out = Vec::new();
         self.directory.apply_listing(self.now(), entries, &mut out);
         self.apply_runner_changes(out);
-        self.members.clear();
+        if self.missing_hosts.is_relisting(self.now()) {
+            let names: Vec<_> = self.members.keys().cloned().collect();
+            names.into_iter().for_each(|name| self.missing_hosts.add(name));
+        } else {
+            self.members.clear();
+        }
         for item in items.iter().filter(|item| item.key.starts_with(keys.members)) {
             self.put_member(item);
         }
@@ -111,7 +127,11 @@
                 KvEvent::Put(item) => self.put_member(item),
                 KvEvent::Delete { key, .. } => {
                     if let Some(name) = self.member_name(key) {
-                        self.members.remove(&name);
+                        if self.missing_hosts.is_relisting(self.now()) {
+                            self.missing_hosts.add(name);
+                        } else {
+                            self.members.remove(&name);
+                        }
                     }
                 }
             }
@@ -119,15 +139,34 @@
         } else if let KvEvent::Put(item) = event
             && item.key == keys.config
         {
+            self.stored_config_is_older = false;
             self.apply_config(item);
         }
     }
 
     fn apply_config(&mut self, item: &Versioned) {
-        let current = self.host_state.config();
-        if current.as_ref().is_some_and(|config| config.revision >= item.revision.0) {
-            return;
+        if let Some(current) = self.host_state.config() {
+            if current.revision >= item.revision.0 {
+                return;
+            }
+            // The store came back from an older copy. The operators write again
+            // what it has lost.
+            let new_era = Revision(current.revision).era() < item.revision.era();
+            let version = self.config_version(item);
+            if new_era && version.is_some_and(|version| version < current.version) {
+                log_event!(
+                    Event::FleetConfigOlder,
+                    version = version,
+                    in_force = current.version,
+                    revision:% = item.revision
+                );
+                return;
+            }
         }
+        self.set_config(item);
+    }
+
+    pub(super) fn set_config(&mut self, item: &Versioned) {
         match (self.format.read_config)(&item.value, item.revision.0) {
             Ok(config) => {
                 let config = Arc::new(config);
@@ -139,12 +178,12 @@
                 log_event!(
                     Event::FleetConfigInForce,
                     version = config.version,
-                    revision = config.revision
+                    revision:% = item.revision
                 );
             }
             Err(e) => {
                 self.config_readable = false;
-                log_event!(Event::FleetConfigUnreadable, revision = item.revision.0, cause:% = e);
+                log_event!(Event::FleetConfigUnreadable, revision:% = item.revision, cause:% = e);
             }
         }
     }
@@ -167,7 +206,7 @@
         RunnerName::new(key.strip_prefix(self.format.keys.runners)?).ok()
     }
 
-    fn read_runner(&self, item: &Versioned) -> Option<RunnerEntry> {
+    pub(super) fn read_runner(&self, item: &Versioned) -> Option<RunnerEntry> {
         let name = self.runner_name(&item.key)?;
         match (self.format.read_runner)(name, &item.value) {
             Ok(entry) => Some(entry),
@@ -186,7 +225,7 @@
         self.execute(Vec::new(), replies);
     }
 
-    fn members_changed(&mut self) {
+    pub(super) fn members_changed(&mut self) {
         let others = self.members.keys().filter(|name| **name != self.me.id.name).count();
         self.coordinator.set_known_hosts(self.now(), others + 1);
         self.host_state.set_hosts(others + 1);
@@ -201,6 +240,7 @@
         let member = serde_json::from_slice::<Member>(&item.value);
         match (self.member_name(&item.key), member) {
             (Some(name), Ok(member)) if name == member.id.name => {
+                self.missing_hosts.remove(&name);
                 self.members.insert(name, member);
             }
             _ => log_event!(
@@ -217,6 +257,7 @@
         let mut changes = Vec::new();
         self.directory.tick(now, &mut changes);
         self.apply_runner_changes(changes);
+        self.remove_missing_hosts(now);
         self.choose_coordinator();
         self.start_feed_if_stale();
         self.step_down_if_stale();
--- a/crates/node/src/fleet/counted_store.rs
+++ b/crates/node/src/fleet/counted_store.rs
@@ -44,6 +44,10 @@
 }
 
 impl Store for CountedStore {
+    fn era(&self) -> u64 {
+        self.store.era()
+    }
+
     fn list<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Listing, StoreError>> {
         self.count("list", self.store.list(prefix))
     }
--- a/crates/node/src/fleet/feed.rs
+++ b/crates/node/src/fleet/feed.rs
@@ -106,6 +106,9 @@
         while more && sent.is_some() {
             let last = items.last().map(|item| item.key.clone());
             let page = self.next_page(last.as_deref()).await?;
+            if page.revision.era() != revision.era() {
+                return Err(StoreError::HistoryCompacted);
+            }
             more = page.more;
             items.extend(page.items);
         }
--- a/crates/node/src/fleet/mirror.rs
+++ b/crates/node/src/fleet/mirror.rs
@@ -124,6 +124,8 @@
     deletions: BTreeSet<(u64, String)>,
     /// Revision from which on all deletions are recorded.
     complete_from: Revision,
+    /// Last revision that was known of the era before.
+    last_of_former_era: Revision,
 }
 
 impl StoreMirror {
@@ -142,7 +144,18 @@
     /// since the last known change stay unknown, so the deletions are complete
     /// only from this revision on.
     pub(super) fn replace(&mut self, items: &[Versioned], revision: Revision) {
-        self.items = items.iter().map(|item| (item.key.clone(), item.clone())).collect();
+        let former = std::mem::take(&mut self.items);
+        let new_era = revision.era() > self.revision.era();
+        if new_era {
+            self.last_of_former_era = self.revision;
+        }
+        // The client hosts know the values of the era before. Only those that differ
+        // are sent to them.
+        let kept = |item: &Versioned| {
+            let known = former.get(&item.key).filter(|known| new_era && known.value == item.value);
+            known.unwrap_or(item).clone()
+        };
+        self.items = items.iter().map(|item| (item.key.clone(), kept(item))).collect();
         self.deletions.clear();
         self.complete_from = revision;
         self.revision = revision;
@@ -169,8 +182,16 @@
         self.revision = self.revision.max(up_to);
     }
 
+    /// Returns the value of a key.
+    pub(super) fn get(&self, key: &str) -> Option<&Versioned> {
+        self.items.get(key)
+    }
+
     /// Returns the changes after revision `from`.
     pub(super) fn changes_since(&self, from: Revision) -> SyncMessages {
+        if from.era() < self.revision.era() && from > self.last_of_former_era {
+            return self.changes_of_new_era(from);
+        }
         let keys = (from < self.complete_from)
             .then(|| self.items.keys().map(|key| fingerprint(key)).collect());
         let put = self.items.values().filter(|item| item.revision > from);
@@ -199,6 +220,25 @@
         SyncMessages { changes, end: SyncEnd { keys, base, revision: self.revision.0 } }
     }
 
+    /// Returns all entries, for a host that may know changes of the era before that
+    /// were lost and never known here.
+    fn changes_of_new_era(&self, from: Revision) -> SyncMessages {
+        let lowest = Revision::new(self.revision.era(), 1);
+        let stamped = |item: &Versioned| {
+            let revision = item.revision.max(lowest).0;
+            MirroredItem { revision, ..MirroredItem::from(item) }
+        };
+        let items: Vec<_> = self.items.values().map(stamped).collect();
+        let changes = items.chunks(MAX_CHANGES_PER_MESSAGE).map(|chunk| ChangeSet {
+            items: chunk.to_vec(),
+            base: from.0,
+            revision: from.0,
+        });
+        let keys = Some(self.items.keys().map(|key| fingerprint(key)).collect());
+        let end = SyncEnd { keys, base: from.0, revision: self.revision.0 };
+        SyncMessages { changes: changes.collect(), end }
+    }
+
     /// Returns true if no change is missing between the known ones and these.
     pub(super) fn can_apply(&self, changes: &ChangeSet) -> bool {
         changes.base <= self.revision.0
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -6,6 +6,7 @@
     outcome::{NotRunReason, UnknownReason},
     request::{DispatchEnd, Usage},
 };
+use comfreyway_platform::Revision;
 use hyper::{Response, StatusCode, header::HeaderValue};
 use tokio::time::{Instant, timeout_at};
 
@@ -202,7 +203,7 @@
         first_ms = times.first_byte.as_millis() as u64,
         total_ms = times.total.as_millis() as u64,
         status = response.status.as_u16(),
-        revision = request.config.revision
+        revision:% = Revision(request.config.revision)
     );
 }
 
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -9,6 +9,7 @@
     outcome::NotRunReason,
     request::RequestRecord,
 };
+use comfreyway_platform::Revision;
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Request, Response, Uri,
@@ -137,7 +138,7 @@
             upstream:% = request.placement.upstream,
             waited_ms = request.arrived.elapsed().as_millis() as u64,
             retry_ms = retry_after.as_millis() as u64,
-            revision = request.config.revision
+            revision:% = Revision(request.config.revision)
         );
     }
 
@@ -211,7 +212,7 @@
             Event::RequestRefused,
             id = id.and_then(|id| id.to_str().ok()).unwrap_or("-"),
             reason = reason.as_str(),
-            revision = self.host_state.config().map_or(0, |config| config.revision),
+            revision:% = Revision(self.host_state.config().map_or(0, |config| config.revision)),
             proof_ms = staleness.as_millis() as u64
         );
     }
--- a/crates/node/src/fleet/registration.rs
+++ b/crates/node/src/fleet/registration.rs
@@ -17,6 +17,15 @@
 /// Wait after a failed call.
 const RETRY_WAIT: Duration = Duration::from_millis(400);
 
+/// The lease on a host's entry.
+#[derive(Clone, Copy, Debug)]
+struct Registration {
+    lease: LeaseId,
+    /// Era of the store in which it was granted. In a later one the same id may be
+    /// another host's lease.
+    era: u64,
+}
+
 /// Keeps a host registered under `key` until `stop` turns true.
 pub(super) async fn keep_registered(
     store: Rc<dyn Store>,
@@ -24,10 +33,10 @@
     member: Member,
     mut stop: watch::Receiver<bool>,
 ) {
-    let mut lease = None;
+    let mut registration = None;
     loop {
         let step = async {
-            let wait = match renew(&*store, &key, &member, &mut lease).await {
+            let wait = match renew(&*store, &key, &member, &mut registration).await {
                 Ok(()) => RENEW_INTERVAL,
                 Err(e) => {
                     log_event!(Event::RegistrationFailed, cause:% = e);
@@ -41,7 +50,8 @@
             _ = stop.wait_for(|stop| *stop) => break,
         }
     }
-    if let Some(lease) = lease
+    if let Some(Registration { lease, era }) = registration
+        && era == store.era()
         && let Err(e) = store.revoke_lease(lease).await
     {
         log_event!(Event::RegistrationFailed, cause:% = e);
@@ -52,31 +62,35 @@
     store: &dyn Store,
     key: &str,
     member: &Member,
-    lease: &mut Option<LeaseId>,
+    registration: &mut Option<Registration>,
 ) -> Result<(), StoreError> {
-    if let Some(id) = *lease {
-        return match store.renew_lease(id).await {
-            Err(StoreError::LeaseExpired) => {
-                *lease = None;
-                register(store, key, member, lease).await
-            }
-            result => result,
-        };
+    if let Some(Registration { lease, era }) = *registration
+        && era == store.era()
+    {
+        match store.renew_lease(lease).await {
+            Ok(()) if era == store.era() => return Ok(()),
+            Ok(()) | Err(StoreError::LeaseExpired) => {}
+            Err(e) => return Err(e),
+        }
     }
-    register(store, key, member, lease).await
+    *registration = None;
+    *registration = Some(register(store, key, member).await?);
+    Ok(())
 }
 
 async fn register(
     store: &dyn Store,
     key: &str,
     member: &Member,
-    lease: &mut Option<LeaseId>,
-) -> Result<(), StoreError> {
-    let granted = store.grant_lease(LEASE_TTL).await?;
+) -> Result<Registration, StoreError> {
+    let lease = store.grant_lease(LEASE_TTL).await?;
+    let era = store.era();
     let value = serde_json::to_vec(member).map_err(|e| StoreError::NotDone(e.to_string()))?;
     // If the reply is lost, the next attempt writes the entry under a new
     // lease.
-    store.put(key, value, Some(granted)).await?;
-    *lease = Some(granted);
-    Ok(())
+    store.put(key, value, Some(lease)).await?;
+    match store.era() == era {
+        true => Ok(Registration { lease, era }),
+        false => Err(StoreError::NotDone("the store came back from an older copy".to_owned())),
+    }
 }
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    mirror::{ChangeSet, SyncEnd},
+    mirror::{ChangeSet, MirroredItem, SyncEnd},
     runner_connections::set_socket_options,
     sessions::COORDINATOR_TIMEOUT,
 };
@@ -75,6 +75,9 @@
     /// Changes of the store.
     #[serde(rename = "c")]
     Changes(ChangeSet),
+    /// The configuration in force, if the store came back with an older one.
+    #[serde(rename = "o")]
+    Config(MirroredItem),
     /// All changes that a sync requested have been sent.
     #[serde(rename = "e")]
     SyncEnd(SyncEnd),
--- a/crates/node/src/metrics/fleet.rs
+++ b/crates/node/src/metrics/fleet.rs
@@ -10,7 +10,7 @@
 };
 
 use comfreyway_core::{
-    fleet::UpstreamScheduler,
+    fleet::{RunnerNotice, UpstreamScheduler},
     ids::{ClassName, Tier, UpstreamName},
     outcome::{NotRunReason, RetryReason, UnknownReason},
 };
@@ -52,6 +52,8 @@
     streams_cut: Counter<u64>,
     abandoned: Counter<u64>,
     store_calls: Counter<u64>,
+    store_rollbacks: Counter<u64>,
+    runner_notices: Counter<u64>,
     waiting: Gauge<u64>,
     at_runners: Gauge<u64>,
     slots: Gauge<u64>,
@@ -94,6 +96,14 @@
                 "comfreyway_store_calls",
                 "Calls to the platform's store, by kind and outcome",
             ),
+            store_rollbacks: counter(
+                "comfreyway_store_rollbacks",
+                "Times that the store came back from an older copy",
+            ),
+            runner_notices: counter(
+                "comfreyway_runner_notices",
+                "Responses in which a runner says that it is leaving or asks for rest, by kind",
+            ),
             waiting: gauge(
                 "comfreyway_upstream_waiting",
                 "Requests queued at this coordinator, by upstream",
@@ -108,6 +118,10 @@
             ),
             upstreams: Arc::default(),
         };
+        metrics.store_rollbacks.add(0, &[]);
+        for kind in ["leaving", "ended", "rest"] {
+            metrics.runner_notices.add(0, &[KeyValue::new("kind", kind)]);
+        }
         for stage in ["waiting", "sent"] {
             metrics.abandoned.add(0, &[KeyValue::new("stage", stage)]);
         }
@@ -143,6 +157,21 @@
         self.traffic.retried(reason);
     }
 
+    /// Counts a response in which a runner says something about itself.
+    pub fn runner_notice(&self, notice: &RunnerNotice) {
+        let kind = match notice {
+            RunnerNotice::Leaving(_) => "leaving",
+            RunnerNotice::Ended(_) => "ended",
+            RunnerNotice::Rest(..) => "rest",
+        };
+        self.runner_notices.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a store that came back from an older copy.
+    pub fn store_rolled_back(&self) {
+        self.store_rollbacks.add(1, &[]);
+    }
+
     /// Counts a stream that ended before its end marker.
     pub fn stream_cut(&self, reason: &'static str) {
         self.streams_cut.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/platform/src/embedded/history.rs
+++ b/crates/platform/src/embedded/history.rs
@@ -8,7 +8,7 @@
 const MAX_CHANGES: usize = 100_000;
 
 /// Recent changes, oldest first.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct History {
     changes: VecDeque<KvEvent>,
     compacted: Revision,
--- a/crates/platform/src/embedded/lease.rs
+++ b/crates/platform/src/embedded/lease.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 /// A lease and the keys that are deleted when it ends.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Lease {
     pub(super) ttl: Duration,
     pub(super) expires_at: Duration,
--- a/crates/platform/src/embedded/memory_store.rs
+++ b/crates/platform/src/embedded/memory_store.rs
@@ -9,7 +9,7 @@
 
 use super::{history::History, lease::Lease};
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Entry {
     value: Vec<u8>,
     revision: Revision,
@@ -31,7 +31,7 @@
 /// assert_eq!(first, CasOutcome::Written(Revision(1)));
 /// assert_eq!(store.get("a", now).unwrap().value, b"1");
 /// ```
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct MemoryStore {
     entries: BTreeMap<String, Entry>,
     leases: HashMap<LeaseId, Lease>,
@@ -142,7 +142,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if some of them are no longer retained.
+    /// Fails if some of them are no longer retained, or the revision is higher than
+    /// that of the latest change.
     pub fn changes(
         &mut self,
         prefix: &str,
@@ -151,6 +152,9 @@
     ) -> Result<Vec<KvEvent>, PlatformError> {
         self.expire(now);
         let compacted = || PlatformError::NotDone("the changes have been compacted".to_owned());
+        if after > self.revision {
+            return Err(PlatformError::NotDone("the revision does not exist".to_owned()));
+        }
         self.history.after(prefix, after).ok_or_else(compacted)
     }
 
--- a/crates/platform/src/kv.rs
+++ b/crates/platform/src/kv.rs
@@ -1,15 +1,66 @@
 //! Interface of the key-value service.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use futures_util::{future::LocalBoxFuture, stream::LocalBoxStream};
 
 use crate::PlatformError;
 
 /// Revision of a key; zero if the key does not exist.
+///
+/// A store that comes back from an older copy counts its revisions again from that
+/// copy on, in a new era. The era takes the upper bits, so that every revision of an
+/// era is higher than those of the eras before it.
+///
+/// # Examples
+///
+/// ```
+/// use comfreyway_platform::Revision;
+///
+/// let revision = Revision::new(2, 7);
+/// assert_eq!((revision.era(), revision.number()), (2, 7));
+/// assert!(revision > Revision::new(1, 1_000));
+/// assert_eq!(revision.to_string(), "2:7");
+/// ```
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Revision(pub u64);
 
+/// Number of bits that count the revisions of one era: enough for a century at
+/// several thousand changes a second.
+const NUMBER_BITS: u32 = 44;
+
+/// Maximum era, which the remaining bits hold.
+const MAX_ERA: u64 = u64::MAX >> NUMBER_BITS;
+
+impl Revision {
+    /// Creates the revision with this number in an era of the store.
+    #[must_use]
+    pub fn new(era: u64, number: u64) -> Self {
+        Self(era.min(MAX_ERA) << NUMBER_BITS | number & !(MAX_ERA << NUMBER_BITS))
+    }
+
+    /// Returns the era of the store. Zero if the store tells none.
+    #[must_use]
+    pub fn era(self) -> u64 {
+        self.0 >> NUMBER_BITS
+    }
+
+    /// Returns the number that the store gave the revision.
+    #[must_use]
+    pub fn number(self) -> u64 {
+        self.0 & !(MAX_ERA << NUMBER_BITS)
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.era() {
+            0 => write!(f, "{}", self.number()),
+            era => write!(f, "{era}:{}", self.number()),
+        }
+    }
+}
+
 /// Identifier of a lease.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct LeaseId(pub i64);
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -27,7 +27,8 @@
         RateLimited {
             display("the store rejected the call: rate limit exceeded")
         }
-        /// The store no longer retains all changes after the given revision.
+        /// The store no longer retains all changes after the given revision, or came
+        /// back from an older copy.
         HistoryCompacted {
             display("the store has compacted the history after the given revision")
         }
@@ -71,6 +72,11 @@
 ///
 /// Futures may be dropped at any time; the call may still take effect.
 pub trait Store {
+    /// Returns the latest era of the store that a reply has told. It rises when the
+    /// store comes back from an older copy: the changes since that copy are lost,
+    /// leases too, and their revisions are used again.
+    fn era(&self) -> u64;
+
     /// Reads all keys that start with `prefix`. The result is not a snapshot:
     /// it is complete only with the changes after [`Listing::revision`].
     fn list<'a>(&'a self, prefix: &'a str) -> LocalBoxFuture<'a, Result<Listing, StoreError>>;
--- a/crates/testkit/src/store/handlers.rs
+++ b/crates/testkit/src/store/handlers.rs
@@ -1,14 +1,17 @@
 //! HTTP handlers of the store.
 
 use std::{
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use actix_web::{
-    HttpResponse,
-    http::StatusCode,
-    web::{Data, Json, JsonConfig, Path, Query, ServiceConfig, delete, get, post},
+    Error, HttpResponse,
+    body::{BoxBody, MessageBody},
+    dev::{ServiceRequest, ServiceResponse},
+    http::{StatusCode, header::HeaderName},
+    middleware::{Next, from_fn},
+    web::{Data, Json, JsonConfig, Path, Query, ServiceConfig, delete, get, post, scope},
 };
 use base64::{Engine, prelude::BASE64_STANDARD};
 use comfreyway_adapter::wire::{
@@ -53,7 +56,8 @@
 }
 
 pub(super) fn configure(cfg: &mut ServiceConfig) {
-    cfg.app_data(JsonConfig::default().limit(MAX_CALL_BYTES))
+    let calls = scope("").wrap(from_fn(tell_era));
+    let calls = calls
         .route("/kv-key", get().to(read))
         .route("/kv-range", get().to(range))
         .route("/kv-watch", get().to(watch))
@@ -61,6 +65,23 @@
         .route("/kv-lease", post().to(grant))
         .route("/kv-keep/{id}", post().to(renew))
         .route("/kv-lease-end/{id}", delete().to(revoke));
+    cfg.app_data(JsonConfig::default().limit(MAX_CALL_BYTES)).service(calls);
+}
+
+/// Adds the era of the store to a reply. A call during which it changed gets none.
+async fn tell_era<B>(req: ServiceRequest, next: Next<B>) -> Result<ServiceResponse<BoxBody>, Error>
+where
+    B: MessageBody + 'static,
+{
+    let store = req.app_data::<Store>().cloned();
+    let era = || store.as_ref().map_or(0, |store| store.era.load(Ordering::Relaxed));
+    let before = era();
+    let mut res = next.call(req).await?.map_into_boxed_body();
+    if era() != before {
+        return Ok(res.into_response(cut_response()));
+    }
+    res.headers_mut().insert(HeaderName::from_static("store-era"), before.into());
+    Ok(res)
 }
 
 async fn read(store: Store, Query(query): Query<KeyQuery>) -> HttpResponse {
--- a/crates/testkit/src/store/mod.rs
+++ b/crates/testkit/src/store/mod.rs
@@ -10,7 +10,14 @@
 mod lease_clock;
 mod rate;
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use actix_web::web::{Data, ServiceConfig};
 use comfreyway_platform::{EmbeddedKeyValue, Revision, embedded};
@@ -29,6 +36,7 @@
     clock: Arc<LeaseClock>,
     faults: ActiveFaults,
     counters: Counters,
+    era: AtomicU64,
 }
 
 impl Shared {
@@ -36,10 +44,20 @@
         let clock = Arc::new(LeaseClock::new());
         let store_clock = clock.clone();
         let keys = EmbeddedKeyValue::with_clock(move || store_clock.now());
-        Self { keys, clock, faults: ActiveFaults::default(), counters: Counters::default() }
+        Self {
+            keys,
+            clock,
+            faults: ActiveFaults::default(),
+            counters: Counters::default(),
+            era: AtomicU64::new(1),
+        }
     }
 }
 
+/// A copy of the store's keys and leases.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(embedded::MemoryStore);
+
 /// A running stand-in of the store.
 pub struct StoreStandIn {
     address: SocketAddr,
@@ -118,6 +136,21 @@
         self.shared.keys.with_store(|keys, _| embedded::MemoryStore::compact(keys));
     }
 
+    /// Copies all keys and leases.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.keys.with_store(|keys, _| keys.clone()))
+    }
+
+    /// Comes back from an older copy: all later changes are lost, leases too, and
+    /// their revisions are used again.
+    pub fn restore(&self, copy: StoreCopy) {
+        self.shared.keys.with_store(|keys, _| {
+            *keys = copy.0;
+            self.shared.era.fetch_add(1, Ordering::Relaxed);
+        });
+    }
+
     /// Pauses or resumes the clock of all leases.
     pub fn pause_leases(&self, pause: bool) {
         self.shared.clock.pause(pause);
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod planned_stop;
 mod requests;
 mod responses;
+mod rollback;
 mod runner_notices;
 mod runners;
 mod soak;
