--- a/crates/core/src/fleet/scheduler/mod.rs
+++ b/crates/core/src/fleet/scheduler/mod.rs
@@ -14,8 +14,11 @@
 //!   still meet its target, or if its prompt would pause other streams for longer
 //!   than its own target between tokens allows.
 //! - A request that can't be started in time is refused at once.
+//! - A class that gets far fewer of its requests started than all classes do goes
+//!   first, however low its tier.
 
 mod ewma;
+mod floor;
 mod learning;
 mod placement;
 mod queue;
--- a/crates/core/src/fleet/scheduler/queue.rs
+++ b/crates/core/src/fleet/scheduler/queue.rs
@@ -38,6 +38,7 @@
 pub(super) struct Queue {
     waiting: BTreeMap<RequestId, WaitingRequest>,
     order: BTreeSet<(SortKey, RequestId)>,
+    by_class: BTreeMap<ClassName, BTreeSet<(SortKey, RequestId)>>,
     expiring: BTreeSet<(MonoTime, RequestId)>,
     /// Number of requests and their total prompt tokens.
     totals: BTreeMap<(Tier, ClassName), (usize, u64)>,
@@ -68,6 +69,7 @@
         total.0 += 1;
         total.1 += u64::from(record.prefill_tokens);
         self.expiring.insert((deadlines.refuse_at, id));
+        self.by_class.entry(record.class.clone()).or_default().insert((sort_key, id));
         let waiting = WaitingRequest { record, deadlines, avoid, late: false, sort_key };
         self.order.insert((sort_key, id));
         self.waiting.insert(id, waiting);
@@ -76,6 +78,12 @@
     pub(super) fn remove(&mut self, id: RequestId) -> Option<WaitingRequest> {
         let waiting = self.waiting.remove(&id)?;
         self.order.remove(&(waiting.sort_key, id));
+        if let Some(requests) = self.by_class.get_mut(&waiting.record.class) {
+            requests.remove(&(waiting.sort_key, id));
+            if requests.is_empty() {
+                self.by_class.remove(&waiting.record.class);
+            }
+        }
         self.expiring.remove(&(waiting.deadlines.refuse_at, id));
         let key = (waiting.record.tier, waiting.record.class.clone());
         if let Some(total) = self.totals.get_mut(&key) {
@@ -109,10 +117,34 @@
         let Some(waiting) = self.waiting.get_mut(&id).filter(|waiting| !waiting.late) else {
             return;
         };
-        self.order.remove(&(waiting.sort_key, id));
+        let before = waiting.sort_key;
         waiting.late = true;
         waiting.sort_key.1 = true;
-        self.order.insert((waiting.sort_key, id));
+        let after = waiting.sort_key;
+        let in_class = self.by_class.get_mut(&waiting.record.class);
+        for requests in in_class.into_iter().chain([&mut self.order]) {
+            requests.remove(&(before, id));
+            requests.insert((after, id));
+        }
+    }
+
+    /// Returns the classes of which requests are waiting.
+    pub(super) fn classes(&self) -> impl Iterator<Item = &ClassName> {
+        self.by_class.keys()
+    }
+
+    pub(super) fn waiting_in_class(&self, class: &ClassName) -> usize {
+        self.by_class.get(class).map_or(0, BTreeSet::len)
+    }
+
+    /// Returns the first `count` requests of a class.
+    pub(super) fn first_of_class(
+        &self,
+        class: &ClassName,
+        count: usize,
+    ) -> impl Iterator<Item = (RequestId, &WaitingRequest)> {
+        let ids = self.by_class.get(class).into_iter().flatten().take(count).map(|(_, id)| *id);
+        ids.filter_map(|id| self.waiting.get(&id).map(|waiting| (id, waiting)))
     }
 
     /// Returns the first `count` requests.
--- a/crates/core/src/fleet/scheduler/shedding.rs
+++ b/crates/core/src/fleet/scheduler/shedding.rs
@@ -57,10 +57,11 @@
     /// refused on arrival, or `None` if it can be queued.
     pub(super) fn shed_on_arrival(
         &self,
+        now: MonoTime,
         record: &RequestRecord,
         left: Duration,
     ) -> Option<Duration> {
-        if self.queue.len() < self.backlog_threshold() {
+        if self.queue.len() < self.backlog_threshold() || self.is_kept_by_floor(now, record) {
             return None;
         }
         let wait = self.backlog(record.tier);
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -12,14 +12,18 @@
 use super::{
     DispatchFailure, RunnerState,
     ewma::Ewma,
+    floor::ClassFloors,
     placement::Placement,
-    queue::{Deadlines, Queue},
+    queue::{Deadlines, Queue, WaitingRequest},
     runner_index::RunnerIndex,
 };
 
 /// Maximum number of waiting requests tried for one grant.
 const MAX_TRIED_REQUESTS: usize = 48;
 
+/// Maximum number of waiting requests of a class tried for its floor.
+const MAX_TRIED_FOR_FLOOR: usize = 8;
+
 /// Time between two scheduling passes while requests wait.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -56,6 +60,7 @@
     pub(super) chunk_tokens: f64,
     pub(super) runners: RunnerIndex,
     pub(super) queue: Queue,
+    pub(super) floors: ClassFloors,
     pub(super) granted: BTreeMap<RequestId, Granted>,
     pub(super) response_lengths: BTreeMap<ClassName, Ewma>,
     /// Until then some runners may not accept the requests of some hosts.
@@ -73,6 +78,7 @@
             chunk_tokens: CHUNK_TOKENS,
             runners,
             queue: Queue::default(),
+            floors: ClassFloors::default(),
             granted: BTreeMap::new(),
             response_lengths: BTreeMap::new(),
             hosts_differ_until: MonoTime::ZERO,
@@ -128,7 +134,8 @@
         if self.queue.contains(id) || self.granted.contains_key(&id) {
             return;
         }
-        if let Some(retry_after) = self.shed_on_arrival(&record, time_left) {
+        self.floors.submitted(now, &record.class);
+        if let Some(retry_after) = self.shed_on_arrival(now, &record, time_left) {
             out.push(Decision::Refuse(record.entry, id, NotRunReason::Shed, retry_after));
             return;
         }
@@ -155,6 +162,7 @@
     ) {
         let Some(granted) = self.release_failed(now, id, failure) else { return };
         let Granted { record, runner, target_at, respond_by } = granted;
+        self.floors.requeued(now, &record.class);
         self.enqueue(now, record, target_at, respond_by, Some(runner));
         self.grant(now, out);
     }
@@ -242,6 +250,7 @@
         while let Some((id, runner)) = self.next_grant(now) {
             let Some(waiting) = self.queue.remove(id) else { return };
             out.push(Decision::Grant(waiting.record.entry.clone(), id, runner.clone()));
+            self.floors.started(now, &waiting.record.class);
             let Deadlines { target_at, respond_by, .. } = waiting.deadlines;
             self.start(now, Granted { record: waiting.record, runner, target_at, respond_by });
         }
@@ -249,36 +258,53 @@
 
     fn next_grant(&mut self, now: MonoTime) -> Option<(RequestId, RunnerName)> {
         self.runners.free(now).next()?;
-        let mut late = Vec::new();
-        let mut found = None;
-        let mut unplaceable = UnplaceableRequests::default();
-        let hosts_alike = now >= self.hosts_differ_until;
-        for (id, waiting) in self.queue.first(MAX_TRIED_REQUESTS) {
-            if unplaceable.includes(&waiting.record) {
+        let mut pass = Pass { hosts_alike: now >= self.hosts_differ_until, ..Pass::default() };
+        let found = self.find_for_floors(now, &mut pass).or_else(|| {
+            let first = self.queue.first(MAX_TRIED_REQUESTS);
+            self.find_placeable(now, first, &mut pass)
+        });
+        let marked = !pass.late.is_empty();
+        for id in pass.late {
+            self.queue.mark_late(id);
+        }
+        // Requests that were marked late have moved in the queue.
+        if found.is_none() && marked { self.next_grant(now) } else { found }
+    }
+
+    /// Finds a request of a class that is below its floor, and a runner for it.
+    fn find_for_floors(&self, now: MonoTime, pass: &mut Pass) -> Option<(RequestId, RunnerName)> {
+        let classes = self.queue.classes().filter(|class| self.is_below_floor(now, class));
+        classes.into_iter().find_map(|class| {
+            let first = self.queue.first_of_class(class, MAX_TRIED_FOR_FLOOR);
+            self.find_placeable(now, first, pass)
+        })
+    }
+
+    /// Finds the first of these requests that a runner can take, and the runner.
+    fn find_placeable<'a, I>(
+        &self,
+        now: MonoTime,
+        requests: I,
+        pass: &mut Pass,
+    ) -> Option<(RequestId, RunnerName)>
+    where
+        I: Iterator<Item = (RequestId, &'a WaitingRequest)>,
+    {
+        for (id, waiting) in requests {
+            if pass.unplaceable.includes(&waiting.record) {
                 continue;
             }
             match self.find_runner(now, waiting) {
-                Placement::None if waiting.avoid.is_none() && hosts_alike => {
-                    unplaceable.add(&waiting.record);
+                Placement::None if waiting.avoid.is_none() && pass.hosts_alike => {
+                    pass.unplaceable.add(&waiting.record);
                 }
-                Placement::InTime(runner) => {
-                    found = Some((id, runner));
-                    break;
-                }
-                Placement::Late(runner) if waiting.late => {
-                    found = Some((id, runner));
-                    break;
-                }
-                Placement::Late(_) => late.push(id),
+                Placement::InTime(runner) => return Some((id, runner)),
+                Placement::Late(runner) if waiting.late => return Some((id, runner)),
+                Placement::Late(_) => pass.late.push(id),
                 Placement::Wait | Placement::None => {}
             }
         }
-        let marked = !late.is_empty();
-        for id in late {
-            self.queue.mark_late(id);
-        }
-        // Requests that were marked late have moved in the queue.
-        if found.is_none() && marked { self.next_grant(now) } else { found }
+        None
     }
 
     fn start(&mut self, now: MonoTime, granted: Granted) {
@@ -313,6 +339,16 @@
     now + record.target.limit().saturating_sub(record.age)
 }
 
+/// One pass through the queue.
+#[derive(Debug, Default)]
+struct Pass {
+    /// True if every runner accepts the requests of all hosts alike.
+    hosts_alike: bool,
+    /// Requests that can no longer meet their target.
+    late: Vec<RequestId>,
+    unplaceable: UnplaceableRequests,
+}
+
 /// Requests that found no runner in one pass through the queue. A request with
 /// at least as long a prompt and at most as long an allowed pause finds none
 /// either, so most of many similar requests need not be compared with runners.
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod coordinator;
 mod directory;
+mod floors;
 mod model;
 mod quota_changes;
 mod quotas;
