--- a/crates/core/src/fleet/scheduler/placement.rs
+++ b/crates/core/src/fleet/scheduler/placement.rs
@@ -16,6 +16,20 @@
 /// stream. Prompts prefilled in these steps delay the next event.
 const STEPS_PER_EVENT: f64 = 3.0;
 
+/// Whether a prompt may pause other streams of a runner for longer than the
+/// request's own target between tokens allows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Pauses {
+    /// Only runners that keep the target are considered.
+    Short,
+    /// If there is no such runner, one with few other streams is.
+    Any,
+}
+
+/// Cost of each stream that a prompt pauses for too long, in microseconds: higher
+/// than any difference between runners.
+const PAUSED_STREAM_COST_US: f64 = 1e9;
+
 /// Result of the search for a runner.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Placement {
@@ -31,7 +45,12 @@
 
 impl UpstreamScheduler {
     /// Selects a runner for a request.
-    pub(super) fn find_runner(&self, now: MonoTime, waiting: &WaitingRequest) -> Placement {
+    pub(super) fn find_runner(
+        &self,
+        now: MonoTime,
+        waiting: &WaitingRequest,
+        pauses: Pauses,
+    ) -> Placement {
         let length = self.expected_response_tokens(&waiting.record.class);
         let left_us = waiting.deadlines.target_at.since(now).as_micros() as f64;
         let mut best: Option<(f64, bool, &RunnerName)> = None;
@@ -45,12 +64,15 @@
         for (name, runner) in free().filter(|(name, _)| Some(*name) != avoid) {
             let first_us = self.expected_first_token_us(runner, waiting);
             let in_time = first_us <= left_us;
-            if !self.keeps_stream_targets(runner, waiting) {
+            let keeps_targets = self.keeps_stream_targets(runner, waiting);
+            if !keeps_targets && pauses == Pauses::Short {
                 in_time_later |= in_time;
                 continue;
             }
             let decode_us = if self.engine { runner.decode_us() * length } else { 0.0 };
-            let cost = first_us + DECODE_WEIGHT * decode_us;
+            let paused = if keeps_targets { 0 } else { runner.in_progress() };
+            let pause_cost_us = PAUSED_STREAM_COST_US * paused as f64;
+            let cost = first_us + DECODE_WEIGHT * decode_us + pause_cost_us;
             // A runner that meets the target is preferred to one that does not.
             let better = best.is_none_or(|(best_cost, best_in_time, _)| {
                 (!in_time, cost) < (!best_in_time, best_cost)
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -13,7 +13,7 @@
     DispatchFailure, RunnerState,
     ewma::Ewma,
     floor::ClassFloors,
-    placement::Placement,
+    placement::{Pauses, Placement},
     queue::{Deadlines, Queue, WaitingRequest},
     runner_index::RunnerIndex,
 };
@@ -261,7 +261,7 @@
         let mut pass = Pass { hosts_alike: now >= self.hosts_differ_until, ..Pass::default() };
         let found = self.find_for_floors(now, &mut pass).or_else(|| {
             let first = self.queue.first(MAX_TRIED_REQUESTS);
-            self.find_placeable(now, first, &mut pass)
+            self.find_placeable(now, first, Pauses::Short, &mut pass)
         });
         let marked = !pass.late.is_empty();
         for id in pass.late {
@@ -276,7 +276,7 @@
         let classes = self.queue.classes().filter(|class| self.is_below_floor(now, class));
         classes.into_iter().find_map(|class| {
             let first = self.queue.first_of_class(class, MAX_TRIED_FOR_FLOOR);
-            self.find_placeable(now, first, pass)
+            self.find_placeable(now, first, Pauses::Any, pass)
         })
     }
 
@@ -285,6 +285,7 @@
         &self,
         now: MonoTime,
         requests: I,
+        pauses: Pauses,
         pass: &mut Pass,
     ) -> Option<(RequestId, RunnerName)>
     where
@@ -294,7 +295,7 @@
             if pass.unplaceable.includes(&waiting.record) {
                 continue;
             }
-            match self.find_runner(now, waiting) {
+            match self.find_runner(now, waiting, pauses) {
                 Placement::None if waiting.avoid.is_none() && pass.hosts_alike => {
                     pass.unplaceable.add(&waiting.record);
                 }
--- a/crates/core/tests/fleet/floors.rs
+++ b/crates/core/tests/fleet/floors.rs
@@ -31,6 +31,11 @@
 }
 
 impl Load {
+    /// Time to the first token at a runner that does nothing else.
+    fn first_token(&self) -> Duration {
+        Duration::from_micros(22_000 + 20 * u64::from(self.prompt_tokens))
+    }
+
     fn record(&self, number: u128) -> RequestRecord {
         let mut record = record(number, self.tier, self.prompt_tokens);
         record.target = Target::Stream {
@@ -58,9 +63,8 @@
         let later = ends.split_off(&(ms + 1));
         for (number, load) in std::mem::replace(&mut ends, later).into_values().flatten() {
             let total = Duration::from_millis(loads[load].service_ms);
-            let usage =
-                Usage { decode_tokens: 50, first_token: total / 5, total, ..Usage::default() };
-            scheduler.first_token(at(ms), id(number));
+            let first_token = loads[load].first_token().min(total);
+            let usage = Usage { decode_tokens: 50, first_token, total, ..Usage::default() };
             scheduler.ended(at(ms), id(number), DispatchEnd::Complete(usage));
             results[load].0 += 1;
         }
@@ -79,6 +83,7 @@
         for decision in out {
             if let Decision::Grant(_, granted, _) = decision {
                 let load = class_of[&granted.value()];
+                scheduler.first_token(at(ms) + loads[load].first_token(), granted);
                 let end = ms + loads[load].service_ms;
                 ends.entry(end).or_default().push((granted.value(), load));
             }
@@ -102,10 +107,10 @@
 fn a_burst_of_urgent_classes_does_not_starve_the_least_urgent_one(#[case] service_ms: u64) {
     let long = Load {
         tier: 0,
-        per_s: 20.0,
+        per_s: 30.0,
         first_token_ms: 800,
         time_limit_ms: 12_000,
-        prompt_tokens: 6_600,
+        prompt_tokens: 1_500,
         service_ms: 2_400,
     };
     let middle = Load { tier: 1, first_token_ms: 300, prompt_tokens: 630, ..long.clone() };
@@ -114,6 +119,7 @@
         first_token_ms: 400,
         time_limit_ms: 3_000,
         prompt_tokens: 1_800,
+        per_s: 40.0,
         service_ms,
         ..long.clone()
     };
