--- a/crates/core/src/fleet/scheduler/mod.rs
+++ b/crates/core/src/fleet/scheduler/mod.rs
@@ -22,6 +22,7 @@
 mod learning;
 mod placement;
 mod queue;
+mod returns;
 mod runner;
 mod runner_index;
 mod shedding;
--- a/crates/core/src/fleet/scheduler/shedding.rs
+++ b/crates/core/src/fleet/scheduler/shedding.rs
@@ -56,7 +56,7 @@
     /// Returns the time after which the caller may try again if a request has to be
     /// refused on arrival, or `None` if it can be queued.
     pub(super) fn shed_on_arrival(
-        &self,
+        &mut self,
         now: MonoTime,
         record: &RequestRecord,
         left: Duration,
@@ -66,12 +66,24 @@
         }
         let wait = self.backlog(record.tier);
         let max_wait = caller_timeout(record, left).mul_f64(MAX_EXPECTED_WAIT_FRACTION);
-        (wait > max_wait).then(|| self.retry_after(wait, left))
+        (wait > max_wait).then(|| self.retry_after(now, record, wait, left))
     }
 
     /// Returns the time after which the caller of a refused request may try again.
-    pub(super) fn retry_after(&self, wait: Duration, left: Duration) -> Duration {
-        wait.min(left.mul_f64(MAX_RETRY_AFTER_FRACTION)).max(MIN_RETRY_AFTER)
+    /// `wait` is the expected time until the waiting requests of its tier are started.
+    pub(super) fn retry_after(
+        &mut self,
+        now: MonoTime,
+        record: &RequestRecord,
+        wait: Duration,
+        left: Duration,
+    ) -> Duration {
+        let length = self.expected_response_tokens(&record.class);
+        let work_us = self.expected_us(1.0, f64::from(record.prefill_tokens), length);
+        let slots = self.runners.totals().slots.max(1);
+        let work = Duration::from_micros((work_us / f64::from(slots)) as u64);
+        let max = left.mul_f64(MAX_RETRY_AFTER_FRACTION);
+        self.returns.next(now, record.tier, wait, work, max).max(MIN_RETRY_AFTER)
     }
 
     fn backlog_threshold(&self) -> usize {
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -15,6 +15,7 @@
     floor::ClassFloors,
     placement::{Pauses, Placement},
     queue::{Deadlines, Queue, WaitingRequest},
+    returns::ReturnTimes,
     runner_index::RunnerIndex,
 };
 
@@ -61,6 +62,7 @@
     pub(super) runners: RunnerIndex,
     pub(super) queue: Queue,
     pub(super) floors: ClassFloors,
+    pub(super) returns: ReturnTimes,
     pub(super) granted: BTreeMap<RequestId, Granted>,
     pub(super) response_lengths: BTreeMap<ClassName, Ewma>,
     /// Until then some runners may not accept the requests of some hosts.
@@ -79,6 +81,7 @@
             runners,
             queue: Queue::default(),
             floors: ClassFloors::default(),
+            returns: ReturnTimes::default(),
             granted: BTreeMap::new(),
             response_lengths: BTreeMap::new(),
             hosts_differ_until: MonoTime::ZERO,
@@ -216,7 +219,8 @@
         while let Some(waiting) = self.queue.pop_expired(now) {
             let id = waiting.record.id;
             let wait = self.backlog(waiting.record.tier);
-            let retry_after = self.retry_after(wait, waiting.deadlines.respond_by.since(now));
+            let left = waiting.deadlines.respond_by.since(now);
+            let retry_after = self.retry_after(now, &waiting.record, wait, left);
             let reason = match self.runners.is_empty() {
                 true => NotRunReason::NoRunner,
                 false => NotRunReason::TargetUnreachable,
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -9,5 +9,6 @@
 mod model;
 mod quota_changes;
 mod quotas;
+mod returns;
 mod scheduler;
 mod support;
