--- a/crates/cli/src/explain/log_line.rs
+++ b/crates/cli/src/explain/log_line.rs
@@ -61,11 +61,12 @@
         self.field(name)?.parse().ok()
     }
 
-    /// Returns the value of a field that may be logged as `Some(..)` or `None`.
+    /// Returns the value of a field that may be missing. Hosts of earlier versions
+    /// log `Some(..)` and `None`.
     #[must_use]
     pub fn optional_field(&self, name: &str) -> Option<Cow<'a, str>> {
         let value = self.field(name)?;
-        if value == "None" {
+        if ["none", "None"].contains(&value) {
             return None;
         }
         let inner = value.strip_prefix("Some(").and_then(|v| v.strip_suffix(')'));
--- a/crates/node/src/events/mod.rs
+++ b/crates/node/src/events/mod.rs
@@ -8,6 +8,22 @@
 
 pub use self::event::Event;
 
+/// Value of a log field that may be missing, which is written as `none`.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Optional<T>(pub(crate) Option<T>);
+
+impl<T> std::fmt::Display for Optional<T>
+where
+    T: std::fmt::Display,
+{
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match &self.0 {
+            Some(value) => value.fmt(f),
+            None => f.write_str("none"),
+        }
+    }
+}
+
 /// Logs an event with key-value fields, as in
 /// `log_event!(Event::RequestUnknown, id:% = id, reason = reason.as_str())`.
 macro_rules! log_event {
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -15,7 +15,7 @@
 };
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::events::{Event, log_event};
+use crate::events::{Event, Optional, log_event};
 use crate::fleet::{
     platform_format::header,
     runner_connections::{RequestSender, RunnerConnections, SendFailure},
@@ -77,7 +77,7 @@
         cost = request.placement.cost,
         waited_ms = request.arrived.elapsed().as_millis() as u64,
         left_ms = request.deadline.saturating_duration_since(sent_at).as_millis() as u64,
-        after:? = after
+        after:% = Optional(after)
     );
     let sending = connections.send(&runner.key, runner.address, req);
     let (res, sender) = match timeout_at(request.deadline, sending).await {
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::{Response, StatusCode, header::HeaderValue};
 use tokio::time::{Instant, timeout_at};
 
-use crate::events::{Event, log_event};
+use crate::events::{Event, Optional, log_event};
 use crate::fleet::request_handle::{RequestDecision, RequestHandle};
 use crate::metrics::{RequestLabels, RequestTimes};
 
@@ -162,7 +162,7 @@
         Event::RequestOutcomeUnknown,
         id = request.caller_id.as_str(),
         reason = reason.as_str(),
-        runner:? = handle.runner().map(ToString::to_string),
+        runner:% = Optional(handle.runner()),
         sent = sent,
         total_ms = request.arrived.elapsed().as_millis() as u64
     );
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    events::{Event, log_event},
+    events::{Event, Optional, log_event},
     fleet::request_handle::RequestHandle,
 };
 
@@ -128,7 +128,7 @@
                         id = self.request.caller_id.as_str(),
                         runner:% = response.runner.name,
                         cause:% = e,
-                        after:? = self.events.last_id(),
+                        after:% = Optional(self.events.last_id()),
                         after_ms = response.sent_at.elapsed().as_millis() as u64
                     );
                     if let Err(e) = self.resume().await {
@@ -166,7 +166,7 @@
             Event::StreamCut,
             id = self.request.caller_id.as_str(),
             reason = reason,
-            after:? = self.events.last_id(),
+            after:% = Optional(self.events.last_id()),
             total_ms = self.request.arrived.elapsed().as_millis() as u64
         );
     }
@@ -190,7 +190,7 @@
                         id = self.request.caller_id.as_str(),
                         sent = self.sent + 1,
                         reason = UnknownReason::UpstreamBroke.as_str(),
-                        after:? = after
+                        after:% = Optional(after)
                     );
                     self.sent += 1;
                     self.events.restart();
--- a/crates/node/src/fleet/request_handle.rs
+++ b/crates/node/src/fleet/request_handle.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::{
-    events::{Event, log_event},
+    events::{Event, Optional, log_event},
     metrics::FleetMetrics,
 };
 
@@ -162,7 +162,7 @@
             Event::RequestAbandoned,
             id = self.caller_id.as_str(),
             stage = stage,
-            runner:? = self.runner.as_ref().map(ToString::to_string),
+            runner:% = Optional(self.runner.as_ref()),
             total_ms = self.submitted.elapsed().as_millis() as u64
         );
     }
