--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -116,6 +116,9 @@
     /// The caller disconnected before the response was complete. Fields: id,
     /// stage, runner, total_ms.
     RequestAbandoned = "CF0509", Info, "caller disconnected before the response was complete";
+    /// A request waits for a runner for a long time. Fields: id, class, workspace,
+    /// upstream, waited_ms.
+    RequestWaiting = "CF0510", Info, "request waits for a runner";
     /// A fleet configuration took effect on this host. Fields: version,
     /// revision.
     FleetConfigInForce = "CF0511", Info, "fleet configuration in force";
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -8,7 +8,7 @@
 };
 use comfreyway_platform::Revision;
 use hyper::{Response, StatusCode, header::HeaderValue};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::events::{Event, Optional, log_event};
 use crate::fleet::request_handle::{RequestDecision, RequestHandle};
@@ -29,6 +29,10 @@
 /// Minimum time left for a request to be sent again.
 pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(100);
 
+/// Time after which a request that waits for a runner is logged. If its host goes
+/// down, this line is all that is known of it.
+const LONG_WAIT: Duration = Duration::from_millis(300);
+
 /// Result of dispatching a request, up to the response head.
 pub(super) enum DispatchResult {
     /// A runner responds.
@@ -48,7 +52,7 @@
     after: Option<u64>,
 ) -> DispatchResult {
     loop {
-        let runner = match timeout_at(request.deadline, handle.next_decision()).await {
+        let runner = match timeout_at(request.deadline, next_decision(request, handle)).await {
             Ok(Some(RequestDecision::Dispatch(runner))) => runner,
             Ok(Some(RequestDecision::Refuse(reason, retry_after))) => {
                 return DispatchResult::NotRun(reason, retry_after);
@@ -81,6 +85,26 @@
     }
 }
 
+/// Waits for the next decision on a request, and logs a long wait.
+async fn next_decision(
+    request: &AdmittedRequest,
+    handle: &mut RequestHandle,
+) -> Option<RequestDecision> {
+    if let Ok(decision) = timeout(LONG_WAIT, handle.next_decision()).await {
+        return decision;
+    }
+    let record = &request.placement.record;
+    log_event!(
+        Event::RequestWaiting,
+        id = request.caller_id.as_str(),
+        class:% = record.class,
+        workspace:% = record.workspace,
+        upstream:% = request.placement.upstream,
+        waited_ms = request.arrived.elapsed().as_millis() as u64
+    );
+    handle.next_decision().await
+}
+
 /// Sends an admitted request to runners and returns the response.
 pub(super) async fn exchange(proxy: &Proxy, request: AdmittedRequest) -> Response<ResponseBody> {
     let mut sent = 0;
