--- a/crates/core/tests/fleet/floors.rs
+++ b/crates/core/tests/fleet/floors.rs
@@ -121,7 +121,6 @@
         prompt_tokens: 1_800,
         per_s: 40.0,
         service_ms,
-        ..long.clone()
     };
     let results = play(&[long, middle, short], 10);
     let (all, each) = served(&results);
