--- a/crates/node/src/fleet/mirror.rs
+++ b/crates/node/src/fleet/mirror.rs
@@ -241,13 +241,24 @@
 
     /// Returns true if no change is missing between the known ones and these.
     pub(super) fn can_apply(&self, changes: &ChangeSet) -> bool {
-        changes.base <= self.revision.0
+        let revisions = changes.items.iter().map(|item| item.revision);
+        let newest = revisions.fold(changes.revision, u64::max);
+        self.can_continue(changes.base, Revision(newest))
     }
 
     /// Returns true if no change is missing between the known ones and this
     /// end.
     pub(super) fn can_finish_sync(&self, end: &SyncEnd) -> bool {
-        end.base <= self.revision.0
+        self.can_continue(end.base, end.revision())
+    }
+
+    /// Changes of a new era continue only from exactly the base: what this host knows
+    /// beyond it may have been lost.
+    fn can_continue(&self, base: u64, newest: Revision) -> bool {
+        match newest.era() > self.revision.era() {
+            true => base == self.revision.0,
+            false => base <= self.revision.0,
+        }
     }
 
     /// Returns the deletions of all keys that no longer exist at the end of a
--- a/crates/node/src/fleet/mirror/tests.rs
+++ b/crates/node/src/fleet/mirror/tests.rs
@@ -4,27 +4,41 @@
 
 use super::*;
 
-fn put(key: usize, revision: u64) -> KvEvent {
-    let (key, value) = (format!("runners/{key}"), revision.to_string().into_bytes());
-    KvEvent::Put(Versioned { key, value, revision: Revision(revision) })
+fn put(key: usize, revision: Revision, value: u64) -> KvEvent {
+    let (key, value) = (format!("runners/{key}"), value.to_string().into_bytes());
+    KvEvent::Put(Versioned { key, value, revision })
 }
 
-fn delete(key: usize, revision: u64) -> KvEvent {
-    KvEvent::Delete { key: format!("runners/{key}"), revision: Revision(revision) }
+fn delete(key: usize, revision: Revision) -> KvEvent {
+    KvEvent::Delete { key: format!("runners/{key}"), revision }
+}
+
+/// The values, without the revisions: an unchanged value keeps its revision of the
+/// era before at the hosts that knew it.
+fn values(items: &BTreeMap<String, Versioned>) -> BTreeMap<&str, &[u8]> {
+    items.iter().map(|(key, item)| (key.as_str(), item.value.as_slice())).collect()
 }
 
 /// The entries and the history of a store.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct TestStore {
     events: Vec<KvEvent>,
     items: BTreeMap<String, Versioned>,
-    revision: u64,
+    /// Era and number.
+    revision: Revision,
+    /// Number of writes, which is their value.
+    writes: u64,
+    copy: Option<Box<Self>>,
 }
 
 impl TestStore {
     fn change(&mut self, key: usize, deleted: bool) {
-        self.revision += 1;
-        let event = if deleted { delete(key, self.revision) } else { put(key, self.revision) };
+        self.revision.0 += 1;
+        self.writes += 1;
+        let event = match deleted {
+            true => delete(key, self.revision),
+            false => put(key, self.revision, self.writes),
+        };
         match &event {
             KvEvent::Put(item) => self.items.insert(item.key.clone(), item.clone()),
             KvEvent::Delete { key, .. } => self.items.remove(key),
@@ -32,13 +46,32 @@
         self.events.push(event);
     }
 
+    fn take_copy(&mut self) {
+        self.copy = Some(Box::new(Self { copy: None, ..self.clone() }));
+    }
+
+    /// Comes back from the copy, in a new era.
+    fn roll_back(&mut self) {
+        let Some(copy) = self.copy.clone() else { return };
+        let era = self.revision.era() + 1;
+        let restamp = |revision: Revision| Revision::new(era, revision.number());
+        let mut items = copy.items;
+        items.values_mut().for_each(|item| item.revision = restamp(item.revision));
+        let revision = restamp(copy.revision);
+        *self = Self { events: Vec::new(), items, revision, ..self.clone() };
+    }
+
     fn list(&self, mirror: &mut StoreMirror) {
         let items: Vec<_> = self.items.values().cloned().collect();
-        mirror.replace(&items, Revision(self.revision));
+        mirror.replace(&items, self.revision);
     }
 
+    /// Watches, or lists if the mirror is of an earlier era.
     fn watch(&self, mirror: &mut StoreMirror) {
-        apply(mirror, self.events.clone(), Revision(self.revision));
+        match mirror.revision().era() == self.revision.era() {
+            true => apply(mirror, self.events.clone(), self.revision),
+            false => self.list(mirror),
+        }
     }
 }
 
@@ -56,7 +89,11 @@
 
 /// Syncs a host, which receives only the first `delivered` change messages.
 fn sync(host: &mut StoreMirror, coordinator: &StoreMirror, delivered: usize) {
-    let SyncMessages { changes, end } = coordinator.changes_since(host.revision());
+    deliver(host, coordinator.changes_since(host.revision()), delivered);
+}
+
+/// Delivers the first change messages, and the end if all are delivered.
+fn deliver(host: &mut StoreMirror, SyncMessages { changes, end }: SyncMessages, delivered: usize) {
     let all = delivered >= changes.len();
     changes.into_iter().take(delivered).for_each(|changes| apply_changes(host, changes));
     if all && host.can_finish_sync(&end) && end.revision() >= host.revision() {
@@ -69,9 +106,14 @@
 /// may lack earlier ones.
 fn forward(host: &mut StoreMirror, coordinator: &mut StoreMirror, store: &TestStore) {
     let before = coordinator.revision();
+    if before.era() != store.revision.era() {
+        store.list(coordinator);
+        deliver(host, coordinator.changes_since(before), usize::MAX);
+        return;
+    }
     let mut events = store.events.clone();
     events.retain(|event| coordinator.is_newer(event));
-    coordinator.apply(&events, Revision(store.revision));
+    coordinator.apply(&events, store.revision);
     apply_changes(host, ChangeSet::new(&events, before, coordinator.revision()));
 }
 
@@ -137,6 +179,40 @@
     assert_eq!(host.items, store.items);
 }
 
+#[test]
+fn a_sync_into_a_new_era_sends_only_what_differs() {
+    let (mut store, mut host, mut coordinator) =
+        (TestStore::default(), StoreMirror::default(), StoreMirror::default());
+    (0..3_000).for_each(|key| store.change(key, false));
+    store.take_copy();
+    store.change(7, false);
+    store.change(8, true);
+    store.list(&mut host);
+    store.list(&mut coordinator);
+    store.roll_back();
+    store.list(&mut coordinator);
+    let messages = coordinator.changes_since(host.revision());
+    assert_eq!(messages.changes.iter().map(|changes| changes.items.len()).sum::<usize>(), 2);
+    sync(&mut host, &coordinator, usize::MAX);
+    assert_eq!(values(&host.items), values(&store.items));
+}
+
+#[test]
+fn a_host_that_knows_lost_changes_is_sent_everything() {
+    let (mut store, mut host, mut coordinator) =
+        (TestStore::default(), StoreMirror::default(), StoreMirror::default());
+    (0..10).for_each(|key| store.change(key, false));
+    store.take_copy();
+    store.list(&mut coordinator);
+    store.change(7, false);
+    store.list(&mut host);
+    store.roll_back();
+    forward(&mut host, &mut coordinator, &store);
+    assert_ne!(values(&host.items), values(&store.items), "it continues from another base");
+    sync(&mut host, &coordinator, usize::MAX);
+    assert_eq!(values(&host.items), values(&store.items));
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Change(usize, bool),
@@ -147,6 +223,8 @@
     HostSyncsPartly(usize),
     CoordinatorForwards,
     CoordinatorRestarts,
+    StoreIsCopied,
+    StoreRollsBack,
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -159,6 +237,8 @@
         1 => (0_usize..2).prop_map(Step::HostSyncsPartly),
         2 => Just(Step::CoordinatorForwards),
         1 => Just(Step::CoordinatorRestarts),
+        2 => Just(Step::StoreIsCopied),
+        1 => Just(Step::StoreRollsBack),
     ]
 }
 
@@ -186,7 +266,7 @@
                 Step::HostSyncs => {
                     if coordinator.revision() >= host.revision() {
                         sync(&mut host, &coordinator, usize::MAX);
-                        prop_assert_eq!(&host.items, &coordinator.items);
+                        prop_assert_eq!(values(&host.items), values(&coordinator.items));
                         prop_assert_eq!(host.revision(), coordinator.revision());
                     }
                 }
@@ -198,9 +278,11 @@
                     coordinator = StoreMirror::default();
                     store.list(&mut coordinator);
                 }
+                Step::StoreIsCopied => store.take_copy(),
+                Step::StoreRollsBack => store.roll_back(),
             }
         }
         store.watch(&mut host);
-        prop_assert_eq!(&host.items, &store.items);
+        prop_assert_eq!(values(&host.items), values(&store.items));
     }
 }
