--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -54,6 +54,7 @@
     open: BTreeMap<RequestId, HostRequest>,
     clients: BTreeSet<HostId>,
     known_hosts: usize,
+    absent_hosts: usize,
     share: Share,
 }
 
@@ -69,6 +70,7 @@
             open: BTreeMap::new(),
             clients: BTreeSet::new(),
             known_hosts: 1,
+            absent_hosts: 0,
             share: Share::new(1, 1),
         }
     }
@@ -88,6 +90,14 @@
         self.update_share();
     }
 
+    /// Sets the number of known hosts that are probably down. Their share of the
+    /// runners' slots and of the retry budget is used, but not that of the quotas.
+    pub fn set_absent_hosts(&mut self, hosts: usize) {
+        if std::mem::replace(&mut self.absent_hosts, hosts) != hosts {
+            self.update_share();
+        }
+    }
+
     /// Adds the local host as a client.
     pub fn local_host_joined(&mut self, now: MonoTime, me: HostId) {
         self.quotas.local_host_joined(now, me.clone());
@@ -373,7 +383,8 @@
     }
 
     fn update_share(&mut self) {
-        let share = Share::new(self.clients.len(), self.known_hosts);
+        let present = self.known_hosts.saturating_sub(self.absent_hosts);
+        let share = Share::new(self.clients.len(), present);
         let before = std::mem::replace(&mut self.share, share);
         for state in self.upstreams.values_mut() {
             for (name, (slots, leaving)) in &state.runners {
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -38,13 +38,14 @@
     wire::{Frame, ToCoordinator, ToHost},
 };
 
+mod absent_hosts;
 mod coordination;
 mod rollback;
 mod runner_notices;
 mod store_relay;
 mod store_updates;
 
-use self::rollback::MissingHosts;
+use self::{absent_hosts::AbsentHosts, rollback::MissingHosts};
 
 /// Interval of the periodic checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -111,6 +112,9 @@
     /// Latest era of the store that an update was from.
     store_era: u64,
     missing_hosts: MissingHosts,
+    absent_hosts: AbsentHosts,
+    /// True once this process has listed the store.
+    listed: bool,
     /// True while the store has an older configuration than the one in force.
     stored_config_is_older: bool,
     /// This host's own feed, while it runs.
@@ -156,6 +160,8 @@
             mirror: StoreMirror::default(),
             store_era: 0,
             missing_hosts: MissingHosts::default(),
+            absent_hosts: AbsentHosts::default(),
+            listed: false,
             stored_config_is_older: false,
             feed: None,
             config_readable: true,
--- a/crates/node/src/fleet/control/store_relay.rs
+++ b/crates/node/src/fleet/control/store_relay.rs
@@ -4,7 +4,9 @@
 //! A host relies on its coordinator only while the coordinator's view of the
 //! store is verified as current. It starts its own feed when that view becomes
 //! stale, and stops the feed once the coordinator's view is fresh and at least
-//! as new as its own.
+//! as new as its own. When many hosts start, or all lose their coordinator, they
+//! connect to the next one before their view becomes stale, so that the store gets
+//! few calls.
 
 use std::time::Duration;
 
@@ -73,16 +75,21 @@
         }
     }
 
-    /// Starts this host's own feed if the coordinator does not relay the
-    /// store's changes or the configuration is stale.
+    /// Stops this host's own feed after its first listing if another host is
+    /// elected, whose changes will be relayed.
+    pub(super) fn stop_first_feed(&mut self) {
+        if !std::mem::replace(&mut self.listed, true) && self.coordinator_session.is_some() {
+            self.stop_feed();
+        }
+    }
+
+    /// Starts this host's own feed if it has no coordinator but itself, or if the
+    /// configuration is stale.
     pub(super) fn start_feed_if_stale(&mut self) {
-        let relayed = self
-            .coordinator_session
-            .as_ref()
-            .is_some_and(|session| session.relay == StoreRelay::Active);
+        let client = self.coordinator_session.is_some();
         let staleness = self.now().since(self.host_state.verified_at());
-        if self.feed.is_none() && (!relayed || staleness > MAX_CONFIG_STALENESS) {
-            if relayed {
+        if self.feed.is_none() && (!client || staleness > MAX_CONFIG_STALENESS) {
+            if client {
                 log_event!(Event::StoreCalledDirectly, proof_ms = staleness.as_millis() as u64);
             }
             self.start_feed();
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -45,6 +45,7 @@
                 self.mirror.replace(&items, revision);
                 self.apply_listing(&items);
                 self.forward_listing(before);
+                self.stop_first_feed();
             }
             FeedUpdate::Changes(mut events, revision) => {
                 self.enter_era(now, revision);
@@ -259,6 +260,7 @@
         self.apply_runner_changes(changes);
         self.remove_missing_hosts(now);
         self.choose_coordinator();
+        self.update_absent_hosts(now);
         self.start_feed_if_stale();
         self.step_down_if_stale();
         self.arm_timer(cx);
--- a/crates/node/src/fleet/feed.rs
+++ b/crates/node/src/fleet/feed.rs
@@ -18,12 +18,20 @@
 /// bounds its staleness.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Maximum wait of the first watch from a known revision. A host that takes over
+/// from a coordinator has to verify its view before that of the others is stale.
+const FIRST_WATCH_WAIT: Duration = Duration::from_millis(20);
+
 /// Minimum time between two watches. While hundreds of hosts start, each
 /// registration is a change; one call for each change from each host would
 /// exceed the store's rate limit. Far below the two seconds within which a
 /// configuration must be in force (`MAX_ACTIVATION_TIME`).
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time after a listing in which the receiver may end the feed, before a first watch
+/// is called.
+const LISTING_PAUSE: Duration = Duration::from_millis(20);
+
 /// Wait after the first failed call; doubles with each further failure.
 const MIN_RETRY_WAIT: Duration = Duration::from_millis(40);
 
@@ -59,7 +67,7 @@
     after: Option<Revision>,
     tx: UnboundedSender<FeedUpdate>,
 ) {
-    let mut feed = Feed { store, clock, tx, unreachable: false, failures: 0 };
+    let mut feed = Feed { store, clock, tx, verified: false, unreachable: false, failures: 0 };
     let mut after = after;
     while let Some(next) = feed.step(after).await {
         after = next;
@@ -70,6 +78,8 @@
     store: Rc<dyn Store>,
     clock: Clock,
     tx: UnboundedSender<FeedUpdate>,
+    /// True once a reply has verified the receiver's view.
+    verified: bool,
     unreachable: bool,
     failures: u32,
 }
@@ -116,6 +126,7 @@
             self.send(FeedUpdate::Listing(items, revision))?;
             self.send(FeedUpdate::Verified(requested_at))
         });
+        sleep(LISTING_PAUSE).await;
         Ok(sent.map(|()| revision))
     }
 
@@ -137,12 +148,12 @@
 
     async fn watch(&mut self, after: Revision) -> Result<Option<Revision>, StoreError> {
         let requested_at = self.clock.now();
-        let Changes { events, revision } =
-            self.store.watch(ALL_KEYS, after, MAX_WATCH_WAIT).await?;
+        let max_wait = if self.verified { MAX_WATCH_WAIT } else { FIRST_WATCH_WAIT };
+        let Changes { events, revision } = self.store.watch(ALL_KEYS, after, max_wait).await?;
         let revision = revision.max(after);
         // A response without changes is sent only after the whole wait.
         let verified_at = if events.is_empty() {
-            (requested_at + MAX_WATCH_WAIT).min(self.clock.now())
+            (requested_at + max_wait).min(self.clock.now())
         } else {
             requested_at
         };
@@ -155,6 +166,7 @@
     }
 
     fn record_success(&mut self) -> Option<()> {
+        self.verified = true;
         self.failures = 0;
         if std::mem::take(&mut self.unreachable) {
             self.send(FeedUpdate::Recovered)?;
--- a/crates/node/src/fleet/registration.rs
+++ b/crates/node/src/fleet/registration.rs
@@ -8,14 +8,19 @@
 
 use crate::events::{Event, log_event};
 
-/// Time after its last renewal at which the entry of a failed host expires.
-const LEASE_TTL: Duration = Duration::from_millis(4_000);
+/// Maximum interval of lease renewals, as a fraction of the time to live: one
+/// renewal may fail without expiry.
+const RENEW_FRACTION: f64 = 0.325;
 
-/// Interval of lease renewals; one may fail without expiry.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1_300);
+/// Wait after the first failed call; doubles with each further failure.
+const MIN_RETRY_WAIT: Duration = Duration::from_millis(400);
 
-/// Wait after a failed call.
-const RETRY_WAIT: Duration = Duration::from_millis(400);
+/// Maximum wait after a failed call. An entry that is missing meanwhile only keeps
+/// this host from being elected.
+const MAX_RETRY_WAIT: Duration = Duration::from_millis(3_200);
+
+/// Random part of each wait, so that the hosts of a fleet do not call all at once.
+const JITTER: std::ops::Range<f64> = 0.8..1.0;
 
 /// The lease on a host's entry.
 #[derive(Clone, Copy, Debug)]
@@ -26,24 +31,31 @@
     era: u64,
 }
 
-/// Keeps a host registered under `key` until `stop` turns true.
+/// Keeps a host registered under `key`, with a lease of this time to live, until
+/// `stop` turns true.
 pub(super) async fn keep_registered(
     store: Rc<dyn Store>,
     key: String,
     member: Member,
+    ttl: Duration,
     mut stop: watch::Receiver<bool>,
 ) {
     let mut registration = None;
+    let mut failures = 0;
     loop {
         let step = async {
-            let wait = match renew(&*store, &key, &member, &mut registration).await {
-                Ok(()) => RENEW_INTERVAL,
+            let wait = match renew(&*store, &key, &member, ttl, &mut registration).await {
+                Ok(()) => {
+                    failures = 0;
+                    ttl.mul_f64(RENEW_FRACTION)
+                }
                 Err(e) => {
                     log_event!(Event::RegistrationFailed, cause:% = e);
-                    RETRY_WAIT
+                    failures += 1;
+                    retry_wait(failures)
                 }
             };
-            sleep(wait).await;
+            sleep(wait.mul_f64(rand::random_range(JITTER))).await;
         };
         tokio::select! {
             () = step => {}
@@ -58,10 +70,16 @@
     }
 }
 
+fn retry_wait(failures: u32) -> Duration {
+    let doublings = failures.clamp(1, 8) - 1;
+    (MIN_RETRY_WAIT * 2_u32.pow(doublings)).min(MAX_RETRY_WAIT)
+}
+
 async fn renew(
     store: &dyn Store,
     key: &str,
     member: &Member,
+    ttl: Duration,
     registration: &mut Option<Registration>,
 ) -> Result<(), StoreError> {
     if let Some(Registration { lease, era }) = *registration
@@ -74,7 +92,7 @@
         }
     }
     *registration = None;
-    *registration = Some(register(store, key, member).await?);
+    *registration = Some(register(store, key, member, ttl).await?);
     Ok(())
 }
 
@@ -82,8 +100,9 @@
     store: &dyn Store,
     key: &str,
     member: &Member,
+    ttl: Duration,
 ) -> Result<Registration, StoreError> {
-    let lease = store.grant_lease(LEASE_TTL).await?;
+    let lease = store.grant_lease(ttl).await?;
     let era = store.era();
     let value = serde_json::to_vec(member).map_err(|e| StoreError::NotDone(e.to_string()))?;
     // If the reply is lost, the next attempt writes the entry under a new
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -131,7 +131,8 @@
     actix_rt::spawn(health.serve(listeners.operators.try_clone()?));
     let (stop_tx, stop_rx) = watch::channel(false);
     let key = format!("{}{}", platform.format.keys.members, settings.name);
-    let registration = actix_rt::spawn(keep_registered(store, key, me.clone(), stop_rx));
+    let registration =
+        actix_rt::spawn(keep_registered(store, key, me.clone(), fleet.host_lease, stop_rx));
     let process = rand::random();
     let (closing_tx, closing) = watch::channel(false);
     listeners.callers.set_nonblocking(true)?;
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -139,6 +139,14 @@
         DURATION,
         "Time within which every host refuses a revoked key.",
     ),
+    spec(
+        "fleet",
+        "host-lease",
+        Some("4s"),
+        DURATION,
+        "Time after which the store's entry of a host that is down expires; longer means \
+         fewer calls to the store.",
+    ),
     spec("fleet", "retry-ratio", Some("0.2"), NUMBER, "Retries allowed for each request."),
     spec("fleet", "retry-slack", Some("50"), NUMBER, "Additional retries allowed in each window."),
     spec(
--- a/crates/node/src/settings/platform.rs
+++ b/crates/node/src/settings/platform.rs
@@ -41,6 +41,8 @@
     pub region: RegionName,
     /// Time within which every host refuses a revoked key.
     pub key_revocation: Duration,
+    /// Time after which the store's entry of a host that is down expires.
+    pub host_lease: Duration,
     /// Limits of the budget for retries.
     pub retry: RetryBudgetLimits,
     /// By how much the quotas of workspaces may be exceeded.
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -147,7 +147,8 @@
         };
         let region = self.value("fleet", "region")?;
         let key_revocation = self.value("fleet", "key-revocation")?;
-        Ok(FleetSettings { store, region, key_revocation, retry, quotas })
+        let host_lease = self.value("fleet", "host-lease")?;
+        Ok(FleetSettings { store, region, key_revocation, host_lease, retry, quotas })
     }
 
     fn peers(&self) -> Result<BTreeMap<HostName, SocketAddr>, SettingsError> {
--- a/tests/testsuite/fleet/hosts.rs
+++ b/tests/testsuite/fleet/hosts.rs
@@ -159,6 +159,43 @@
     eventually(few).await.expect("every host watches the store");
 }
 
+/// A fleet that starts, or loses its coordinator, must not flood the store.
+#[actix_rt::test]
+async fn hosts_that_have_another_coordinator_do_not_watch_the_store() {
+    let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
+    let first = fleet.start_host("h1").await;
+    let mut others = Vec::new();
+    for name in ["h2", "h3", "h4"] {
+        let before = fleet.store.calls();
+        others.push(fleet.start_host(name).await);
+        let relayed = || async { others[others.len() - 1].log().contains("CF0543").then_some(()) };
+        eventually(relayed).await.expect("the coordinator relayed no store state to the host");
+        assert_eq!(fleet.store.calls().range - before.range, 1);
+        only_one_host_watches(&fleet).await;
+    }
+    let listed = fleet.store.calls().range;
+    first.signal(Signal::Kill).unwrap();
+    let taken_over = || async {
+        let connected = others.iter().filter(|host| host.log().matches("CF0532").count() == 2);
+        (connected.count() == others.len() - 1).then_some(())
+    };
+    eventually(taken_over).await.expect("the other hosts have no common coordinator");
+    for (number, host) in others.iter().enumerate() {
+        assert_eq!(call(host, &format!("id-{number}"), "/lookup/").await.status, 200);
+    }
+    assert_eq!(fleet.store.calls().range, listed);
+    only_one_host_watches(&fleet).await;
+}
+
+/// Checks for half a second, within which a watch that waits is seen.
+async fn only_one_host_watches(fleet: &FleetHarness) {
+    for _ in 0..50 {
+        let waiting = fleet.store.calls().waiting_watches;
+        assert!(waiting <= 1, "{waiting} hosts watch");
+        actix_rt::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+}
+
 #[actix_rt::test]
 async fn a_host_cut_off_from_the_store_accepts_keys_that_its_coordinator_verifies() {
     let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
