--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -45,13 +45,6 @@
 /// coordinator, for a request refused on arrival.
 const MAX_REFUND_AGE: Duration = Duration::from_millis(20);
 
-/// Maximum time until a quota suffices, also if it never does.
-const MAX_WAIT: Duration = Duration::from_secs(3_600);
-
-/// Maximum time for which callers take turns when a quota is used up: about a third of
-/// a long request's time limit, for which callers wait.
-const MAX_PROMISED_WAIT: Duration = Duration::from_secs(4);
-
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     /// The quota when it was last used.
@@ -61,8 +54,6 @@
     /// requests are sent, so the bucket does not refill them before.
     reserved: f64,
     filled_at: MonoTime,
-    /// When the quota suffices for all callers that were told to come back.
-    promised_until: MonoTime,
 }
 
 /// The lease on one host's share.
@@ -182,17 +173,13 @@
             level,
             reserved: 0.0,
             filled_at: now,
-            promised_until: now,
         });
         bucket.quota = quota;
         bucket.fill(now, BucketParams { rate, burst });
         // A request larger than the burst is admitted when the bucket is full.
         if bucket.level < cost.min(burst) {
-            let fill_time = |units: f64| {
-                Duration::from_secs_f64((units / rate.max(1e-9)).min(MAX_WAIT.as_secs_f64()))
-            };
-            let enough_at = now + fill_time(cost.min(burst) - bucket.level);
-            return Err(bucket.promise(now, enough_at, fill_time(cost)));
+            let missing = cost.min(burst) - bucket.level;
+            return Err(Duration::from_secs_f64((missing / rate.max(1e-9)).min(3_600.0)));
         }
         bucket.level -= cost;
         bucket.reserved += cost;
@@ -271,19 +258,6 @@
 }
 
 impl Bucket {
-    /// Returns the time after which a refused caller may try again: after those that
-    /// were refused before it. `fill_time` is the time in which its own units come in.
-    fn promise(&mut self, now: MonoTime, enough_at: MonoTime, fill_time: Duration) -> Duration {
-        let at = self.promised_until.max(enough_at);
-        let wait = at.since(now);
-        if wait > MAX_PROMISED_WAIT {
-            // Hardly any caller waits so long, so it takes no one's turn.
-            return enough_at.since(now).max(MAX_PROMISED_WAIT);
-        }
-        self.promised_until = at + fill_time;
-        wait
-    }
-
     fn fill(&mut self, now: MonoTime, params: BucketParams) {
         let refill = now.since(self.filled_at).as_secs_f64() * params.rate;
         self.level = (self.level + refill).min(params.burst - self.reserved);
