--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -8,33 +8,17 @@
 
 use crate::{
     ids::{HostId, RequestId, RunnerName, UpstreamName, WorkspaceName},
-    outcome::{NotRunReason, RetryReason},
-    request::RequestRecord,
     time::MonoTime,
 };
 
 use super::{
-    Decision, DispatchFailure, FleetConfig, PlacementReply, PlacementRequest, Quota,
-    QuotaTolerance, Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, Share,
-    UpstreamScheduler,
+    Decision, FleetConfig, PlacementReply, PlacementRequest, Quota, QuotaTolerance, Quotas,
+    RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, Share, UpstreamScheduler,
 };
 
-/// Retry-after time of a request that is refused for lack of retry budget.
-const BUDGET_RETRY_AFTER: Duration = Duration::from_millis(500);
+mod requests;
 
-/// A client host's open request, in addition to what the scheduler stores.
-#[derive(Clone, Debug)]
-struct HostRequest {
-    host: HostId,
-    upstream: UpstreamName,
-    workspace: WorkspaceName,
-    cost: f64,
-    /// When the quota was charged; none for a retry or an adopted request.
-    charged: Option<MonoTime>,
-    granted: bool,
-    /// True while the quota holds a reservation for the request.
-    reserved: bool,
-}
+use self::requests::HostRequest;
 
 #[derive(Clone, Debug)]
 struct UpstreamState {
@@ -257,112 +241,6 @@
         self.upstreams.get(upstream).map(|state| &state.scheduler)
     }
 
-    fn submit(
-        &mut self,
-        now: MonoTime,
-        host: &HostId,
-        req: PlacementRequest,
-        out: &mut Vec<(HostId, PlacementReply)>,
-    ) {
-        let PlacementRequest { record, upstream, cost, time_limit, prior_attempts, avoid } = req;
-        let (id, share) = (record.id, self.share);
-        if self.open.contains_key(&id) {
-            return;
-        }
-        if prior_attempts > 0 {
-            if !self.upstream_state(now, &upstream).budget.take(now, share) {
-                let reason = NotRunReason::TurnedAway;
-                out.push((host.clone(), PlacementReply::Refuse(id, reason, BUDGET_RETRY_AFTER)));
-                return;
-            }
-        } else {
-            let quota = self.quota(&record.workspace);
-            if let Err(wait) = self.quotas.take(now, &record.workspace, quota, cost) {
-                out.push((host.clone(), PlacementReply::Refuse(id, NotRunReason::OverQuota, wait)));
-                return;
-            }
-            self.upstream_state(now, &upstream).budget.deposit(share);
-        }
-        self.record_open(host, &upstream, &record, cost, false);
-        if let Some(open) = self.open.get_mut(&id).filter(|_| prior_attempts == 0) {
-            open.reserved = true;
-            open.charged = Some(now);
-        }
-        let time_left = time_limit.saturating_sub(record.age);
-        self.step(now, &upstream, out, |scheduler, decisions| {
-            scheduler.submit(now, record, time_left, avoid, decisions);
-        });
-    }
-
-    fn requeue(
-        &mut self,
-        now: MonoTime,
-        host: &HostId,
-        id: RequestId,
-        reason: RetryReason,
-        out: &mut Vec<(HostId, PlacementReply)>,
-    ) {
-        let share = self.share;
-        let Some(open) = self.open.get_mut(&id) else { return };
-        open.granted = false;
-        let upstream = open.upstream.clone();
-        let failure = match reason {
-            RetryReason::TurnedAway => Some(DispatchFailure::Full),
-            RetryReason::ConnectRefused | RetryReason::ConnectTimeout => {
-                Some(DispatchFailure::Broken)
-            }
-            _ => None,
-        };
-        // Only an attempt that arrived at a runner counts as a retry.
-        let arrived = reason == RetryReason::TurnedAway;
-        if arrived && !self.upstream_state(now, &upstream).budget.take(now, share) {
-            self.remove_open(now, id);
-            let not_run = NotRunReason::TurnedAway;
-            out.push((host.clone(), PlacementReply::Refuse(id, not_run, BUDGET_RETRY_AFTER)));
-            self.step(now, &upstream, out, |scheduler, decisions| {
-                scheduler.discard(now, id, failure, decisions);
-            });
-            return;
-        }
-        self.step(now, &upstream, out, |scheduler, decisions| {
-            scheduler.requeue(now, id, failure, decisions)
-        });
-    }
-
-    fn record_open(
-        &mut self,
-        host: &HostId,
-        upstream: &UpstreamName,
-        record: &RequestRecord,
-        cost: f64,
-        granted: bool,
-    ) {
-        let (host, upstream) = (host.clone(), upstream.clone());
-        let workspace = record.workspace.clone();
-        let open = HostRequest {
-            host,
-            upstream,
-            workspace,
-            cost,
-            charged: None,
-            granted,
-            reserved: false,
-        };
-        self.open.insert(record.id, open);
-    }
-
-    /// Removes a request. Refunds its quota if it was not granted.
-    fn remove_open(&mut self, now: MonoTime, id: RequestId) -> Option<HostRequest> {
-        let open = self.open.remove(&id)?;
-        if open.reserved {
-            self.quotas.release(now, &open.workspace, open.cost);
-        }
-        if let Some(charged) = open.charged.filter(|_| !open.granted) {
-            self.quotas.refund(now, &open.workspace, open.cost, charged);
-        }
-        Some(open)
-    }
-
     fn quota(&self, workspace: &WorkspaceName) -> Quota {
         let config = self.config.as_ref();
         config.and_then(|config| config.workspace(workspace)).map(|w| w.quota).unwrap_or_default()
--- a/crates/core/src/fleet/scheduler/mod.rs
+++ b/crates/core/src/fleet/scheduler/mod.rs
@@ -19,6 +19,7 @@
 
 mod ewma;
 mod floor;
+mod granting;
 mod learning;
 mod placement;
 mod queue;
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -5,7 +5,7 @@
 use crate::{
     ids::{ClassName, HostId, RequestId, RunnerName},
     outcome::NotRunReason,
-    request::{RequestRecord, Target},
+    request::RequestRecord,
     time::MonoTime,
 };
 
@@ -13,18 +13,11 @@
     DispatchFailure, RunnerState,
     ewma::Ewma,
     floor::ClassFloors,
-    placement::{Pauses, Placement},
-    queue::{Deadlines, Queue, WaitingRequest},
+    queue::{Deadlines, Queue},
     returns::ReturnTimes,
     runner_index::RunnerIndex,
 };
 
-/// Maximum number of waiting requests tried for one grant.
-const MAX_TRIED_REQUESTS: usize = 48;
-
-/// Maximum number of waiting requests of a class tried for its floor.
-const MAX_TRIED_FOR_FLOOR: usize = 8;
-
 /// Time between two scheduling passes while requests wait.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -50,8 +43,8 @@
     pub(super) record: RequestRecord,
     pub(super) runner: RunnerName,
     /// When the target ends, as of the request's arrival.
-    target_at: MonoTime,
-    respond_by: MonoTime,
+    pub(super) target_at: MonoTime,
+    pub(super) respond_by: MonoTime,
 }
 
 /// Queues, places and refuses the requests of one upstream.
@@ -66,7 +59,7 @@
     pub(super) granted: BTreeMap<RequestId, Granted>,
     pub(super) response_lengths: BTreeMap<ClassName, Ewma>,
     /// Until then some runners may not accept the requests of some hosts.
-    hosts_differ_until: MonoTime,
+    pub(super) hosts_differ_until: MonoTime,
 }
 
 impl UpstreamScheduler {
@@ -249,70 +242,7 @@
         self.queue.insert(record, deadlines, latest_start, avoid);
     }
 
-    /// Grants waiting requests as long as one finds a runner.
-    pub(super) fn grant(&mut self, now: MonoTime, out: &mut Vec<Decision>) {
-        while let Some((id, runner)) = self.next_grant(now) {
-            let Some(waiting) = self.queue.remove(id) else { return };
-            out.push(Decision::Grant(waiting.record.entry.clone(), id, runner.clone()));
-            self.floors.started(now, &waiting.record.class);
-            let Deadlines { target_at, respond_by, .. } = waiting.deadlines;
-            self.start(now, Granted { record: waiting.record, runner, target_at, respond_by });
-        }
-    }
-
-    fn next_grant(&mut self, now: MonoTime) -> Option<(RequestId, RunnerName)> {
-        self.runners.free(now).next()?;
-        let mut pass = Pass { hosts_alike: now >= self.hosts_differ_until, ..Pass::default() };
-        let found = self.find_for_floors(now, &mut pass).or_else(|| {
-            let first = self.queue.first(MAX_TRIED_REQUESTS);
-            self.find_placeable(now, first, Pauses::Short, &mut pass)
-        });
-        let marked = !pass.late.is_empty();
-        for id in pass.late {
-            self.queue.mark_late(id);
-        }
-        // Requests that were marked late have moved in the queue.
-        if found.is_none() && marked { self.next_grant(now) } else { found }
-    }
-
-    /// Finds a request of a class that is below its floor, and a runner for it.
-    fn find_for_floors(&self, now: MonoTime, pass: &mut Pass) -> Option<(RequestId, RunnerName)> {
-        let classes = self.queue.classes().filter(|class| self.is_below_floor(now, class));
-        classes.into_iter().find_map(|class| {
-            let first = self.queue.first_of_class(class, MAX_TRIED_FOR_FLOOR);
-            self.find_placeable(now, first, Pauses::Any, pass)
-        })
-    }
-
-    /// Finds the first of these requests that a runner can take, and the runner.
-    fn find_placeable<'a, I>(
-        &self,
-        now: MonoTime,
-        requests: I,
-        pauses: Pauses,
-        pass: &mut Pass,
-    ) -> Option<(RequestId, RunnerName)>
-    where
-        I: Iterator<Item = (RequestId, &'a WaitingRequest)>,
-    {
-        for (id, waiting) in requests {
-            if pass.unplaceable.includes(&waiting.record) {
-                continue;
-            }
-            match self.find_runner(now, waiting, pauses) {
-                Placement::None if waiting.avoid.is_none() && pass.hosts_alike => {
-                    pass.unplaceable.add(&waiting.record);
-                }
-                Placement::InTime(runner) => return Some((id, runner)),
-                Placement::Late(runner) if waiting.late => return Some((id, runner)),
-                Placement::Late(_) => pass.late.push(id),
-                Placement::Wait | Placement::None => {}
-            }
-        }
-        None
-    }
-
-    fn start(&mut self, now: MonoTime, granted: Granted) {
+    pub(super) fn start(&mut self, now: MonoTime, granted: Granted) {
         let (id, prompt) = (granted.record.id, granted.record.prefill_tokens);
         self.runners.update(&granted.runner, |runner| runner.start(now, id, prompt));
         self.granted.insert(id, granted);
@@ -344,46 +274,6 @@
     now + record.target.limit().saturating_sub(record.age)
 }
 
-/// One pass through the queue.
-#[derive(Debug, Default)]
-struct Pass {
-    /// True if every runner accepts the requests of all hosts alike.
-    hosts_alike: bool,
-    /// Requests that can no longer meet their target.
-    late: Vec<RequestId>,
-    unplaceable: UnplaceableRequests,
-}
-
-/// Requests that found no runner in one pass through the queue. A request with
-/// at least as long a prompt and at most as long an allowed pause finds none
-/// either, so most of many similar requests need not be compared with runners.
-#[derive(Debug, Default)]
-struct UnplaceableRequests {
-    /// Prompt tokens and longest allowed pause between tokens.
-    found_none: Vec<(u32, Duration)>,
-}
-
-impl UnplaceableRequests {
-    fn add(&mut self, record: &RequestRecord) {
-        self.found_none.push(Self::needs(record));
-    }
-
-    fn includes(&self, record: &RequestRecord) -> bool {
-        let (prompt, pause) = Self::needs(record);
-        self.found_none
-            .iter()
-            .any(|(min_prompt, max_pause)| prompt >= *min_prompt && pause <= *max_pause)
-    }
-
-    fn needs(record: &RequestRecord) -> (u32, Duration) {
-        let pause = match record.target {
-            Target::Stream { between_tokens, .. } => between_tokens,
-            Target::Whole(_) => Duration::MAX,
-        };
-        (record.prefill_tokens, pause)
-    }
-}
-
 impl std::fmt::Display for UpstreamScheduler {
     /// Writes one line for the log: the number of waiting requests, and each runner
     /// with its load and rates; of many runners only those that fail or are leaving.
