--- a/crates/core/src/fleet/directory.rs
+++ b/crates/core/src/fleet/directory.rs
@@ -219,6 +219,11 @@
         }
     }
 
+    /// Returns what known runs said of their end, for a host that was not told.
+    pub fn leaving_notices(&self) -> impl Iterator<Item = &RunnerNotice> {
+        self.known.values().filter_map(|known| self.notices.ended(&known.entry.key))
+    }
+
     /// Returns the entries of all known runners.
     pub fn entries(&self) -> impl Iterator<Item = &RunnerEntry> {
         self.known.values().map(|known| &known.entry)
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -72,6 +72,17 @@
     Active,
 }
 
+/// Progress of the feed with which this process started.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FirstFeed {
+    /// The store has not been listed yet.
+    Started,
+    /// The store was listed; the first watch follows after a pause.
+    Listed,
+    /// It watches or has ended.
+    Ended,
+}
+
 /// The session with a client host.
 struct ClientSession {
     tx: Sender<Frame>,
@@ -113,8 +124,7 @@
     store_era: u64,
     missing_hosts: MissingHosts,
     absent_hosts: AbsentHosts,
-    /// True once this process has listed the store.
-    listed: bool,
+    first_feed: FirstFeed,
     /// True while the store has an older configuration than the one in force.
     stored_config_is_older: bool,
     /// This host's own feed, while it runs.
@@ -161,7 +171,7 @@
             store_era: 0,
             missing_hosts: MissingHosts::default(),
             absent_hosts: AbsentHosts::default(),
-            listed: false,
+            first_feed: FirstFeed::Started,
             stored_config_is_older: false,
             feed: None,
             config_readable: true,
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -136,6 +136,7 @@
                 // It is used once its first pong shows how current its view of
                 // the store is.
                 session.tx = Some(tx);
+                self.stop_first_feed();
             }
             SessionEvent::FromCoordinator(host, ToHost::Reply(reply)) => {
                 let mut actions = Vec::new();
--- a/crates/node/src/fleet/control/store_relay.rs
+++ b/crates/node/src/fleet/control/store_relay.rs
@@ -24,7 +24,7 @@
     wire::{Frame, ToCoordinator, ToHost},
 };
 
-use super::{FleetControl, StoreRelay, coordination::encode};
+use super::{FirstFeed, FleetControl, StoreRelay, coordination::encode};
 
 /// Staleness of the configuration above which a host calls the store itself. A
 /// working feed verifies its state once a second, and client hosts receive that
@@ -75,18 +75,24 @@
         }
     }
 
-    /// Stops this host's own feed after its first listing if another host is
-    /// elected, whose changes will be relayed.
+    /// Stops the feed of a host that has just listed the store and is connected to its
+    /// coordinator, which will relay the changes.
     pub(super) fn stop_first_feed(&mut self) {
-        if !std::mem::replace(&mut self.listed, true) && self.coordinator_session.is_some() {
+        if self.first_feed == FirstFeed::Listed && self.is_connected() {
+            self.first_feed = FirstFeed::Ended;
             self.stop_feed();
         }
     }
 
-    /// Starts this host's own feed if it has no coordinator but itself, or if the
-    /// configuration is stale.
+    fn is_connected(&self) -> bool {
+        self.coordinator_session.as_ref().is_some_and(|session| session.tx.is_some())
+    }
+
+    /// Starts this host's own feed if it is not connected to another coordinator, or
+    /// if the configuration is stale. The elected coordinator may be down, and only the
+    /// store tells of other hosts.
     pub(super) fn start_feed_if_stale(&mut self) {
-        let client = self.coordinator_session.is_some();
+        let client = self.is_connected();
         let staleness = self.now().since(self.host_state.verified_at());
         if self.feed.is_none() && (!client || staleness > MAX_CONFIG_STALENESS) {
             if client {
@@ -220,6 +226,10 @@
         if let Some(config) = self.newer_config() {
             self.send_to_client(host, &config);
         }
+        let notices: Vec<_> = self.directory.leaving_notices().cloned().collect();
+        for notice in notices {
+            self.send_to_client(host, &ToHost::RunnerNotice(notice));
+        }
     }
 
     /// Sends the entry of a granted runner to a client host that may not have
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -15,7 +15,7 @@
     fleet::feed::FeedUpdate,
 };
 
-use super::FleetControl;
+use super::{FirstFeed, FleetControl};
 
 /// Maximum number of new runners that are logged one by one; a starting host
 /// may list thousands, which are summed up by upstream.
@@ -45,11 +45,15 @@
                 self.mirror.replace(&items, revision);
                 self.apply_listing(&items);
                 self.forward_listing(before);
+                if self.first_feed == FirstFeed::Started {
+                    self.first_feed = FirstFeed::Listed;
+                }
                 self.stop_first_feed();
             }
             FeedUpdate::Changes(mut events, revision) => {
                 self.enter_era(now, revision);
                 events.retain(|event| self.mirror.is_newer(event));
+                self.first_feed = FirstFeed::Ended;
                 let before = self.mirror.revision();
                 self.mirror.apply(&events, revision);
                 for event in &events {
--- a/crates/node/src/fleet/feed.rs
+++ b/crates/node/src/fleet/feed.rs
@@ -29,8 +29,8 @@
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time after a listing in which the receiver may end the feed, before a first watch
-/// is called.
-const LISTING_PAUSE: Duration = Duration::from_millis(20);
+/// is called: enough to connect to a coordinator that is up.
+const LISTING_PAUSE: Duration = Duration::from_millis(40);
 
 /// Wait after the first failed call; doubles with each further failure.
 const MIN_RETRY_WAIT: Duration = Duration::from_millis(40);
--- a/tests/testsuite/fleet/runner_notices.rs
+++ b/tests/testsuite/fleet/runner_notices.rs
@@ -114,3 +114,14 @@
     };
     eventually(served).await.expect("the restarted runner was left alone");
 }
+
+#[actix_rt::test]
+async fn a_host_that_connects_later_is_told_which_runners_are_leaving() {
+    let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Leaving);
+    let first = fleet.start_host("h1").await;
+    assert_eq!(call(&first, "id-0", "/lookup/").await.status, 200);
+    logged(&first, "CF0522 runner=r1").await;
+    let second = fleet.start_host("h2").await;
+    logged(&second, "CF0522 runner=r1").await;
+    assert_eq!(fleet.runners[0].arrivals(), 1);
+}
