--- a/crates/core/src/fleet/scheduler/floor.rs
+++ b/crates/core/src/fleet/scheduler/floor.rs
@@ -15,9 +15,9 @@
 /// requests that are started but fail.
 const FLOOR_FRACTION: f64 = 0.5;
 
-/// Time constant in seconds over which requests are counted: a few times the time
-/// for which callers wait.
-const MEMORY_S: f64 = 5.0;
+/// Time constant in seconds over which requests are counted. A burst of a few seconds
+/// may use up what a class got before, so that more urgent requests go first in it.
+const MEMORY_S: f64 = 30.0;
 
 /// Maximum number of classes that are counted.
 const MAX_CLASSES: usize = 1_024;
