--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -13,7 +13,8 @@
 
 use super::{
     Decision, FleetConfig, PlacementReply, PlacementRequest, Quota, QuotaTolerance, Quotas,
-    RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, Share, UpstreamScheduler,
+    RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, Share, ShareBasis,
+    UpstreamScheduler,
 };
 
 mod requests;
@@ -82,6 +83,13 @@
         }
     }
 
+    /// Returns the hosts from which the shares are computed.
+    #[must_use]
+    pub fn share_basis(&self) -> ShareBasis {
+        let Self { known_hosts: known, absent_hosts: absent, .. } = *self;
+        ShareBasis { clients: self.clients.len(), known, absent }
+    }
+
     /// Adds the local host as a client.
     pub fn local_host_joined(&mut self, now: MonoTime, me: HostId) {
         self.quotas.local_host_joined(now, me.clone());
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -44,5 +44,5 @@
     runner_notice::RunnerNotice,
     scheduler::{Decision, DispatchFailure, RunnerState, UpstreamScheduler},
     sessions::{HostSessions, OpenOutcome},
-    share::Share,
+    share::{Share, ShareBasis},
 };
--- a/crates/core/src/fleet/share.rs
+++ b/crates/core/src/fleet/share.rs
@@ -1,5 +1,16 @@
 //! The share of the fleet's capacity that one coordinator may use.
 
+/// The hosts from which a coordinator computes its shares.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ShareBasis {
+    /// Hosts that use this coordinator, the local one included.
+    pub clients: usize,
+    /// All hosts of the fleet.
+    pub known: usize,
+    /// Hosts of the fleet that are probably down.
+    pub absent: usize,
+}
+
 /// Client hosts of a coordinator, as a fraction of all hosts of the fleet.
 ///
 /// Hosts that can't reach each other have different coordinators. The shares of
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -156,6 +156,10 @@
     ClientHostDisconnected = "CF0536", Info, "client host disconnected";
     /// A session was closed because its send queue was full. Fields: host.
     SessionQueueFull = "CF0537", Warn, "session closed, its send queue is full";
+    /// The share of quotas, slots and retries that this coordinator uses changed:
+    /// client hosts, with this one, as a fraction of the known hosts. `absent` of
+    /// these have no session. Fields: clients, known, absent.
+    ShareChanged = "CF0538", Info, "share of the fleet changed";
     /// The watch on the store failed. Fields: cause.
     StoreWatchLost = "CF0541", Warn, "store can't be watched";
     /// The watch on the store works again. Fields: revision.
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -11,7 +11,7 @@
 use comfreyway_core::{
     fleet::{
         ClientAction, Coordinator, CoordinatorClient, HostSessions, Member, PlacementReply,
-        RunnerDirectory, elect,
+        RunnerDirectory, ShareBasis, elect,
     },
     ids::{HostId, HostName, RequestId},
     time::MonoTime,
@@ -124,6 +124,7 @@
     store_era: u64,
     missing_hosts: MissingHosts,
     absent_hosts: AbsentHosts,
+    logged_share: ShareBasis,
     first_feed: FirstFeed,
     /// True while the store has an older configuration than the one in force.
     stored_config_is_older: bool,
@@ -171,6 +172,7 @@
             store_era: 0,
             missing_hosts: MissingHosts::default(),
             absent_hosts: AbsentHosts::default(),
+            logged_share: ShareBasis::default(),
             first_feed: FirstFeed::Started,
             stored_config_is_older: false,
             feed: None,
--- a/crates/node/src/fleet/control/absent_hosts.rs
+++ b/crates/node/src/fleet/control/absent_hosts.rs
@@ -5,7 +5,9 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use comfreyway_core::{ids::HostId, time::MonoTime};
+use comfreyway_core::{fleet::ShareBasis, ids::HostId, time::MonoTime};
+
+use crate::events::{Event, log_event};
 
 use super::FleetControl;
 
@@ -41,4 +43,14 @@
         let few = 2 * absent < self.members.len();
         self.coordinator.set_absent_hosts(if few { absent } else { 0 });
     }
+
+    /// Logs the share of the fleet that this host's coordinator uses, if it changed.
+    pub(super) fn log_share(&mut self) {
+        let share = self.coordinator.share_basis();
+        if self.coordinator_client.coordinator().is_none() && share != self.logged_share {
+            let ShareBasis { clients, known, absent } = share;
+            log_event!(Event::ShareChanged, clients = clients, known = known, absent = absent);
+            self.logged_share = share;
+        }
+    }
 }
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -265,6 +265,7 @@
         self.remove_missing_hosts(now);
         self.choose_coordinator();
         self.update_absent_hosts(now);
+        self.log_share();
         self.start_feed_if_stale();
         self.step_down_if_stale();
         self.arm_timer(cx);
