--- a/crates/core/tests/fleet/quota_changes.rs
+++ b/crates/core/tests/fleet/quota_changes.rs
@@ -4,7 +4,11 @@
 //! faults occur, the units admitted in any window must stay within what the
 //! operators allow.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use comfreyway_core::{
     fleet::{
@@ -33,8 +37,17 @@
 const HEARTBEAT_INTERVAL_MS: u64 = 200;
 /// Silence of a coordinator after which a host uses its own.
 const COORDINATOR_SILENCE_MS: u64 = 700;
-/// Time after which a host that does not reach the store refuses all requests.
-const MAX_STALENESS_MS: u64 = 1_600;
+/// Time after which a host whose view of the store is not verified refuses all
+/// requests.
+const MAX_STALENESS_MS: u64 = 3_500;
+/// Time to live of a host's entry in the store.
+const ENTRY_TTL_MS: u64 = 4_000;
+/// Time between two renewals of an entry.
+const RENEWAL_INTERVAL_MS: u64 = 1_300;
+/// Time from the signal of a planned stop to the end of the process.
+const DRAIN_MS: u64 = 2_500;
+/// Time between the end of a stopped process and the start of the next one.
+const RESTART_MS: u64 = 500;
 /// Silence of a host after which its coordinator removes it.
 const HOST_SILENCE_MS: u64 = 1_500;
 
@@ -74,15 +87,21 @@
     paused_until_ms: u64,
     /// True if it reaches neither the store nor any other host.
     isolated: bool,
-    /// When it last reached the store.
+    /// True if it does not reach the store.
+    cut_from_store: bool,
+    /// When its view of the store was last verified.
     verified_at_ms: u64,
+    /// The hosts that its view of the store contains.
+    members: BTreeSet<usize>,
+    /// End of the process, from the signal of a planned stop on.
+    stops_at_ms: Option<u64>,
 }
 
 impl Node {
-    fn new(now_ms: u64, me: usize) -> Self {
+    fn new(now_ms: u64, me: usize, members: BTreeSet<usize>) -> Self {
         let mut coordinator = Coordinator::new(RETRIES, TOLERANCE);
         coordinator.set_config(config());
-        coordinator.set_known_hosts(at(now_ms), HOSTS);
+        set_members(&mut coordinator, now_ms, me, &members);
         coordinator.local_host_joined(at(now_ms), host_id(me));
         let mut runner = entry("a", 1, false);
         runner.slots = 100_000;
@@ -99,14 +118,25 @@
             clients,
             paused_until_ms: 0,
             isolated: false,
+            cut_from_store: false,
             verified_at_ms: now_ms,
+            members,
+            stops_at_ms: None,
         }
     }
 }
 
+/// Tells a coordinator the hosts in its host's view of the store.
+fn set_members(coordinator: &mut Coordinator, now_ms: u64, me: usize, members: &BTreeSet<usize>) {
+    let others = members.iter().filter(|host| **host != me).count();
+    coordinator.set_known_hosts(at(now_ms), others + 1);
+}
+
 /// The hosts, and the units that they have admitted.
 struct Fleet {
     nodes: Vec<Node>,
+    /// The entries of the hosts in the store, with the times at which they expire.
+    entries: BTreeMap<usize, u64>,
     admitted: BTreeMap<u64, f64>,
     requests: u128,
     now_ms: u64,
@@ -116,15 +146,25 @@
 
 impl Fleet {
     fn new() -> Self {
-        let nodes = (0..HOSTS).map(|me| Node::new(0, me)).collect();
-        let mut fleet =
-            Self { nodes, admitted: BTreeMap::new(), requests: 0, now_ms: 0, idle_until_ms: 0 };
+        let nodes = (0..HOSTS).map(|me| Node::new(0, me, (0..HOSTS).collect())).collect();
+        let mut fleet = Self {
+            nodes,
+            entries: (0..HOSTS).map(|host| (host, ENTRY_TTL_MS)).collect(),
+            admitted: BTreeMap::new(),
+            requests: 0,
+            now_ms: 0,
+            idle_until_ms: 0,
+        };
         for host in 1..HOSTS {
             fleet.join(host, 0);
         }
         fleet
     }
 
+    fn reaches_store(&self, host: usize) -> bool {
+        !(self.nodes[host].isolated || self.nodes[host].cut_from_store)
+    }
+
     fn can_reach(&self, a: usize, b: usize) -> bool {
         a == b || !(self.nodes[a].isolated || self.nodes[b].isolated)
     }
@@ -194,24 +234,93 @@
         if let Some(former) = self.nodes[host].remote_coordinator {
             self.remove_client(former, host);
         }
-        self.nodes[host] = Node::new(self.now_ms, host);
+        let members = self.entries.keys().copied().collect();
+        self.nodes[host] = Node::new(self.now_ms, host, members);
+    }
+
+    /// Begins the planned stop of a host. It removes its entry and sends its clients
+    /// away, but serves until its process ends.
+    fn begin_stop(&mut self, host: usize) {
+        if self.nodes[host].stops_at_ms.is_some() || !self.is_running(host) {
+            return;
+        }
+        self.nodes[host].stops_at_ms = Some(self.now_ms + DRAIN_MS);
+        if self.reaches_store(host) {
+            self.entries.remove(&host);
+        }
+        for other in 0..HOSTS {
+            if self.nodes[other].remote_coordinator == Some(host) && self.can_reach(host, other) {
+                self.leave(other);
+                self.elect(other);
+            }
+        }
+        self.elect(host);
+    }
+
+    /// Renews the entries of the hosts that reach the store, and updates the views of
+    /// all hosts.
+    fn update_views(&mut self) {
+        let now_ms = self.now_ms;
+        for host in 0..HOSTS {
+            let registers = self.is_running(host)
+                && self.reaches_store(host)
+                && self.nodes[host].stops_at_ms.is_none();
+            let is_due = now_ms.is_multiple_of(RENEWAL_INTERVAL_MS);
+            if registers && (is_due || !self.entries.contains_key(&host)) {
+                self.entries.insert(host, now_ms + ENTRY_TTL_MS);
+            }
+        }
+        self.entries.retain(|_, expires_ms| *expires_ms > now_ms);
+        for host in 0..HOSTS {
+            let (members, verified_at_ms) = match self.nodes[host].remote_coordinator {
+                Some(to) if self.can_reach(host, to) && self.is_running(to) => {
+                    (self.nodes[to].members.clone(), self.nodes[to].verified_at_ms)
+                }
+                None if self.reaches_store(host) => {
+                    (self.entries.keys().copied().collect(), now_ms)
+                }
+                _ => continue,
+            };
+            let node = &mut self.nodes[host];
+            if node.paused_until_ms <= now_ms {
+                node.verified_at_ms = node.verified_at_ms.max(verified_at_ms);
+                if node.members != members {
+                    set_members(&mut node.coordinator, now_ms, host, &members);
+                    node.members = members;
+                }
+            }
+        }
+    }
+
+    /// Makes a host a client of the coordinator that it elects, if not itself.
+    fn elect(&mut self, host: usize) {
+        let is_stopping = self.nodes[host].stops_at_ms.is_some();
+        if let Some(to) = self.choose_coordinator(host).filter(|to| is_stopping || *to < host) {
+            self.join(host, to);
+        }
     }
 
     /// Returns the oldest host that `host` can use as its coordinator. Hosts are
     /// numbered by age.
     fn choose_coordinator(&self, host: usize) -> Option<usize> {
-        let others = (0..HOSTS)
-            .filter(|other| *other != host && self.nodes[*other].remote_coordinator.is_none());
+        let members = self.nodes[host].members.iter().copied();
+        let others = members.filter(|other| {
+            let node = &self.nodes[*other];
+            *other != host && node.remote_coordinator.is_none() && node.stops_at_ms.is_none()
+        });
         others.filter(|other| self.can_reach(host, *other) && self.is_running(*other)).min()
     }
 
     fn step(&mut self) {
+        self.update_views();
         for host in 0..HOSTS {
             if !self.is_running(host) {
                 continue;
             }
-            if !self.nodes[host].isolated {
-                self.nodes[host].verified_at_ms = self.now_ms;
+            if self.nodes[host].stops_at_ms.is_some_and(|ms| ms <= self.now_ms) {
+                self.restart(host);
+                self.nodes[host].paused_until_ms = self.now_ms + RESTART_MS;
+                continue;
             }
             if let Some(to) = self.nodes[host].remote_coordinator {
                 let is_alive = self.can_reach(host, to) && self.is_running(to);
@@ -220,10 +329,8 @@
                 } else if self.now_ms - self.nodes[host].last_reply_ms > COORDINATOR_SILENCE_MS {
                     self.leave(host);
                 }
-            } else if self.now_ms.is_multiple_of(HEARTBEAT_INTERVAL_MS)
-                && let Some(older) = self.choose_coordinator(host).filter(|other| *other < host)
-            {
-                self.join(host, older);
+            } else if self.now_ms.is_multiple_of(HEARTBEAT_INTERVAL_MS) {
+                self.elect(host);
             }
             let is_silent = |last_ms: &u64| self.now_ms - last_ms > HOST_SILENCE_MS;
             let clients = &self.nodes[host].clients;
@@ -310,11 +417,43 @@
     assert!(fleet.max_window_units() <= allowed(), "{} of {}", fleet.max_window_units(), allowed());
 }
 
+/// A host that does not reach the store has lost its entry, but not its coordinator.
+/// That coordinator stops as planned, and its clients elect the next one. The host has
+/// run longer than that one and elects nobody.
+#[test]
+fn a_host_without_store_entry_adds_no_share_of_the_quotas() {
+    let mut fleet = Fleet::new();
+    fleet.run_until(10_000);
+    fleet.nodes[1].cut_from_store = true;
+    fleet.idle_until_ms = 17_900;
+    fleet.run_until(18_000);
+    fleet.begin_stop(0);
+    fleet.run_until(30_000);
+    assert!(fleet.max_window_units() <= allowed(), "{} of {}", fleet.max_window_units(), allowed());
+}
+
+/// Two hosts stop as planned while two others are isolated and use their own shares.
+#[test]
+fn stopping_hosts_add_no_share_of_the_quotas() {
+    let mut fleet = Fleet::new();
+    fleet.run_until(10_000);
+    fleet.idle_until_ms = 17_900;
+    fleet.run_until(18_000);
+    fleet.nodes[4].isolated = true;
+    fleet.nodes[5].isolated = true;
+    fleet.begin_stop(6);
+    fleet.begin_stop(7);
+    fleet.run_until(30_000);
+    assert!(fleet.max_window_units() <= allowed(), "{} of {}", fleet.max_window_units(), allowed());
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Fault {
+    CutFromStore(usize, u64),
     Isolate(usize, u64),
     Pause(usize, u64),
     Restart(usize),
+    Stop(usize),
     Idle(u64),
 }
 
@@ -324,6 +463,8 @@
     prop_oneof![
         (victim.clone(), 300..9_000_u64).prop_map(|(host, ms)| Fault::Isolate(host, ms)),
         (victim.clone(), 300..9_000_u64).prop_map(|(host, ms)| Fault::Pause(host, ms)),
+        (victim.clone(), 300..20_000_u64).prop_map(|(host, ms)| Fault::CutFromStore(host, ms)),
+        victim.clone().prop_map(Fault::Stop),
         victim.prop_map(Fault::Restart),
         (500..6_000_u64).prop_map(Fault::Idle),
     ]
@@ -337,22 +478,27 @@
         ..ProptestConfig::default()
     })]
 
-    /// Isolations, pauses, restarts and idle times, at least two seconds apart.
+    /// Isolations, cuts from the store, pauses, stops, restarts and idle times, at least two seconds apart.
     #[test]
     fn no_sequence_of_faults_exceeds_the_allowance(
         faults in prop::collection::vec((fault(), 2_000..5_000_u64), 1..6),
     ) {
         let mut fleet = Fleet::new();
         fleet.run_until(9_000);
-        let mut isolations: Vec<(usize, u64)> = Vec::new();
+        let (mut isolations, mut cuts) = (Vec::new(), Vec::new());
         for (fault, gap_ms) in faults {
             match fault {
                 Fault::Isolate(host, ms) => {
                     fleet.nodes[host].isolated = true;
                     isolations.push((host, fleet.now_ms + ms));
                 }
+                Fault::CutFromStore(host, ms) => {
+                    fleet.nodes[host].cut_from_store = true;
+                    cuts.push((host, fleet.now_ms + ms));
+                }
                 Fault::Pause(host, ms) => fleet.nodes[host].paused_until_ms = fleet.now_ms + ms,
                 Fault::Restart(host) => fleet.restart(host),
+                Fault::Stop(host) => fleet.begin_stop(host),
                 Fault::Idle(ms) => fleet.idle_until_ms = fleet.now_ms + ms,
             }
             let until = fleet.now_ms + gap_ms;
@@ -361,6 +507,10 @@
                     fleet.nodes[*host].isolated = false;
                 }
                 isolations.retain(|(_, end)| *end > fleet.now_ms);
+                for (host, _) in cuts.iter().filter(|(_, end)| *end <= fleet.now_ms) {
+                    fleet.nodes[*host].cut_from_store = false;
+                }
+                cuts.retain(|(_, end)| *end > fleet.now_ms);
                 fleet.step();
             }
         }
