Divide the quotas by all hosts that may be serving

Cause: a coordinator's share was its client hosts, by their sessions, out of the hosts with an entry in the store. Three hosts lost the store; their entries expired, but they stayed clients. When the coordinator stopped, the next one counted 7 or 8 clients of 4 or 5 hosts, which the limit of one hid, and an older host without an entry, which elects nobody, used 1 of 6 besides.

Ruled out: fresh buckets alone (no play with one granting host has the excess), retries, full buckets handed over.

Change: FleetHosts counts a host by its entry, by its session, for as long as it can serve after it was last seen, and by the number that the last coordinator reported with its responses to heartbeats. Slots and the retry budget are shared by the present hosts, now with those of the sessions.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -179,7 +179,8 @@
                 |mut coordinator| {
                     let now = MonoTime::from_millis(1_000);
                     for number in 1..STARTING_HOSTS {
-                        coordinator.set_known_hosts(now, number);
+                        let names = (0..number).map(|number| host(number as u128).name);
+                        coordinator.set_registered_hosts(now, names);
                         coordinator.host_joined(now, host(number as u128));
                     }
                     coordinator
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -7,13 +7,13 @@
 };
 
 use crate::{
-    ids::{HostId, RequestId, RunnerName, UpstreamName, WorkspaceName},
+    ids::{HostId, HostName, RequestId, RunnerName, UpstreamName, WorkspaceName},
     time::MonoTime,
 };
 
 use super::{
-    Decision, FleetConfig, PlacementReply, PlacementRequest, Quota, QuotaTolerance, Quotas,
-    RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, Share, ShareBasis,
+    Decision, FleetConfig, FleetHosts, PlacementReply, PlacementRequest, Quota, QuotaTolerance,
+    Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, Share, ShareBasis,
     UpstreamScheduler,
 };
 
@@ -38,8 +38,10 @@
     quotas: Quotas,
     open: BTreeMap<RequestId, HostRequest>,
     clients: BTreeSet<HostId>,
-    known_hosts: usize,
-    absent_hosts: usize,
+    hosts: FleetHosts,
+    /// Registered hosts that are probably down.
+    down_hosts: usize,
+    basis: ShareBasis,
     share: Share,
 }
 
@@ -54,12 +56,21 @@
             quotas: Quotas::new(quotas),
             open: BTreeMap::new(),
             clients: BTreeSet::new(),
-            known_hosts: 1,
-            absent_hosts: 0,
+            hosts: FleetHosts::default(),
+            down_hosts: 0,
+            basis: ShareBasis { clients: 0, known: 1, absent: 0 },
             share: Share::new(1, 1),
         }
     }
 
+    /// Sets for how long a host may use the capacity of the fleet after it was last
+    /// seen: the time for which it serves without a verified view of the store.
+    #[must_use]
+    pub fn with_host_memory(mut self, memory: Duration) -> Self {
+        self.hosts = FleetHosts::new(memory);
+        self
+    }
+
     /// Applies a configuration.
     pub fn set_config(&mut self, config: Arc<FleetConfig>) {
         for (name, state) in &mut self.upstreams {
@@ -68,43 +79,52 @@
         self.config = Some(config);
     }
 
-    /// Sets the number of hosts in the fleet, from which the share is computed.
-    pub fn set_known_hosts(&mut self, now: MonoTime, hosts: usize) {
-        self.known_hosts = hosts;
-        self.quotas.set_known_hosts(now, hosts);
-        self.update_share();
+    /// Sets the hosts that are registered in the store, with the local one.
+    pub fn set_registered_hosts<I>(&mut self, now: MonoTime, names: I)
+    where
+        I: IntoIterator<Item = HostName>,
+    {
+        self.hosts.set_registered(now, names);
+        self.update_share(now);
     }
 
-    /// Sets the number of known hosts that are probably down. Their share of the
+    /// Sets the number of hosts that the local host's coordinator knows. It may know
+    /// some that have no entry in the store.
+    pub fn set_reported_hosts(&mut self, now: MonoTime, hosts: usize) {
+        self.hosts.set_reported(now, hosts);
+        self.update_share(now);
+    }
+
+    /// Sets the number of registered hosts that are probably down. Their share of the
     /// runners' slots and of the retry budget is used, but not that of the quotas.
-    pub fn set_absent_hosts(&mut self, hosts: usize) {
-        if std::mem::replace(&mut self.absent_hosts, hosts) != hosts {
-            self.update_share();
-        }
+    pub fn set_down_hosts(&mut self, now: MonoTime, hosts: usize) {
+        self.down_hosts = hosts;
+        self.update_share(now);
     }
 
     /// Returns the hosts from which the shares are computed.
     #[must_use]
     pub fn share_basis(&self) -> ShareBasis {
-        let Self { known_hosts: known, absent_hosts: absent, .. } = *self;
-        ShareBasis { clients: self.clients.len(), known, absent }
+        self.basis
     }
 
     /// Adds the local host as a client.
     pub fn local_host_joined(&mut self, now: MonoTime, me: HostId) {
-        self.quotas.local_host_joined(now, me.clone());
-        self.add_client(me);
+        self.add_client(now, me.clone());
+        self.quotas.local_host_joined(now, me);
     }
 
     /// Adds another host as a client.
     pub fn host_joined(&mut self, now: MonoTime, host: HostId) {
-        self.quotas.host_joined(now, host.clone());
-        self.add_client(host);
+        self.add_client(now, host.clone());
+        self.quotas.host_joined(now, host);
     }
 
-    fn add_client(&mut self, host: HostId) {
-        if self.clients.insert(host) {
-            self.update_share();
+    fn add_client(&mut self, now: MonoTime, host: HostId) {
+        if !self.clients.contains(&host) {
+            self.hosts.session_opened(now, &host.name);
+            self.clients.insert(host);
+            self.update_share(now);
         }
     }
 
@@ -128,7 +148,8 @@
             self.quotas.release(now, &open.workspace, open.cost);
         }
         self.quotas.host_left(now, host);
-        self.update_share();
+        self.hosts.session_closed(now, &host.name);
+        self.update_share(now);
         for upstream in self.upstream_names() {
             self.step(now, &upstream, out, |scheduler, decisions| {
                 scheduler.host_left(now, host, decisions);
@@ -268,8 +289,15 @@
         })
     }
 
-    fn update_share(&mut self) {
-        let present = self.known_hosts.saturating_sub(self.absent_hosts);
+    fn update_share(&mut self, now: MonoTime) {
+        let known = self.hosts.known(now);
+        let present = self.hosts.present().saturating_sub(self.down_hosts);
+        let absent = known.saturating_sub(present);
+        let basis = ShareBasis { clients: self.clients.len(), known, absent };
+        if std::mem::replace(&mut self.basis, basis) == basis {
+            return;
+        }
+        self.quotas.set_known_hosts(now, known);
         let share = Share::new(self.clients.len(), present);
         let before = std::mem::replace(&mut self.share, share);
         for state in self.upstreams.values_mut() {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //!   entries in the store. The most restrictive report wins.
 //! - [`elect()`] selects the coordinator. Any host can be elected.
 //! - [`UpstreamScheduler`] orders and places the requests of one upstream.
+//! - [`FleetHosts`] counts the hosts among which quotas and runners are shared.
 //! - [`Coordinator`] schedules the requests of its client hosts, and enforces the
 //!   quotas and the retry budget. It is built for the combined load of these
 //!   hosts: bursts, large workspaces, callers that retry.
@@ -22,6 +23,7 @@
 mod config;
 mod coordinator;
 mod directory;
+mod hosts;
 mod member;
 mod message;
 mod quota;
@@ -37,6 +39,7 @@
     config::{CallerLimits, FleetConfig, Quota, RetryPolicy, Route, UpstreamConfig, Workspace},
     coordinator::Coordinator,
     directory::{RunnerChange, RunnerDirectory},
+    hosts::FleetHosts,
     member::{Member, elect},
     message::{PlacementReply, PlacementRequest, RequestUpdate},
     quota::{QuotaTolerance, Quotas, SHARE_LEASE},
--- a/crates/core/src/fleet/share.rs
+++ b/crates/core/src/fleet/share.rs
@@ -5,9 +5,10 @@
 pub struct ShareBasis {
     /// Hosts that use this coordinator, the local one included.
     pub clients: usize,
-    /// All hosts of the fleet.
+    /// Hosts that may be serving.
     pub known: usize,
-    /// Hosts of the fleet that are probably down.
+    /// Known hosts that are probably down. The others use their share of the runners'
+    /// slots and of the retry budget, but not that of the quotas.
     pub absent: usize,
 }
 
--- a/crates/core/tests/fleet/coordinator.rs
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -61,7 +61,7 @@
 #[test]
 fn coordinator_uses_runner_slots_in_proportion_to_its_client_hosts() {
     let mut coordinator = coordinator();
-    coordinator.set_known_hosts(at(0), 4);
+    coordinator.set_registered_hosts(at(0), ["h1", "h2", "h3", "h4"].map(|name| host(name).name));
     assert_eq!(submit_all(&mut coordinator, 0..5), 1);
     for name in ["h2", "h3", "h4"] {
         coordinator.host_joined(at(0), host(name));
--- a/crates/core/tests/fleet/quota_changes.rs
+++ b/crates/core/tests/fleet/quota_changes.rs
@@ -42,6 +42,8 @@
 const MAX_STALENESS_MS: u64 = 3_500;
 /// Time to live of a host's entry in the store.
 const ENTRY_TTL_MS: u64 = 4_000;
+/// Time between two periodic checks of a host.
+const CHECK_INTERVAL_MS: u64 = 100;
 /// Time between two renewals of an entry.
 const RENEWAL_INTERVAL_MS: u64 = 1_300;
 /// Time from the signal of a planned stop to the end of the process.
@@ -99,7 +101,8 @@
 
 impl Node {
     fn new(now_ms: u64, me: usize, members: BTreeSet<usize>) -> Self {
-        let mut coordinator = Coordinator::new(RETRIES, TOLERANCE);
+        let memory = Duration::from_millis(MAX_STALENESS_MS + COORDINATOR_SILENCE_MS);
+        let mut coordinator = Coordinator::new(RETRIES, TOLERANCE).with_host_memory(memory);
         coordinator.set_config(config());
         set_members(&mut coordinator, now_ms, me, &members);
         coordinator.local_host_joined(at(now_ms), host_id(me));
@@ -128,8 +131,8 @@
 
 /// Tells a coordinator the hosts in its host's view of the store.
 fn set_members(coordinator: &mut Coordinator, now_ms: u64, me: usize, members: &BTreeSet<usize>) {
-    let others = members.iter().filter(|host| **host != me).count();
-    coordinator.set_known_hosts(at(now_ms), others + 1);
+    let names = members.iter().chain([&me]).map(|host| host_id(*host).name);
+    coordinator.set_registered_hosts(at(now_ms), names);
 }
 
 /// The hosts, and the units that they have admitted.
@@ -221,6 +224,8 @@
         let sent = at(self.now_ms + 1_000_000 * host as u64);
         self.nodes[to].coordinator.host_heartbeat(now, &host_id(host), sent);
         self.nodes[to].clients.insert(host, self.now_ms);
+        let hosts = self.nodes[to].coordinator.share_basis().known;
+        self.nodes[host].coordinator.set_reported_hosts(now, hosts);
         self.nodes[host].last_reply_ms = self.now_ms;
     }
 
@@ -271,6 +276,11 @@
             }
         }
         self.entries.retain(|_, expires_ms| *expires_ms > now_ms);
+        if now_ms.is_multiple_of(CHECK_INTERVAL_MS) {
+            for node in self.nodes.iter_mut().filter(|node| node.paused_until_ms <= now_ms) {
+                node.coordinator.set_down_hosts(at(now_ms), 0);
+            }
+        }
         for host in 0..HOSTS {
             let (members, verified_at_ms) = match self.nodes[host].remote_coordinator {
                 Some(to) if self.can_reach(host, to) && self.is_running(to) => {
--- a/crates/node/src/fleet/control/absent_hosts.rs
+++ b/crates/node/src/fleet/control/absent_hosts.rs
@@ -41,7 +41,7 @@
         let without_session = others.filter(|id| self.clients.get(id).is_none());
         let absent = self.absent_hosts.update(now, without_session);
         let few = 2 * absent < self.members.len();
-        self.coordinator.set_absent_hosts(if few { absent } else { 0 });
+        self.coordinator.set_down_hosts(now, if few { absent } else { 0 });
     }
 
     /// Logs the share of the fleet that this host's coordinator uses, if it changed.
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -102,10 +102,9 @@
             SessionEvent::FromHost(host, _, ToCoordinator::Ping(sent)) => {
                 self.coordinator.host_heartbeat(now, &host, MonoTime::from_micros(sent));
                 let staleness = now.since(self.host_state.verified_at());
-                self.send_to_client(
-                    &host,
-                    &ToHost::Pong(sent, self.mirror.revision().0, staleness),
-                );
+                let (revision, hosts) =
+                    (self.mirror.revision().0, self.coordinator.share_basis().known);
+                self.send_to_client(&host, &ToHost::Pong(sent, revision, staleness, hosts));
             }
             SessionEvent::FromHost(host, _, ToCoordinator::RunnerNotice(notice)) => {
                 self.handle_client_notice(now, &host, &notice);
@@ -156,7 +155,8 @@
             SessionEvent::FromCoordinator(_, ToHost::RunnerNotice(notice)) => {
                 self.apply_notice(now, &notice);
             }
-            SessionEvent::FromCoordinator(host, ToHost::Pong(sent, revision, staleness)) => {
+            SessionEvent::FromCoordinator(host, ToHost::Pong(sent, revision, staleness, hosts)) => {
+                self.coordinator.set_reported_hosts(now, hosts);
                 self.handle_pong(&host, MonoTime::from_micros(sent), Revision(revision), staleness);
             }
             SessionEvent::FromCoordinator(host, ToHost::SyncEnd(end)) => {
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -232,7 +232,8 @@
 
     pub(super) fn members_changed(&mut self) {
         let others = self.members.keys().filter(|name| **name != self.me.id.name).count();
-        self.coordinator.set_known_hosts(self.now(), others + 1);
+        let names = self.members.keys().chain([&self.me.id.name]).cloned();
+        self.coordinator.set_registered_hosts(self.now(), names);
         self.host_state.set_hosts(others + 1);
         self.choose_coordinator();
     }
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -35,7 +35,7 @@
     proxy::{Proxy, ProxyLimits, RequestIds, serve},
     registration::keep_registered,
     request_handle::WorkerMessage,
-    sessions::accept,
+    sessions::{COORDINATOR_TIMEOUT, accept},
 };
 
 /// Time between the stop signal and the closing of idle connections. The load
@@ -116,7 +116,8 @@
         platform.format,
         host_state.clone(),
         store.clone(),
-        Coordinator::new(fleet.retry, fleet.quotas),
+        Coordinator::new(fleet.retry, fleet.quotas)
+            .with_host_memory(fleet.max_staleness() + COORDINATOR_TIMEOUT),
         fleet_metrics.clone(),
         receivers,
     )
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -62,9 +62,11 @@
     #[serde(rename = "t")]
     Reply(PlacementReply),
     /// Response to a ping: the ping's value, the store revision up to which the
-    /// coordinator knows all changes, and the time since it last verified that.
+    /// coordinator knows all changes, the time since it last verified that, and the
+    /// number of hosts that it knows; zero from hosts of earlier versions, which do
+    /// not send it.
     #[serde(rename = "p")]
-    Pong(u64, u64, Duration),
+    Pong(u64, u64, Duration, #[serde(default)] usize),
     /// Entry of the runner that the next reply names, for a host that has not
     /// read the whole store yet.
     #[serde(rename = "n")]
