Elect the others' coordinator on a host whose entry has expired

Cause: such a host was a candidate of its own election, and the oldest, but of nobody else's, since the others did not find it in the store. Its view of the store, relayed by the last coordinator, told it so.

Change: a host whose entry has been in its view and is gone from it elects itself only while it has client hosts or finds no other host.

--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -11,7 +11,7 @@
 use comfreyway_core::{
     fleet::{
         ClientAction, Coordinator, CoordinatorClient, HostSessions, Member, PlacementReply,
-        RunnerDirectory, ShareBasis, elect,
+        RunnerDirectory, ShareBasis,
     },
     ids::{HostId, HostName, RequestId},
     time::MonoTime,
@@ -40,12 +40,13 @@
 
 mod absent_hosts;
 mod coordination;
+mod election;
 mod rollback;
 mod runner_notices;
 mod store_relay;
 mod store_updates;
 
-use self::{absent_hosts::AbsentHosts, rollback::MissingHosts};
+use self::{absent_hosts::AbsentHosts, election::OwnEntry, rollback::MissingHosts};
 
 /// Interval of the periodic checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -113,6 +114,7 @@
     coordinator: Coordinator,
     metrics: FleetMetrics,
     members: BTreeMap<HostName, Member>,
+    own_entry: OwnEntry,
     /// Hosts that are not chosen as coordinator until the given time.
     suspects: BTreeMap<HostId, MonoTime>,
     coordinator_session: Option<CoordinatorSession>,
@@ -164,6 +166,7 @@
             coordinator,
             metrics,
             members: BTreeMap::new(),
+            own_entry: OwnEntry::Pending,
             suspects: BTreeMap::new(),
             coordinator_session: None,
             clients: HostSessions::default(),
@@ -385,14 +388,4 @@
             }
         }
     }
-
-    fn elect_coordinator(&self, now: MonoTime) -> Option<Member> {
-        let suspected = |id: &HostId| self.suspects.get(id).is_some_and(|until| now < *until);
-        let others = self.members.values().filter(|m| m.id.name != self.me.id.name);
-        // A client of this host does not coordinate.
-        let others = others.filter(|member| self.clients.get(&member.id).is_none());
-        let others = others.filter(|member| !suspected(&member.id));
-        let me = (!self.stopping && !suspected(&self.me.id)).then_some(&self.me);
-        elect(others.chain(me)).cloned()
-    }
 }
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -235,6 +235,7 @@
         let names = self.members.keys().chain([&self.me.id.name]).cloned();
         self.coordinator.set_registered_hosts(self.now(), names);
         self.host_state.set_hosts(others + 1);
+        self.update_own_entry();
         self.choose_coordinator();
     }
 
--- a/tests/testsuite/fleet/hosts.rs
+++ b/tests/testsuite/fleet/hosts.rs
@@ -219,6 +219,36 @@
     drop(first);
 }
 
+/// The other hosts can't elect it, though it has run longest.
+#[actix_rt::test]
+async fn a_host_without_store_entry_uses_the_next_coordinator() {
+    let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
+    let first = fleet.start_host("h1").await;
+    let proxy = FaultProxy::start(fleet.store.address()).unwrap();
+    let settings = DaemonSettings::with_fleet_store("h2", proxy.address()).unwrap();
+    let settings = settings.with_workers(1).with_fleet("host-lease", "1s");
+    let second = crate::support::Daemon::start_ready(settings).await;
+    let third = fleet.start_host("h3").await;
+    for host in [&second, &third] {
+        let relayed = || async { host.log().contains("CF0543").then_some(()) };
+        eventually(relayed).await.expect("the coordinator relayed no store state to the host");
+    }
+    proxy.partition().unwrap();
+    let expired = || async {
+        let entries = fleet.store.list("comfreyway/hosts/");
+        (!entries.contains(&"comfreyway/hosts/h2".to_owned())).then_some(())
+    };
+    eventually(expired).await.expect("the entry does not expire");
+    fleet.put_configuration(configuration(7));
+    let in_force = || async { second.log().contains("CF0511 version=7").then_some(()) };
+    eventually(in_force).await.expect("the change did not reach the host");
+    first.signal(Signal::Terminate).unwrap();
+    let connected = || async { (second.log().matches("CF0532").count() == 2).then_some(()) };
+    eventually(connected).await.expect("the host elects no other one");
+    assert_eq!(call(&second, "id-1", "/lookup/").await.status, 200);
+    assert!(!third.log().contains("CF0531 host=h2"));
+}
+
 /// The time limit is a constant that is checked at compile time in
 /// `fleet/control/store_relay.rs`.
 #[actix_rt::test]
