Share the retry budget by all hosts that may be serving

Over a window the coordinators could send more retries than the operators allow.

Cause and change: as for the quotas, the budget's share is now that of the known hosts. Only the runners' slots are shared by the present ones, since a slot that nobody uses is lost. The share is derived from its basis instead of stored beside it.

Measured: retries_of_a_host_without_store_entry_stay_within_the_budget_of_all failed before with 58 of 50 retries in a window of ten seconds, and passes.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Decision, FleetConfig, FleetHosts, PlacementReply, PlacementRequest, Quota, QuotaTolerance,
-    Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, Share, ShareBasis,
+    Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, ShareBasis,
     UpstreamScheduler,
 };
 
@@ -42,7 +42,6 @@
     /// Registered hosts that are probably down.
     down_hosts: usize,
     basis: ShareBasis,
-    share: Share,
 }
 
 impl Coordinator {
@@ -59,7 +58,6 @@
             hosts: FleetHosts::default(),
             down_hosts: 0,
             basis: ShareBasis { clients: 0, known: 1, absent: 0 },
-            share: Share::new(1, 1),
         }
     }
 
@@ -96,7 +94,7 @@
     }
 
     /// Sets the number of registered hosts that are probably down. Their share of the
-    /// runners' slots and of the retry budget is used, but not that of the quotas.
+    /// runners' slots is used, but not that of the quotas and of the retry budget.
     pub fn set_down_hosts(&mut self, now: MonoTime, hosts: usize) {
         self.down_hosts = hosts;
         self.update_share(now);
@@ -168,7 +166,7 @@
         for change in changes {
             let entry = change.entry();
             let name = entry.key.name.clone();
-            let share = self.share;
+            let share = self.basis.slot_share();
             let state = self.upstream_state(now, &entry.upstream);
             if let RunnerChange::Removed(_) = change {
                 state.runners.remove(&name);
@@ -281,7 +279,7 @@
 
     fn upstream_state(&mut self, now: MonoTime, upstream: &UpstreamName) -> &mut UpstreamState {
         let engine = self.config.as_ref().is_some_and(|config| is_engine(config, upstream));
-        let (retry_limits, share) = (self.retry_limits, self.share);
+        let (retry_limits, share) = (self.retry_limits, self.basis.budget_share());
         self.upstreams.entry(upstream.clone()).or_insert_with(|| UpstreamState {
             scheduler: UpstreamScheduler::new(engine),
             budget: RetryBudget::new(now, retry_limits, share),
@@ -294,12 +292,12 @@
         let present = self.hosts.present().saturating_sub(self.down_hosts);
         let absent = known.saturating_sub(present);
         let basis = ShareBasis { clients: self.clients.len(), known, absent };
-        if std::mem::replace(&mut self.basis, basis) == basis {
+        let before = std::mem::replace(&mut self.basis, basis);
+        if before == basis {
             return;
         }
         self.quotas.set_known_hosts(now, known);
-        let share = Share::new(self.clients.len(), present);
-        let before = std::mem::replace(&mut self.share, share);
+        let (before, share) = (before.slot_share(), basis.slot_share());
         for state in self.upstreams.values_mut() {
             for (name, (slots, leaving)) in &state.runners {
                 // Most hosts that join don't change the rounded number of slots.
--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -39,7 +39,7 @@
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
         let PlacementRequest { record, upstream, cost, time_limit, prior_attempts, avoid } = req;
-        let (id, share) = (record.id, self.share);
+        let (id, share) = (record.id, self.basis.budget_share());
         if self.open.contains_key(&id) {
             return;
         }
@@ -76,7 +76,7 @@
         reason: RetryReason,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
-        let share = self.share;
+        let share = self.basis.budget_share();
         let Some(open) = self.open.get_mut(&id) else { return };
         open.granted = false;
         let upstream = open.upstream.clone();
--- a/crates/core/src/fleet/share.rs
+++ b/crates/core/src/fleet/share.rs
@@ -7,11 +7,35 @@
     pub clients: usize,
     /// Hosts that may be serving.
     pub known: usize,
-    /// Known hosts that are probably down. The others use their share of the runners'
-    /// slots and of the retry budget, but not that of the quotas.
+    /// Known hosts that are probably down.
     pub absent: usize,
 }
 
+impl ShareBasis {
+    /// Returns the share of the runners' slots. Slots of absent hosts are used: a slot
+    /// that two hosts use delays requests, one that none uses is lost.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use comfreyway_core::fleet::{Share, ShareBasis};
+    ///
+    /// let basis = ShareBasis { clients: 6, known: 9, absent: 1 };
+    /// assert_eq!(basis.slot_share(), Share::new(6, 8));
+    /// assert_eq!(basis.budget_share(), Share::new(6, 9));
+    /// ```
+    #[must_use]
+    pub fn slot_share(self) -> Share {
+        Share::new(self.clients, self.known.saturating_sub(self.absent))
+    }
+
+    /// Returns the share of the retry budget, which must hold over all hosts.
+    #[must_use]
+    pub fn budget_share(self) -> Share {
+        Share::new(self.clients, self.known)
+    }
+}
+
 /// Client hosts of a coordinator, as a fraction of all hosts of the fleet.
 ///
 /// Hosts that can't reach each other have different coordinators. The shares of
--- a/crates/core/tests/fleet/coordinator.rs
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -5,7 +5,7 @@
 use comfreyway_core::{
     fleet::{
         CallerLimits, Coordinator, FleetConfig, PlacementReply, Quota, QuotaTolerance,
-        RequestUpdate, RetryBudgetLimits, RunnerChange, UpstreamConfig, Workspace,
+        RequestUpdate, RetryBudgetLimits, RunnerChange, RunnerEntry, UpstreamConfig, Workspace,
     },
     ids::HostId,
     outcome::{NotRunReason, RetryReason},
@@ -111,6 +111,38 @@
     assert_eq!(refusals, 1, "the request is refused once");
 }
 
+/// The host uses its own coordinator, and the other host's one knows it only from the
+/// last report of their former coordinator.
+#[test]
+fn retries_of_a_host_without_store_entry_stay_within_the_budget_of_all() {
+    let limits = RetryBudgetLimits { ratio: 0.0, slack: 50.0, window_s: 10.0 };
+    let coordinator_of = |me: &str, registered: &[&str]| {
+        let memory = Duration::from_secs(20);
+        let mut coordinator =
+            Coordinator::new(limits, QuotaTolerance::default()).with_host_memory(memory);
+        coordinator.set_registered_hosts(at(0), registered.iter().map(|name| host(name).name));
+        coordinator.set_reported_hosts(at(0), 2);
+        coordinator.local_host_joined(at(0), host(me));
+        let runner = RunnerEntry { slots: 1_000, ..entry("a", 1, false) };
+        coordinator.apply_runner_changes(at(0), &[RunnerChange::Usable(runner)], &mut Vec::new());
+        coordinator
+    };
+    let mut coordinators = [coordinator_of("h1", &["h1"]), coordinator_of("h2", &["h1", "h2"])];
+    let mut retries = 0;
+    for ms in (0..10_000).step_by(100) {
+        for number in 0..10 {
+            let mut retry = placement_request(u128::from(ms + number), 1.0);
+            retry.prior_attempts = 1;
+            let update = RequestUpdate::Submit(Box::new(retry));
+            let sent = coordinators
+                .iter_mut()
+                .map(|coordinator| count_grants(&handle_update(coordinator, ms, update.clone())));
+            retries += sent.sum::<usize>();
+        }
+    }
+    assert!(retries as f64 <= limits.slack, "{retries} of {}", limits.slack);
+}
+
 #[test]
 fn slots_of_a_host_that_is_down_are_granted_to_other_hosts() {
     let mut coordinator = coordinator();
