Share idle connections with hosts that have no store entry

While entries were missing, all hosts together could keep more than the runner accepts, which resets what is beyond.

Change: the part is that of the hosts that may be serving, as the shares'.

Measured: idle_connections_are_shared_with_a_host_without_store_entry failed before (4 of 2 idle connections kept) and passes, three times in a row.

--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -231,10 +231,9 @@
     }
 
     pub(super) fn members_changed(&mut self) {
-        let others = self.members.keys().filter(|name| **name != self.me.id.name).count();
         let names = self.members.keys().chain([&self.me.id.name]).cloned();
         self.coordinator.set_registered_hosts(self.now(), names);
-        self.host_state.set_hosts(others + 1);
+        self.host_state.set_hosts(self.coordinator.share_basis().known);
         self.update_own_entry();
         self.choose_coordinator();
     }
@@ -267,6 +266,7 @@
         self.remove_missing_hosts(now);
         self.choose_coordinator();
         self.update_absent_hosts(now);
+        self.host_state.set_hosts(self.coordinator.share_basis().known);
         self.log_share();
         self.start_feed_if_stale();
         self.step_down_if_stale();
--- a/crates/node/src/fleet/host_state.rs
+++ b/crates/node/src/fleet/host_state.rs
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Number of hosts in the fleet, including this one.
+    /// Number of hosts that may be serving, including this one.
     pub(super) fn hosts(&self) -> usize {
         self.hosts.load(Ordering::Relaxed)
     }
--- a/crates/node/src/fleet/proxy/admitted.rs
+++ b/crates/node/src/fleet/proxy/admitted.rs
@@ -41,7 +41,7 @@
     pub(super) workspace: Option<WorkspaceName>,
     /// The placement request for the coordinator.
     pub(super) placement: PlacementRequest,
-    /// Number of hosts in the fleet when the request arrived.
+    /// Number of hosts that may be serving when the request arrived.
     pub(super) known_hosts: usize,
     pub(super) arrived: Instant,
     /// Deadline of the final response.
--- a/tests/testsuite/fleet/hosts.rs
+++ b/tests/testsuite/fleet/hosts.rs
@@ -12,12 +12,14 @@
 use serde_json::{Value, json};
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::support::Daemon;
+
 use super::harness::{
     DESK_KEY, FleetHarness, KEY, call, call_with, configuration, runner_entry, try_call,
 };
 
 /// Waits until a host has a session with its coordinator.
-async fn wait_for_coordinator(host: &crate::support::Daemon) {
+async fn wait_for_coordinator(host: &Daemon) {
     let log = || async { host.log().contains("CF0532").then_some(()) };
     eventually(log).await.expect("the host found no coordinator");
 }
@@ -203,7 +205,7 @@
     let proxy = FaultProxy::start(fleet.store.address()).unwrap();
     let settings = DaemonSettings::with_fleet_store("h2", proxy.address()).unwrap();
     let settings = settings.with_workers(1).with_fleet("key-revocation", "3s");
-    let second = crate::support::Daemon::start_ready(settings).await;
+    let second = Daemon::start_ready(settings).await;
     let relayed = || async { second.log().contains("CF0543").then_some(()) };
     eventually(relayed).await.expect("the coordinator relayed no store state to the host");
     proxy.partition().unwrap();
@@ -219,29 +221,42 @@
     drop(first);
 }
 
-/// The other hosts can't elect it, though it has run longest.
-#[actix_rt::test]
-async fn a_host_without_store_entry_uses_the_next_coordinator() {
-    let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
-    let first = fleet.start_host("h1").await;
+/// A host that reaches the store through a proxy.
+async fn start_host_behind_proxy(fleet: &FleetHarness, name: &str) -> (Daemon, FaultProxy) {
     let proxy = FaultProxy::start(fleet.store.address()).unwrap();
-    let settings = DaemonSettings::with_fleet_store("h2", proxy.address()).unwrap();
+    let settings = DaemonSettings::with_fleet_store(name, proxy.address()).unwrap();
     let settings = settings.with_workers(1).with_fleet("host-lease", "1s");
-    let second = crate::support::Daemon::start_ready(settings).await;
-    let third = fleet.start_host("h3").await;
-    for host in [&second, &third] {
-        let relayed = || async { host.log().contains("CF0543").then_some(()) };
-        eventually(relayed).await.expect("the coordinator relayed no store state to the host");
-    }
+    (Daemon::start_ready(settings).await, proxy)
+}
+
+/// Cuts a host off from the store and waits until it knows that its entry expired.
+async fn lose_entry(fleet: &FleetHarness, host: &Daemon, proxy: &FaultProxy) {
     proxy.partition().unwrap();
-    let expired = || async {
-        let entries = fleet.store.list("comfreyway/hosts/");
-        (!entries.contains(&"comfreyway/hosts/h2".to_owned())).then_some(())
-    };
+    let key = format!("comfreyway/hosts/{}", host.settings().name);
+    let expired =
+        || async { (!fleet.store.list("comfreyway/hosts/").contains(&key)).then_some(()) };
     eventually(expired).await.expect("the entry does not expire");
+    // A later change of the store, relayed after the end of the entry.
     fleet.put_configuration(configuration(7));
-    let in_force = || async { second.log().contains("CF0511 version=7").then_some(()) };
+    let in_force = || async { host.log().contains("CF0511 version=7").then_some(()) };
     eventually(in_force).await.expect("the change did not reach the host");
+}
+
+async fn wait_for_relay(host: &Daemon) {
+    let relayed = || async { host.log().contains("CF0543").then_some(()) };
+    eventually(relayed).await.expect("the coordinator relayed no store state to the host");
+}
+
+/// The other hosts can't elect it, though it has run longest.
+#[actix_rt::test]
+async fn a_host_without_store_entry_uses_the_next_coordinator() {
+    let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
+    let first = fleet.start_host("h1").await;
+    let (second, proxy) = start_host_behind_proxy(&fleet, "h2").await;
+    let third = fleet.start_host("h3").await;
+    wait_for_relay(&second).await;
+    wait_for_relay(&third).await;
+    lose_entry(&fleet, &second, &proxy).await;
     first.signal(Signal::Terminate).unwrap();
     let connected = || async { (second.log().matches("CF0532").count() == 2).then_some(()) };
     eventually(connected).await.expect("the host elects no other one");
@@ -249,6 +264,43 @@
     assert!(!third.log().contains("CF0531 host=h2"));
 }
 
+/// A runner resets connections beyond the number that it accepts from all hosts.
+#[actix_rt::test]
+async fn idle_connections_are_shared_with_a_host_without_store_entry() {
+    const SLOTS: usize = 8;
+    const MAX_CONNECTIONS: usize = 12;
+    let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
+    let runner = &fleet.runners[0];
+    let connections = FaultProxy::start(runner.address()).unwrap();
+    let mut entry = runner_entry(connections.address(), "survey", "ready");
+    entry["slots"] = json!(SLOTS);
+    fleet.store.put("servers/r1", entry.to_string().as_bytes());
+    let mut limited = configuration(2);
+    limited["services"][0]["maxConns"] = json!(MAX_CONNECTIONS);
+    fleet.put_configuration(limited.clone());
+    let first = fleet.start_host("h1").await;
+    let (second, proxy) = start_host_behind_proxy(&fleet, "h2").await;
+    wait_for_relay(&second).await;
+    lose_entry(&fleet, &second, &proxy).await;
+    limited["version"] = json!(8);
+    fleet.put_configuration(limited);
+    let in_force = || async { first.log().contains("CF0511 version=8").then_some(()) };
+    eventually(in_force).await.expect("the change did not reach the host");
+    for batch in 0..2 {
+        runner.gate().close();
+        let ids: Vec<_> = (0..SLOTS).map(|n| format!("id-{batch}-{n}")).collect();
+        let calls = ids.iter().map(|id| call(&first, id, "/lookup/"));
+        let open = async {
+            let running = || async { (runner.runs().len() == SLOTS * (batch + 1)).then_some(()) };
+            eventually(running).await.expect("not all requests are at the runner");
+            runner.gate().open();
+        };
+        futures_util::join!(futures_util::future::join_all(calls), open);
+    }
+    let kept = 2 * SLOTS - connections.connections() as usize;
+    assert!(kept <= (MAX_CONNECTIONS - SLOTS) / 2, "{kept} idle connections are kept");
+}
+
 /// The time limit is a constant that is checked at compile time in
 /// `fleet/control/store_relay.rs`.
 #[actix_rt::test]
@@ -256,7 +308,7 @@
     let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
     let proxy = FaultProxy::start(fleet.store.address()).unwrap();
     let settings = DaemonSettings::with_fleet_store("h1", proxy.address()).unwrap();
-    let first = crate::support::Daemon::start_ready(settings.with_workers(1)).await;
+    let first = Daemon::start_ready(settings.with_workers(1)).await;
     let second = fleet.start_host("h2").await;
     let relayed = || async { second.log().contains("CF0543").then_some(()) };
     eventually(relayed).await.expect("the coordinator relayed no store state to the host");
