Pass the registered hosts by reference

FleetHosts was handed a copy of every host's name at each change of the store, 380 of them for each of 380 hosts that start. Names are copied now only for hosts that are new.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -178,9 +178,10 @@
                 || coordinator_with_runners(runners),
                 |mut coordinator| {
                     let now = MonoTime::from_millis(1_000);
+                    let names: Vec<_> =
+                        (0..STARTING_HOSTS).map(|number| host(number as u128).name).collect();
                     for number in 1..STARTING_HOSTS {
-                        let names = (0..number).map(|number| host(number as u128).name);
-                        coordinator.set_registered_hosts(now, names);
+                        coordinator.set_registered_hosts(now, &names[..number]);
                         coordinator.host_joined(now, host(number as u128));
                     }
                     coordinator
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -78,9 +78,9 @@
     }
 
     /// Sets the hosts that are registered in the store, with the local one.
-    pub fn set_registered_hosts<I>(&mut self, now: MonoTime, names: I)
+    pub fn set_registered_hosts<'a, I>(&mut self, now: MonoTime, names: I)
     where
-        I: IntoIterator<Item = HostName>,
+        I: IntoIterator<Item = &'a HostName>,
     {
         self.hosts.set_registered(now, names);
         self.update_share(now);
--- a/crates/core/src/fleet/hosts.rs
+++ b/crates/core/src/fleet/hosts.rs
@@ -36,9 +36,9 @@
 /// let name = |name: &str| name.parse::<HostName>().unwrap();
 /// let at = MonoTime::from_millis;
 /// let mut hosts = FleetHosts::new(Duration::from_secs(3));
-/// hosts.set_registered(at(0), [name("a"), name("b")]);
+/// hosts.set_registered(at(0), [&name("a"), &name("b")]);
 /// hosts.session_opened(at(0), &name("b"));
-/// hosts.set_registered(at(1), [name("a")]);
+/// hosts.set_registered(at(1), [&name("a")]);
 /// assert_eq!(hosts.present(), 2);
 /// hosts.session_closed(at(2), &name("b"));
 /// assert_eq!((hosts.present(), hosts.known(at(3))), (1, 2));
@@ -60,22 +60,22 @@
     }
 
     /// Sets the hosts that are registered in the store.
-    pub fn set_registered<I>(&mut self, now: MonoTime, names: I)
+    pub fn set_registered<'a, I>(&mut self, now: MonoTime, names: I)
     where
-        I: IntoIterator<Item = HostName>,
+        I: IntoIterator<Item = &'a HostName>,
     {
         for presence in self.hosts.values_mut().filter(|presence| presence.registered) {
             *presence = Presence { registered: false, last_seen: now, ..*presence };
         }
         for name in names {
-            self.presence(now, name).registered = true;
+            self.update(now, name, |presence| presence.registered = true);
         }
         self.forget(now);
     }
 
     /// Records that a host opened a session with this one.
     pub fn session_opened(&mut self, now: MonoTime, name: &HostName) {
-        self.presence(now, name.clone()).sessions += 1;
+        self.update(now, name, |presence| presence.sessions += 1);
     }
 
     /// Records that a session with a host ended.
@@ -109,12 +109,17 @@
         seen.max(reported)
     }
 
-    fn presence(&mut self, now: MonoTime, name: HostName) -> &mut Presence {
-        self.hosts.entry(name).or_insert(Presence {
-            registered: false,
-            sessions: 0,
-            last_seen: now,
-        })
+    fn update<F>(&mut self, now: MonoTime, name: &HostName, change: F)
+    where
+        F: FnOnce(&mut Presence),
+    {
+        if let Some(presence) = self.hosts.get_mut(name) {
+            change(presence);
+        } else {
+            let mut presence = Presence { registered: false, sessions: 0, last_seen: now };
+            change(&mut presence);
+            self.hosts.insert(name.clone(), presence);
+        }
     }
 
     fn forget(&mut self, now: MonoTime) {
--- a/crates/core/tests/fleet/coordinator.rs
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -61,7 +61,7 @@
 #[test]
 fn coordinator_uses_runner_slots_in_proportion_to_its_client_hosts() {
     let mut coordinator = coordinator();
-    coordinator.set_registered_hosts(at(0), ["h1", "h2", "h3", "h4"].map(|name| host(name).name));
+    coordinator.set_registered_hosts(at(0), &["h1", "h2", "h3", "h4"].map(|name| host(name).name));
     assert_eq!(submit_all(&mut coordinator, 0..5), 1);
     for name in ["h2", "h3", "h4"] {
         coordinator.host_joined(at(0), host(name));
@@ -120,7 +120,8 @@
         let memory = Duration::from_secs(20);
         let mut coordinator =
             Coordinator::new(limits, QuotaTolerance::default()).with_host_memory(memory);
-        coordinator.set_registered_hosts(at(0), registered.iter().map(|name| host(name).name));
+        let names: Vec<_> = registered.iter().map(|name| host(name).name).collect();
+        coordinator.set_registered_hosts(at(0), &names);
         coordinator.set_reported_hosts(at(0), 2);
         coordinator.local_host_joined(at(0), host(me));
         let runner = RunnerEntry { slots: 1_000, ..entry("a", 1, false) };
--- a/crates/core/tests/fleet/model/world.rs
+++ b/crates/core/tests/fleet/model/world.rs
@@ -102,8 +102,8 @@
         let id = HostId { incarnation, ..host(&format!("h{number}")) };
         let retry = RetryBudgetLimits { ratio: 0.2, slack: 1_000.0, window_s: 10.0 };
         let mut coordinator = Coordinator::new(retry, QuotaTolerance::default());
-        let names = (0..HOSTS).map(|number| host(&format!("h{number}")).name);
-        coordinator.set_registered_hosts(now, names);
+        let names: Vec<_> = (0..HOSTS).map(|number| host(&format!("h{number}")).name).collect();
+        coordinator.set_registered_hosts(now, &names);
         let changes = [RunnerChange::Usable(entry("a", 1, false))];
         coordinator.apply_runner_changes(now, &changes, &mut Vec::new());
         coordinator.local_host_joined(now, id.clone());
--- a/crates/core/tests/fleet/quota_changes.rs
+++ b/crates/core/tests/fleet/quota_changes.rs
@@ -131,8 +131,8 @@
 
 /// Tells a coordinator the hosts in its host's view of the store.
 fn set_members(coordinator: &mut Coordinator, now_ms: u64, me: usize, members: &BTreeSet<usize>) {
-    let names = members.iter().chain([&me]).map(|host| host_id(*host).name);
-    coordinator.set_registered_hosts(at(now_ms), names);
+    let names: Vec<_> = members.iter().chain([&me]).map(|host| host_id(*host).name).collect();
+    coordinator.set_registered_hosts(at(now_ms), &names);
 }
 
 /// The hosts, and the units that they have admitted.
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -231,7 +231,7 @@
     }
 
     pub(super) fn members_changed(&mut self) {
-        let names = self.members.keys().chain([&self.me.id.name]).cloned();
+        let names = self.members.keys().chain([&self.me.id.name]);
         self.coordinator.set_registered_hosts(self.now(), names);
         self.host_state.set_hosts(self.coordinator.share_basis().known);
         self.update_own_entry();
