Keep a higher number of hosts that a coordinator reported

Change: a lower number counts once the higher one is as old as the time for which a host serves without a verified view. Tests for FleetHosts, for hosts that send no number, and an example.

Measured: a_lower_report_does_not_hide_hosts_that_may_be_serving failed before (6 instead of 9) and passes; so does the rest of the package.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -101,6 +101,29 @@
     }
 
     /// Returns the hosts from which the shares are computed.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use comfreyway_core::{
+    ///     fleet::{Coordinator, QuotaTolerance, RetryBudgetLimits, ShareBasis},
+    ///     ids::HostId,
+    ///     time::MonoTime,
+    /// };
+    ///
+    /// let host = |name: &str| HostId { name: name.parse().unwrap(), incarnation: 1 };
+    /// let (now, retries) = (
+    ///     MonoTime::from_millis(1),
+    ///     RetryBudgetLimits { ratio: 0.2, slack: 5.0, window_s: 10.0 },
+    /// );
+    /// let mut coordinator = Coordinator::new(retries, QuotaTolerance::default());
+    /// coordinator.set_registered_hosts(now, [&host("a").name, &host("b").name]);
+    /// coordinator.local_host_joined(now, host("a"));
+    /// assert_eq!(coordinator.share_basis(), ShareBasis { clients: 1, known: 2, absent: 0 });
+    /// // It has a session and no entry in the store.
+    /// coordinator.host_joined(now, host("c"));
+    /// assert_eq!(coordinator.share_basis(), ShareBasis { clients: 2, known: 3, absent: 0 });
+    /// ```
     #[must_use]
     pub fn share_basis(&self) -> ShareBasis {
         self.basis
--- a/crates/core/src/fleet/hosts.rs
+++ b/crates/core/src/fleet/hosts.rs
@@ -87,9 +87,12 @@
         self.forget(now);
     }
 
-    /// Records how many hosts the coordinator of this host knows.
+    /// Records how many hosts the coordinator of this host knows. A lower number counts
+    /// once a higher one is forgotten.
     pub fn set_reported(&mut self, now: MonoTime, hosts: usize) {
-        self.reported = Some((hosts, now));
+        if self.recent_report(now) <= hosts {
+            self.reported = Some((hosts, now));
+        }
     }
 
     /// Returns the number of hosts that have an entry in the store or a session with
@@ -102,11 +105,17 @@
     /// Returns the number of hosts that may be serving.
     #[must_use]
     pub fn known(&self, now: MonoTime) -> usize {
-        let is_recent = |at: MonoTime| now.since(at) <= self.memory;
-        let counts = |presence: &&Presence| presence.is_present() || is_recent(presence.last_seen);
-        let seen = self.hosts.values().filter(counts).count();
-        let reported = self.reported.filter(|(_, at)| is_recent(*at)).map_or(0, |(hosts, _)| hosts);
-        seen.max(reported)
+        let counts = |presence: &&Presence| presence.is_present() || self.remembers(presence, now);
+        self.hosts.values().filter(counts).count().max(self.recent_report(now))
+    }
+
+    fn remembers(&self, presence: &Presence, now: MonoTime) -> bool {
+        now.since(presence.last_seen) <= self.memory
+    }
+
+    fn recent_report(&self, now: MonoTime) -> usize {
+        let recent = self.reported.filter(|(_, at)| now.since(*at) <= self.memory);
+        recent.map_or(0, |(hosts, _)| hosts)
     }
 
     fn update<F>(&mut self, now: MonoTime, name: &HostName, change: F)
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod coordinator;
 mod directory;
 mod floors;
+mod hosts;
 mod model;
 mod quota_changes;
 mod quotas;
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -22,6 +22,9 @@
     sessions::COORDINATOR_TIMEOUT,
 };
 
+#[cfg(test)]
+mod tests;
+
 /// Initial buffer of an encoded message: the usual size of a placement request.
 const FRAME_BUFFER_BYTES: usize = 512;
 
