Log how a runner framed its response, and the events of a stream

CF0501 gets the fields framing and events. With them the hypotheses of the truncated stream can be told apart: framing=connection is a response that ended with its connection, framing=chunked or length one whose end the HTTP client missed.

--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -91,7 +91,7 @@
     StopRequested = "CF0408", Info, "operator requested a planned stop";
     /// The complete response was sent to the caller. Fields: id, class,
     /// workspace, upstream, runner, sent, waited_ms, first_ms, total_ms,
-    /// status, revision.
+    /// status, framing, events, revision.
     RequestAnswered = "CF0501", Info, "request answered";
     /// A request was refused without running. Fields: id, reason, class,
     /// workspace, waited_ms, retry_ms, revision, proof_ms.
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -21,7 +21,7 @@
     runner_connections::{RequestSender, RunnerConnections, SendFailure},
 };
 
-use super::admitted::AdmittedRequest;
+use super::{admitted::AdmittedRequest, framing::Framing};
 
 /// Time to read the short body of a refusal.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
@@ -50,6 +50,7 @@
     pub(super) runner: RunnerKey,
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
+    pub(super) framing: Framing,
     pub(super) body: Incoming,
     pub(super) sent_at: Instant,
     sender: RequestSender,
@@ -103,10 +104,12 @@
     let max_idle_connections = upstream
         .map_or(0, |upstream| upstream.max_idle_connections(runner.slots, request.known_hosts));
     let key = runner.key.clone();
+    let framing = Framing::new(&headers, &body);
     let response = RunnerResponse {
         runner: key,
         status,
         headers,
+        framing,
         body,
         sent_at,
         sender,
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -141,7 +141,13 @@
                             handle.ended(DispatchEnd::Cancelled);
                         } else {
                             handle.ended(completed(&response));
-                            record_answered(proxy, &request, &response, sent + 1, None);
+                            record_answered(
+                                proxy,
+                                &request,
+                                &response,
+                                sent + 1,
+                                StreamEvents::default(),
+                            );
                             let mut res = Response::new(buffered(body));
                             *res.status_mut() = forwarded_status(status);
                             *res.headers_mut() = end_to_end(&response.headers);
@@ -193,20 +199,28 @@
     unknown(request, reason)
 }
 
-/// Records a complete response from a runner. `first` is the time of the first
-/// event if it is a stream.
+/// The events of a stream.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct StreamEvents {
+    /// Time of the first one from the last runner.
+    pub(super) first: Option<Instant>,
+    /// Number of all.
+    pub(super) count: u32,
+}
+
+/// Records a complete response from a runner.
 pub(super) fn record_answered(
     proxy: &ProxyState,
     request: &AdmittedRequest,
     response: &RunnerResponse,
     sent: u32,
-    first: Option<Instant>,
+    events: StreamEvents,
 ) {
     let now = Instant::now();
     let since = |at: Instant| at.saturating_duration_since(request.arrived);
     let times = RequestTimes {
         waited: since(response.sent_at),
-        first_byte: since(first.unwrap_or(now)),
+        first_byte: since(events.first.unwrap_or(now)),
         total: since(now),
     };
     let labels = RequestLabels {
@@ -227,6 +241,8 @@
         first_ms = times.first_byte.as_millis() as u64,
         total_ms = times.total.as_millis() as u64,
         status = response.status.as_u16(),
+        framing = response.framing.as_str(),
+        events = events.count,
         revision:% = Revision(request.config.revision)
     );
 }
--- a/crates/node/src/fleet/proxy/mod.rs
+++ b/crates/node/src/fleet/proxy/mod.rs
@@ -12,6 +12,7 @@
 mod attempt;
 mod event_buffer;
 mod exchange;
+mod framing;
 mod handler;
 mod relay;
 mod response;
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -22,7 +22,7 @@
     admitted::{AdmittedRequest, end_to_end},
     attempt::RunnerResponse,
     event_buffer::EventBuffer,
-    exchange::{DispatchResult, dispatch, may_retry, record_answered},
+    exchange::{DispatchResult, StreamEvents, dispatch, may_retry, record_answered},
     handler::{Proxy, ProxyState},
     response::{RelayError, ResponseBody, streamed},
 };
@@ -154,7 +154,8 @@
                 first_token: first,
                 total,
             }));
-            record_answered(&self.proxy, &self.request, &response, self.sent, self.first_event);
+            let events = StreamEvents { first: self.first_event, count: self.events.events() };
+            record_answered(&self.proxy, &self.request, &response, self.sent, events);
             response.keep_connection(&self.proxy.connections);
         }
         rest
