Play streams that end inside an event, tests failing

Callers got a stream that its runner had broken off with a proper last chunk. The new stand-in writes responses byte by byte, with any framing.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`store`]: the platform's store with outages, delays, lost replies and rate
 //!   limits.
 //! - [`fleet_runner`]: a runner of a fleet.
+//! - [`raw_runner`]: a runner that writes its responses byte by byte.
 //! - [`daemon`]: daemon processes.
 //! - [`proxy`]: a TCP proxy that injects faults on one link.
 //! - [`load`] and [`measure`]: a load generator, and measurement of its cost.
@@ -28,6 +29,7 @@
 pub mod load;
 pub mod measure;
 pub mod proxy;
+pub mod raw_runner;
 pub mod run_log;
 pub mod server;
 pub mod service;
--- a/tests/testsuite/fleet/harness.rs
+++ b/tests/testsuite/fleet/harness.rs
@@ -6,6 +6,7 @@
 use comfreyway_testkit::{
     daemon::DaemonSettings,
     fleet_runner::{FleetRunner, RunnerMode},
+    raw_runner::{RawResponse, RawRunner},
     store::StoreStandIn,
 };
 use serde_json::{Value, json};
@@ -67,6 +68,20 @@
         self
     }
 
+    /// Starts a runner that writes its responses byte by byte, and adds its entry
+    /// to the store.
+    pub(super) fn start_raw_runner(
+        &self,
+        upstream: &str,
+        name: &str,
+        response: RawResponse,
+    ) -> RawRunner {
+        let runner = RawRunner::start(name, response).unwrap();
+        let entry = runner_entry(runner.address(), upstream, "ready");
+        self.store.put(&format!("servers/{name}"), entry.to_string().as_bytes());
+        runner
+    }
+
     pub(super) fn put_runner(&self, runner: &FleetRunner, upstream: &str, state: &str) {
         let entry = runner_entry(runner.address(), upstream, state);
         let key = format!("servers/{}", runner.name());
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -11,3 +11,4 @@
 mod runner_notices;
 mod runners;
 mod soak;
+mod truncated_responses;
--- /dev/null
+++ b/tests/testsuite/fleet/truncated_responses.rs
@@ -0,0 +1,96 @@
+//! Responses that runners break off, in each framing.
+
+use comfreyway_testkit::{
+    fleet_runner::RunnerMode,
+    raw_runner::{RawResponse, RawRunner},
+};
+use rstest::rstest;
+
+use super::harness::{FleetHarness, call, events, raw_call};
+
+/// The end of a chunked body.
+const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// Returns a response without a length or chunks, which ends with its connection.
+fn unframed(body: &str) -> RawResponse {
+    RawResponse { body: body.as_bytes().to_vec(), ..RawResponse::default() }
+}
+
+/// Returns a chunked response that is complete as far as its framing tells.
+fn chunked(body: &str) -> RawResponse {
+    let chunk = match body.len() {
+        0 => String::new(),
+        length => format!("{length:x}\r\n{body}\r\n"),
+    };
+    RawResponse {
+        head: "transfer-encoding: chunked\r\n".to_owned(),
+        body: format!("{chunk}{LAST_CHUNK}").into_bytes(),
+        ..RawResponse::default()
+    }
+}
+
+fn is_framed_as_complete(response: &str) -> bool {
+    response.ends_with(LAST_CHUNK)
+}
+
+/// Plays a stream that ends after each of its bytes.
+#[rstest]
+#[case::unframed(unframed)]
+#[case::chunked(chunked)]
+#[actix_rt::test]
+async fn a_stream_that_ends_inside_an_event_is_not_framed_as_complete(
+    #[case] framed: fn(&str) -> RawResponse,
+) {
+    let fleet = FleetHarness::new();
+    let runner = fleet.start_raw_runner("dala", "e1", RawResponse::default());
+    let host = fleet.start_host("h1").await;
+    let stream = events(3);
+    for length in 1..=stream.len() {
+        runner.set_response(framed(&stream[..length]));
+        let response = raw_call(&host, "/tags/").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{length} bytes: {response}");
+        let is_whole = stream[..length].ends_with("\n\n");
+        assert_eq!(is_framed_as_complete(&response), is_whole, "{length} bytes: {response}");
+    }
+    assert_eq!(runner.requests().len(), stream.len());
+}
+
+#[actix_rt::test]
+async fn a_stream_without_framing_or_events_is_not_framed_as_complete() {
+    let fleet = FleetHarness::new();
+    let _runner = fleet.start_raw_runner("dala", "e1", unframed(""));
+    let host = fleet.start_host("h1").await;
+    let response = raw_call(&host, "/tags/").await;
+    assert!(!is_framed_as_complete(&response), "{response}");
+}
+
+#[actix_rt::test]
+async fn a_stream_that_ends_inside_an_event_resumes_on_another_runner() {
+    let mut fleet = FleetHarness::new();
+    let truncated = fleet.start_raw_runner("dala", "e1", unframed("id: 1\ndata: e1\n\nid: 2\nda"));
+    let host = fleet.start_host("h1").await;
+    fleet = fleet.with_runner("dala", "e2", RunnerMode::Stream(4));
+    // Requests go to either runner first.
+    for number in 0.. {
+        let response = call(&host, &format!("id-{number}"), "/report/").await;
+        assert_eq!(response.body, Some(events(4)), "request {number}");
+        if !truncated.requests().is_empty() {
+            break;
+        }
+    }
+    let runs = fleet.runners[0].runs();
+    let resumed = runs.iter().find_map(|run| run.headers.get("last-event-id"));
+    assert_eq!(resumed.map(String::as_str), Some("1"));
+}
+
+#[actix_rt::test]
+async fn a_resumed_stream_that_ends_inside_an_event_is_not_framed_as_complete() {
+    let fleet = FleetHarness::new();
+    let truncated = |n: u64| unframed(&format!("id: {n}\ndata: e{n}\n\nid: {}\nda", n + 1));
+    let runners = [1, 2].map(|n| fleet.start_raw_runner("dala", &format!("e{n}"), truncated(n)));
+    let host = fleet.start_host("h1").await;
+    let response = raw_call(&host, "/report/").await;
+    assert!(!is_framed_as_complete(&response), "{response}");
+    let sent = |runner: &RawRunner| runner.requests().len();
+    assert_eq!(runners.iter().map(sent).sum::<usize>(), 2);
+}
