Treat a stream that ends inside an event as broken

Cause: the relay took every end of the runner's body that the HTTP client reports without an error for the end of the stream, and forwarded the rest of an unfinished event. A body without a length or chunks ends with its connection, which the client never reports as an error; the caller's own chunked body then asserted what the runner's had not. The embedded upstream client has always checked for this (upstream/completion.rs), the path of fleets had no such check.

Ruled out: an error that the relay lost (no CF0506 beside the CF0501), and a truncated chunked body that the HTTP client accepts (hyper reports it).

Change: a stream is complete if it ended outside an event and, without framing, after one at least. Any other end is handled as a broken response: the stream resumes at another runner after its last whole event, or the caller's connection is closed without the last chunk. Lines may end with CR alone, which was forwarded as a rest before and would count as unfinished now. A response on a stream route that has another media type is no event stream and is forwarded whole. A connection whose end was that of the body is not offered for reuse.

Why it works: event boundaries are the only framing that an unframed stream has, and all bytes inside an event are held back until it is complete. What can't be seen: an unframed stream cut exactly between two events.

--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -11,7 +11,7 @@
 use hyper::{
     HeaderMap, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_ENCODING, HeaderName, RETRY_AFTER},
+    header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderName, RETRY_AFTER},
 };
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -20,6 +20,7 @@
     platform_format::header,
     runner_connections::{RequestSender, RunnerConnections, SendFailure},
 };
+use crate::upstream::media_type;
 
 use super::{admitted::AdmittedRequest, framing::Framing};
 
@@ -143,6 +144,17 @@
             && !self.headers.contains_key(CONTENT_ENCODING)
     }
 
+    /// Returns true if the body consists of events. A response without a media type
+    /// counts as one.
+    pub(super) fn is_event_stream(&self) -> bool {
+        let media_type = self.media_type();
+        media_type.is_empty() || media_type == "text/event-stream"
+    }
+
+    fn media_type(&self) -> String {
+        media_type(self.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()))
+    }
+
     /// Reads the body to its end.
     pub(super) async fn read_whole(
         &mut self,
@@ -178,6 +190,9 @@
 
     /// Keeps the connection for reuse, after the end of the body.
     pub(super) fn keep_connection(self, connections: &RunnerConnections) {
+        if self.framing == Framing::Connection {
+            return;
+        }
         connections.release(&self.runner, self.sender, self.keep_alive, self.max_idle_connections);
     }
 
--- a/crates/node/src/fleet/proxy/event_buffer.rs
+++ b/crates/node/src/fleet/proxy/event_buffer.rs
@@ -59,6 +59,16 @@
         complete.freeze()
     }
 
+    /// Returns true if the last event is incomplete. Empty lines and complete
+    /// comment lines belong to no event.
+    pub(super) fn is_inside_event(&self) -> bool {
+        let mut lines = self.buf.split_inclusive(is_line_end);
+        lines.any(|line| match line {
+            [b':', .., last] => !is_line_end(last),
+            _ => !line.iter().all(is_line_end),
+        })
+    }
+
     /// Returns the bytes left at the end of the stream.
     pub(super) fn take_remaining(&mut self) -> Bytes {
         self.searched = 0;
@@ -68,14 +78,14 @@
     /// Returns the length of the first event, including the empty line after
     /// it.
     fn find_end(&mut self) -> Option<usize> {
-        let mut at = self.searched.saturating_sub(3);
+        let mut at = self.searched.saturating_sub(2);
         while at < self.buf.len() {
             let rest = &self.buf[at..];
-            if rest.starts_with(b"\n\n") {
+            if rest.starts_with(b"\n\n") || rest.starts_with(b"\r\r") {
                 return Some(at + 2);
             }
-            if rest.starts_with(b"\r\n\r\n") {
-                return Some(at + 4);
+            if rest.starts_with(b"\n\r\n") {
+                return Some(at + 3);
             }
             at += 1;
         }
@@ -84,8 +94,12 @@
     }
 }
 
+fn is_line_end(byte: &u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|&b| b == b'\n');
+    let mut lines = event.split(is_line_end);
     let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/node/src/fleet/proxy/event_buffer/tests.rs
+++ b/crates/node/src/fleet/proxy/event_buffer/tests.rs
@@ -1,5 +1,7 @@
 //! Only complete events are returned, and none twice.
 
+use rstest::rstest;
+
 use super::*;
 
 #[test]
@@ -27,3 +29,28 @@
     assert_eq!(events.push(b"\nid: 8"), "id: 7\r\n\r\n");
     assert_eq!(events.last_id(), Some(7));
 }
+
+#[test]
+fn events_end_at_an_empty_line_of_any_line_end() {
+    let mut events = EventBuffer::default();
+    assert_eq!(
+        events.push(b"id: 1\rdata: a\r\rid: 2\r\ndata: b\n\r\n"),
+        "id: 1\rdata: a\r\rid: 2\r\ndata: b\n\r\n"
+    );
+    assert_eq!((events.last_id(), events.events()), (Some(2), 2));
+}
+
+#[rstest]
+#[case::nothing("", false)]
+#[case::empty_lines("\r\n\n", false)]
+#[case::comment(": keep-alive\n", false)]
+#[case::partial_comment(": keep-", true)]
+#[case::partial_line("da", true)]
+#[case::line("data: a\n", true)]
+#[case::line_after_a_comment(": keep-alive\nid: 4", true)]
+fn rest_after_the_last_event_is_inside_an_event(#[case] rest: &str, #[case] expected: bool) {
+    let mut events = EventBuffer::default();
+    events.push(b"id: 3\ndata: c\n\n");
+    events.push(rest.as_bytes());
+    assert_eq!(events.is_inside_event(), expected);
+}
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -128,7 +128,8 @@
             }
             DispatchResult::Unknown(reason) => reason,
             DispatchResult::Response(mut response) => {
-                if response.status.is_success() && request.route.streaming {
+                let is_success = response.status.is_success();
+                if is_success && request.route.streaming && response.is_event_stream() {
                     return relay(proxy, request, handle, response, sent + 1);
                 }
                 match response.read_whole(&request.caller_id, request.deadline).await {
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -23,6 +23,7 @@
     attempt::RunnerResponse,
     event_buffer::EventBuffer,
     exchange::{DispatchResult, StreamEvents, dispatch, may_retry, record_answered},
+    framing::Framing,
     handler::{Proxy, ProxyState},
     response::{RelayError, ResponseBody, streamed},
 };
@@ -94,6 +95,13 @@
     kept
 }
 
+/// Returns true if a stream that ended without an error may be complete. The end
+/// of the connection proves that only as far as the events show it.
+fn is_complete(framing: Framing, events: &EventBuffer, first_event: Option<Instant>) -> bool {
+    let is_started = framing != Framing::Connection || first_event.is_some();
+    is_started && !events.is_inside_event()
+}
+
 impl StreamRelay {
     async fn step(&mut self) -> Step {
         loop {
@@ -108,9 +116,15 @@
                     return Step::Fail(RelayError::TimeLimit);
                 }
             };
+            let frame = match frame {
+                None if is_complete(response.framing, &self.events, self.first_event) => {
+                    return Step::End(self.end());
+                }
+                None => Err("the stream ended inside an event, or without one".to_owned()),
+                Some(frame) => frame.map_err(|e| e.to_string()),
+            };
             match frame {
-                None => return Step::End(self.end()),
-                Some(Ok(frame)) => {
+                Ok(frame) => {
                     let Ok(data) = frame.into_data() else { continue };
                     let complete = self.events.push(&data);
                     if complete.is_empty() {
@@ -122,12 +136,12 @@
                     }
                     return Step::Forward(complete);
                 }
-                Some(Err(e)) => {
+                Err(cause) => {
                     log_event!(
                         Event::RunnerResponseUnusable,
                         id = self.request.caller_id.as_str(),
                         runner:% = response.runner.name,
-                        cause:% = e,
+                        cause = cause.as_str(),
                         after:% = Optional(self.events.last_id()),
                         after_ms = response.sent_at.elapsed().as_millis() as u64
                     );
@@ -185,7 +199,9 @@
             self.handle = self.proxy.submit(&self.request, self.sent, avoid);
             let after = self.events.last_id();
             match dispatch(&self.proxy, &self.request, &mut self.handle, after).await {
-                DispatchResult::Response(response) if response.status.is_success() => {
+                DispatchResult::Response(response)
+                    if response.status.is_success() && response.is_event_stream() =>
+                {
                     log_event!(
                         Event::RequestRetried,
                         id = self.request.caller_id.as_str(),
--- a/crates/node/src/upstream/completion.rs
+++ b/crates/node/src/upstream/completion.rs
@@ -12,7 +12,11 @@
     header::{self, HeaderMap},
 };
 
-use super::{EventScan, json_scan::JsonScan};
+use super::{
+    EventScan,
+    json_scan::JsonScan,
+    media_type::{is_json, media_type},
+};
 
 /// Decides when a response body is complete.
 #[derive(Debug)]
@@ -88,7 +92,8 @@
     /// Creates the check for a response with this head. An engine's event
     /// stream needs its end marker whatever its framing.
     pub(crate) fn new(is_engine: bool, framing: Framing, headers: &HeaderMap) -> Self {
-        let media_type = media_type(headers);
+        let content_type = headers.get(header::CONTENT_TYPE);
+        let media_type = media_type(content_type.and_then(|value| value.to_str().ok()));
         match framing {
             Framing::Empty => Self::Empty,
             _ if is_engine && media_type == "text/event-stream" => Self::EndMarker(Box::default()),
@@ -128,13 +133,3 @@
         }
     }
 }
-
-fn media_type(headers: &HeaderMap) -> String {
-    let value = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    let media_type = value.unwrap_or_default().split(';').next().unwrap_or_default();
-    media_type.trim().to_ascii_lowercase()
-}
-
-fn is_json(media_type: &str) -> bool {
-    media_type == "application/json" || media_type.ends_with("+json")
-}
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -15,6 +15,7 @@
 mod event_scan;
 mod headers;
 mod json_scan;
+mod media_type;
 mod outbound;
 mod strict_stream;
 mod usage;
@@ -24,6 +25,7 @@
     completion::{CompletionCheck, Framing},
     event_scan::EventScan,
     headers::{end_to_end, is_reserved_on_requests, is_reserved_on_responses},
+    media_type::media_type,
     outbound::OutboundRequest,
     usage::ResponseUsage,
 };
--- a/crates/testkit/src/fleet_runner/handler.rs
+++ b/crates/testkit/src/fleet_runner/handler.rs
@@ -19,6 +19,8 @@
 /// Time for the chunks before a cut to be written to the socket.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 
+const EVENT_STREAM: &str = "text/event-stream";
+
 const REQUEST_ID: &str = "x-comfreyway-request-id";
 const SIGNATURE: &str = "x-comfreyway-runner-signature";
 const NOT_EXECUTED: &str = "x-comfreyway-not-executed";
@@ -64,11 +66,11 @@
     let after = header("last-event-id").parse().unwrap_or(0);
     match mode {
         RunnerMode::Stream(count) | RunnerMode::LeavingStream(count) => {
-            res.streaming(events(after, count, None))
+            res.content_type(EVENT_STREAM).streaming(events(after, count, None))
         }
         RunnerMode::CutAfter(count) => {
             let partial = format!("id: {}\nda", count + 1);
-            res.streaming(events(after, count, Some(partial)))
+            res.content_type(EVENT_STREAM).streaming(events(after, count, Some(partial)))
         }
         RunnerMode::Fails => res.status(StatusCode::INTERNAL_SERVER_ERROR).body("failed"),
         RunnerMode::Disconnect => {
