Limit the bytes that a runner sends without progress

A runner that sends bytes without end could take a host's thread: callers of other runners waited, and the request itself was ended 12.7 s after its arrival, with a time limit of 8 s (debug build, chunk size of endless zeros).

Cause: the HTTP parser skips some input without returning, so the limits that are checked at each frame never were. Of the ways played, it has limits of its own for heads, chunk extensions and trailers; a chunk size with leading zeros and informational responses have none.

Change: the socket counts the bytes since the last part of a response and fails above 1 MiB. That covers every such input, whatever the parser accepts.

Evidence: a_stream_without_end_resumes_on_another_runner failed for chunk_size and informational_responses without this change and passes with it; the four other cases passed before.

--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 mod request_handle;
 mod run;
 mod runner_connections;
+mod runner_stream;
 mod sessions;
 pub mod wire;
 
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Response, StatusCode,
-    body::Incoming,
+    body::{Frame, Incoming},
     header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderName, RETRY_AFTER},
 };
 use tokio::time::{Instant, timeout, timeout_at};
@@ -18,7 +18,7 @@
 use crate::events::{Event, Optional, log_event};
 use crate::fleet::{
     platform_format::header,
-    runner_connections::{RequestSender, RunnerConnections, SendFailure},
+    runner_connections::{RunnerConnection, RunnerConnections, SendFailure},
 };
 use crate::upstream::media_type;
 
@@ -52,9 +52,9 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) framing: Framing,
-    pub(super) body: Incoming,
+    body: Incoming,
     pub(super) sent_at: Instant,
-    sender: RequestSender,
+    connection: RunnerConnection,
     keep_alive: Option<Duration>,
     /// Idle connections that may be kept to the runner.
     max_idle_connections: usize,
@@ -82,7 +82,7 @@
         after:% = Optional(after)
     );
     let sending = connections.send(&runner.key, runner.address, req);
-    let (res, sender) = match timeout_at(request.deadline, sending).await {
+    let (res, connection) = match timeout_at(request.deadline, sending).await {
         Ok(Ok(received)) => received,
         Ok(Err(SendFailure::NotSent(reason))) => return (Attempt::NotRun(reason), None),
         Ok(Err(SendFailure::Unknown(cause))) => {
@@ -113,7 +113,7 @@
         framing,
         body,
         sent_at,
-        sender,
+        connection,
         keep_alive,
         max_idle_connections,
     };
@@ -155,6 +155,12 @@
         media_type(self.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok()))
     }
 
+    /// Reads the next frame of the body; returns `None` at its end.
+    pub(super) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        self.connection.progress.advance();
+        self.body.frame().await
+    }
+
     /// Reads the body to its end.
     pub(super) async fn read_whole(
         &mut self,
@@ -163,7 +169,7 @@
     ) -> Result<Bytes, UnknownReason> {
         let mut whole = BytesMut::new();
         loop {
-            match timeout_at(deadline, self.body.frame()).await {
+            match timeout_at(deadline, self.frame()).await {
                 Err(_) => return Err(UnknownReason::UpstreamTimeout),
                 Ok(None) => return Ok(whole.freeze()),
                 Ok(Some(Ok(frame))) => {
@@ -193,7 +199,12 @@
         if self.framing == Framing::Connection {
             return;
         }
-        connections.release(&self.runner, self.sender, self.keep_alive, self.max_idle_connections);
+        connections.release(
+            &self.runner,
+            self.connection,
+            self.keep_alive,
+            self.max_idle_connections,
+        );
     }
 
     async fn discard(mut self, caller_id: &str, connections: &RunnerConnections) {
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -9,7 +9,6 @@
     request::{DispatchEnd, Usage},
 };
 use futures_util::stream;
-use http_body_util::BodyExt;
 use hyper::{HeaderMap, Response, body::Frame, header::CONTENT_LENGTH};
 use tokio::time::{Instant, timeout_at};
 
@@ -108,7 +107,7 @@
             let Some(response) = &mut self.response else {
                 return Step::Fail(RelayError::Broken);
             };
-            let frame = match timeout_at(self.request.deadline, response.body.frame()).await {
+            let frame = match timeout_at(self.request.deadline, response.frame()).await {
                 Ok(frame) => frame,
                 Err(_) => {
                     self.handle.ended(DispatchEnd::Cancelled);
--- a/crates/node/src/fleet/runner_connections.rs
+++ b/crates/node/src/fleet/runner_connections.rs
@@ -17,6 +17,8 @@
     time::{Instant, timeout},
 };
 
+use super::runner_stream::{ReadProgress, RunnerStream};
+
 /// Connect timeout. Data centres of a region are a few milliseconds apart, and
 /// one lost packet costs a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -41,11 +43,14 @@
 /// requests at a time.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
-/// The sending half of a connection.
-pub(super) type RequestSender = http1::SendRequest<Full<Bytes>>;
+/// A connection that is in use for one request.
+pub(super) struct RunnerConnection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    pub(super) progress: ReadProgress,
+}
 
 struct IdleConnection {
-    sender: RequestSender,
+    connection: RunnerConnection,
     until: Instant,
 }
 
@@ -71,10 +76,11 @@
         runner: &RunnerKey,
         address: SocketAddr,
         mut req: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, RequestSender), SendFailure> {
-        while let Some(mut sender) = self.take_idle(runner) {
-            match sender.try_send_request(req).await {
-                Ok(res) => return Ok((res, sender)),
+    ) -> Result<(Response<Incoming>, RunnerConnection), SendFailure> {
+        while let Some(mut connection) = self.take_idle(runner) {
+            connection.progress.advance();
+            match connection.sender.try_send_request(req).await {
+                Ok(res) => return Ok((res, connection)),
                 Err(mut e) => match e.take_message() {
                     // The connection was closed before anything was written.
                     Some(unsent) => req = unsent,
@@ -82,9 +88,9 @@
                 },
             }
         }
-        let mut sender = connect(address).await?;
-        match sender.try_send_request(req).await {
-            Ok(res) => Ok((res, sender)),
+        let mut connection = connect(address).await?;
+        match connection.sender.try_send_request(req).await {
+            Ok(res) => Ok((res, connection)),
             Err(mut e) => Err(match e.take_message() {
                 Some(_) => SendFailure::NotSent(RetryReason::ConnectRefused),
                 None => SendFailure::Unknown(e.into_error().to_string()),
@@ -98,20 +104,20 @@
     pub(super) fn release(
         &self,
         runner: &RunnerKey,
-        sender: RequestSender,
+        connection: RunnerConnection,
         keep_alive: Option<Duration>,
         max_idle: usize,
     ) {
         let idle_timeout = keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |keep_alive| {
             keep_alive.saturating_sub(IDLE_TIMEOUT_MARGIN)
         });
-        if sender.is_closed() || idle_timeout.is_zero() {
+        if connection.sender.is_closed() || idle_timeout.is_zero() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let idle = idle.entry(runner.clone()).or_default();
         if idle.len() < max_idle.min(MAX_IDLE_CONNECTIONS) {
-            idle.push(IdleConnection { sender, until: Instant::now() + idle_timeout });
+            idle.push(IdleConnection { connection, until: Instant::now() + idle_timeout });
         }
     }
 
@@ -119,25 +125,25 @@
     pub(super) fn sweep(&self) {
         let now = Instant::now();
         self.idle.borrow_mut().retain(|_, idle| {
-            idle.retain(|idle| idle.until > now && !idle.sender.is_closed());
+            idle.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
             !idle.is_empty()
         });
     }
 
-    fn take_idle(&self, runner: &RunnerKey) -> Option<RequestSender> {
+    fn take_idle(&self, runner: &RunnerKey) -> Option<RunnerConnection> {
         let mut idle = self.idle.borrow_mut();
         let idle = idle.get_mut(runner)?;
         let now = Instant::now();
-        while let Some(IdleConnection { sender, until }) = idle.pop() {
-            if until > now && sender.is_ready() {
-                return Some(sender);
+        while let Some(IdleConnection { connection, until }) = idle.pop() {
+            if until > now && connection.sender.is_ready() {
+                return Some(connection);
             }
         }
         None
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<RequestSender, SendFailure> {
+async fn connect(address: SocketAddr) -> Result<RunnerConnection, SendFailure> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => {
@@ -147,6 +153,8 @@
         Err(_) => return Err(SendFailure::NotSent(RetryReason::ConnectTimeout)),
     };
     set_socket_options(&stream);
+    let progress = ReadProgress::default();
+    let stream = RunnerStream::new(stream, progress.clone());
     let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
     let (sender, connection) =
         handshake.map_err(|_| SendFailure::NotSent(RetryReason::ConnectRefused))?;
@@ -155,7 +163,7 @@
             log::debug!("connection to runner at {address} ended: {e}");
         }
     });
-    Ok(sender)
+    Ok(RunnerConnection { sender, progress })
 }
 
 /// Sets socket options that make the kernel break a connection to an
--- a/crates/testkit/src/raw_runner.rs
+++ b/crates/testkit/src/raw_runner.rs
@@ -22,10 +22,14 @@
 /// What a runner writes after the head of its response.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RawResponse {
+    /// Status; 200 if none.
+    pub status: Option<u16>,
     /// More lines of the head, each with its line end.
     pub head: String,
     /// Bytes of the body, with their framing.
     pub body: Vec<u8>,
+    /// Leaves out the empty line after the head.
+    pub unfinished_head: bool,
     /// Bytes that are repeated until the peer closes the connection. Without any,
     /// the runner closes it.
     pub endless: Vec<u8>,
@@ -116,9 +120,11 @@
     shared.requests.lock().unwrap_or_else(PoisonError::into_inner).push(request);
     let response = shared.response.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let name = &shared.name;
+    let status = response.status.unwrap_or(200);
+    let end = if response.unfinished_head { "" } else { "\r\n" };
     write!(
         stream,
-        "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n{SIGNATURE}: {name}\r\n{}\r\n",
+        "HTTP/1.1 {status} -\r\n{REQUEST_ID}: {id}\r\n{SIGNATURE}: {name}\r\n{}{end}",
         response.head
     )?;
     stream.write_all(&response.body)?;
