Limit the memory of responses that are held back

One runner that sends an event without end could take all of a host's memory, and with it every caller's connection. Sixteen runners with endless plain responses took 563,744 kB (debug build); the platform ends a host at 260 MB.

Cause: the event buffer had no limit at all, and the limit of 16 MiB for other responses held for each of them alone, however many there were.

Change: an event may have 1 MiB. Beyond 64 KiB each, all held responses of a host share 24 MiB, so that small ones are not refused because of others. A response above a limit is broken by its runner: logged as CF0506, retried or resumed where that is allowed, otherwise unknown. The body of a refusal is no longer kept while it is read.

Evidence: three cases of a_stream_without_end_resumes_on_another_runner (the host held the event until the time limit) and many_responses_without_end_do_not_use_up_the_memory failed before and pass now.

--- a/crates/node/src/fleet/host_state.rs
+++ b/crates/node/src/fleet/host_state.rs
@@ -9,6 +9,8 @@
 
 use crate::control::Clock;
 
+use super::response_memory::ResponseMemory;
+
 /// State that the control thread writes and the traffic threads read.
 #[derive(Debug)]
 pub(super) struct HostState {
@@ -20,6 +22,7 @@
     refusing: AtomicBool,
     in_progress: AtomicUsize,
     hosts: AtomicUsize,
+    pub(super) response_memory: Arc<ResponseMemory>,
 }
 
 impl HostState {
@@ -32,6 +35,7 @@
             refusing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             hosts: AtomicUsize::new(1),
+            response_memory: Arc::default(),
         }
     }
 
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod proxy;
 mod registration;
 mod request_handle;
+mod response_memory;
 mod run;
 mod runner_connections;
 mod runner_stream;
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to a runner.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
@@ -18,6 +18,7 @@
 use crate::events::{Event, Optional, log_event};
 use crate::fleet::{
     platform_format::header,
+    response_memory::HeldBytes,
     runner_connections::{RunnerConnection, RunnerConnections, SendFailure},
 };
 use crate::upstream::media_type;
@@ -27,10 +28,6 @@
 /// Time to read the short body of a refusal.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Maximum size of a response that is not streamed, which is held until it is
-/// complete.
-const MAX_BUFFERED_BYTES: usize = 16 << 20;
-
 /// Maximum time for which a runner is left alone at its own request.
 const MAX_REST: Duration = Duration::from_secs(3_600);
 
@@ -119,7 +116,7 @@
     };
     let other_runner = status == StatusCode::MISDIRECTED_REQUEST;
     if other_runner || response.headers.contains_key(request.header_names.not_executed) {
-        response.discard(&request.caller_id, connections).await;
+        response.discard(connections).await;
         let reason = match other_runner {
             true => RetryReason::RunnerLeaving,
             false => RetryReason::TurnedAway,
@@ -166,34 +163,37 @@
         &mut self,
         caller_id: &str,
         deadline: Instant,
+        mut held: HeldBytes,
     ) -> Result<Bytes, UnknownReason> {
         let mut whole = BytesMut::new();
         loop {
-            match timeout_at(deadline, self.frame()).await {
+            let frame = match timeout_at(deadline, self.frame()).await {
                 Err(_) => return Err(UnknownReason::UpstreamTimeout),
                 Ok(None) => return Ok(whole.freeze()),
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        whole.extend_from_slice(&data);
-                    }
-                }
-                Ok(Some(Err(e))) => {
-                    log_event!(
-                        Event::RunnerResponseUnusable,
-                        id = caller_id,
-                        runner:% = self.runner.name,
-                        cause:% = e,
-                        after_ms = self.sent_at.elapsed().as_millis() as u64
-                    );
-                    return Err(UnknownReason::UpstreamBroke);
-                }
-            }
-            if whole.len() > MAX_BUFFERED_BYTES {
-                return Err(UnknownReason::UpstreamBroke);
+                Ok(Some(frame)) => frame,
+            };
+            let data = match frame {
+                Ok(frame) => frame.into_data().unwrap_or_default(),
+                Err(e) => return Err(self.log_broken_body(caller_id, &e)),
+            };
+            if let Err(e) = held.set(whole.len() + data.len()) {
+                return Err(self.log_broken_body(caller_id, &e));
             }
+            whole.extend_from_slice(&data);
         }
     }
 
+    fn log_broken_body(&self, caller_id: &str, cause: &dyn fmt::Display) -> UnknownReason {
+        log_event!(
+            Event::RunnerResponseUnusable,
+            id = caller_id,
+            runner:% = self.runner.name,
+            cause:% = cause,
+            after_ms = self.sent_at.elapsed().as_millis() as u64
+        );
+        UnknownReason::UpstreamBroke
+    }
+
     /// Keeps the connection for reuse, after the end of the body.
     pub(super) fn keep_connection(self, connections: &RunnerConnections) {
         if self.framing == Framing::Connection {
@@ -207,12 +207,18 @@
         );
     }
 
-    async fn discard(mut self, caller_id: &str, connections: &RunnerConnections) {
-        let deadline = Instant::now() + REFUSAL_BODY_TIMEOUT;
-        if timeout(REFUSAL_BODY_TIMEOUT, self.read_whole(caller_id, deadline))
-            .await
-            .is_ok_and(|r| r.is_ok())
-        {
+    /// Reads the rest of a response that nobody needs, to reuse the connection.
+    async fn discard(mut self, connections: &RunnerConnections) {
+        let rest = timeout(REFUSAL_BODY_TIMEOUT, async {
+            loop {
+                match self.frame().await {
+                    None => return true,
+                    Some(Ok(_)) => {}
+                    Some(Err(_)) => return false,
+                }
+            }
+        });
+        if rest.await.unwrap_or(false) {
             self.keep_connection(connections);
         }
     }
--- a/crates/node/src/fleet/proxy/event_buffer.rs
+++ b/crates/node/src/fleet/proxy/event_buffer.rs
@@ -59,6 +59,11 @@
         complete.freeze()
     }
 
+    /// Returns the number of bytes that are held back.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns true if the last event is incomplete. Empty lines and complete
     /// comment lines belong to no event.
     pub(super) fn is_inside_event(&self) -> bool {
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -11,7 +11,10 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::events::{Event, Optional, log_event};
-use crate::fleet::request_handle::{RequestDecision, RequestHandle};
+use crate::fleet::{
+    request_handle::{RequestDecision, RequestHandle},
+    response_memory::MAX_RESPONSE_BYTES,
+};
 use crate::metrics::{RequestLabels, RequestTimes};
 
 use super::{
@@ -132,7 +135,8 @@
                 if is_success && request.route.streaming && response.is_event_stream() {
                     return relay(proxy, request, handle, response, sent + 1);
                 }
-                match response.read_whole(&request.caller_id, request.deadline).await {
+                let held = proxy.host_state.response_memory.reserve(MAX_RESPONSE_BYTES);
+                match response.read_whole(&request.caller_id, request.deadline, held).await {
                     Ok(body) => {
                         let status = response.status;
                         let retry = status.is_server_error() && may_retry(&request, sent + 1);
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -14,7 +14,10 @@
 
 use crate::{
     events::{Event, Optional, log_event},
-    fleet::request_handle::RequestHandle,
+    fleet::{
+        request_handle::RequestHandle,
+        response_memory::{HeldBytes, MAX_EVENT_BYTES},
+    },
 };
 
 use super::{
@@ -35,6 +38,8 @@
     /// `None` once the stream has ended.
     response: Option<Box<RunnerResponse>>,
     events: EventBuffer,
+    /// Memory of the event that is held back.
+    held: HeldBytes,
     /// Number of runners that the request was sent to.
     sent: u32,
     first_event: Option<Instant>,
@@ -42,6 +47,14 @@
     earlier_events: u32,
 }
 
+/// Reason for the end of a stream that is not complete.
+enum StreamBreak {
+    /// The time limit was reached.
+    TimeLimit,
+    /// The runner's response is broken.
+    Runner(String),
+}
+
 /// Result of one step of the relay.
 enum Step {
     Forward(Bytes),
@@ -65,6 +78,7 @@
         handle,
         response: Some(response),
         events: EventBuffer::default(),
+        held: proxy.host_state.response_memory.reserve(MAX_EVENT_BYTES),
         sent,
         first_event: None,
         earlier_events: 0,
@@ -104,27 +118,9 @@
 impl StreamRelay {
     async fn step(&mut self) -> Step {
         loop {
-            let Some(response) = &mut self.response else {
-                return Step::Fail(RelayError::Broken);
-            };
-            let frame = match timeout_at(self.request.deadline, response.frame()).await {
-                Ok(frame) => frame,
-                Err(_) => {
-                    self.handle.ended(DispatchEnd::Cancelled);
-                    self.record_cut("time-limit");
-                    return Step::Fail(RelayError::TimeLimit);
-                }
-            };
-            let frame = match frame {
-                None if is_complete(response.framing, &self.events, self.first_event) => {
-                    return Step::End(self.end());
-                }
-                None => Err("the stream ended inside an event, or without one".to_owned()),
-                Some(frame) => frame.map_err(|e| e.to_string()),
-            };
-            match frame {
-                Ok(frame) => {
-                    let Ok(data) = frame.into_data() else { continue };
+            match self.next_data().await {
+                Ok(None) => return Step::End(self.end()),
+                Ok(Some(data)) => {
                     let complete = self.events.push(&data);
                     if complete.is_empty() {
                         continue;
@@ -135,15 +131,13 @@
                     }
                     return Step::Forward(complete);
                 }
-                Err(cause) => {
-                    log_event!(
-                        Event::RunnerResponseUnusable,
-                        id = self.request.caller_id.as_str(),
-                        runner:% = response.runner.name,
-                        cause = cause.as_str(),
-                        after:% = Optional(self.events.last_id()),
-                        after_ms = response.sent_at.elapsed().as_millis() as u64
-                    );
+                Err(StreamBreak::TimeLimit) => {
+                    self.handle.ended(DispatchEnd::Cancelled);
+                    self.record_cut("time-limit");
+                    return Step::Fail(RelayError::TimeLimit);
+                }
+                Err(StreamBreak::Runner(cause)) => {
+                    self.log_break(&cause);
                     if let Err(e) = self.resume().await {
                         self.record_cut("runner-broke");
                         return Step::Fail(e);
@@ -153,6 +147,34 @@
         }
     }
 
+    /// Reads the next bytes; returns `None` at the end of a complete stream.
+    async fn next_data(&mut self) -> Result<Option<Bytes>, StreamBreak> {
+        let Some(response) = &mut self.response else {
+            return Err(StreamBreak::Runner("no response".to_owned()));
+        };
+        let by_runner = |cause: &dyn std::fmt::Display| StreamBreak::Runner(cause.to_string());
+        self.held.set(self.events.held_bytes()).map_err(|e| by_runner(&e))?;
+        let frame = timeout_at(self.request.deadline, response.frame()).await;
+        match frame.map_err(|_| StreamBreak::TimeLimit)? {
+            None if is_complete(response.framing, &self.events, self.first_event) => Ok(None),
+            None => Err(by_runner(&"the stream ended inside an event, or without one")),
+            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
+            Some(Err(e)) => Err(by_runner(&e)),
+        }
+    }
+
+    fn log_break(&self, cause: &str) {
+        let Some(response) = &self.response else { return };
+        log_event!(
+            Event::RunnerResponseUnusable,
+            id = self.request.caller_id.as_str(),
+            runner:% = response.runner.name,
+            cause = cause,
+            after:% = Optional(self.events.last_id()),
+            after_ms = response.sent_at.elapsed().as_millis() as u64
+        );
+    }
+
     /// Handles the end of the runner's response.
     fn end(&mut self) -> Bytes {
         let rest = self.events.take_remaining();
