Check JSON responses that end with their connection

Callers got the start of a JSON response with a length, as if it were all of it, when its runner had closed the connection early.

Cause: the same as of truncated streams. Responses that are not streamed are read to the end of the body, and without a length or chunks that is the end of the connection.

Change: such a response is broken if its JSON text ends inside a bracket or string, or is empty. Other media types have no end that could be checked; the end of the connection is taken for theirs, unless it is a reset. The scan is the one of the embedded upstream client.

Evidence: three of five cases of a_json_response_that_ends_with_its_connection_is_checked failed before.

--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -21,7 +21,7 @@
     response_memory::HeldBytes,
     runner_connections::{RunnerConnection, RunnerConnections, SendFailure},
 };
-use crate::upstream::media_type;
+use crate::upstream::{JsonScan, is_json, media_type};
 
 use super::{admitted::AdmittedRequest, framing::Framing};
 
@@ -169,6 +169,10 @@
         loop {
             let frame = match timeout_at(deadline, self.frame()).await {
                 Err(_) => return Err(UnknownReason::UpstreamTimeout),
+                Ok(None) if self.is_truncated(&whole) => {
+                    let cause = "the connection ended inside the body";
+                    return Err(self.log_broken_body(caller_id, &cause));
+                }
                 Ok(None) => return Ok(whole.freeze()),
                 Ok(Some(frame)) => frame,
             };
@@ -183,6 +187,17 @@
         }
     }
 
+    /// Returns true if the body of a response without framing ended too early. Only
+    /// JSON shows that.
+    fn is_truncated(&self, body: &[u8]) -> bool {
+        if self.framing != Framing::Connection || !is_json(&self.media_type()) {
+            return false;
+        }
+        let mut scan = JsonScan::default();
+        scan.feed(body);
+        body.is_empty() || scan.is_open()
+    }
+
     fn log_broken_body(&self, caller_id: &str, cause: &dyn fmt::Display) -> UnknownReason {
         log_event!(
             Event::RunnerResponseUnusable,
--- a/crates/node/src/upstream/json_scan.rs
+++ b/crates/node/src/upstream/json_scan.rs
@@ -20,6 +20,11 @@
         }
     }
 
+    /// Returns true if the text ends inside a bracket or string.
+    pub(crate) fn is_open(self) -> bool {
+        self.depth > 0 || self.in_string
+    }
+
     /// Returns true if the outermost bracket was opened and closed.
     pub(crate) fn is_complete(self) -> bool {
         self.opened && self.depth == 0 && !self.in_string
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -25,7 +25,8 @@
     completion::{CompletionCheck, Framing},
     event_scan::EventScan,
     headers::{end_to_end, is_reserved_on_requests, is_reserved_on_responses},
-    media_type::media_type,
+    json_scan::JsonScan,
+    media_type::{is_json, media_type},
     outbound::OutboundRequest,
     usage::ResponseUsage,
 };
--- a/tests/testsuite/fleet/truncated_responses.rs
+++ b/tests/testsuite/fleet/truncated_responses.rs
@@ -123,3 +123,25 @@
     let sent = |runner: &RawRunner| runner.requests().len();
     assert_eq!(runners.iter().map(sent).sum::<usize>(), 2);
 }
+
+#[rstest]
+#[case::truncated(r#"{"answers":[{"id":1},"#, None)]
+#[case::in_a_string(r#"["ans"#, None)]
+#[case::empty("", None)]
+#[case::whole(r#"{"answers":[]}"#, Some(r#"{"answers":[]}"#))]
+#[case::whole_scalar("17", Some("17"))]
+#[actix_rt::test]
+async fn a_json_response_that_ends_with_its_connection_is_checked(
+    #[case] body: &str,
+    #[case] expected: Option<&str>,
+) {
+    let fleet = FleetHarness::new();
+    let head = "content-type: application/json; charset=utf-8\r\n".to_owned();
+    let _runner = fleet.start_raw_runner("survey", "r1", RawResponse { head, ..unframed(body) });
+    let host = fleet.start_host("h1").await;
+    let response = call(&host, "id-1", "/lookup/count/").await;
+    match expected {
+        Some(body) => assert_eq!((response.status, response.body.as_deref()), (200, Some(body))),
+        None => assert_eq!((response.status, response.reason().as_str()), (502, "upstream-broke")),
+    }
+}
