Don't resume a stream after an event without an id

Callers got the start of a stream twice in one response.

Cause: a broken stream resumes after the last event id that was seen. Without one, or with data after it that has none, the next runner starts too early.

Change: such a stream is cut visibly instead.

Evidence: a_broken_stream_without_event_ids_is_not_resumed failed before with the same event twice.

--- a/crates/node/src/fleet/proxy/event_buffer.rs
+++ b/crates/node/src/fleet/proxy/event_buffer.rs
@@ -13,6 +13,8 @@
     /// Bytes that were already searched for an end.
     searched: usize,
     last_id: Option<u64>,
+    /// True if data was forwarded after the event with the last id.
+    unnumbered_data: bool,
     events: u32,
     /// Events up to this id were forwarded from an earlier runner.
     skip_to: Option<u64>,
@@ -29,6 +31,11 @@
         self.events
     }
 
+    /// Returns true if the stream can resume exactly after the last event.
+    pub(super) fn can_resume(&self) -> bool {
+        !self.unnumbered_data
+    }
+
     /// Prepares for another runner's stream, which resumes after the last
     /// complete event.
     pub(super) fn restart(&mut self) {
@@ -49,6 +56,7 @@
                 continue;
             }
             self.last_id = id.or(self.last_id);
+            self.unnumbered_data = id.is_none() && (self.unnumbered_data || has_data(&event));
             self.events += 1;
             if complete.is_empty() {
                 complete = event;
@@ -99,6 +107,10 @@
     }
 }
 
+fn has_data(event: &[u8]) -> bool {
+    event.split(is_line_end).any(|line| line.starts_with(b"data"))
+}
+
 fn is_line_end(byte: &u8) -> bool {
     matches!(byte, b'\n' | b'\r')
 }
--- a/crates/node/src/fleet/proxy/event_buffer/tests.rs
+++ b/crates/node/src/fleet/proxy/event_buffer/tests.rs
@@ -54,3 +54,19 @@
     events.push(rest.as_bytes());
     assert_eq!(events.is_inside_event(), expected);
 }
+
+#[rstest]
+#[case::nothing("", true)]
+#[case::numbered("id: 1\ndata: a\n\n", true)]
+#[case::comment_after_numbered("id: 1\ndata: a\n\n: keep-alive\n\n", true)]
+#[case::unnumbered("data: a\n\n", false)]
+#[case::unnumbered_after_numbered("id: 1\ndata: a\n\ndata: b\n\n", false)]
+#[case::numbered_after_unnumbered("data: a\n\nid: 1\ndata: b\n\n", true)]
+fn stream_with_unnumbered_data_at_its_end_can_not_resume(
+    #[case] stream: &str,
+    #[case] expected: bool,
+) {
+    let mut events = EventBuffer::default();
+    events.push(stream.as_bytes());
+    assert_eq!(events.can_resume(), expected);
+}
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -212,7 +212,8 @@
         self.response = None;
         self.handle.ended(DispatchEnd::Failed);
         loop {
-            let resumable = self.request.route.retry == RetryPolicy::Resumable;
+            let resumable =
+                self.request.route.retry == RetryPolicy::Resumable && self.events.can_resume();
             if !resumable || !may_retry(&self.request, self.sent) {
                 return Err(RelayError::Broken);
             }
--- a/tests/testsuite/fleet/truncated_responses.rs
+++ b/tests/testsuite/fleet/truncated_responses.rs
@@ -145,3 +145,16 @@
         None => assert_eq!((response.status, response.reason().as_str()), (502, "upstream-broke")),
     }
 }
+
+/// A stream that can't be continued at an exact event would repeat its start.
+#[actix_rt::test]
+async fn a_broken_stream_without_event_ids_is_not_resumed() {
+    let fleet = FleetHarness::new();
+    let truncated = unframed("data: a\n\ndata: b");
+    let runners = ["e1", "e2"].map(|name| fleet.start_raw_runner("dala", name, truncated.clone()));
+    let host = fleet.start_host("h1").await;
+    let response = raw_call(&host, "/report/").await;
+    assert!(!is_framed_as_complete(&response), "{response}");
+    assert_eq!(response.matches("data: a").count(), 1, "{response}");
+    assert_eq!(runners.iter().map(|runner| runner.requests().len()).sum::<usize>(), 1);
+}
