Log the version of a runner and the stream that a request takes up

CF0504 gets the fields version and resumes. With them it can be seen which streams go on at another version, within one response or over their caller's tries. The version in a runner's entry is read for that only; no decision uses it yet.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -14,7 +14,7 @@
 use comfreyway_core::{
     fleet::{
         Coordinator, PlacementReply, PlacementRequest, QuotaTolerance, RequestUpdate,
-        RetryBudgetLimits, RunnerChange, RunnerDirectory, RunnerEntry, RunnerKey,
+        RetryBudgetLimits, RunnerChange, RunnerDirectory, RunnerEntry, RunnerKey, RunnerVersion,
     },
     ids::{HostId, RequestId, Tier},
     request::{DispatchEnd, RequestRecord, Target, Usage},
@@ -133,6 +133,7 @@
         data_centre: "medeu".parse().unwrap_or_else(|_| unreachable!()),
         slots: SLOTS,
         leaving: false,
+        version: RunnerVersion::new("v1"),
     }
 }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -43,7 +43,7 @@
     member::{Member, elect},
     message::{PlacementReply, PlacementRequest, RequestUpdate},
     quota::{QuotaTolerance, Quotas, SHARE_LEASE},
-    runner::{RunnerEntry, RunnerKey},
+    runner::{RunnerEntry, RunnerKey, RunnerVersion},
     runner_notice::RunnerNotice,
     scheduler::{Decision, DispatchFailure, RunnerState, UpstreamScheduler},
     sessions::{HostSessions, OpenOutcome},
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use comfreyway_core::{
-    fleet::{PlacementRequest, RunnerEntry, RunnerKey},
+    fleet::{PlacementRequest, RunnerEntry, RunnerKey, RunnerVersion},
     ids::{HostId, RequestId, RunnerName, Tier},
     request::{RequestRecord, Target},
     time::MonoTime,
@@ -64,5 +64,6 @@
         data_centre: "medeu".parse().unwrap(),
         slots: 4,
         leaving,
+        version: RunnerVersion::new("v1"),
     }
 }
--- a/crates/node/src/fleet/platform_format.rs
+++ b/crates/node/src/fleet/platform_format.rs
@@ -45,6 +45,9 @@
     pub leaving: &'static str,
     /// The event after which a stream resumes.
     pub last_event_id: &'static str,
+    /// Id of the caller's attempt that brought the first event of the stream which
+    /// this one takes up.
+    pub resumes: &'static str,
     /// Headers that only hosts may set; removed from callers' requests.
     pub host_only: &'static [&'static str],
 }
--- a/crates/node/src/fleet/proxy/admitted.rs
+++ b/crates/node/src/fleet/proxy/admitted.rs
@@ -31,6 +31,8 @@
     pub(super) header_names: HeaderNames,
     /// Id that the caller gave.
     pub(super) caller_id: String,
+    /// The caller's id of the stream that this request takes up.
+    pub(super) resumes: Option<String>,
     pub(super) method: Method,
     pub(super) uri: Uri,
     /// Headers for a runner, without those that differ for each attempt.
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -72,11 +72,13 @@
         id = request.caller_id.as_str(),
         runner:% = runner.key.name,
         address:% = runner.address,
+        version:% = Optional(runner.version.as_ref()),
         workspace:% = request.placement.record.workspace,
         cost = request.placement.cost,
         waited_ms = request.arrived.elapsed().as_millis() as u64,
         left_ms = request.deadline.saturating_duration_since(sent_at).as_millis() as u64,
-        after:% = Optional(after)
+        after:% = Optional(after),
+        resumes = request.resumes.as_deref().unwrap_or("none")
     );
     let sending = connections.send(&runner.key, runner.address, req);
     let (res, connection) = match timeout_at(request.deadline, sending).await {
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -241,6 +241,7 @@
         let Some(caller_id) = text(header_names.request_id).map(str::to_owned) else {
             return Err(reject(NotRunReason::BadRequest.into()));
         };
+        let resumes = text(header_names.resumes).map(str::to_owned);
         let route = find_route(&config, &head.headers, &head.uri).cloned();
         let route = route.ok_or_else(|| reject(NotRunReason::UnknownRoute.into()))?;
         let workspace =
@@ -267,6 +268,7 @@
         Ok(AdmittedRequest {
             header_names,
             caller_id,
+            resumes,
             method: head.method,
             uri,
             headers,
