Play streams that break off while two versions serve, tests failing

Callers got streams with events of two software versions.

No host is lost, no view is stale and no name comes back in these tests, so the first hypothesis holds: the decision is missing.

--- a/tests/testsuite/fleet/harness.rs
+++ b/tests/testsuite/fleet/harness.rs
@@ -68,6 +68,26 @@
         self
     }
 
+    /// Starts a runner of this software version and adds its entry to the store.
+    pub(super) fn start_version(
+        &self,
+        upstream: &str,
+        name: &str,
+        version: &str,
+        mode: RunnerMode,
+    ) -> FleetRunner {
+        let runner = FleetRunner::start(name, mode).unwrap();
+        self.put_version(&runner, upstream, version);
+        runner
+    }
+
+    /// Writes the entry of a runner of this software version.
+    pub(super) fn put_version(&self, runner: &FleetRunner, upstream: &str, version: &str) {
+        let mut entry = runner_entry(runner.address(), upstream, "ready");
+        entry["version"] = json!(version);
+        self.store.put(&format!("servers/{}", runner.name()), entry.to_string().as_bytes());
+    }
+
     /// Starts a runner that writes its responses byte by byte, and adds its entry
     /// to the store.
     pub(super) fn start_raw_runner(
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -13,3 +13,4 @@
 mod runners;
 mod soak;
 mod truncated_responses;
+mod versions;
--- /dev/null
+++ b/tests/testsuite/fleet/versions.rs
@@ -0,0 +1,125 @@
+//! Streams while runners of several software versions serve side by side.
+
+use std::time::Duration;
+
+use comfreyway_testkit::fleet_runner::{FleetRunner, RunnerMode};
+
+use rstest::rstest;
+
+use crate::support::Daemon;
+
+use super::harness::{DESK_KEY, FleetHarness, KEY, Response, call, call_with, events};
+
+/// Number of events of a whole stream.
+const EVENTS: u64 = 6;
+
+/// Events before the first runner breaks off.
+const BROKEN_AFTER: u64 = 2;
+
+/// Maximum number of looks at a log.
+const MAX_WAITS: usize = 500;
+
+/// Time between two looks at a log.
+const WAIT: Duration = Duration::from_millis(20);
+
+/// Takes a stream up again that began as `began` and broke off.
+async fn take_up(host: &Daemon, id: &str, began: &str) -> Response {
+    let after = BROKEN_AFTER.to_string();
+    let headers = [(KEY, DESK_KEY), ("last-event-id", &*after), ("resumes", began)];
+    call_with(host, id, "/report/", &headers, "question").await
+}
+
+/// Begins a stream that breaks off at `runner`, the only one that is known.
+async fn begin_broken(host: &Daemon, id: &str, runner: &FleetRunner) {
+    runner.set_mode(RunnerMode::CutAfter(BROKEN_AFTER));
+    let response = call(host, id, "/report/").await;
+    assert_eq!(response.status, 200);
+    assert_eq!(response.headers["x-comfreyway-runner-signature"], runner.name());
+    runner.set_mode(RunnerMode::Stream(EVENTS));
+}
+
+/// Number of requests that continue a stream.
+fn continued(runner: &FleetRunner) -> usize {
+    runner.runs().iter().filter(|run| run.headers.contains_key("last-event-id")).count()
+}
+
+/// Returns the events after those that the broken stream had.
+fn remaining_events() -> String {
+    events(EVENTS).split_off(events(BROKEN_AFTER).len())
+}
+
+/// Waits until the host has read the runner's entry.
+async fn wait_until_known(host: &Daemon, runner: &FleetRunner) {
+    let line = format!("event=CF0521 runner={} ", runner.name());
+    for _ in 0..MAX_WAITS {
+        if host.log().contains(&line) {
+            return;
+        }
+        actix_rt::time::sleep(WAIT).await;
+    }
+    panic!("{} is not known", runner.name());
+}
+
+/// Runners without requests are used in the order of their names.
+#[rstest]
+#[case::none_of_that_version(None, None)]
+#[case::one_of_that_version(Some("v1"), Some(events(EVENTS)))]
+#[actix_rt::test]
+async fn a_broken_stream_resumes_only_at_the_version_that_began_it(
+    #[case] third: Option<&str>,
+    #[case] expected: Option<String>,
+) {
+    let fleet = FleetHarness::new();
+    let first = fleet.start_version("dala", "e1", "v1", RunnerMode::CutAfter(BROKEN_AFTER));
+    let other = fleet.start_version("dala", "e2", "v2", RunnerMode::Stream(EVENTS));
+    let third =
+        third.map(|version| fleet.start_version("dala", "e3", version, RunnerMode::Stream(EVENTS)));
+    let host = fleet.start_host("h1").await;
+    let response = call(&host, "id-1", "/report/").await;
+    assert_eq!(response.headers["x-comfreyway-runner-signature"], first.name());
+    assert_eq!((continued(&other), third.as_ref().map_or(0, continued)), (0, third.iter().len()));
+    if let Some(expected) = expected {
+        assert_eq!(response.body, Some(expected));
+    }
+}
+
+#[actix_rt::test]
+async fn a_stream_that_its_caller_takes_up_again_stays_at_its_version() {
+    let fleet = FleetHarness::new();
+    let first = fleet.start_version("dala", "e1", "v1", RunnerMode::Whole);
+    let hosts = [fleet.start_host("h1").await, fleet.start_host("h2").await];
+    for (number, host) in hosts.iter().enumerate() {
+        begin_broken(host, &format!("began-{number}"), &first).await;
+    }
+    let other = fleet.start_version("dala", "e2", "v2", RunnerMode::Stream(EVENTS));
+    for host in &hosts {
+        wait_until_known(host, &other).await;
+    }
+    for (number, host) in hosts.iter().enumerate() {
+        for began in 0..2 {
+            let id = format!("again-{number}-{began}");
+            let response = take_up(host, &id, &format!("began-{began}")).await;
+            assert_eq!(response.body, Some(remaining_events()), "{id}");
+        }
+    }
+    assert_eq!((continued(&first), continued(&other)), (4, 0));
+}
+
+#[actix_rt::test]
+async fn a_stream_of_an_unknown_version_is_refused_while_several_serve() {
+    let fleet = FleetHarness::new();
+    let runners = ["v1", "v2"].map(|version| {
+        fleet.start_version("dala", &format!("e-{version}"), version, RunnerMode::Stream(EVENTS))
+    });
+    let host = fleet.start_host("h1").await;
+    for runner in &runners {
+        wait_until_known(&host, runner).await;
+    }
+    for number in 0..4 {
+        let response = take_up(&host, &format!("id-{number}"), "never-seen").await;
+        let got = (response.status, response.reason());
+        assert_eq!(got, (503, "version-unknown".to_owned()), "request {number}");
+        assert!(response.headers.contains_key("retry-after"));
+    }
+    assert_eq!(runners.iter().map(continued).sum::<usize>(), 0);
+}
