Bind a stream to the software version that began it

Cause: no decision knew the version. A stream that broke off went on at any usable runner, and a request with Last-Event-Id was placed like a new one. Ruled out for the tests that failed first: lost hosts, stale views, names that come back.

Change: the coordinator records the version of the runner at which a stream's first event arrived, under a hash of the workspace and the caller's id of that attempt; each host records its own streams, and tells each next coordinator before it submits requests there. A request that goes on with a stream is placed at runners of that version only, and its grant names the version, which the host compares with the runner's entry before it sends. While several versions serve, the coordinator copies its records to two client hosts, since its own callers' streams would end with it.

A stream that nobody knows goes on only if one version alone can have begun it: if the view of the store was verified after the request arrived and shows no other version, nor one whose last runner was removed within two time limits. Whoever began the stream had seen its runner's entry before. Otherwise the request waits, at most 1.3 s for a verification and 0.5 s for another host's record, and is refused as not run.

Coordinators of earlier versions grant without a version: a host then refuses to send a request that goes on with a stream. New messages go only to hosts that have told their protocol; the fields added to hellos, pongs and grants are read by earlier hosts (wire tests).

--- a/crates/core/src/fleet/client.rs
+++ b/crates/core/src/fleet/client.rs
@@ -9,15 +9,19 @@
     time::MonoTime,
 };
 
-use super::{PlacementReply, PlacementRequest, RequestUpdate};
+use super::{PlacementReply, PlacementRequest, RequestUpdate, RunnerVersion, StreamRecord};
+
+/// Retry-after time of a request that goes on with a stream and was granted by a
+/// coordinator that does not look at versions.
+const UNBOUND_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// An action for the host to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ClientAction {
     /// Send an update to a coordinator; `None` is the host's own.
     Send(Option<HostId>, RequestUpdate),
-    /// Send the request to this runner now.
-    Dispatch(RequestId, RunnerName),
+    /// Send the request to this runner now, if it has this software version.
+    Dispatch(RequestId, RunnerName, Option<RunnerVersion>),
     /// Refuse the request without running it; the caller may try again after this time.
     Refuse(RequestId, NotRunReason, Duration),
 }
@@ -97,6 +101,27 @@
         out.push(ClientAction::Send(self.coordinator.clone(), RequestUpdate::Requeue(id, reason)));
     }
 
+    /// Records the version of the runner that a request was dispatched to.
+    pub fn dispatched(&mut self, id: RequestId, version: Option<RunnerVersion>) {
+        let stream = self.open.get_mut(&id).and_then(|open| open.req.stream.as_mut());
+        if let Some(stream) = stream {
+            stream.version = version;
+        }
+    }
+
+    /// Returns the version of the stream that a request has begun or goes on with.
+    #[must_use]
+    pub fn stream_record(&self, id: RequestId) -> Option<StreamRecord> {
+        let req = &self.open.get(&id)?.req;
+        let stream = req.stream.as_ref()?;
+        Some(StreamRecord {
+            id: stream.id,
+            upstream: req.upstream.clone(),
+            version: stream.version.clone(),
+            age: Duration::ZERO,
+        })
+    }
+
     /// Reports that the first token or byte of the response arrived.
     pub fn first_token(&mut self, id: RequestId, out: &mut Vec<ClientAction>) {
         if self.open.contains_key(&id) {
@@ -123,10 +148,22 @@
             return;
         }
         match reply {
-            PlacementReply::Grant(id, runner) => match self.open.get_mut(&id) {
+            PlacementReply::Grant(id, runner, version) => match self.open.get_mut(&id) {
                 Some(open) if matches!(open.stage, Stage::Waiting) => {
+                    if !open.accepts_version(version.as_ref()) {
+                        // Coordinators of earlier versions ignore the stream.
+                        self.open.remove(&id);
+                        let withdraw = RequestUpdate::Withdraw(id);
+                        out.push(ClientAction::Send(from.cloned(), withdraw));
+                        let reason = NotRunReason::VersionUnknown;
+                        out.push(ClientAction::Refuse(id, reason, UNBOUND_RETRY_AFTER));
+                        return;
+                    }
+                    if let Some(stream) = &mut open.req.stream {
+                        stream.version.clone_from(&version);
+                    }
                     open.stage = Stage::Dispatched(runner.clone());
-                    out.push(ClientAction::Dispatch(id, runner));
+                    out.push(ClientAction::Dispatch(id, runner, version));
                 }
                 Some(_) => {}
                 None => out.push(ClientAction::Send(from.cloned(), RequestUpdate::Withdraw(id))),
@@ -143,6 +180,14 @@
 }
 
 impl OpenRequest {
+    /// Returns true if a runner of this version may run the request.
+    fn accepts_version(&self, version: Option<&RunnerVersion>) -> bool {
+        let Some(stream) = self.req.stream.as_ref().filter(|stream| !stream.begins) else {
+            return true;
+        };
+        version.is_some() && (stream.version.is_none() || stream.version.as_ref() == version)
+    }
+
     fn to_update(&self, now: MonoTime) -> RequestUpdate {
         let mut req = self.req.clone();
         req.record.age += now.since(self.submitted_at);
--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -220,6 +220,11 @@
         self
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -13,13 +13,17 @@
 
 use super::{
     Decision, FleetConfig, FleetHosts, PlacementReply, PlacementRequest, Quota, QuotaTolerance,
-    Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, ShareBasis,
-    UpstreamScheduler,
+    Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, RunnerVersion, ShareBasis,
+    StreamRecord, StreamVersions, UpstreamScheduler, VersionHistory,
 };
 
 mod requests;
+mod streams;
 
-use self::requests::HostRequest;
+use self::{
+    requests::HostRequest,
+    streams::{TakeUp, stream_memory},
+};
 
 #[derive(Clone, Debug)]
 struct UpstreamState {
@@ -27,8 +31,13 @@
     budget: RetryBudget,
     /// Slots of each runner, over all hosts, and whether it is leaving.
     runners: BTreeMap<RunnerName, (u32, bool)>,
+    history: VersionHistory,
 }
 
+/// Interval of the checks for requests that wait until the version of their stream is
+/// known.
+const TAKE_UP_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Schedules the requests of its client hosts, within quotas and retry budgets.
 #[derive(Clone, Debug)]
 pub struct Coordinator {
@@ -42,6 +51,14 @@
     /// Registered hosts that are probably down.
     down_hosts: usize,
     basis: ShareBasis,
+    /// Versions of the streams that this host knows.
+    streams: StreamVersions,
+    /// Streams recorded while several versions serve, for the hosts that keep copies.
+    new_streams: Vec<StreamRecord>,
+    /// Requests that wait until the version of their stream is known.
+    take_ups: BTreeMap<RequestId, TakeUp>,
+    /// When the view of the store was last verified as the newest.
+    verified_at: MonoTime,
 }
 
 impl Coordinator {
@@ -58,6 +75,10 @@
             hosts: FleetHosts::default(),
             down_hosts: 0,
             basis: ShareBasis { clients: 0, known: 1, absent: 0 },
+            streams: StreamVersions::default(),
+            new_streams: Vec::new(),
+            take_ups: BTreeMap::new(),
+            verified_at: MonoTime::ZERO,
         }
     }
 
@@ -73,7 +94,9 @@
     pub fn set_config(&mut self, config: Arc<FleetConfig>) {
         for (name, state) in &mut self.upstreams {
             state.scheduler.set_engine(is_engine(&config, name));
+            state.history.set_memory(stream_memory(&config));
         }
+        self.streams.set_memory(stream_memory(&config));
         self.config = Some(config);
     }
 
@@ -168,6 +191,7 @@
         for (_, open) in removed.filter(|(_, open)| open.reserved) {
             self.quotas.release(now, &open.workspace, open.cost);
         }
+        self.take_ups.retain(|_, take_up| take_up.host != *host);
         self.quotas.host_left(now, host);
         self.hosts.session_closed(now, &host.name);
         self.update_share(now);
@@ -193,10 +217,14 @@
             let state = self.upstream_state(now, &entry.upstream);
             if let RunnerChange::Removed(_) = change {
                 state.runners.remove(&name);
+                state.history.runner_removed(now, &name);
                 state.scheduler.remove_runner(&name);
             } else {
                 state.runners.insert(name.clone(), (entry.slots, entry.leaving));
-                state.scheduler.set_runner(name, share.of_slots(entry.slots), entry.leaving);
+                let slots = share.of_slots(entry.slots);
+                state.history.runner_present(now, &name, entry.version.clone());
+                state.scheduler.set_runner(name.clone(), slots, entry.leaving);
+                state.scheduler.set_version(&name, entry.version.clone());
             }
             upstreams.insert(&entry.upstream);
         }
@@ -229,15 +257,24 @@
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
         match update {
-            RequestUpdate::Submit(req) => self.submit(now, host, *req, out),
+            RequestUpdate::Submit(req) => self.submit_bound(now, host, *req, out),
             RequestUpdate::Adopt(req, runner) => {
-                let PlacementRequest { record, upstream, cost, time_limit, .. } = *req;
+                let PlacementRequest { record, upstream, cost, time_limit, stream, .. } = *req;
+                let (id, time_left) = (record.id, time_limit.saturating_sub(record.age));
                 self.record_open(host, &upstream, &record, cost, true);
-                let time_left = time_limit.saturating_sub(record.age);
                 let scheduler = &mut self.upstream_state(now, &upstream).scheduler;
                 scheduler.adopt(now, record, time_left, runner);
+                if let Some(stream) = stream.as_ref().filter(|stream| !stream.begins) {
+                    scheduler.bind_to_version(id, stream.version.clone());
+                }
+                if let Some(open) = self.open.get_mut(&id) {
+                    open.stream = stream;
+                }
             }
             RequestUpdate::Withdraw(id) => {
+                if self.take_ups.remove(&id).is_some() {
+                    return;
+                }
                 if let Some(open) = self.remove_open(now, id) {
                     self.step(now, &open.upstream, out, |scheduler, decisions| {
                         scheduler.withdraw(now, id, decisions)
@@ -250,6 +287,9 @@
                 if let Some(state) = self.upstreams.get_mut(&open.upstream) {
                     state.scheduler.first_token(now, id);
                 }
+                if let Some(record) = open.stream_record() {
+                    self.record_stream(now, record);
+                }
             }
             RequestUpdate::Ended(id, end) => {
                 let Some(open) = self.open.remove(&id) else { return };
@@ -263,6 +303,7 @@
 
     /// Schedules again and refuses requests that have waited too long.
     pub fn tick(&mut self, now: MonoTime, out: &mut Vec<(HostId, PlacementReply)>) {
+        self.submit_take_ups(now, out);
         for upstream in self.upstream_names() {
             self.step(now, &upstream, out, |scheduler, decisions| scheduler.tick(now, decisions));
         }
@@ -271,7 +312,9 @@
     /// Returns when [`Coordinator::tick`] is due.
     #[must_use]
     pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
-        self.upstreams.values().filter_map(|state| state.scheduler.next_wake(now)).min()
+        let take_ups = (!self.take_ups.is_empty()).then(|| now + TAKE_UP_INTERVAL);
+        let schedulers = self.upstreams.values();
+        schedulers.filter_map(|state| state.scheduler.next_wake(now)).chain(take_ups).min()
     }
 
     /// Returns the number of waiting requests of all upstreams.
@@ -303,10 +346,12 @@
     fn upstream_state(&mut self, now: MonoTime, upstream: &UpstreamName) -> &mut UpstreamState {
         let engine = self.config.as_ref().is_some_and(|config| is_engine(config, upstream));
         let (retry_limits, share) = (self.retry_limits, self.basis.budget_share());
+        let memory = self.config.as_deref().map(stream_memory).unwrap_or_default();
         self.upstreams.entry(upstream.clone()).or_insert_with(|| UpstreamState {
             scheduler: UpstreamScheduler::new(engine),
             budget: RetryBudget::new(now, retry_limits, share),
             runners: BTreeMap::new(),
+            history: VersionHistory::new(memory),
         })
     }
 
@@ -348,13 +393,8 @@
         for decision in decisions {
             match decision {
                 Decision::Grant(host, id, runner) => {
-                    if let Some(open) = self.open.get_mut(&id) {
-                        open.granted = true;
-                        if std::mem::take(&mut open.reserved) {
-                            self.quotas.release(now, &open.workspace, open.cost);
-                        }
-                    }
-                    out.push((host, PlacementReply::Grant(id, runner)));
+                    let version = self.record_grant(now, upstream, id, &runner);
+                    out.push((host, PlacementReply::Grant(id, runner, version)));
                 }
                 Decision::Refuse(host, id, reason, retry_after) => {
                     self.remove_open(now, id);
@@ -363,6 +403,26 @@
             }
         }
     }
+
+    /// Records a grant. Returns the runner's version if the request is bound to a
+    /// stream.
+    fn record_grant(
+        &mut self,
+        now: MonoTime,
+        upstream: &UpstreamName,
+        id: RequestId,
+        runner: &RunnerName,
+    ) -> Option<RunnerVersion> {
+        let open = self.open.get_mut(&id)?;
+        open.granted = true;
+        if std::mem::take(&mut open.reserved) {
+            self.quotas.release(now, &open.workspace, open.cost);
+        }
+        let stream = open.stream.as_mut()?;
+        let scheduler = self.upstreams.get(upstream).map(|state| &state.scheduler);
+        stream.version = scheduler.and_then(|scheduler| scheduler.version_of(runner)).cloned();
+        stream.version.clone()
+    }
 }
 
 fn is_engine(config: &FleetConfig, upstream: &UpstreamName) -> bool {
--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use crate::{
-    fleet::{DispatchFailure, PlacementReply, PlacementRequest},
+    fleet::{
+        DispatchFailure, PlacementReply, PlacementRequest, RunnerVersion, StreamBinding,
+        StreamRecord,
+    },
     ids::{HostId, RequestId, UpstreamName, WorkspaceName},
     outcome::{NotRunReason, RetryReason},
     request::RequestRecord,
@@ -28,6 +31,20 @@
     pub(super) granted: bool,
     /// True while the quota holds a reservation for the request.
     pub(super) reserved: bool,
+    pub(super) stream: Option<StreamBinding>,
+}
+
+impl HostRequest {
+    /// Returns the version of its stream, of which the first event has arrived.
+    pub(super) fn stream_record(&self) -> Option<StreamRecord> {
+        let stream = self.stream.as_ref()?;
+        Some(StreamRecord {
+            id: stream.id,
+            upstream: self.upstream.clone(),
+            version: stream.version.clone(),
+            age: Duration::ZERO,
+        })
+    }
 }
 
 impl Coordinator {
@@ -36,9 +53,11 @@
         now: MonoTime,
         host: &HostId,
         req: PlacementRequest,
+        version: Option<RunnerVersion>,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
-        let PlacementRequest { record, upstream, cost, time_limit, prior_attempts, avoid } = req;
+        let PlacementRequest { record, upstream, cost, time_limit, prior_attempts, avoid, stream } =
+            req;
         let (id, share) = (record.id, self.basis.budget_share());
         if self.open.contains_key(&id) {
             return;
@@ -58,13 +77,16 @@
             self.upstream_state(now, &upstream).budget.deposit(share);
         }
         self.record_open(host, &upstream, &record, cost, false);
-        if let Some(open) = self.open.get_mut(&id).filter(|_| prior_attempts == 0) {
-            open.reserved = true;
-            open.charged = Some(now);
+        if let Some(open) = self.open.get_mut(&id) {
+            open.stream = stream;
+            if prior_attempts == 0 {
+                open.reserved = true;
+                open.charged = Some(now);
+            }
         }
         let time_left = time_limit.saturating_sub(record.age);
         self.step(now, &upstream, out, |scheduler, decisions| {
-            scheduler.submit(now, record, time_left, avoid, decisions);
+            scheduler.submit_at_version(now, record, time_left, avoid, version, decisions);
         });
     }
 
@@ -121,6 +143,7 @@
             charged: None,
             granted,
             reserved: false,
+            stream: None,
         };
         self.open.insert(record.id, open);
     }
--- a/crates/core/src/fleet/directory.rs
+++ b/crates/core/src/fleet/directory.rs
@@ -92,7 +92,13 @@
             None => {}
         }
         let old = self.known.get(&entry.key.name);
-        if let Some(old) = old.filter(|old| old.entry.key != entry.key) {
+        // An entry that doesn't name the start of the run may be of another one.
+        let other_run = |old: &&KnownRunner| {
+            let is_start_known = entry.key.started_ms.is_some();
+            let is_other_version = !is_start_known && old.entry.version != entry.version;
+            old.entry.key != entry.key || is_other_version
+        };
+        if let Some(old) = old.filter(other_run) {
             out.push(RunnerChange::Removed(old.entry.clone()));
         } else if let Some(old) = old {
             if old.entry.leaving && !entry.leaving {
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -13,6 +13,8 @@
     request::{DispatchEnd, RequestRecord},
 };
 
+use super::{RunnerVersion, StreamBinding};
+
 /// A request that needs a runner.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PlacementRequest {
@@ -34,6 +36,9 @@
     /// The runner it was sent to last; others are preferred.
     #[serde(rename = "v")]
     pub avoid: Option<RunnerName>,
+    /// The stream that it begins or goes on with, if that may resume.
+    #[serde(rename = "s", default)]
+    pub stream: Option<StreamBinding>,
 }
 
 /// Update on one request, sent by a host to its coordinator.
@@ -62,9 +67,10 @@
 /// Reply of a coordinator to a host about one request.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PlacementReply {
-    /// Send the request to this runner now.
+    /// Send the request to this runner now. For a request that is bound to a stream,
+    /// the runner's software version; never given by hosts of earlier versions.
     #[serde(rename = "g")]
-    Grant(RequestId, RunnerName),
+    Grant(RequestId, RunnerName, #[serde(default)] Option<RunnerVersion>),
     /// Refuse the request; the caller may try again after this time.
     #[serde(rename = "r")]
     Refuse(RequestId, NotRunReason, Duration),
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -6,6 +6,8 @@
 //!   entries in the store. The most restrictive report wins.
 //! - [`elect()`] selects the coordinator. Any host can be elected.
 //! - [`UpstreamScheduler`] orders and places the requests of one upstream.
+//! - [`StreamVersions`] and [`VersionHistory`] bind streams to the software version
+//!   that began them.
 //! - [`FleetHosts`] counts the hosts among which quotas and runners are shared.
 //! - [`Coordinator`] schedules the requests of its client hosts, and enforces the
 //!   quotas and the retry budget. It is built for the combined load of these
@@ -32,6 +34,9 @@
 mod scheduler;
 mod sessions;
 mod share;
+mod stream;
+mod stream_versions;
+mod version_history;
 
 pub use self::{
     budget::{RetryBudget, RetryBudgetLimits},
@@ -48,4 +53,7 @@
     scheduler::{Decision, DispatchFailure, RunnerState, UpstreamScheduler},
     sessions::{HostSessions, OpenOutcome},
     share::{Share, ShareBasis},
+    stream::{StreamBinding, StreamId, StreamRecord},
+    stream_versions::StreamVersions,
+    version_history::VersionHistory,
 };
--- a/crates/core/src/fleet/scheduler/granting.rs
+++ b/crates/core/src/fleet/scheduler/granting.rs
@@ -29,12 +29,13 @@
             out.push(Decision::Grant(waiting.record.entry.clone(), id, runner.clone()));
             self.floors.started(now, &waiting.record.class);
             let Deadlines { target_at, respond_by, .. } = waiting.deadlines;
-            self.start(now, Granted { record: waiting.record, runner, target_at, respond_by });
+            let WaitingRequest { record, version, .. } = waiting;
+            self.start(now, Granted { record, runner, version, target_at, respond_by });
         }
     }
 
     fn next_grant(&mut self, now: MonoTime) -> Option<(RequestId, RunnerName)> {
-        self.runners.free(now).next()?;
+        self.runners.free(now, |_| true).next()?;
         let mut pass = Pass { hosts_alike: now >= self.hosts_differ_until, ..Pass::default() };
         let found = self.find_for_floors(now, &mut pass).or_else(|| {
             let first = self.queue.first(MAX_TRIED_REQUESTS);
@@ -73,7 +74,9 @@
                 continue;
             }
             match self.find_runner(now, waiting, pauses) {
-                Placement::None if waiting.avoid.is_none() && pass.hosts_alike => {
+                Placement::None
+                    if waiting.avoid.is_none() && waiting.version.is_none() && pass.hosts_alike =>
+                {
                     pass.unplaceable.add(&waiting.record);
                 }
                 Placement::InTime(runner) => return Some((id, runner)),
--- a/crates/core/src/fleet/scheduler/placement.rs
+++ b/crates/core/src/fleet/scheduler/placement.rs
@@ -56,9 +56,12 @@
         let mut best: Option<(f64, bool, &RunnerName)> = None;
         let mut in_time_later = false;
         let avoid = waiting.avoid.as_ref();
-        let accepts = |runner: &RunnerState| !runner.is_resting_for(now, &waiting.record.entry);
-        let free = || self.runners.free(now).filter(|(_, runner)| accepts(runner));
-        let full = || self.runners.full(now).filter(|(_, runner)| accepts(runner));
+        let accepts = |runner: &RunnerState| {
+            let has_version = waiting.version.is_none() || runner.version == waiting.version;
+            has_version && !runner.is_resting_for(now, &waiting.record.entry)
+        };
+        let free = || self.runners.free(now, accepts);
+        let full = || self.runners.full(now, accepts);
         let candidates = || free().chain(full());
         let avoid = avoid.filter(|avoid| candidates().any(|(name, _)| name != *avoid));
         for (name, runner) in free().filter(|(name, _)| Some(*name) != avoid) {
--- a/crates/core/src/fleet/scheduler/queue.rs
+++ b/crates/core/src/fleet/scheduler/queue.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
+    fleet::RunnerVersion,
     ids::{ClassName, HostId, RequestId, RunnerName, Tier},
     request::RequestRecord,
     time::MonoTime,
@@ -26,6 +27,8 @@
     pub(super) deadlines: Deadlines,
     /// The runner it was sent to last.
     pub(super) avoid: Option<RunnerName>,
+    /// The only software version that may run it.
+    pub(super) version: Option<RunnerVersion>,
     pub(super) late: bool,
     sort_key: SortKey,
 }
@@ -61,6 +64,7 @@
         deadlines: Deadlines,
         latest_start: MonoTime,
         avoid: Option<RunnerName>,
+        version: Option<RunnerVersion>,
     ) {
         self.last_number += 1;
         let id = record.id;
@@ -70,7 +74,7 @@
         total.1 += u64::from(record.prefill_tokens);
         self.expiring.insert((deadlines.refuse_at, id));
         self.by_class.entry(record.class.clone()).or_default().insert((sort_key, id));
-        let waiting = WaitingRequest { record, deadlines, avoid, late: false, sort_key };
+        let waiting = WaitingRequest { record, deadlines, avoid, version, late: false, sort_key };
         self.order.insert((sort_key, id));
         self.waiting.insert(id, waiting);
     }
--- a/crates/core/src/fleet/scheduler/runner.rs
+++ b/crates/core/src/fleet/scheduler/runner.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
+    fleet::RunnerVersion,
     ids::{HostId, RequestId},
     time::MonoTime,
 };
@@ -74,6 +75,8 @@
     pub slots: u32,
     /// True if it accepts no new requests.
     pub leaving: bool,
+    /// Version of its software, if it is known.
+    pub version: Option<RunnerVersion>,
     pub(super) requests: BTreeMap<RequestId, RunnerRequest>,
     pub(super) pending_prompt_tokens: u32,
     pub(super) rates: Rates,
@@ -88,6 +91,7 @@
         Self {
             slots,
             leaving: false,
+            version: None,
             requests: BTreeMap::new(),
             pending_prompt_tokens: 0,
             rates: Rates::default(),
--- a/crates/core/src/fleet/scheduler/runner_index.rs
+++ b/crates/core/src/fleet/scheduler/runner_index.rs
@@ -111,6 +111,10 @@
         }
     }
 
+    pub(super) fn get(&self, name: &RunnerName) -> Option<&RunnerState> {
+        self.runners.get(name).map(|(_, runner)| runner)
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.runners.is_empty()
     }
@@ -148,21 +152,35 @@
         }
     }
 
-    /// Returns the first runners with a free slot. Idle runners are listed
+    /// Returns the first accepted runners with a free slot. Idle runners are listed
     /// separately, for prompts that would pause the streams of all other runners.
-    pub(super) fn free(&self, now: MonoTime) -> impl Iterator<Item = (&RunnerName, &RunnerState)> {
+    pub(super) fn free<F>(
+        &self,
+        now: MonoTime,
+        accepts: F,
+    ) -> impl Iterator<Item = (&RunnerName, &RunnerState)>
+    where
+        F: Fn(&RunnerState) -> bool + Copy,
+    {
         let first = move |list| {
             self.in_order(list)
-                .filter(move |(_, runner)| runner.has_free_slot(now))
+                .filter(move |(_, runner)| runner.has_free_slot(now) && accepts(runner))
                 .take(MAX_COMPARED)
         };
         first(&self.idle).chain(first(&self.partial))
     }
 
-    /// Returns the first runners that are full but usable.
-    pub(super) fn full(&self, now: MonoTime) -> impl Iterator<Item = (&RunnerName, &RunnerState)> {
+    /// Returns the first accepted runners that are full but usable.
+    pub(super) fn full<F>(
+        &self,
+        now: MonoTime,
+        accepts: F,
+    ) -> impl Iterator<Item = (&RunnerName, &RunnerState)>
+    where
+        F: Fn(&RunnerState) -> bool,
+    {
         self.in_order(&self.full)
-            .filter(move |(_, runner)| runner.is_usable(now))
+            .filter(move |(_, runner)| runner.is_usable(now) && accepts(runner))
             .take(MAX_COMPARED)
     }
 
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
+    fleet::RunnerVersion,
     ids::{ClassName, HostId, RequestId, RunnerName},
     outcome::NotRunReason,
     request::RequestRecord,
@@ -42,6 +43,8 @@
 pub(super) struct Granted {
     pub(super) record: RequestRecord,
     pub(super) runner: RunnerName,
+    /// The only software version that may run it.
+    pub(super) version: Option<RunnerVersion>,
     /// When the target ends, as of the request's arrival.
     pub(super) target_at: MonoTime,
     pub(super) respond_by: MonoTime,
@@ -103,6 +106,24 @@
         self.runners.set(name, slots, leaving);
     }
 
+    /// Sets the software version of a runner.
+    pub fn set_version(&mut self, name: &RunnerName, version: Option<RunnerVersion>) {
+        self.runners.update(name, |runner| runner.version = version);
+    }
+
+    /// Returns true if a runner of this version accepts requests.
+    #[must_use]
+    pub fn serves_version(&self, version: &RunnerVersion) -> bool {
+        let mut runners = self.runners.iter();
+        runners.any(|(_, runner)| !runner.leaving && runner.version.as_ref() == Some(version))
+    }
+
+    /// Returns the software version of a runner, if it is known.
+    #[must_use]
+    pub fn version_of(&self, name: &RunnerName) -> Option<&RunnerVersion> {
+        self.runners.get(name).and_then(|runner| runner.version.as_ref())
+    }
+
     /// Removes a runner.
     pub fn remove_runner(&mut self, name: &RunnerName) {
         self.runners.remove(name);
@@ -124,6 +145,19 @@
         time_left: Duration,
         avoid: Option<RunnerName>,
         out: &mut Vec<Decision>,
+    ) {
+        self.submit_at_version(now, record, time_left, avoid, None, out);
+    }
+
+    /// Submits a request that only runners of `version` may run, if one is given.
+    pub fn submit_at_version(
+        &mut self,
+        now: MonoTime,
+        record: RequestRecord,
+        time_left: Duration,
+        avoid: Option<RunnerName>,
+        version: Option<RunnerVersion>,
+        out: &mut Vec<Decision>,
     ) {
         self.runners.refresh(now);
         let id = record.id;
@@ -136,7 +170,7 @@
             return;
         }
         let target_at = target_at(now, &record);
-        self.enqueue(now, record, target_at, now + time_left, avoid);
+        self.enqueue(now, record, target_at, now + time_left, avoid, version);
         self.grant(now, out);
     }
 
@@ -157,9 +191,9 @@
         out: &mut Vec<Decision>,
     ) {
         let Some(granted) = self.release_failed(now, id, failure) else { return };
-        let Granted { record, runner, target_at, respond_by } = granted;
+        let Granted { record, runner, version, target_at, respond_by } = granted;
         self.floors.requeued(now, &record.class);
-        self.enqueue(now, record, target_at, respond_by, Some(runner));
+        self.enqueue(now, record, target_at, respond_by, Some(runner), version);
         self.grant(now, out);
     }
 
@@ -188,7 +222,15 @@
     ) {
         self.queue.remove(record.id);
         let target_at = target_at(now, &record);
-        self.start(now, Granted { record, runner, target_at, respond_by: now + time_left });
+        let respond_by = now + time_left;
+        self.start(now, Granted { record, runner, version: None, target_at, respond_by });
+    }
+
+    /// Lets only runners of `version` run a granted request if it is requeued.
+    pub fn bind_to_version(&mut self, id: RequestId, version: Option<RunnerVersion>) {
+        if let Some(granted) = self.granted.get_mut(&id) {
+            granted.version = version;
+        }
     }
 
     /// Removes all requests of a host whose session ended or that uses another
@@ -235,11 +277,12 @@
         target_at: MonoTime,
         respond_by: MonoTime,
         avoid: Option<RunnerName>,
+        version: Option<RunnerVersion>,
     ) {
         let latest_start = target_at - self.min_first_token(record.prefill_tokens);
         let refuse_at = Self::refusal_time(now, &record, respond_by.since(now));
         let deadlines = Deadlines { target_at, respond_by, refuse_at };
-        self.queue.insert(record, deadlines, latest_start, avoid);
+        self.queue.insert(record, deadlines, latest_start, avoid, version);
     }
 
     pub(super) fn start(&mut self, now: MonoTime, granted: Granted) {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -92,6 +92,12 @@
         /// A runner declared that it did not execute the request, and the retry
         /// budget is spent.
         TurnedAway = "turned-away",
+        /// The request goes on with a stream, and the software version that began
+        /// it is not known.
+        VersionUnknown = "version-unknown",
+        /// The request goes on with a stream, and no runner has the software
+        /// version that began it.
+        VersionGone = "version-gone",
     }
 }
 
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -53,6 +53,7 @@
         time_limit: Duration::from_secs(12),
         prior_attempts: 0,
         avoid: None,
+        stream: None,
     }
 }
 
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -14,6 +14,7 @@
         RunnerDirectory, ShareBasis,
     },
     ids::{HostId, HostName, RequestId},
+    outcome::RetryReason,
     time::MonoTime,
 };
 use comfreyway_platform::Store;
@@ -45,6 +46,7 @@
 mod runner_notices;
 mod store_relay;
 mod store_updates;
+mod stream_versions;
 
 use self::{absent_hosts::AbsentHosts, election::OwnEntry, rollback::MissingHosts};
 
@@ -60,6 +62,8 @@
     /// `None` until the session is up.
     tx: Option<Sender<ToCoordinator>>,
     relay: StoreRelay,
+    /// Protocol of that host, known from its first pong on.
+    protocol: u8,
 }
 
 /// Whether the coordinator sends this host the store's changes.
@@ -89,6 +93,8 @@
     tx: Sender<Frame>,
     /// True if the host receives every change of the store from this one.
     synced: bool,
+    /// Protocol of that host.
+    protocol: u8,
 }
 
 /// Receivers of the events that the actor handles.
@@ -126,6 +132,8 @@
     store_era: u64,
     missing_hosts: MissingHosts,
     absent_hosts: AbsentHosts,
+    /// Client hosts that keep copies of what this coordinator knows of streams.
+    copy_holders: Vec<HostId>,
     logged_share: ShareBasis,
     first_feed: FirstFeed,
     /// True while the store has an older configuration than the one in force.
@@ -175,6 +183,7 @@
             store_era: 0,
             missing_hosts: MissingHosts::default(),
             absent_hosts: AbsentHosts::default(),
+            copy_holders: Vec::new(),
             logged_share: ShareBasis::default(),
             first_feed: FirstFeed::Started,
             stored_config_is_older: false,
@@ -212,9 +221,15 @@
                     ClientAction::Send(Some(host), update) => {
                         self.send_to_coordinator(&host, ToCoordinator::Update(update));
                     }
-                    ClientAction::Dispatch(id, runner) => {
+                    ClientAction::Dispatch(id, runner, version) => {
                         match self.directory.dispatchable(now, &runner) {
+                            // Another run has taken over the runner's name.
+                            Ok(entry) if version.is_some() && entry.version != version => {
+                                let reason = RetryReason::RunnerLeaving;
+                                self.coordinator_client.requeue(id, reason, &mut more);
+                            }
                             Ok(entry) => {
+                                self.coordinator_client.dispatched(id, entry.version.clone());
                                 let decision = RequestDecision::Dispatch(Box::new(entry.clone()));
                                 self.send_decision(id, decision);
                             }
@@ -314,7 +329,10 @@
             WorkerMessage::Requeue(id, reason) => {
                 self.coordinator_client.requeue(id, reason, &mut actions)
             }
-            WorkerMessage::FirstToken(id) => self.coordinator_client.first_token(id, &mut actions),
+            WorkerMessage::FirstToken(id) => {
+                self.record_own_stream(id);
+                self.coordinator_client.first_token(id, &mut actions);
+            }
             WorkerMessage::Ended(id, end) => {
                 self.decision_txs.remove(&id);
                 self.coordinator_client.ended(id, end, &mut actions);
@@ -369,8 +387,12 @@
 impl FleetControl {
     fn open_session(&mut self, to: &Member) {
         log_event!(Event::CoordinatorChosen, host:% = to.id, address:% = to.address);
-        self.coordinator_session =
-            Some(CoordinatorSession { host: to.id.clone(), tx: None, relay: StoreRelay::Off });
+        self.coordinator_session = Some(CoordinatorSession {
+            host: to.id.clone(),
+            tx: None,
+            relay: StoreRelay::Off,
+            protocol: 0,
+        });
         actix_rt::spawn(dial(
             self.me.id.clone(),
             to.clone(),
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -4,13 +4,12 @@
 
 use comfreyway_core::{fleet::OpenOutcome, ids::HostId, time::MonoTime};
 use comfreyway_platform::{KvEvent, Revision};
-use tokio::sync::mpsc::Sender;
 
 use crate::{
     events::{Event, log_event},
     fleet::{
         sessions::SessionEvent,
-        wire::{Frame, ToCoordinator, ToHost},
+        wire::{Frame, PROTOCOL, ToCoordinator, ToHost},
     },
 };
 
@@ -40,6 +39,8 @@
         }
         let now = self.now();
         let (mut actions, mut replies) = (Vec::new(), Vec::new());
+        // Before the open requests, some of which may go on with these streams.
+        self.report_streams(&host);
         self.coordinator_client.set_coordinator(now, Some(host), &mut actions);
         self.execute(actions, Vec::new());
         self.coordinator.host_left(now, &self.me.id.clone(), &mut replies);
@@ -82,9 +83,10 @@
     pub(super) fn handle_session_event(&mut self, event: SessionEvent) {
         let now = self.now();
         match event {
-            SessionEvent::HostUp(host, session, tx) => {
+            SessionEvent::HostUp(host, session, tx, protocol) => {
                 log_event!(Event::ClientHostConnected, host:% = host);
-                self.register_client(&host, session, tx);
+                let client = ClientSession { tx, synced: false, protocol };
+                self.register_client(&host, session, client);
             }
             SessionEvent::FromHost(host, session, _)
                 if !self.clients.is_current(&host, session) =>
@@ -104,7 +106,10 @@
                 let staleness = now.since(self.host_state.verified_at());
                 let (revision, hosts) =
                     (self.mirror.revision().0, self.coordinator.share_basis().known);
-                self.send_to_client(&host, &ToHost::Pong(sent, revision, staleness, hosts));
+                self.send_to_client(
+                    &host,
+                    &ToHost::Pong(sent, revision, staleness, hosts, PROTOCOL),
+                );
             }
             SessionEvent::FromHost(host, _, ToCoordinator::RunnerNotice(notice)) => {
                 self.handle_client_notice(now, &host, &notice);
@@ -112,6 +117,10 @@
             SessionEvent::FromHost(host, _, ToCoordinator::Sync(from)) => {
                 self.sync_client(&host, Revision(from));
             }
+            SessionEvent::FromHost(_, _, ToCoordinator::Streams(records))
+            | SessionEvent::FromCoordinator(_, ToHost::Streams(records)) => {
+                self.learn_streams(records);
+            }
             SessionEvent::FromHost(host, _, ToCoordinator::Hello(..)) => {
                 log::warn!("host {host} sent a second hello");
             }
@@ -155,8 +164,16 @@
             SessionEvent::FromCoordinator(_, ToHost::RunnerNotice(notice)) => {
                 self.apply_notice(now, &notice);
             }
-            SessionEvent::FromCoordinator(host, ToHost::Pong(sent, revision, staleness, hosts)) => {
+            SessionEvent::FromCoordinator(
+                host,
+                ToHost::Pong(sent, revision, staleness, hosts, protocol),
+            ) => {
                 self.coordinator.set_reported_hosts(now, hosts);
+                if let Some(session) = self.coordinator_session.as_mut()
+                    && session.host == host
+                {
+                    session.protocol = protocol;
+                }
                 self.handle_pong(&host, MonoTime::from_micros(sent), Revision(revision), staleness);
             }
             SessionEvent::FromCoordinator(host, ToHost::SyncEnd(end)) => {
@@ -185,8 +202,8 @@
     }
 
     /// Registers a session of a client host.
-    fn register_client(&mut self, host: &HostId, session: u64, tx: Sender<Frame>) {
-        match self.clients.open(host, session, ClientSession { tx, synced: false }) {
+    fn register_client(&mut self, host: &HostId, session: u64, client: ClientSession) {
+        match self.clients.open(host, session, client) {
             OpenOutcome::First => {}
             OpenOutcome::Replaces => self.discard_requests(host),
             OpenOutcome::Outdated => return,
--- a/crates/node/src/fleet/control/store_relay.rs
+++ b/crates/node/src/fleet/control/store_relay.rs
@@ -159,9 +159,7 @@
                 self.send_to_coordinator(host, ToCoordinator::Sync(known.0));
             }
             StoreRelay::Active if revision >= known => {
-                if self.config_readable && self.host_state.config().is_some() {
-                    self.host_state.set_verified(sent - staleness);
-                }
+                self.set_verified(sent - staleness);
                 if staleness <= MAX_FRESH_STALENESS {
                     self.stop_feed();
                 }
@@ -236,7 +234,7 @@
     /// read the whole store.
     pub(super) fn send_runner_entry(&mut self, host: &HostId, reply: &PlacementReply) {
         let synced = self.clients.get(host).is_none_or(|client| client.synced);
-        if let (PlacementReply::Grant(_, runner), false) = (reply, synced)
+        if let (PlacementReply::Grant(_, runner, _), false) = (reply, synced)
             && let Some(entry) = self.directory.usable(runner)
         {
             let message = ToHost::Runner(Box::new(entry.clone()));
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -61,11 +61,7 @@
                 }
                 self.forward_changes(&events, before, revision);
             }
-            FeedUpdate::Verified(at) => {
-                if self.config_readable && self.host_state.config().is_some() {
-                    self.host_state.set_verified(at);
-                }
-            }
+            FeedUpdate::Verified(at) => self.set_verified(at),
             FeedUpdate::CallFailed(e) => log_event!(Event::StoreWatchLost, cause:% = e),
             FeedUpdate::Recovered => {
                 log_event!(Event::StoreWatchRestored, revision:% = self.mirror.revision());
@@ -96,8 +92,9 @@
             self.put_member(item);
         }
         self.members_changed();
-        if has_config {
-            self.apply_update(FeedUpdate::Verified(requested_at));
+        // Later pages may hold further runners, so only the configuration is verified.
+        if has_config && self.config_readable && self.host_state.config().is_some() {
+            self.host_state.set_verified(requested_at);
         }
     }
 
@@ -266,6 +263,7 @@
         self.remove_missing_hosts(now);
         self.choose_coordinator();
         self.update_absent_hosts(now);
+        self.copy_streams();
         self.host_state.set_hosts(self.coordinator.share_basis().known);
         self.log_share();
         self.start_feed_if_stale();
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
-    fleet::{RunnerEntry, RunnerKey, RunnerNotice},
+    fleet::{RunnerEntry, RunnerKey, RunnerNotice, RunnerVersion},
     outcome::{RetryReason, UnknownReason},
 };
 use http_body_util::BodyExt;
@@ -46,6 +46,8 @@
 /// A response whose body is being read.
 pub(super) struct RunnerResponse {
     pub(super) runner: RunnerKey,
+    /// Version of the runner's software, if it is known.
+    pub(super) version: Option<RunnerVersion>,
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) framing: Framing,
@@ -107,6 +109,7 @@
     let framing = Framing::new(&headers, &body);
     let response = RunnerResponse {
         runner: key,
+        version: runner.version.clone(),
         status,
         headers,
         framing,
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -4,7 +4,9 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
-    fleet::{FleetConfig, PlacementRequest, Route, Workspace},
+    fleet::{
+        FleetConfig, PlacementRequest, RetryPolicy, Route, StreamBinding, StreamId, Workspace,
+    },
     ids::{HostId, RequestId, RunnerName, WorkspaceName},
     outcome::NotRunReason,
     request::RequestRecord,
@@ -47,6 +49,9 @@
 /// Workspace of requests that need no API key.
 const PUBLIC_WORKSPACE: &str = "public";
 
+/// Value of the header for the last event that asks for all events.
+const NO_EVENT: &str = "0";
+
 /// Limits from the settings.
 #[derive(Clone, Copy, Debug)]
 pub(in crate::fleet) struct ProxyLimits {
@@ -107,8 +112,21 @@
         request: &AdmittedRequest,
         sent: u32,
         avoid: Option<RunnerName>,
+    ) -> RequestHandle {
+        self.submit_bound(request, sent, avoid, request.placement.stream.clone())
+    }
+
+    /// Requests a runner for a request that is bound to a stream in another way than
+    /// at first.
+    pub(super) fn submit_bound(
+        &self,
+        request: &AdmittedRequest,
+        sent: u32,
+        avoid: Option<RunnerName>,
+        stream: Option<StreamBinding>,
     ) -> RequestHandle {
         let mut placement = request.placement.clone();
+        placement.stream = stream;
         placement.record.age = request.arrived.elapsed();
         placement.prior_attempts = sent;
         placement.avoid = avoid;
@@ -149,6 +167,20 @@
     }
 }
 
+/// What is known of a request when it is submitted.
+struct PlacementInput<'a> {
+    id: RequestId,
+    config: &'a FleetConfig,
+    route: &'a Route,
+    workspace: Option<&'a Workspace>,
+    usage: Option<(u32, u32)>,
+    /// The caller's id of the attempt that began the stream.
+    began_as: &'a str,
+    /// True if the request goes on with a stream.
+    takes_up: bool,
+    body_bytes: usize,
+}
+
 /// Refusal of a request before it is submitted.
 struct Rejection(NotRunReason, Option<Duration>);
 
@@ -255,8 +287,18 @@
         let usage =
             text(header_names.token_usage).and_then(|value| (self.format.read_usage)(value));
         let id = self.new_request_id();
-        let placement =
-            self.placement_request(id, &config, &route, workspace.as_ref(), usage, body.len());
+        let last_event = text(header_names.last_event_id).map(str::trim);
+        let takes_up = last_event.is_some_and(|last| !last.is_empty() && last != NO_EVENT);
+        let placement = self.placement_request(PlacementInput {
+            id,
+            config: &config,
+            route: &route,
+            workspace: workspace.as_ref(),
+            usage,
+            began_as: resumes.as_deref().filter(|_| takes_up).unwrap_or(&caller_id),
+            takes_up,
+            body_bytes: body.len(),
+        });
         let mut placement = placement.ok_or_else(|| reject(NotRunReason::NoRunner.into()))?;
         placement.time_limit = deadline - arrived;
         let mut headers = end_to_end(&head.headers);
@@ -301,16 +343,20 @@
         workspace.map(Some).ok_or_else(|| NotRunReason::UnknownKey.into())
     }
 
-    fn placement_request(
-        &self,
-        id: RequestId,
-        config: &FleetConfig,
-        route: &Route,
-        workspace: Option<&Workspace>,
-        usage: Option<(u32, u32)>,
-        body_bytes: usize,
-    ) -> Option<PlacementRequest> {
-        let upstream = route.upstream(id.value() as u64)?.clone();
+    fn placement_request(&self, input: PlacementInput<'_>) -> Option<PlacementRequest> {
+        let PlacementInput { id, config, route, workspace, usage, body_bytes, .. } = input;
+        let name = workspace.map(|w| w.name.clone());
+        let name = name.or_else(|| WorkspaceName::new(PUBLIC_WORKSPACE).ok())?;
+        let stream = (route.retry == RetryPolicy::Resumable).then(|| {
+            let stream = StreamId::new(&name, input.began_as);
+            match input.takes_up {
+                true => StreamBinding::continues(stream, None),
+                false => StreamBinding::begins(stream),
+            }
+        });
+        // A stream stays at its upstream.
+        let pick = stream.as_ref().map_or(id.value() as u64, |stream| stream.id.hash());
+        let upstream = route.upstream(pick)?.clone();
         let engine = config.upstreams.get(&upstream).is_some_and(|u| u.engine);
         let quota = workspace.map(|w| w.quota).unwrap_or_default();
         let cost = match usage {
@@ -319,11 +365,10 @@
             None => quota.plain_cost,
         };
         let tier = workspace.map_or(route.tier, |w| w.tier_of(route.tier));
-        let name = workspace.map(|w| w.name.clone());
         let record = RequestRecord {
             id,
             entry: self.host.clone(),
-            workspace: name.or_else(|| WorkspaceName::new(PUBLIC_WORKSPACE).ok())?,
+            workspace: name,
             class: route.class.clone(),
             tier,
             target: route.target,
@@ -341,6 +386,7 @@
             time_limit,
             prior_attempts: 0,
             avoid: None,
+            stream,
         })
     }
 }
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use comfreyway_core::{
-    fleet::RetryPolicy,
+    fleet::{RunnerVersion, StreamBinding},
     outcome::UnknownReason,
     request::{DispatchEnd, Usage},
 };
@@ -43,6 +43,8 @@
     /// Number of runners that the request was sent to.
     sent: u32,
     first_event: Option<Instant>,
+    /// Version of the runner.
+    version: Option<RunnerVersion>,
     /// Complete events before the current runner's.
     earlier_events: u32,
 }
@@ -72,6 +74,7 @@
 ) -> Response<ResponseBody> {
     let status = response.status;
     let headers = response_headers(&response.headers);
+    let version = response.version.clone();
     let relay = StreamRelay {
         proxy: proxy.shared.clone(),
         request,
@@ -81,6 +84,7 @@
         held: proxy.host_state.response_memory.reserve(MAX_EVENT_BYTES),
         sent,
         first_event: None,
+        version,
         earlier_events: 0,
     };
     let steps = stream::unfold(Some(relay), |relay| async move {
@@ -207,18 +211,28 @@
         );
     }
 
+    /// Returns how the rest of the stream is bound to the version that began it, if it
+    /// may resume.
+    fn binding_of_rest(&self) -> Option<StreamBinding> {
+        let stream = self.request.placement.stream.clone()?;
+        if self.events.events() == 0 {
+            return Some(stream);
+        }
+        let version = self.version.clone().filter(|_| self.events.can_resume())?;
+        Some(StreamBinding::continues(stream.id, Some(version)))
+    }
+
     /// Resumes a broken stream at another runner, if that is allowed.
     async fn resume(&mut self) -> Result<(), RelayError> {
         self.response = None;
         self.handle.ended(DispatchEnd::Failed);
+        let stream = self.binding_of_rest();
         loop {
-            let resumable =
-                self.request.route.retry == RetryPolicy::Resumable && self.events.can_resume();
-            if !resumable || !may_retry(&self.request, self.sent) {
+            if stream.is_none() || !may_retry(&self.request, self.sent) {
                 return Err(RelayError::Broken);
             }
             let avoid = self.handle.runner().cloned();
-            self.handle = self.proxy.submit(&self.request, self.sent, avoid);
+            self.handle = self.proxy.submit_bound(&self.request, self.sent, avoid, stream.clone());
             let after = self.events.last_id();
             match dispatch(&self.proxy, &self.request, &mut self.handle, after).await {
                 DispatchResult::Response(response)
@@ -235,6 +249,7 @@
                     self.events.restart();
                     self.earlier_events = self.events.events();
                     self.first_event = None;
+                    self.version.clone_from(&response.version);
                     self.response = Some(response);
                     return Ok(());
                 }
--- a/crates/node/src/fleet/sessions.rs
+++ b/crates/node/src/fleet/sessions.rs
@@ -50,8 +50,9 @@
 /// An event of a session.
 #[derive(Debug)]
 pub(super) enum SessionEvent {
-    /// A client host has connected. The number identifies the session.
-    HostUp(HostId, u64, Sender<Frame>),
+    /// A client host of this protocol has connected. The number identifies the
+    /// session.
+    HostUp(HostId, u64, Sender<Frame>, u8),
     /// A message from a client host.
     FromHost(HostId, u64, ToCoordinator),
     /// A session with a client host has ended.
@@ -97,10 +98,10 @@
     events: &UnboundedSender<SessionEvent>,
 ) -> Result<(), SessionError> {
     let accepting = SessionSocket::accept(stream, token);
-    let (mut socket, host) =
+    let (mut socket, host, protocol) =
         timeout(HANDSHAKE_TIMEOUT, accepting).await.map_err(|_| SessionError::Handshake)??;
     let (tx, mut queue) = channel(MAX_QUEUED_MESSAGES);
-    notify(events, SessionEvent::HostUp(host.clone(), session, tx))?;
+    notify(events, SessionEvent::HostUp(host.clone(), session, tx, protocol))?;
     let result = run_host_session(&mut socket, (&host, session), &mut queue, events).await;
     notify(events, SessionEvent::HostDown(host, session))?;
     result
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use comfreyway_core::{
-    fleet::{PlacementReply, RequestUpdate, RunnerEntry, RunnerNotice},
+    fleet::{PlacementReply, RequestUpdate, RunnerEntry, RunnerNotice, StreamRecord},
     ids::HostId,
 };
 use futures_util::{SinkExt, StreamExt};
@@ -38,12 +38,19 @@
 /// Maximum size of a frame.
 const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Protocol from which on a host understands `Streams`.
+pub(super) const PROTOCOL_STREAMS: u8 = 1;
+
+/// The protocol of this build.
+pub(super) const PROTOCOL: u8 = PROTOCOL_STREAMS;
+
 /// A message from a client host to its coordinator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum ToCoordinator {
-    /// First frame: the sender's id and the receiver's token.
+    /// First frame: the sender's id, the receiver's token, and the sender's protocol;
+    /// zero from hosts of earlier versions, which do not send it.
     #[serde(rename = "h")]
-    Hello(HostId, u64),
+    Hello(HostId, u64, #[serde(default)] u8),
     /// A change in the state of a request.
     #[serde(rename = "a")]
     Update(RequestUpdate),
@@ -56,6 +63,9 @@
     /// Requests the store's changes after this revision, and all later ones.
     #[serde(rename = "s")]
     Sync(u64),
+    /// Versions of the streams that the sender knows.
+    #[serde(rename = "v")]
+    Streams(Vec<StreamRecord>),
 }
 
 /// A message from a coordinator to a client host.
@@ -65,11 +75,11 @@
     #[serde(rename = "t")]
     Reply(PlacementReply),
     /// Response to a ping: the ping's value, the store revision up to which the
-    /// coordinator knows all changes, the time since it last verified that, and the
-    /// number of hosts that it knows; zero from hosts of earlier versions, which do
-    /// not send it.
+    /// coordinator knows all changes, the time since it last verified that, the
+    /// number of hosts that it knows, and its protocol; the last two are zero from
+    /// hosts of earlier versions, which do not send them.
     #[serde(rename = "p")]
-    Pong(u64, u64, Duration, #[serde(default)] usize),
+    Pong(u64, u64, Duration, #[serde(default)] usize, #[serde(default)] u8),
     /// Entry of the runner that the next reply names, for a host that has not
     /// read the whole store yet.
     #[serde(rename = "n")]
@@ -86,6 +96,9 @@
     /// All changes that a sync requested have been sent.
     #[serde(rename = "e")]
     SyncEnd(SyncEnd),
+    /// Versions of streams, for a host that keeps copies.
+    #[serde(rename = "v")]
+    Streams(Vec<StreamRecord>),
     /// The sender does not coordinate, or no longer: choose another
     /// coordinator.
     #[serde(rename = "l")]
@@ -157,7 +170,7 @@
 }
 
 impl SessionSocket {
-    /// Accepts a connection from a client host and returns the host's id.
+    /// Accepts a connection from a client host and returns the host's id and protocol.
     ///
     /// # Errors
     ///
@@ -165,11 +178,13 @@
     pub(super) async fn accept(
         stream: TcpStream,
         token: u64,
-    ) -> Result<(Self, HostId), SessionError> {
+    ) -> Result<(Self, HostId, u8), SessionError> {
         set_socket_options(&stream);
         let mut socket = Self(accept_async_with_config(stream, Some(websocket_config())).await?);
         match socket.read().await? {
-            ToCoordinator::Hello(host, shown) if shown == token => Ok((socket, host)),
+            ToCoordinator::Hello(host, shown, protocol) if shown == token => {
+                Ok((socket, host, protocol))
+            }
             _ => Err(SessionError::Handshake),
         }
     }
@@ -189,7 +204,7 @@
         let url = format!("ws://{address}/fleet");
         let (socket, _) = client_async_with_config(url, stream, Some(websocket_config())).await?;
         let mut socket = Self(socket);
-        socket.send(Frame::new(&ToCoordinator::Hello(me, token))?).await?;
+        socket.send(Frame::new(&ToCoordinator::Hello(me, token, PROTOCOL))?).await?;
         Ok(socket)
     }
 
--- a/crates/node/src/http/problem.rs
+++ b/crates/node/src/http/problem.rs
@@ -105,7 +105,9 @@
         | NotRunReason::NotReady
         | NotRunReason::StaleConfiguration
         | NotRunReason::TimeLimit
-        | NotRunReason::TurnedAway => StatusCode::SERVICE_UNAVAILABLE,
+        | NotRunReason::TurnedAway
+        | NotRunReason::VersionUnknown
+        | NotRunReason::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
