Keep the versions that serve side by side in the store

A host that starts again after all hosts were killed can't know whether another version, whose runners have left since, began a stream that is taken up at it. It took the only version that it saw for the only one there was.

Change: while streams of more than one version of an upstream may exist, the coordinator keeps their list in the store (comfreyway/versions), with the time at which the last runner of a version was removed. It is written when a version comes, leaves or can be forgotten, so about four times a release; without a release there is no key and no call. Hosts read it with the listing that they make anyway. The write has no condition, since coordinators that don't know of each other merge what they read.

The case of one version, which has no record, goes on as it should.

--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -160,6 +160,12 @@
     /// client hosts, with this one, as a fraction of the known hosts. `absent` of
     /// these have no session. Fields: clients, known, absent.
     ShareChanged = "CF0538", Info, "share of the fleet changed";
+    /// Several versions serve, and a client host was sent the versions of all recent
+    /// streams, so that these can go on if this host goes down. Fields: host, streams.
+    StreamsCopied = "CF0539", Info, "versions of streams copied to a client host";
+    /// The store's record of the versions that serve side by side could not be
+    /// written. Fields: cause.
+    VersionRecordNotWritten = "CF0547", Info, "record of versions can't be written";
     /// The watch on the store failed. Fields: cause.
     StoreWatchLost = "CF0541", Warn, "store can't be watched";
     /// The watch on the store works again. Fields: revision.
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -47,8 +47,12 @@
 mod store_relay;
 mod store_updates;
 mod stream_versions;
+mod version_record;
 
-use self::{absent_hosts::AbsentHosts, election::OwnEntry, rollback::MissingHosts};
+use self::{
+    absent_hosts::AbsentHosts, election::OwnEntry, rollback::MissingHosts,
+    version_record::VersionRecord,
+};
 
 /// Interval of the periodic checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -134,6 +138,10 @@
     absent_hosts: AbsentHosts,
     /// Client hosts that keep copies of what this coordinator knows of streams.
     copy_holders: Vec<HostId>,
+    /// The store's record of the versions that serve side by side.
+    version_record: VersionRecord,
+    /// When this host last wrote that record.
+    version_record_written: Option<MonoTime>,
     logged_share: ShareBasis,
     first_feed: FirstFeed,
     /// True while the store has an older configuration than the one in force.
@@ -184,6 +192,8 @@
             missing_hosts: MissingHosts::default(),
             absent_hosts: AbsentHosts::default(),
             copy_holders: Vec::new(),
+            version_record: VersionRecord::default(),
+            version_record_written: None,
             logged_share: ShareBasis::default(),
             first_feed: FirstFeed::Started,
             stored_config_is_older: false,
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -83,6 +83,9 @@
             self.apply_config(item);
         }
         let has_config = config.is_some();
+        if let Some(item) = items.iter().find(|item| item.key == keys.versions) {
+            self.apply_version_record(item);
+        }
         let runners = items.iter().filter(|item| item.key.starts_with(keys.runners));
         let entries: Vec<_> = runners.filter_map(|item| self.read_runner(item)).collect();
         let mut changes = Vec::new();
@@ -103,6 +106,9 @@
         if let Some(item) = items.iter().find(|item| item.key == keys.config) {
             self.apply_config(item);
         }
+        if let Some(item) = items.iter().find(|item| item.key == keys.versions) {
+            self.apply_version_record(item);
+        }
         let runners = items.iter().filter(|item| item.key.starts_with(keys.runners));
         let entries = runners.filter_map(|item| self.read_runner(item)).collect();
         let mut out = Vec::new();
@@ -143,6 +149,10 @@
         {
             self.stored_config_is_older = false;
             self.apply_config(item);
+        } else if let KvEvent::Put(item) = event
+            && item.key == keys.versions
+        {
+            self.apply_version_record(item);
         }
     }
 
@@ -264,6 +274,7 @@
         self.choose_coordinator();
         self.update_absent_hosts(now);
         self.copy_streams();
+        self.update_version_record();
         self.host_state.set_hosts(self.coordinator.share_basis().known);
         self.log_share();
         self.start_feed_if_stale();
--- a/crates/node/src/fleet/control/stream_versions.rs
+++ b/crates/node/src/fleet/control/stream_versions.rs
@@ -11,7 +11,10 @@
     time::MonoTime,
 };
 
-use crate::fleet::wire::{PROTOCOL_STREAMS, ToCoordinator, ToHost};
+use crate::{
+    events::{Event, log_event},
+    fleet::wire::{PROTOCOL_STREAMS, ToCoordinator, ToHost},
+};
 
 use super::FleetControl;
 
@@ -75,10 +78,13 @@
         }
         let former = std::mem::replace(&mut self.copy_holders, holders.clone());
         for host in holders {
-            let records = match former.contains(&host) {
+            let records: Vec<_> = match former.contains(&host) {
                 true => new.clone(),
                 false => self.coordinator.known_streams(now).collect(),
             };
+            if !former.contains(&host) {
+                log_event!(Event::StreamsCopied, host:% = host, streams = records.len());
+            }
             for records in records.chunks(MAX_STREAMS_PER_MESSAGE) {
                 self.send_to_client(&host, &ToHost::Streams(records.to_vec()));
             }
--- /dev/null
+++ b/crates/node/src/fleet/control/version_record.rs
@@ -0,0 +1,124 @@
+//! The store's record of the versions that serve side by side.
+//!
+//! A host that has just started knows neither the streams that others began nor the
+//! versions whose runners are gone. While more than one version of an upstream can have
+//! begun a stream, the coordinator keeps them in the store; without a record there is
+//! one. The write has no condition: coordinators that don't know of each other read each
+//! other's versions and write all of them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use comfreyway_core::{fleet::RunnerVersion, ids::UpstreamName, time::MonoTime};
+use comfreyway_platform::Versioned;
+use serde::{Deserialize, Serialize};
+
+use crate::events::{Event, log_event};
+
+use super::FleetControl;
+
+/// Minimum time between two writes.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Difference by which the clocks of two hosts may differ.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(5);
+
+/// Versions of each upstream that may have begun a stream.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(super) struct VersionRecord {
+    upstreams: BTreeMap<UpstreamName, Vec<RecordedVersion>>,
+}
+
+/// A version that serves, or did so a short time ago.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct RecordedVersion {
+    /// `None` for runners whose entries name no version.
+    version: Option<RunnerVersion>,
+    /// When its last runner was removed, in milliseconds since the Unix epoch.
+    gone_ms: Option<u64>,
+}
+
+impl VersionRecord {
+    /// Returns the versions without their times.
+    fn states(&self) -> BTreeSet<(&UpstreamName, Option<&RunnerVersion>, bool)> {
+        let upstreams = self.upstreams.iter();
+        let versions = upstreams.flat_map(|(upstream, versions)| {
+            versions.iter().map(move |v| (upstream, v.version.as_ref(), v.gone_ms.is_some()))
+        });
+        versions.collect()
+    }
+}
+
+impl FleetControl {
+    /// Applies the store's record.
+    pub(super) fn apply_version_record(&mut self, item: &Versioned) {
+        let record = match serde_json::from_slice::<VersionRecord>(&item.value) {
+            Ok(record) => record,
+            Err(e) => {
+                log_event!(Event::EntryUnreadable, key = item.key.as_str(), cause:% = e);
+                return;
+            }
+        };
+        let (now, unix_ms) = (self.now(), unix_ms());
+        for (upstream, versions) in &record.upstreams {
+            for RecordedVersion { version, gone_ms } in versions {
+                let gone_for = gone_ms.map_or(Duration::ZERO, |gone_ms| {
+                    let gone_for = Duration::from_millis(unix_ms.saturating_sub(gone_ms));
+                    gone_for.saturating_sub(CLOCK_TOLERANCE)
+                });
+                self.coordinator.version_reported(now, upstream, version.clone(), gone_for);
+            }
+        }
+        self.version_record = record;
+    }
+
+    /// Writes the record if other versions serve side by side than it says.
+    pub(super) fn update_version_record(&mut self) {
+        let now = self.now();
+        if self.coordinator_client.coordinator().is_some()
+            || self.mirror.revision().0 == 0
+            || self.version_record_written.is_some_and(|at| now.since(at) < MIN_WRITE_INTERVAL)
+        {
+            return;
+        }
+        let record = self.current_versions(now);
+        if record.states() == self.version_record.states() {
+            return;
+        }
+        let value = match serde_json::to_vec(&record) {
+            Ok(value) => value,
+            Err(e) => {
+                log::error!("can't encode the record of versions: {e}");
+                return;
+            }
+        };
+        self.version_record_written = Some(now);
+        let (store, key) = (self.store.clone(), self.format.keys.versions);
+        actix_rt::spawn(async move {
+            if let Err(e) = store.put(key, value, None).await {
+                log_event!(Event::VersionRecordNotWritten, cause:% = e);
+            }
+        });
+    }
+
+    fn current_versions(&self, now: MonoTime) -> VersionRecord {
+        let unix_ms = unix_ms();
+        let histories = self.coordinator.version_histories();
+        let mixed = histories.filter(|(_, history)| history.is_mixed(now));
+        let upstreams = mixed.map(|(upstream, history)| {
+            let versions = history.versions(now).map(|(version, gone_for)| RecordedVersion {
+                version: version.cloned(),
+                gone_ms: gone_for.map(|gone| unix_ms.saturating_sub(gone.as_millis() as u64)),
+            });
+            (upstream.clone(), versions.collect())
+        });
+        VersionRecord { upstreams: upstreams.collect() }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/fleet/platform_format.rs
+++ b/crates/node/src/fleet/platform_format.rs
@@ -61,6 +61,8 @@
     pub runners: &'static str,
     /// Prefix of the hosts' own entries.
     pub members: &'static str,
+    /// Key of the record of runners' versions that serve side by side.
+    pub versions: &'static str,
 }
 
 /// Header names, store keys and record parsers of a platform.
--- a/tests/testsuite/fleet/versions.rs
+++ b/tests/testsuite/fleet/versions.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use comfreyway_testkit::fleet_runner::{FleetRunner, RunnerMode};
+use comfreyway_testkit::{
+    daemon::Signal,
+    fleet_runner::{FleetRunner, RunnerMode},
+};
 
 use rstest::rstest;
 
@@ -10,6 +13,9 @@
 
 use super::harness::{DESK_KEY, FleetHarness, KEY, Response, call, call_with, events};
 
+/// Key of the store's record of versions.
+const RECORD: &str = "comfreyway/versions";
+
 /// Number of events of a whole stream.
 const EVENTS: u64 = 6;
 
@@ -50,14 +56,30 @@
 
 /// Waits until the host has read the runner's entry.
 async fn wait_until_known(host: &Daemon, runner: &FleetRunner) {
-    let line = format!("event=CF0521 runner={} ", runner.name());
+    wait_for_line(host, &format!("event=CF0521 runner={} ", runner.name())).await;
+}
+
+async fn wait_for_line(host: &Daemon, line: &str) {
     for _ in 0..MAX_WAITS {
-        if host.log().contains(&line) {
+        if host.log().contains(line) {
             return;
         }
         actix_rt::time::sleep(WAIT).await;
     }
-    panic!("{} is not known", runner.name());
+    panic!("no {line}");
+}
+
+/// Waits until the store has a record of these versions.
+async fn wait_for_record(fleet: &FleetHarness, versions: &[&str]) {
+    for _ in 0..MAX_WAITS {
+        let item = fleet.store.keys().with_store(|keys, now| keys.get(RECORD, now));
+        let record = String::from_utf8(item.map_or(Vec::new(), |item| item.value)).unwrap();
+        if versions.iter().all(|version| record.contains(&format!("\"{version}\""))) {
+            return;
+        }
+        actix_rt::time::sleep(WAIT).await;
+    }
+    panic!("no record of {versions:?}");
 }
 
 /// Runners without requests are used in the order of their names.
@@ -124,3 +146,62 @@
     }
     assert_eq!(runners.iter().map(continued).sum::<usize>(), 0);
 }
+
+/// The first host coordinates. A stream begins at one host and is taken up at another.
+#[rstest]
+#[case::host(1, 1, 2)]
+#[case::coordinator(1, 0, 2)]
+#[case::coordinator_that_began_it(0, 0, 2)]
+#[actix_rt::test]
+async fn a_stream_goes_on_after_a_host_was_killed(
+    #[case] began_at: usize,
+    #[case] killed: usize,
+    #[case] taken_up_at: usize,
+) {
+    let fleet = FleetHarness::new();
+    let first = fleet.start_version("dala", "e1", "v1", RunnerMode::Whole);
+    let mut hosts = vec![fleet.start_host("h1").await];
+    for name in ["h2", "h3"] {
+        let host = fleet.start_host(name).await;
+        wait_for_line(&host, "event=CF0532").await;
+        hosts.push(host);
+    }
+    begin_broken(&hosts[began_at], "began", &first).await;
+    let other = fleet.start_version("dala", "e2", "v2", RunnerMode::Stream(EVENTS));
+    let resumed = continued(&first);
+    for copy in ["h2", "h3"] {
+        wait_for_line(&hosts[0], &format!("event=CF0539 host={copy}#")).await;
+    }
+    wait_until_known(&hosts[taken_up_at], &other).await;
+    hosts[killed].signal(Signal::Kill).unwrap();
+    hosts[killed].exited().await.unwrap();
+    let response = take_up(&hosts[taken_up_at], "again", "began").await;
+    assert_eq!(response.body, Some(remaining_events()));
+    assert_eq!((continued(&first) - resumed, continued(&other)), (1, 0));
+}
+
+/// Nobody knows a stream after all hosts were killed.
+#[rstest]
+#[case::one_version(false, 200)]
+#[case::another_version_that_has_left(true, 503)]
+#[actix_rt::test]
+async fn hosts_that_start_again_know_which_versions_may_have_begun_a_stream(
+    #[case] is_mixed: bool,
+    #[case] expected: u16,
+) {
+    let fleet = FleetHarness::new();
+    let first = fleet.start_version("dala", "e1", "v1", RunnerMode::Stream(EVENTS));
+    let host = fleet.start_host("h1").await;
+    if is_mixed {
+        let _left = fleet.start_version("dala", "e2", "v2", RunnerMode::Stream(EVENTS));
+        wait_for_record(&fleet, &["v1", "v2"]).await;
+        fleet.store.delete("servers/e2");
+        wait_for_line(&host, "event=CF0523 runner=e2").await;
+    }
+    drop(host);
+    let host = fleet.start_host("h2").await;
+    wait_until_known(&host, &first).await;
+    let response = take_up(&host, "again", "began").await;
+    assert_eq!(response.status, expected);
+    assert_eq!(continued(&first), usize::from(!is_mixed));
+}
