--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -152,6 +152,11 @@
         self.basis
     }
 
+    /// Returns the hosts whose requests it schedules.
+    pub fn clients(&self) -> impl Iterator<Item = &HostId> {
+        self.clients.iter()
+    }
+
     /// Adds the local host as a client.
     pub fn local_host_joined(&mut self, now: MonoTime, me: HostId) {
         self.add_client(now, me.clone());
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod model;
 mod quota_changes;
 mod quotas;
+mod releases;
 mod returns;
 mod scheduler;
 mod support;
