Test what a request that goes on with a stream waits for and is granted

The wait for a verification of the view, for another host's record, requeues, adoption by another coordinator, runners without a version, and coordinators that ignore streams.

--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -13,4 +13,5 @@
 mod releases;
 mod returns;
 mod scheduler;
+mod streams;
 mod support;
