Soak streams of two versions that callers take up again

The stand-in of a runner gets a software version, which each event names, so that a joined stream is seen from its caller's side. Callers keep the events of a report that broke off and take it up at any host; engine runners break off more often.

--- a/crates/testkit/src/fleet_runner/handler.rs
+++ b/crates/testkit/src/fleet_runner/handler.rs
@@ -66,11 +66,13 @@
     let after = header("last-event-id").parse().unwrap_or(0);
     match mode {
         RunnerMode::Stream(count) | RunnerMode::LeavingStream(count) => {
-            res.content_type(EVENT_STREAM).streaming(events(after, count, None))
+            let events = events(after, count, &runner.version(), None);
+            res.content_type(EVENT_STREAM).streaming(events)
         }
         RunnerMode::CutAfter(count) => {
             let partial = format!("id: {}\nda", count + 1);
-            res.content_type(EVENT_STREAM).streaming(events(after, count, Some(partial)))
+            let events = events(after, count, &runner.version(), Some(partial));
+            res.content_type(EVENT_STREAM).streaming(events)
         }
         RunnerMode::Fails => res.status(StatusCode::INTERNAL_SERVER_ERROR).body("failed"),
         RunnerMode::Disconnect => {
@@ -104,9 +106,11 @@
 fn events(
     after: u64,
     count: u64,
+    version: &str,
     partial: Option<String>,
-) -> impl futures_util::Stream<Item = io::Result<Bytes>> {
-    let complete = (after + 1..=count).map(|n| Ok(Bytes::from(format!("id: {n}\ndata: e{n}\n\n"))));
+) -> impl futures_util::Stream<Item = io::Result<Bytes>> + use<> {
+    let event = |n| format!("id: {n}\ndata: e{n}{version}\n\n");
+    let complete = (after + 1..=count).map(|n| Ok(Bytes::from(event(n))));
     let partial = partial.map(Bytes::from);
     let cut = usize::from(partial.is_some());
     let chunks = complete.chain(partial.map(Ok)).collect::<Vec<_>>();
--- a/crates/testkit/src/fleet_runner/mod.rs
+++ b/crates/testkit/src/fleet_runner/mod.rs
@@ -74,11 +74,19 @@
 pub(crate) struct Shared {
     name: String,
     mode: Mutex<RunnerMode>,
+    version: Mutex<String>,
     gate: Gate,
     runs: Mutex<Vec<RunnerRun>>,
     arrivals: AtomicUsize,
 }
 
+impl Shared {
+    /// Returns what the software version adds to each event.
+    fn version(&self) -> String {
+        self.version.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
 /// A running stand-in of a runner.
 pub struct FleetRunner {
     shared: Arc<Shared>,
@@ -95,6 +103,7 @@
         let shared = Arc::new(Shared {
             name: name.to_owned(),
             mode: Mutex::new(mode),
+            version: Mutex::default(),
             gate: Gate::default(),
             runs: Mutex::default(),
             arrivals: AtomicUsize::new(0),
@@ -125,6 +134,12 @@
         *self.shared.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
     }
 
+    /// Sets the software version, which each event of a new stream then names.
+    pub fn set_version(&self, version: &str) {
+        *self.shared.version.lock().unwrap_or_else(PoisonError::into_inner) =
+            format!(" of {version}");
+    }
+
     /// Blocks requests while closed, after they are logged as run.
     #[must_use]
     pub fn gate(&self) -> &Gate {
--- a/tests/testsuite/fleet/soak.rs
+++ b/tests/testsuite/fleet/soak.rs
@@ -34,7 +34,7 @@
 
 use self::callers::{CallResult, CallerKind, Connection, start_caller};
 
-use super::harness::{DESK_KEY, events, runner_entry};
+use super::harness::{DESK_KEY, runner_entry};
 
 const HOSTS: usize = 3;
 /// Hosts of the runs with many processes.
@@ -42,6 +42,8 @@
 /// Short, so that entries expire between the faults.
 const HOST_LEASE: &str = "1s";
 const RUNNERS: usize = 3;
+/// Software version of each runner of the engine.
+const VERSIONS: [&str; RUNNERS] = ["v1", "v2", "v1"];
 const CALLERS: usize = 6;
 const BULK_CALLERS: usize = 8;
 const EVENTS: u64 = 6;
@@ -125,11 +127,14 @@
             })
             .collect();
         let mut runners = Vec::new();
-        for n in 0..RUNNERS {
+        for (n, version) in VERSIONS.into_iter().enumerate() {
             for (upstream, mode) in
                 [("survey", RunnerMode::Whole), ("dala", RunnerMode::Stream(EVENTS))]
             {
                 let runner = FleetRunner::start(&format!("{upstream}-{n}"), mode).unwrap();
+                if upstream == "dala" {
+                    runner.set_version(version);
+                }
                 let proxy = FaultProxy::start(runner.address()).unwrap();
                 runners.push((runner, upstream, proxy));
             }
@@ -149,7 +154,10 @@
     /// Writes a runner's entry.
     fn put_runner(&self, n: usize, state: &str) {
         let (runner, upstream, proxy) = &self.runners[n];
-        let entry = runner_entry(proxy.address(), upstream, state);
+        let mut entry = runner_entry(proxy.address(), upstream, state);
+        if let Some(number) = runner.name().strip_prefix("dala-") {
+            entry["version"] = json!(VERSIONS[number.parse::<usize>().unwrap()]);
+        }
         self.store.put(&format!("servers/{}", runner.name()), entry.to_string().as_bytes());
     }
 
@@ -170,7 +178,7 @@
     fn inject_fault(&mut self) {
         let host = self.rng.random_range(0..self.hosts.len());
         let runner = self.rng.random_range(0..self.runners.len());
-        match self.rng.random_range(0..15) {
+        match self.rng.random_range(0..17) {
             0 => self.hosts[host] = None,
             1 => self.signal(host, Signal::Terminate),
             2 => self.signal(host, Signal::Stop),
@@ -198,7 +206,7 @@
                 let text = configuration(self.version).to_string();
                 self.store.put("op/config", text.as_bytes());
             }
-            12 => {
+            12 | 15 | 16 => {
                 let modes = [
                     RunnerMode::Fails,
                     RunnerMode::NotExecuted,
@@ -208,7 +216,12 @@
                     RunnerMode::Unsigned,
                     RunnerMode::Misdirected,
                 ];
-                let mode = modes[self.rng.random_range(0..modes.len())];
+                let mode = match self.runners[runner].1 {
+                    "dala" if self.rng.random_bool(0.5) => {
+                        RunnerMode::CutAfter(self.rng.random_range(1..EVENTS))
+                    }
+                    _ => modes[self.rng.random_range(0..modes.len())],
+                };
                 self.runners[runner].0.set_mode(mode);
             }
             13 => self.runners[runner].2.cut_all(),
@@ -253,10 +266,8 @@
                 let served = || async {
                     let mut connection = Connection::open(settings.callers).await?;
                     let id = format!("after-{n}-{path}");
-                    let (result, _) = connection.call(&DESK, id, path).await;
-                    result
-                        .filter(|result| result.status == 200 && result.body.is_some())
-                        .map(|_| ())
+                    let (result, _) = connection.call(&DESK, id, path, None).await;
+                    result.filter(|result| result.status == 200 && result.complete).map(|_| ())
                 };
                 eventually(served).await.unwrap_or_else(|| panic!("h{n} does not serve {path}"));
             }
@@ -315,12 +326,17 @@
     assert!(most <= allowed, "seed {seed}: {most} of {allowed:.0} units in a window");
 }
 
+/// Returns the whole stream of a runner of this version.
+fn versioned_events(version: &str) -> String {
+    (1..=EVENTS).map(|n| format!("id: {n}\ndata: e{n} of {version}\n\n")).collect()
+}
+
 /// Checks the responses against the runs that the runners recorded.
 fn check_results(seed: u64, soak: &Soak, results: &[CallResult]) {
     let runs = soak.runs();
-    let stream = events(EVENTS);
+    let streams = VERSIONS.map(versioned_events);
     let mut served = 0;
-    for CallResult { id, path, status, echoed_id, body } in results {
+    for CallResult { id, path, status, echoed_id, complete, body } in results {
         let ran = runs.get(id).copied().unwrap_or(0);
         let at_most_once = AT_MOST_ONCE_PATHS.contains(path);
         assert!(!at_most_once || ran <= 1, "seed {seed}: {id} at {path} ran {ran} times");
@@ -333,10 +349,15 @@
             echoed_id.as_ref().is_none_or(|echoed| echoed == id),
             "seed {seed}: {id} at {path} got the response to {echoed_id:?}"
         );
-        if let (200, Some(body)) = (status, body) {
+        let is_stream = ["/tags/", "/report/"].contains(path);
+        if *status == 200 && is_stream && !complete {
+            let of_one_version = streams.iter().any(|stream| stream.starts_with(body.as_str()));
+            assert!(of_one_version, "seed {seed}: {id} at {path} got {body:?}");
+        }
+        if *status == 200 && *complete {
             served += usize::from(id.starts_with(DESK.name));
             let intact = match *path {
-                "/tags/" | "/report/" => *body == stream,
+                "/tags/" | "/report/" => streams.contains(body),
                 _ => body.starts_with("answer of survey-"),
             };
             assert!(intact && ran > 0, "seed {seed}: {id} at {path} got {body:?}, ran {ran}");
--- a/tests/testsuite/fleet/soak/callers.rs
+++ b/tests/testsuite/fleet/soak/callers.rs
@@ -14,6 +14,9 @@
 
 use crate::fleet::harness::{ID, KEY};
 
+/// Path of the streams that callers take up again.
+const RESUMABLE_PATH: &str = "/report/";
+
 /// Pause of a caller after a host that can't be reached or refuses requests.
 const RETRY_PAUSE: Duration = Duration::from_millis(15);
 
@@ -24,8 +27,33 @@
     pub(super) status: u16,
     /// The request ID that the response names.
     pub(super) echoed_id: Option<String>,
-    /// `None` if the body is incomplete.
-    pub(super) body: Option<String>,
+    /// True if the body is complete.
+    pub(super) complete: bool,
+    /// The body; for a stream that was taken up again with the events before.
+    pub(super) body: String,
+}
+
+/// A stream of which a caller has only the first events.
+#[derive(Clone, Default)]
+pub(super) struct BrokenStream {
+    /// Id of the attempt that began it.
+    began: String,
+    events: String,
+}
+
+impl BrokenStream {
+    /// Returns the stream after a response that broke off, if it has events.
+    fn new(result: &CallResult, before: Option<&Self>) -> Option<Self> {
+        let end = result.body.rfind("\n\n")? + 2;
+        let began = before.map_or(&result.id, |before| &before.began).clone();
+        Some(Self { began, events: result.body[..end].to_owned() })
+    }
+
+    /// Returns the headers of a request that takes it up.
+    fn headers(&self) -> String {
+        let last = self.events.matches("id: ").count();
+        format!("last-event-id: {last}\r\nresumes: {}\r\n", self.began)
+    }
 }
 
 /// One kind of callers.
@@ -58,13 +86,18 @@
         kind: &CallerKind,
         id: String,
         path: &'static str,
+        broken: Option<&BrokenStream>,
     ) -> (Option<CallResult>, bool) {
-        match timeout(kind.timeout, self.exchange(kind.key, &id, path)).await {
-            Ok(Some((head, body))) => {
-                let reusable = body.is_some() && header(&head, "connection") != Some("close");
+        let more = broken.map(BrokenStream::headers).unwrap_or_default();
+        match timeout(kind.timeout, self.exchange(kind.key, &id, path, &more)).await {
+            Ok(Some((head, (body, complete)))) => {
+                let before = broken.map_or("", |broken| &broken.events);
+                let body = format!("{before}{body}");
+                let reusable = complete && header(&head, "connection") != Some("close");
                 let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
                 let echoed_id = header(&head, ID).map(str::to_owned);
-                let result = status.map(|status| CallResult { id, path, status, echoed_id, body });
+                let result =
+                    status.map(|status| CallResult { id, path, status, echoed_id, complete, body });
                 (result, reusable)
             }
             Ok(None) | Err(_) => (None, false),
@@ -76,29 +109,36 @@
         key: &str,
         id: &str,
         path: &str,
-    ) -> Option<(String, Option<String>)> {
+        more: &str,
+    ) -> Option<(String, (String, bool))> {
         let head = format!(
             "POST {path} HTTP/1.1\r\nhost: desk.example\r\n{ID}: {id}\r\n{KEY}: {key}\r\n\
-             content-length: 0\r\n\r\n"
+             {more}content-length: 0\r\n\r\n"
         );
         self.stream.write_all(head.as_bytes()).await.ok()?;
         let head = self.read_until(b"\r\n\r\n").await?.to_ascii_lowercase();
         let body = match header(&head, "content-length").and_then(|length| length.parse().ok()) {
-            Some(length) => self.read_exact(length).await,
-            None => self.read_chunks().await,
+            Some(length) => match self.read_exact(length).await {
+                Some(body) => (body, true),
+                None => (String::new(), false),
+            },
+            None => {
+                let mut body = String::new();
+                let complete = self.read_chunks(&mut body).await.is_some();
+                (body, complete)
+            }
         };
         Some((head, body))
     }
 
-    async fn read_chunks(&mut self) -> Option<String> {
-        let mut body = String::new();
+    async fn read_chunks(&mut self, body: &mut String) -> Option<()> {
         loop {
             let size = self.read_until(b"\r\n").await?;
             let size = usize::from_str_radix(&size, 16).ok()?;
             body.push_str(&self.read_exact(size).await?);
             self.read_until(b"\r\n").await?;
             if size == 0 {
-                return Some(body);
+                return Some(());
             }
         }
     }
@@ -143,6 +183,7 @@
     actix_rt::spawn(async move {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut connection = None;
+        let mut broken: Option<BrokenStream> = None;
         for number in 0.. {
             if connection.is_none() {
                 connection = Connection::open(hosts[rng.random_range(0..hosts.len())]).await;
@@ -151,10 +192,20 @@
                 sleep(RETRY_PAUSE).await;
                 continue;
             };
-            let path = kind.paths[rng.random_range(0..kind.paths.len())];
+            let path = match broken {
+                Some(_) => RESUMABLE_PATH,
+                None => kind.paths[rng.random_range(0..kind.paths.len())],
+            };
             let id = format!("{}-{seed:x}-{number}", kind.name);
-            let (result, reusable) = open.call(&kind, id, path).await;
+            let (result, reusable) = open.call(&kind, id, path, broken.as_ref()).await;
             let served = result.as_ref().is_some_and(|result| result.status == 200);
+            let is_broken = |result: &&CallResult| {
+                path == RESUMABLE_PATH && result.status == 200 && !result.complete
+            };
+            let broke = result.as_ref().filter(is_broken);
+            let next = broke.and_then(|result| BrokenStream::new(result, broken.as_ref()));
+            // A stream that is refused is tried once more with a new request.
+            broken = next.or_else(|| broken.filter(|_| !served && rng.random_range(0..4) > 0));
             results.borrow_mut().extend(result);
             if !reusable {
                 connection = None;
