--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -121,6 +121,13 @@
             evidence.extend(leaving_or_removed_runners(timeline, end));
             (text.to_owned(), evidence)
         }
+        "version-unknown" | "version-gone" => {
+            let text = match reason {
+                "version-gone" => "no runner has the software version that began its stream",
+                _ => "the software version that began its stream was not known",
+            };
+            (text.to_owned(), leaving_or_removed_runners(timeline, end))
+        }
         other => (format!("the host refused it: {other}"), Vec::new()),
     };
     Cause { outcome, text, evidence }
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -134,3 +134,14 @@
     assert_eq!(LogLine::parse("h1", "thread 'main' panicked at nothing"), None);
     assert!(RequestTimeline::new("a1", Vec::new()).is_none());
 }
+
+#[test]
+fn refusal_for_lack_of_a_version_shows_the_runners_that_left() {
+    let log = "\
+        [10:00:02.000 INFO  comfreyway] runner removed event=CF0523 runner=r1 upstream=dala
+        [10:00:03.000 INFO  comfreyway] request refused, not run event=CF0502 id=i9 \
+        reason=version-gone class=report workspace=desk upstream=dala waited_ms=0 retry_ms=1000";
+    let text = explanation("i9", &[("h1", log)]);
+    assert!(text.contains("no runner has the software version"), "{text}");
+    assert!(text.contains("runner removed"), "{text}");
+}
--- a/tests/testsuite/fleet/soak.rs
+++ b/tests/testsuite/fleet/soak.rs
@@ -1,7 +1,8 @@
 //! Random overlapping faults, generated from a seed, on real processes under
 //! load. A request that may run at most once never runs twice and has not run if
 //! it is reported as not run; a success is a runner's whole response to that request;
-//! no workspace exceeds its quota; afterwards all hosts serve.
+//! a stream stays at one software version, also if its caller takes it up again; no
+//! workspace exceeds its quota; afterwards all hosts serve.
 //!
 //! CI runs a few short seeds. To run fifty seeds, and some with many hosts, by hand:
 //!
