--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -35,7 +35,7 @@
     mirror::StoreMirror,
     platform_format::PlatformFormat,
     request_handle::{RequestDecision, WorkerMessage},
-    sessions::{SessionEvent, dial},
+    sessions::SessionEvent,
     wire::{Frame, ToCoordinator, ToHost},
 };
 
@@ -393,31 +393,3 @@
         self.choose_coordinator();
     }
 }
-
-impl FleetControl {
-    fn open_session(&mut self, to: &Member) {
-        log_event!(Event::CoordinatorChosen, host:% = to.id, address:% = to.address);
-        self.coordinator_session = Some(CoordinatorSession {
-            host: to.id.clone(),
-            tx: None,
-            relay: StoreRelay::Off,
-            protocol: 0,
-        });
-        actix_rt::spawn(dial(
-            self.me.id.clone(),
-            to.clone(),
-            self.host_state.clock,
-            self.session_tx.clone(),
-        ));
-    }
-
-    /// Notifies the client hosts to choose another coordinator.
-    fn notify_not_coordinator(&self) {
-        let Some(frame) = coordination::encode(&ToHost::NotCoordinator) else { return };
-        for (_, client) in self.clients.iter() {
-            if client.tx.try_send(frame.clone()).is_err() {
-                log::debug!("can't send NotCoordinator to a client host; its session will end");
-            }
-        }
-    }
-}
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -2,18 +2,22 @@
 
 use std::time::Duration;
 
-use comfreyway_core::{fleet::OpenOutcome, ids::HostId, time::MonoTime};
+use comfreyway_core::{
+    fleet::{Member, OpenOutcome},
+    ids::HostId,
+    time::MonoTime,
+};
 use comfreyway_platform::{KvEvent, Revision};
 
 use crate::{
     events::{Event, log_event},
     fleet::{
-        sessions::SessionEvent,
+        sessions::{SessionEvent, dial},
         wire::{Frame, PROTOCOL, ToCoordinator, ToHost},
     },
 };
 
-use super::{ClientSession, FleetControl};
+use super::{ClientSession, CoordinatorSession, FleetControl, StoreRelay};
 
 /// Time for which a host is not chosen as coordinator after its session failed,
 /// or after it declined before this host had switched to it.
@@ -80,6 +84,32 @@
         }
     }
 
+    pub(super) fn open_session(&mut self, to: &Member) {
+        log_event!(Event::CoordinatorChosen, host:% = to.id, address:% = to.address);
+        self.coordinator_session = Some(CoordinatorSession {
+            host: to.id.clone(),
+            tx: None,
+            relay: StoreRelay::Off,
+            protocol: 0,
+        });
+        actix_rt::spawn(dial(
+            self.me.id.clone(),
+            to.clone(),
+            self.host_state.clock,
+            self.session_tx.clone(),
+        ));
+    }
+
+    /// Notifies the client hosts to choose another coordinator.
+    pub(super) fn notify_not_coordinator(&self) {
+        let Some(frame) = encode(&ToHost::NotCoordinator) else { return };
+        for (_, client) in self.clients.iter() {
+            if client.tx.try_send(frame.clone()).is_err() {
+                log::debug!("can't send NotCoordinator to a client host; its session will end");
+            }
+        }
+    }
+
     pub(super) fn handle_session_event(&mut self, event: SessionEvent) {
         let now = self.now();
         match event {
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -4,12 +4,9 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
-    fleet::{
-        FleetConfig, PlacementRequest, RetryPolicy, Route, StreamBinding, StreamId, Workspace,
-    },
-    ids::{HostId, RequestId, RunnerName, WorkspaceName},
+    fleet::{FleetConfig, Route, StreamBinding, Workspace},
+    ids::{HostId, RequestId, RunnerName},
     outcome::NotRunReason,
-    request::RequestRecord,
 };
 use comfreyway_platform::Revision;
 use http_body_util::BodyExt;
@@ -35,6 +32,7 @@
 use super::{
     admitted::{AdmittedRequest, end_to_end},
     exchange::{close_after, exchange},
+    placement::{PlacementInput, placement_request},
     response::{ResponseBody, not_run},
 };
 
@@ -46,9 +44,6 @@
 /// accepts the request at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// Workspace of requests that need no API key.
-const PUBLIC_WORKSPACE: &str = "public";
-
 /// Value of the header for the last event that asks for all events.
 const NO_EVENT: &str = "0";
 
@@ -167,20 +162,6 @@
     }
 }
 
-/// What is known of a request when it is submitted.
-struct PlacementInput<'a> {
-    id: RequestId,
-    config: &'a FleetConfig,
-    route: &'a Route,
-    workspace: Option<&'a Workspace>,
-    usage: Option<(u32, u32)>,
-    /// The caller's id of the attempt that began the stream.
-    began_as: &'a str,
-    /// True if the request goes on with a stream.
-    takes_up: bool,
-    body_bytes: usize,
-}
-
 /// Refusal of a request before it is submitted.
 struct Rejection(NotRunReason, Option<Duration>);
 
@@ -289,8 +270,9 @@
         let id = self.new_request_id();
         let last_event = text(header_names.last_event_id).map(str::trim);
         let takes_up = last_event.is_some_and(|last| !last.is_empty() && last != NO_EVENT);
-        let placement = self.placement_request(PlacementInput {
+        let placement = placement_request(&PlacementInput {
             id,
+            host: &self.host,
             config: &config,
             route: &route,
             workspace: workspace.as_ref(),
@@ -342,53 +324,6 @@
         let workspace = key.and_then(|key| config.workspace_of(key)).cloned();
         workspace.map(Some).ok_or_else(|| NotRunReason::UnknownKey.into())
     }
-
-    fn placement_request(&self, input: PlacementInput<'_>) -> Option<PlacementRequest> {
-        let PlacementInput { id, config, route, workspace, usage, body_bytes, .. } = input;
-        let name = workspace.map(|w| w.name.clone());
-        let name = name.or_else(|| WorkspaceName::new(PUBLIC_WORKSPACE).ok())?;
-        let stream = (route.retry == RetryPolicy::Resumable).then(|| {
-            let stream = StreamId::new(&name, input.began_as);
-            match input.takes_up {
-                true => StreamBinding::continues(stream, None),
-                false => StreamBinding::begins(stream),
-            }
-        });
-        // A stream stays at its upstream.
-        let pick = stream.as_ref().map_or(id.value() as u64, |stream| stream.id.hash());
-        let upstream = route.upstream(pick)?.clone();
-        let engine = config.upstreams.get(&upstream).is_some_and(|u| u.engine);
-        let quota = workspace.map(|w| w.quota).unwrap_or_default();
-        let cost = match usage {
-            _ if !quota.by_tokens => 1.0,
-            Some((prompt, generated)) => f64::from(prompt) + f64::from(generated),
-            None => quota.plain_cost,
-        };
-        let tier = workspace.map_or(route.tier, |w| w.tier_of(route.tier));
-        let record = RequestRecord {
-            id,
-            entry: self.host.clone(),
-            workspace: name,
-            class: route.class.clone(),
-            tier,
-            target: route.target,
-            age: Duration::ZERO,
-            prefill_tokens: if engine { usage.map_or(1, |(prompt, _)| prompt.max(1)) } else { 0 },
-            max_decode_tokens: usage.map(|(_, generated)| generated),
-            prefix: Vec::new(),
-            body_bytes: u32::try_from(body_bytes).unwrap_or(u32::MAX),
-        };
-        let time_limit = route.time_limit;
-        Some(PlacementRequest {
-            record,
-            upstream,
-            cost,
-            time_limit,
-            prior_attempts: 0,
-            avoid: None,
-            stream,
-        })
-    }
 }
 
 fn find_route<'a>(config: &'a FleetConfig, headers: &HeaderMap, uri: &Uri) -> Option<&'a Route> {
--- a/crates/node/src/fleet/proxy/mod.rs
+++ b/crates/node/src/fleet/proxy/mod.rs
@@ -14,6 +14,7 @@
 mod exchange;
 mod framing;
 mod handler;
+mod placement;
 mod relay;
 mod response;
 mod serve;
--- /dev/null
+++ b/crates/node/src/fleet/proxy/placement.rs
@@ -0,0 +1,77 @@
+//! Placement request of an admitted request.
+
+use std::time::Duration;
+
+use comfreyway_core::{
+    fleet::{
+        FleetConfig, PlacementRequest, RetryPolicy, Route, StreamBinding, StreamId, Workspace,
+    },
+    ids::{HostId, RequestId, WorkspaceName},
+    request::RequestRecord,
+};
+
+/// Workspace of requests that need no API key.
+const PUBLIC_WORKSPACE: &str = "public";
+
+/// What is known of a request when it is submitted.
+pub(super) struct PlacementInput<'a> {
+    pub(super) id: RequestId,
+    pub(super) host: &'a HostId,
+    pub(super) config: &'a FleetConfig,
+    pub(super) route: &'a Route,
+    pub(super) workspace: Option<&'a Workspace>,
+    pub(super) usage: Option<(u32, u32)>,
+    /// The caller's id of the attempt that began the stream.
+    pub(super) began_as: &'a str,
+    /// True if the request goes on with a stream.
+    pub(super) takes_up: bool,
+    pub(super) body_bytes: usize,
+}
+
+/// Returns the placement request; `None` if the route has no upstream.
+pub(super) fn placement_request(input: &PlacementInput<'_>) -> Option<PlacementRequest> {
+    let PlacementInput { id, config, route, workspace, usage, body_bytes, .. } = *input;
+    let name = workspace.map(|w| w.name.clone());
+    let name = name.or_else(|| WorkspaceName::new(PUBLIC_WORKSPACE).ok())?;
+    let stream = (route.retry == RetryPolicy::Resumable).then(|| {
+        let stream = StreamId::new(&name, input.began_as);
+        match input.takes_up {
+            true => StreamBinding::continues(stream, None),
+            false => StreamBinding::begins(stream),
+        }
+    });
+    // A stream stays at its upstream.
+    let pick = stream.as_ref().map_or(id.value() as u64, |stream| stream.id.hash());
+    let upstream = route.upstream(pick)?.clone();
+    let engine = config.upstreams.get(&upstream).is_some_and(|u| u.engine);
+    let quota = workspace.map(|w| w.quota).unwrap_or_default();
+    let cost = match usage {
+        _ if !quota.by_tokens => 1.0,
+        Some((prompt, generated)) => f64::from(prompt) + f64::from(generated),
+        None => quota.plain_cost,
+    };
+    let tier = workspace.map_or(route.tier, |w| w.tier_of(route.tier));
+    let record = RequestRecord {
+        id,
+        entry: input.host.clone(),
+        workspace: name,
+        class: route.class.clone(),
+        tier,
+        target: route.target,
+        age: Duration::ZERO,
+        prefill_tokens: if engine { usage.map_or(1, |(prompt, _)| prompt.max(1)) } else { 0 },
+        max_decode_tokens: usage.map(|(_, generated)| generated),
+        prefix: Vec::new(),
+        body_bytes: u32::try_from(body_bytes).unwrap_or(u32::MAX),
+    };
+    let time_limit = route.time_limit;
+    Some(PlacementRequest {
+        record,
+        upstream,
+        cost,
+        time_limit,
+        prior_attempts: 0,
+        avoid: None,
+        stream,
+    })
+}
