--- a/tests/testsuite/fleet/soak.rs
+++ b/tests/testsuite/fleet/soak.rs
@@ -365,6 +365,7 @@
         }
     }
     let desk = results.iter().filter(|result| result.id.starts_with(DESK.name)).count();
+    eprintln!("seed {seed}: {served} of {desk} served");
     assert!(served * 4 > desk, "seed {seed}: {served} of {desk} served");
 }
 
