Log the parts of a request's prompt when it is sent to a runner

Which requests a crashed runner had can be seen in CF0504 and CF0506, but not what they had in common. The parts that other requests may share (all but the last) are read, sent to the coordinator with the placement request, which does nothing with them yet, and logged in CF0504 as `parts`.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -83,6 +83,7 @@
         let req = PlacementRequest {
             record,
             upstream: "dala".parse().unwrap_or_else(|_| unreachable!()),
+            parts: Vec::new(),
             cost: 1.0,
             time_limit: Duration::from_secs(7_200),
             prior_attempts: 0,
--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -56,8 +56,16 @@
         version: Option<RunnerVersion>,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
-        let PlacementRequest { record, upstream, cost, time_limit, prior_attempts, avoid, stream } =
-            req;
+        let PlacementRequest {
+            record,
+            upstream,
+            cost,
+            time_limit,
+            prior_attempts,
+            avoid,
+            stream,
+            ..
+        } = req;
         let (id, share) = (record.id, self.basis.budget_share());
         if self.open.contains_key(&id) {
             return;
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -13,7 +13,7 @@
     request::{DispatchEnd, RequestRecord},
 };
 
-use super::{RunnerVersion, StreamBinding};
+use super::{PromptPart, RunnerVersion, StreamBinding};
 
 /// A request that needs a runner.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -39,6 +39,9 @@
     /// The stream that it begins or goes on with, if that may resume.
     #[serde(rename = "s", default)]
     pub stream: Option<StreamBinding>,
+    /// Parts of its prompt that other requests may share.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<PromptPart>,
 }
 
 /// Update on one request, sent by a host to its coordinator.
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 mod hosts;
 mod member;
 mod message;
+mod prompt_part;
 mod quota;
 mod runner;
 mod runner_notice;
@@ -47,6 +48,7 @@
     hosts::FleetHosts,
     member::{Member, elect},
     message::{PlacementReply, PlacementRequest, RequestUpdate},
+    prompt_part::PromptPart,
     quota::{QuotaTolerance, Quotas, SHARE_LEASE},
     runner::{RunnerEntry, RunnerKey, RunnerVersion},
     runner_notice::RunnerNotice,
--- a/crates/node/src/events/mod.rs
+++ b/crates/node/src/events/mod.rs
@@ -24,6 +24,21 @@
     }
 }
 
+/// Values of a log field, separated by commas; none are written as `none`.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct List<'a, T>(pub(crate) &'a [T]);
+
+impl<T> std::fmt::Display for List<'_, T>
+where
+    T: std::fmt::Display,
+{
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Some((first, rest)) = self.0.split_first() else { return f.write_str("none") };
+        write!(f, "{first}")?;
+        rest.iter().try_for_each(|value| write!(f, ",{value}"))
+    }
+}
+
 /// Logs an event with key-value fields, as in
 /// `log_event!(Event::RequestUnknown, id:% = id, reason = reason.as_str())`.
 macro_rules! log_event {
--- a/crates/node/src/fleet/platform_format.rs
+++ b/crates/node/src/fleet/platform_format.rs
@@ -1,7 +1,7 @@
 //! Header names, store keys and record formats of a platform.
 
 use comfreyway_core::{
-    fleet::{FleetConfig, RunnerEntry},
+    fleet::{FleetConfig, PromptPart, RunnerEntry},
     ids::RunnerName,
 };
 use hyper::header::HeaderName;
@@ -31,6 +31,8 @@
     pub deadline_ms: &'static str,
     /// Prompt tokens and maximum generated tokens.
     pub token_usage: &'static str,
+    /// Parts of the prompt, in order.
+    pub prompt_parts: &'static str,
     /// The caller's API key.
     pub api_key: &'static str,
     /// The workspace, which hosts name to runners.
@@ -79,6 +81,8 @@
     /// Parses prompt tokens and maximum generated tokens from the token usage
     /// header.
     pub read_usage: fn(&str) -> Option<(u32, u32)>,
+    /// Parses the parts of a prompt that other requests may share.
+    pub read_parts: fn(&str) -> Vec<PromptPart>,
 }
 
 /// Converts a valid header name; panics on an invalid one.
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -15,7 +15,7 @@
 };
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::events::{Event, Optional, log_event};
+use crate::events::{Event, List, Optional, log_event};
 use crate::fleet::{
     platform_format::header,
     response_memory::HeldBytes,
@@ -80,7 +80,8 @@
         waited_ms = request.arrived.elapsed().as_millis() as u64,
         left_ms = request.deadline.saturating_duration_since(sent_at).as_millis() as u64,
         after:% = Optional(after),
-        resumes = request.resumes.as_deref().unwrap_or("none")
+        resumes = request.resumes.as_deref().unwrap_or("none"),
+        parts:% = List(&request.placement.parts)
     );
     let sending = connections.send(&runner.key, runner.address, req);
     let (res, connection) = match timeout_at(request.deadline, sending).await {
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -267,6 +267,7 @@
         let body = read_body(&mut body, max, read_until).await.map_err(reject)?;
         let usage =
             text(header_names.token_usage).and_then(|value| (self.format.read_usage)(value));
+        let parts = text(header_names.prompt_parts).map(self.format.read_parts);
         let id = self.new_request_id();
         let last_event = text(header_names.last_event_id).map(str::trim);
         let takes_up = last_event.is_some_and(|last| !last.is_empty() && last != NO_EVENT);
@@ -277,6 +278,7 @@
             route: &route,
             workspace: workspace.as_ref(),
             usage,
+            parts: parts.as_deref().unwrap_or_default(),
             began_as: resumes.as_deref().filter(|_| takes_up).unwrap_or(&caller_id),
             takes_up,
             body_bytes: body.len(),
--- a/crates/node/src/fleet/proxy/placement.rs
+++ b/crates/node/src/fleet/proxy/placement.rs
@@ -4,7 +4,8 @@
 
 use comfreyway_core::{
     fleet::{
-        FleetConfig, PlacementRequest, RetryPolicy, Route, StreamBinding, StreamId, Workspace,
+        FleetConfig, PlacementRequest, PromptPart, RetryPolicy, Route, StreamBinding, StreamId,
+        Workspace,
     },
     ids::{HostId, RequestId, WorkspaceName},
     request::RequestRecord,
@@ -21,6 +22,8 @@
     pub(super) route: &'a Route,
     pub(super) workspace: Option<&'a Workspace>,
     pub(super) usage: Option<(u32, u32)>,
+    /// Parts of the prompt that other requests may share.
+    pub(super) parts: &'a [PromptPart],
     /// The caller's id of the attempt that began the stream.
     pub(super) began_as: &'a str,
     /// True if the request goes on with a stream.
@@ -73,5 +76,6 @@
         prior_attempts: 0,
         avoid: None,
         stream,
+        parts: input.parts.to_vec(),
     })
 }
--- a/crates/testkit/src/capacity/coordination.rs
+++ b/crates/testkit/src/capacity/coordination.rs
@@ -258,6 +258,7 @@
         Ok(PlacementRequest {
             record,
             upstream: "dala".parse()?,
+            parts: Vec::new(),
             cost: 2_100.0,
             time_limit: Duration::from_secs(8),
             prior_attempts: 0,
