--- a/crates/testkit/src/fleet_runner/handler.rs
+++ b/crates/testkit/src/fleet_runner/handler.rs
@@ -25,6 +25,7 @@
 const SIGNATURE: &str = "x-comfreyway-runner-signature";
 const NOT_EXECUTED: &str = "x-comfreyway-not-executed";
 const LEAVING: &str = "server-leaving";
+const PROMPT_PARTS: &str = "x-comfreyway-prompt-prefix";
 const EXPECT_RUNNER: &str = "x-comfreyway-expect-runner";
 
 pub(super) async fn respond(runner: Data<Shared>, req: HttpRequest, body: Bytes) -> HttpResponse {
@@ -55,6 +56,10 @@
     }
     record(&runner, &req, &id, &body);
     runner.gate.wait_until_open().await;
+    if runner.crashes_on(&header(PROMPT_PARTS)) {
+        runner.crashed.store(true, Ordering::Relaxed);
+    }
+    let mode = if runner.crashed.load(Ordering::Relaxed) { RunnerMode::CutAfter(1) } else { mode };
     let mut res = HttpResponse::Ok();
     res.insert_header((REQUEST_ID, id.clone()));
     if mode != RunnerMode::Unsigned {
--- a/crates/testkit/src/fleet_runner/mod.rs
+++ b/crates/testkit/src/fleet_runner/mod.rs
@@ -11,7 +11,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Instant,
 };
@@ -75,12 +75,22 @@
     name: String,
     mode: Mutex<RunnerMode>,
     version: Mutex<String>,
+    /// The part of a prompt that crashes the runner, if any.
+    crashing_part: Mutex<Option<String>>,
+    crashed: AtomicBool,
     gate: Gate,
     runs: Mutex<Vec<RunnerRun>>,
     arrivals: AtomicUsize,
 }
 
 impl Shared {
+    /// Returns true if a prompt with these parts crashes the runner.
+    fn crashes_on(&self, parts: &str) -> bool {
+        let crashing = self.crashing_part.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_crashing = |part: &str| Some(part.split(':').next()) == Some(crashing.as_deref());
+        crashing.is_some() && parts.split(',').any(is_crashing)
+    }
+
     /// Returns what the software version adds to each event.
     fn version(&self) -> String {
         self.version.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -104,6 +114,8 @@
             name: name.to_owned(),
             mode: Mutex::new(mode),
             version: Mutex::default(),
+            crashing_part: Mutex::default(),
+            crashed: AtomicBool::new(false),
             gate: Gate::default(),
             runs: Mutex::default(),
             arrivals: AtomicUsize::new(0),
@@ -140,6 +152,19 @@
             format!(" of {version}");
     }
 
+    /// Lets the runner crash as it begins to respond to a prompt with this part.
+    pub fn crash_on(&self, part: &str) {
+        let part = Some(part.to_owned());
+        *self.shared.crashing_part.lock().unwrap_or_else(PoisonError::into_inner) = part;
+    }
+
+    /// Returns true if the runner has crashed: the test then drops it, which breaks all
+    /// its connections.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        self.shared.crashed.load(Ordering::Relaxed)
+    }
+
     /// Blocks requests while closed, after they are logged as run.
     #[must_use]
     pub fn gate(&self) -> &Gate {
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Serving a fleet through the platform's store, with real daemons.
 
 mod configuration;
+mod crashing_prompts;
 mod endless_responses;
 pub(crate) mod harness;
 mod hosts;
