--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -128,6 +128,10 @@
             };
             (text.to_owned(), leaving_or_removed_runners(timeline, end))
         }
+        "prompt-quarantined" => {
+            let text = "its prompt has a part under which runners crashed one after the other";
+            (text.to_owned(), failed_dispatches(timeline))
+        }
         other => (format!("the host refused it: {other}"), Vec::new()),
     };
     Cause { outcome, text, evidence }
--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -192,6 +192,7 @@
         decode_tokens: 200,
         first_token: Duration::from_millis(200),
         total: Duration::from_millis(6_200),
+        until_close: false,
     })
 }
 
--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -120,6 +120,7 @@
                 decode_tokens: 100,
                 first_token: Duration::from_millis(80),
                 total: Duration::from_millis(800),
+                until_close: false,
             };
             self.handle_update(&host, RequestUpdate::Ended(id, DispatchEnd::Complete(usage)));
         }
--- a/crates/core/src/fleet/client.rs
+++ b/crates/core/src/fleet/client.rs
@@ -9,7 +9,10 @@
     time::MonoTime,
 };
 
-use super::{PlacementReply, PlacementRequest, RequestUpdate, RunnerVersion, StreamRecord};
+use super::{
+    Coordinator, PartState, PlacementReply, PlacementRequest, RequestUpdate, RunnerVersion,
+    StreamRecord, coordinator::QUARANTINE_RETRY_AFTER,
+};
 
 /// Retry-after time of a request that goes on with a stream and was granted by a
 /// coordinator that does not look at versions.
@@ -122,6 +125,21 @@
         })
     }
 
+    /// Returns true if a request has a prompt part that this host's own coordinator
+    /// knows as quarantined.
+    #[must_use]
+    pub fn is_quarantined(&self, id: RequestId, known: &Coordinator) -> bool {
+        let parts = self.open.get(&id).map(|open| &open.req.parts[..]);
+        known.quarantine().state_of(parts.unwrap_or_default()) == PartState::Quarantined
+    }
+
+    /// Refuses a request that was granted and has a quarantined prompt part.
+    pub fn refuse_quarantined(&mut self, id: RequestId, out: &mut Vec<ClientAction>) {
+        self.withdraw(id, out);
+        let reason = NotRunReason::PromptQuarantined;
+        out.push(ClientAction::Refuse(id, reason, QUARANTINE_RETRY_AFTER));
+    }
+
     /// Reports that the first token or byte of the response arrived.
     pub fn first_token(&mut self, id: RequestId, out: &mut Vec<ClientAction>) {
         if self.open.contains_key(&id) {
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -12,14 +13,17 @@
 };
 
 use super::{
-    FleetConfig, FleetHosts, PlacementReply, PlacementRequest, Quota, QuotaTolerance, Quotas,
-    RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, ShareBasis, StreamRecord,
-    StreamVersions, UpstreamScheduler, VersionHistory,
+    FleetConfig, FleetHosts, PartQuarantine, PlacementReply, PlacementRequest, PromptPart, Quota,
+    QuotaTolerance, Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, RunnerKey,
+    ShareBasis, StreamRecord, StreamVersions, UpstreamScheduler, VersionHistory,
 };
 
 mod decisions;
 mod requests;
 mod streams;
+mod trials;
+
+pub(super) use self::trials::QUARANTINE_RETRY_AFTER;
 
 use self::{
     requests::HostRequest,
@@ -30,11 +34,20 @@
 struct UpstreamState {
     scheduler: UpstreamScheduler,
     budget: RetryBudget,
-    /// Slots of each runner, over all hosts, and whether it is leaving.
-    runners: BTreeMap<RunnerName, (u32, bool)>,
+    runners: BTreeMap<RunnerName, KnownRunner>,
     history: VersionHistory,
 }
 
+/// What the store says of a runner.
+#[derive(Clone, Debug)]
+struct KnownRunner {
+    key: RunnerKey,
+    address: SocketAddr,
+    /// Over all hosts.
+    slots: u32,
+    leaving: bool,
+}
+
 /// Interval of the checks for requests that wait until the version of their stream is
 /// known.
 const TAKE_UP_INTERVAL: Duration = Duration::from_millis(20);
@@ -60,6 +73,13 @@
     take_ups: BTreeMap<RequestId, TakeUp>,
     /// When the view of the store was last verified as the newest.
     verified_at: MonoTime,
+    quarantine: PartQuarantine,
+    /// Open requests with each suspicious part.
+    trials: BTreeMap<PromptPart, BTreeSet<RequestId>>,
+    /// Parts whose state has changed since other hosts were told, and those that they
+    /// were told of.
+    changed_parts: BTreeSet<PromptPart>,
+    shared_parts: BTreeSet<PromptPart>,
 }
 
 impl Coordinator {
@@ -80,6 +100,10 @@
             new_streams: Vec::new(),
             take_ups: BTreeMap::new(),
             verified_at: MonoTime::ZERO,
+            quarantine: PartQuarantine::default(),
+            trials: BTreeMap::new(),
+            changed_parts: BTreeSet::new(),
+            shared_parts: BTreeSet::new(),
         }
     }
 
@@ -206,6 +230,7 @@
                 scheduler.host_left(now, host, decisions);
             });
         }
+        self.update_trials(now, out);
     }
 
     /// Applies changes of runners and schedules again.
@@ -220,13 +245,20 @@
             let entry = change.entry();
             let name = entry.key.name.clone();
             let share = self.basis.slot_share();
+            self.record_ended_runs(now, change);
             let state = self.upstream_state(now, &entry.upstream);
             if let RunnerChange::Removed(_) = change {
                 state.runners.remove(&name);
                 state.history.runner_removed(now, &name);
                 state.scheduler.remove_runner(&name);
             } else {
-                state.runners.insert(name.clone(), (entry.slots, entry.leaving));
+                let known = KnownRunner {
+                    key: entry.key.clone(),
+                    address: entry.address,
+                    slots: entry.slots,
+                    leaving: entry.leaving,
+                };
+                state.runners.insert(name.clone(), known);
                 let slots = share.of_slots(entry.slots);
                 state.history.runner_present(now, &name, entry.version.clone());
                 state.scheduler.set_runner(name.clone(), slots, entry.leaving);
@@ -237,6 +269,7 @@
         for upstream in upstreams {
             self.step(now, upstream, out, |scheduler, decisions| scheduler.tick(now, decisions));
         }
+        self.update_trials(now, out);
     }
 
     /// Sends a runner no requests of `host` for a while, as the runner asked.
@@ -265,17 +298,21 @@
         match update {
             RequestUpdate::Submit(req) => self.submit_bound(now, host, *req, out),
             RequestUpdate::Adopt(req, runner) => {
-                let PlacementRequest { record, upstream, cost, time_limit, stream, .. } = *req;
+                let PlacementRequest { record, upstream, cost, time_limit, stream, parts, .. } =
+                    *req;
                 let (id, time_left) = (record.id, time_limit.saturating_sub(record.age));
                 self.record_open(host, &upstream, &record, cost, true);
                 let scheduler = &mut self.upstream_state(now, &upstream).scheduler;
-                scheduler.adopt(now, record, time_left, runner);
+                scheduler.adopt(now, record, time_left, runner.clone());
                 if let Some(stream) = stream.as_ref().filter(|stream| !stream.begins) {
                     scheduler.bind_to_version(id, stream.version.clone());
                 }
                 if let Some(open) = self.open.get_mut(&id) {
                     open.stream = stream;
+                    open.parts = parts;
+                    open.dispatch = Some((runner, MonoTime::ZERO));
                 }
+                self.join_trials(id);
             }
             RequestUpdate::Withdraw(id) => {
                 if self.take_ups.remove(&id).is_some() {
@@ -289,7 +326,8 @@
             }
             RequestUpdate::Requeue(id, reason) => self.requeue(now, host, id, reason, out),
             RequestUpdate::FirstToken(id) => {
-                let Some(open) = self.open.get(&id) else { return };
+                let Some(open) = self.open.get(&id).cloned() else { return };
+                self.record_response(now, &open);
                 if let Some(state) = self.upstreams.get_mut(&open.upstream) {
                     state.scheduler.first_token(now, id);
                 }
@@ -299,12 +337,14 @@
             }
             RequestUpdate::Ended(id, end) => {
                 let Some(open) = self.open.remove(&id) else { return };
+                self.record_part_end(&open, now, end);
                 self.step(now, &open.upstream, out, |scheduler, decisions| {
                     scheduler.ended(now, id, end);
                     scheduler.tick(now, decisions);
                 });
             }
         }
+        self.update_trials(now, out);
     }
 
     /// Schedules again and refuses requests that have waited too long.
@@ -313,6 +353,7 @@
         for upstream in self.upstream_names() {
             self.step(now, &upstream, out, |scheduler, decisions| scheduler.tick(now, decisions));
         }
+        self.check_parts(now, out);
     }
 
     /// Returns when [`Coordinator::tick`] is due.
@@ -373,11 +414,11 @@
         self.quotas.set_known_hosts(now, known);
         let (before, share) = (before.slot_share(), basis.slot_share());
         for state in self.upstreams.values_mut() {
-            for (name, (slots, leaving)) in &state.runners {
+            for (name, known) in &state.runners {
                 // Most hosts that join don't change the rounded number of slots.
-                let slots_now = share.of_slots(*slots);
-                if slots_now != before.of_slots(*slots) {
-                    state.scheduler.set_runner(name.clone(), slots_now, *leaving);
+                let slots_now = share.of_slots(known.slots);
+                if slots_now != before.of_slots(known.slots) {
+                    state.scheduler.set_runner(name.clone(), slots_now, known.leaving);
                 }
             }
         }
--- a/crates/core/src/fleet/coordinator/decisions.rs
+++ b/crates/core/src/fleet/coordinator/decisions.rs
@@ -47,6 +47,7 @@
     ) -> Option<RunnerVersion> {
         let open = self.open.get_mut(&id)?;
         open.granted = true;
+        open.dispatch = Some((runner.clone(), now));
         if std::mem::take(&mut open.reserved) {
             self.quotas.release(now, &open.workspace, open.cost);
         }
--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -5,16 +5,19 @@
 
 use crate::{
     fleet::{
-        DispatchFailure, PlacementReply, PlacementRequest, RunnerVersion, StreamBinding,
-        StreamRecord,
+        DispatchFailure, PartState, PlacementReply, PlacementRequest, PromptPart, RunnerVersion,
+        StreamBinding, StreamRecord,
     },
-    ids::{HostId, RequestId, UpstreamName, WorkspaceName},
+    ids::{HostId, RequestId, RunnerName, UpstreamName, WorkspaceName},
     outcome::{NotRunReason, RetryReason},
     request::RequestRecord,
     time::MonoTime,
 };
 
-use super::Coordinator;
+use super::{
+    Coordinator,
+    trials::{Admission, QUARANTINE_RETRY_AFTER},
+};
 
 /// Retry-after time of a request that is refused for lack of retry budget.
 const BUDGET_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -32,6 +35,12 @@
     /// True while the quota holds a reservation for the request.
     pub(super) reserved: bool,
     pub(super) stream: Option<StreamBinding>,
+    /// Parts of its prompt that other requests may share.
+    pub(super) parts: Vec<PromptPart>,
+    /// The runner it was granted, and when; zero if by another coordinator.
+    pub(super) dispatch: Option<(RunnerName, MonoTime)>,
+    /// True while it waits until another request has tried one of its parts.
+    pub(super) held: bool,
 }
 
 impl HostRequest {
@@ -64,12 +73,17 @@
             prior_attempts,
             avoid,
             stream,
-            ..
+            parts,
         } = req;
         let (id, share) = (record.id, self.basis.budget_share());
         if self.open.contains_key(&id) {
             return;
         }
+        let Some(admission) = self.admit_parts(&parts) else {
+            let reason = NotRunReason::PromptQuarantined;
+            out.push((host.clone(), PlacementReply::Refuse(id, reason, QUARANTINE_RETRY_AFTER)));
+            return;
+        };
         if prior_attempts > 0 {
             if !self.upstream_state(now, &upstream).budget.take(now, share) {
                 let reason = NotRunReason::TurnedAway;
@@ -87,14 +101,22 @@
         self.record_open(host, &upstream, &record, cost, false);
         if let Some(open) = self.open.get_mut(&id) {
             open.stream = stream;
+            open.parts = parts;
+            open.held = admission == Admission::Hold;
             if prior_attempts == 0 {
                 open.reserved = true;
                 open.charged = Some(now);
             }
         }
+        self.join_trials(id);
         let time_left = time_limit.saturating_sub(record.age);
-        self.step(now, &upstream, out, |scheduler, decisions| {
-            scheduler.submit_at_version(now, record, time_left, avoid, version, decisions);
+        self.step(now, &upstream, out, |scheduler, decisions| match admission {
+            Admission::Start => {
+                scheduler.submit_at_version(now, record, time_left, avoid, version, decisions);
+            }
+            Admission::Hold => {
+                scheduler.submit_held(now, record, time_left, avoid, version, decisions);
+            }
         });
     }
 
@@ -117,6 +139,14 @@
             }
             _ => None,
         };
+        if reason == RetryReason::ConnectRefused {
+            self.record_refused_connection(now, id);
+        }
+        let parts = self.open.get(&id).map(|open| open.parts.clone()).unwrap_or_default();
+        if self.quarantine.state_of(&parts) == PartState::Quarantined {
+            self.refuse_quarantined(now, id, out);
+            return;
+        }
         // Only an attempt that arrived at a runner counts as a retry.
         let arrived = reason == RetryReason::TurnedAway;
         if arrived && !self.upstream_state(now, &upstream).budget.take(now, share) {
@@ -152,6 +182,9 @@
             granted,
             reserved: false,
             stream: None,
+            parts: Vec::new(),
+            dispatch: None,
+            held: false,
         };
         self.open.insert(record.id, open);
     }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! - [`UpstreamScheduler`] orders and places the requests of one upstream.
 //! - [`StreamVersions`] and [`VersionHistory`] bind streams to the software version
 //!   that began them.
+//! - [`PartQuarantine`] keeps prompts away from runners that they crash.
 //! - [`FleetHosts`] counts the hosts among which quotas and runners are shared.
 //! - [`Coordinator`] schedules the requests of its client hosts, and enforces the
 //!   quotas and the retry budget. It is built for the combined load of these
@@ -29,6 +30,7 @@
 mod member;
 mod message;
 mod prompt_part;
+mod quarantine;
 mod quota;
 mod runner;
 mod runner_notice;
@@ -49,6 +51,7 @@
     member::{Member, elect},
     message::{PlacementReply, PlacementRequest, RequestUpdate},
     prompt_part::PromptPart,
+    quarantine::{PartQuarantine, PartRecord, PartRun, PartState, RecordSource},
     quota::{QuotaTolerance, Quotas, SHARE_LEASE},
     runner::{RunnerEntry, RunnerKey, RunnerVersion},
     runner_notice::RunnerNotice,
--- a/crates/core/src/fleet/scheduler/queue.rs
+++ b/crates/core/src/fleet/scheduler/queue.rs
@@ -79,15 +79,35 @@
         self.waiting.insert(id, waiting);
     }
 
-    pub(super) fn remove(&mut self, id: RequestId) -> Option<WaitingRequest> {
-        let waiting = self.waiting.remove(&id)?;
-        self.order.remove(&(waiting.sort_key, id));
-        if let Some(requests) = self.by_class.get_mut(&waiting.record.class) {
-            requests.remove(&(waiting.sort_key, id));
+    /// Keeps a request out of the order until its hold is released. It still expires.
+    pub(super) fn hold(&mut self, id: RequestId) {
+        if let Some(waiting) = self.waiting.get(&id) {
+            let (sort_key, class) = (waiting.sort_key, waiting.record.class.clone());
+            self.remove_from_order(sort_key, id, &class);
+        }
+    }
+
+    /// Returns a held request to its position in the order.
+    pub(super) fn release_hold(&mut self, id: RequestId) {
+        let Some(waiting) = self.waiting.get(&id) else { return };
+        let (sort_key, class) = (waiting.sort_key, waiting.record.class.clone());
+        self.by_class.entry(class).or_default().insert((sort_key, id));
+        self.order.insert((sort_key, id));
+    }
+
+    fn remove_from_order(&mut self, sort_key: SortKey, id: RequestId, class: &ClassName) {
+        self.order.remove(&(sort_key, id));
+        if let Some(requests) = self.by_class.get_mut(class) {
+            requests.remove(&(sort_key, id));
             if requests.is_empty() {
-                self.by_class.remove(&waiting.record.class);
+                self.by_class.remove(class);
             }
         }
+    }
+
+    pub(super) fn remove(&mut self, id: RequestId) -> Option<WaitingRequest> {
+        let waiting = self.waiting.remove(&id)?;
+        self.remove_from_order(waiting.sort_key, id, &waiting.record.class);
         self.expiring.remove(&(waiting.deadlines.refuse_at, id));
         let key = (waiting.record.tier, waiting.record.class.clone());
         if let Some(total) = self.totals.get_mut(&key) {
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -159,19 +159,61 @@
         version: Option<RunnerVersion>,
         out: &mut Vec<Decision>,
     ) {
+        if self.admit(now, record, time_left, avoid, version, out) {
+            self.grant(now, out);
+        }
+    }
+
+    /// Submits a request that is not granted until [`UpstreamScheduler::release_hold`].
+    pub(crate) fn submit_held(
+        &mut self,
+        now: MonoTime,
+        record: RequestRecord,
+        time_left: Duration,
+        avoid: Option<RunnerName>,
+        version: Option<RunnerVersion>,
+        out: &mut Vec<Decision>,
+    ) {
+        let id = record.id;
+        if self.admit(now, record, time_left, avoid, version, out) {
+            self.queue.hold(id);
+        }
+    }
+
+    /// Keeps a waiting request from being granted.
+    pub(crate) fn hold(&mut self, id: RequestId) {
+        self.queue.hold(id);
+    }
+
+    /// Lets a held request be granted.
+    pub(crate) fn release_hold(&mut self, now: MonoTime, id: RequestId, out: &mut Vec<Decision>) {
+        self.queue.release_hold(id);
+        self.tick(now, out);
+    }
+
+    /// Adds a request to the queue unless it is known or has to be shed.
+    fn admit(
+        &mut self,
+        now: MonoTime,
+        record: RequestRecord,
+        time_left: Duration,
+        avoid: Option<RunnerName>,
+        version: Option<RunnerVersion>,
+        out: &mut Vec<Decision>,
+    ) -> bool {
         self.runners.refresh(now);
         let id = record.id;
         if self.queue.contains(id) || self.granted.contains_key(&id) {
-            return;
+            return false;
         }
         self.floors.submitted(now, &record.class);
         if let Some(retry_after) = self.shed_on_arrival(now, &record, time_left) {
             out.push(Decision::Refuse(record.entry, id, NotRunReason::Shed, retry_after));
-            return;
+            return false;
         }
         let target_at = target_at(now, &record);
         self.enqueue(now, record, target_at, now + time_left, avoid, version);
-        self.grant(now, out);
+        true
     }
 
     /// Removes a request that its host withdrew.
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -98,6 +98,8 @@
         /// The request goes on with a stream, and no runner has the software
         /// version that began it.
         VersionGone = "version-gone",
+        /// The prompt has a part under which runners crashed one after the other.
+        PromptQuarantined = "prompt-quarantined",
     }
 }
 
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -115,6 +115,10 @@
     /// Time from dispatch to the end.
     #[serde(rename = "tt")]
     pub total: Duration,
+    /// True if only the end of its connection ended the response, which a crash of the
+    /// upstream looks like.
+    #[serde(rename = "uc", default)]
+    pub until_close: bool,
 }
 
 /// Result of a dispatch, reported by the entry to the pool's owner.
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod floors;
 mod hosts;
 mod model;
+mod quarantine;
 mod quota_changes;
 mod quotas;
 mod releases;
--- /dev/null
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -0,0 +1,144 @@
+//! Prompt parts that crash runners: they stop reaching runners soon, and no other part is
+//! quarantined, whatever else happens to runners, hosts and coordinators.
+
+mod fleet;
+
+use comfreyway_core::{
+    fleet::{PartQuarantine, PartRecord, PartRun, PartState, PromptPart, RecordSource, RunnerKey},
+    time::MonoTime,
+};
+use rstest::rstest;
+
+use crate::support::{at, name};
+
+use self::fleet::{Counts, Faults, Fleet, PLAY_MS};
+
+fn play(seed: u64, crashing: &[(u64, usize)], faults: Faults) -> Counts {
+    let mut fleet = Fleet::new(seed, crashing, faults);
+    while fleet.now_ms < PLAY_MS {
+        fleet.step();
+    }
+    assert_eq!(fleet.wrongly_quarantined(), Vec::<PromptPart>::new(), "seed {seed}");
+    for (part, late) in fleet.late_arrivals() {
+        assert!(late <= 3, "seed {seed}: {late} requests with {part} after its fifth crash");
+    }
+    fleet.counts
+}
+
+#[rstest]
+#[case::first_part(&[(0xbad, 0)])]
+#[case::last_shared_part(&[(0xbad, 3)])]
+#[case::two_parts(&[(0xbad, 1), (0xbad2, 2)])]
+fn prompts_with_a_crashing_part_stop_reaching_runners(#[case] crashing: &[(u64, usize)]) {
+    for seed in 0..12 {
+        let counts = play(seed, crashing, Faults::None);
+        assert_eq!(counts.quarantined, crashing.len(), "seed {seed}: {counts:?}");
+        // The users ask for half; crashes of the other part may take some along.
+        assert!(counts.sound_began_late * 10 >= counts.sound_late * 9, "{counts:?}");
+    }
+}
+
+#[test]
+fn crashing_parts_are_found_while_runners_hosts_and_coordinators_fail() {
+    let mut total = Counts::default();
+    for seed in 0..24 {
+        total.add(play(seed, &[(0xbad, 2)], Faults::Hosts));
+    }
+    assert_eq!(total.quarantined, 24, "{total:?}");
+    assert!(2 * total.sound_began_late > total.sound_late, "{total:?}");
+}
+
+#[test]
+fn no_part_is_quarantined_while_runners_crash_and_connections_break_without_one() {
+    let mut total = Counts::default();
+    for seed in 0..24 {
+        total.add(play(seed, &[], Faults::Runners));
+    }
+    assert!(total.crashes > 300, "{total:?}");
+    assert_eq!(total.quarantined, 0, "{total:?}");
+}
+
+const PART: PromptPart = PromptPart(0xbad);
+
+fn run(number: u64, granted_ms: u64) -> PartRun {
+    let runner = RunnerKey { name: name(&format!("r{number}")), started_ms: Some(1) };
+    let (granted_at, ended_at) = (at(granted_ms), at(granted_ms + 100));
+    PartRun { runner, parts: vec![PART], granted_at, ended_at }
+}
+
+fn crash(quarantine: &mut PartQuarantine, number: u64) {
+    let run = run(number, 1_000 * number);
+    quarantine.broke(&run);
+    quarantine.run_ended(run.ended_at, &run.runner);
+}
+
+fn crashed(times: u64) -> PartQuarantine {
+    let mut quarantine = PartQuarantine::default();
+    (1..=times).for_each(|number| crash(&mut quarantine, number));
+    quarantine
+}
+
+#[rstest]
+#[case(1, PartState::Free)]
+#[case(2, PartState::Trial)]
+#[case(3, PartState::Trial)]
+#[case(4, PartState::Trial)]
+#[case(5, PartState::Quarantined)]
+fn a_part_is_tried_and_then_quarantined(#[case] crashes: u64, #[case] expected: PartState) {
+    assert_eq!(crashed(crashes).state(PART), expected);
+}
+
+#[test]
+fn a_complete_response_clears_its_parts() {
+    let mut quarantine = crashed(3);
+    quarantine.completed(&[PART]);
+    crash(&mut quarantine, 4);
+    assert_eq!(quarantine.state(PART), PartState::Free);
+}
+
+#[test]
+fn runners_that_crash_together_count_once() {
+    let mut quarantine = PartQuarantine::default();
+    for number in 1..=5 {
+        quarantine.broke(&run(number, 1_000));
+        quarantine.run_ended(at(1_100), &run(number, 0).runner);
+    }
+    assert_eq!(quarantine.state(PART), PartState::Free);
+}
+
+#[test]
+fn responses_that_break_off_at_running_runners_quarantine_nothing() {
+    let mut quarantine = PartQuarantine::default();
+    (1..=6).for_each(|number| quarantine.broke(&run(number, 1_000 * number)));
+    assert_eq!(quarantine.state(PART), PartState::Stopped);
+    quarantine.tick(at(20_000));
+    assert_eq!(quarantine.state(PART), PartState::Free);
+}
+
+#[rstest]
+#[case::run_goes_on(false, PartState::Free)]
+#[case::run_has_ended(true, PartState::Quarantined)]
+fn a_response_without_an_end_counts_by_what_becomes_of_its_run(
+    #[case] ended: bool,
+    #[case] expected: PartState,
+) {
+    let mut quarantine = crashed(4);
+    let last = run(5, 5_000);
+    quarantine.completed_unframed(last.clone());
+    if ended {
+        quarantine.run_ended(at(5_500), &last.runner);
+    }
+    quarantine.tick(at(8_000));
+    assert_eq!(quarantine.state(PART), expected);
+}
+
+#[test]
+fn an_allowed_part_is_quarantined_again_only_by_new_crashes() {
+    let mut quarantine = crashed(5);
+    let record: PartRecord = quarantine.record(PART);
+    quarantine.allow(PART);
+    quarantine.learn(MonoTime::from_millis(9_000), &record, RecordSource::Client);
+    assert_eq!(quarantine.state(PART), PartState::Free);
+    (6..11).for_each(|number| crash(&mut quarantine, number));
+    assert_eq!(quarantine.state(PART), PartState::Quarantined);
+}
--- /dev/null
+++ b/crates/core/tests/fleet/quarantine/fleet.rs
@@ -0,0 +1,496 @@
+//! Hosts with their coordinators, runners that crash, and callers whose prompts share
+//! parts.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use comfreyway_core::{
+    fleet::{
+        ClientAction, Coordinator, CoordinatorClient, PlacementReply, PromptPart, QuotaTolerance,
+        RecordSource, RetryBudgetLimits, RunnerChange, RunnerEntry,
+    },
+    ids::{HostId, RequestId, RunnerName},
+    outcome::RetryReason,
+    request::{DispatchEnd, Usage},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::support::{self, at, entry, placement_request};
+
+const STEP_MS: u64 = 10;
+const HOSTS: usize = 6;
+const RUNNERS: usize = 12;
+const SLOTS: u32 = 5;
+/// Time from a crash to the removal of the store's entry, and to the next start.
+const REMOVAL_MS: u64 = 3_000;
+const RESTART_MS: u64 = 3_400;
+/// Time from the first token to the crash.
+const CRASH_MS: u64 = 60;
+const CONTACT_MS: u64 = 3_000;
+/// When prompts with crashing parts begin.
+const BEGIN_MS: u64 = 5_000;
+const SHARE_INTERVAL_MS: u64 = 100;
+pub(super) const PLAY_MS: u64 = 40_000;
+/// Sound requests later than this are not counted.
+const LAST_COUNTED_MS: u64 = PLAY_MS - 2_000;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Faults {
+    None,
+    /// Runners crash, one or several at a time, and connections break.
+    Runners,
+    /// Also hosts and coordinators are killed.
+    Hosts,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Counts {
+    pub(super) crashes: usize,
+    pub(super) quarantined: usize,
+    /// Sound requests later than twice the contact time after the fifth crash, and
+    /// those that began.
+    pub(super) sound_late: usize,
+    pub(super) sound_began_late: usize,
+}
+
+impl Counts {
+    pub(super) fn add(&mut self, other: Self) {
+        self.crashes += other.crashes;
+        self.quarantined += other.quarantined;
+        self.sound_late += other.sound_late;
+        self.sound_began_late += other.sound_began_late;
+    }
+}
+
+struct Node {
+    id: HostId,
+    coordinator: Coordinator,
+    client: CoordinatorClient,
+}
+
+/// A request at a runner.
+struct Run {
+    id: RequestId,
+    host: usize,
+    first_ms: u64,
+    end_ms: u64,
+    /// True if it has brought its first token.
+    begun: bool,
+}
+
+struct Runner {
+    entry: RunnerEntry,
+    runs: Vec<Run>,
+    crashed_ms: Option<u64>,
+    removed: bool,
+}
+
+struct Request {
+    host: usize,
+    parts: Vec<PromptPart>,
+    attempts: u32,
+    sent_ms: u64,
+}
+
+pub(super) struct Fleet {
+    rng: StdRng,
+    pub(super) now_ms: u64,
+    faults: Faults,
+    /// Crashing parts with their positions.
+    crashing: Vec<(PromptPart, usize)>,
+    nodes: Vec<Node>,
+    /// The host that coordinates.
+    leader: usize,
+    runners: BTreeMap<RunnerName, Runner>,
+    requests: BTreeMap<RequestId, Request>,
+    /// Requests of the callers' sessions, by their part.
+    sessions: Vec<(u64, u64)>,
+    /// Crashes and arrivals of each crashing part.
+    part_crashes: BTreeMap<PromptPart, Vec<u64>>,
+    part_arrivals: BTreeMap<PromptPart, Vec<u64>>,
+    numbers: u64,
+    pub(super) counts: Counts,
+}
+
+fn new_node(host: usize, now_ms: u64) -> Node {
+    let id = HostId { incarnation: now_ms, ..support::host(&format!("h{host}")) };
+    let retries = RetryBudgetLimits { ratio: 1.0, slack: 1_000.0, window_s: 10.0 };
+    let mut coordinator = Coordinator::new(retries, QuotaTolerance::default());
+    coordinator.local_host_joined(at(now_ms), id.clone());
+    Node { id, coordinator, client: CoordinatorClient::default() }
+}
+
+impl Fleet {
+    pub(super) fn new(seed: u64, crashing: &[(u64, usize)], faults: Faults) -> Self {
+        let mut fleet = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now_ms: 1_000,
+            faults,
+            crashing: crashing.iter().map(|(part, at)| (PromptPart(*part), *at)).collect(),
+            nodes: (0..HOSTS).map(|host| new_node(host, 1_000)).collect(),
+            leader: 0,
+            runners: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            sessions: Vec::new(),
+            part_crashes: BTreeMap::new(),
+            part_arrivals: BTreeMap::new(),
+            numbers: 0,
+            counts: Counts::default(),
+        };
+        (0..RUNNERS).for_each(|_| fleet.start_runner());
+        fleet.elect(0);
+        fleet
+    }
+
+    pub(super) fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        self.update_runners();
+        self.inject_faults();
+        if self.rng.random_range(0..5) == 0 {
+            self.send_sound();
+        }
+        for number in 0..self.crashing.len() {
+            if self.now_ms > BEGIN_MS && self.rng.random_range(0..25) == 0 {
+                self.send_crashing(number);
+            }
+        }
+        for host in 0..HOSTS {
+            let mut replies = Vec::new();
+            self.nodes[host].coordinator.tick(at(self.now_ms), &mut replies);
+            self.execute(host, Vec::new(), replies);
+        }
+        if self.now_ms.is_multiple_of(SHARE_INTERVAL_MS) {
+            self.share_parts();
+        }
+    }
+
+    /// Parts that are quarantined and don't crash runners.
+    pub(super) fn wrongly_quarantined(&mut self) -> Vec<PromptPart> {
+        let quarantine = self.nodes[self.leader].coordinator.quarantine();
+        let parts: Vec<_> = quarantine.quarantined().map(|(part, _)| part).collect();
+        self.counts.quarantined = parts.len();
+        parts.into_iter().filter(|part| !self.is_crashing(part)).collect()
+    }
+
+    /// Requests with each crashing part that runners got too late.
+    pub(super) fn late_arrivals(&self) -> Vec<(PromptPart, usize)> {
+        let late = |part: &PromptPart, fifth: u64| {
+            let arrivals = self.part_arrivals[part].iter();
+            arrivals.filter(|at| **at > fifth + CONTACT_MS).count()
+        };
+        let crashes = self.part_crashes.iter();
+        let fifths = crashes.filter_map(|(part, at)| at.get(4).map(|fifth| (*part, *fifth)));
+        fifths.map(|(part, fifth)| (part, late(&part, fifth))).collect()
+    }
+
+    fn is_crashing(&self, part: &PromptPart) -> bool {
+        self.crashing.iter().any(|(crashing, _)| crashing == part)
+    }
+
+    fn start_runner(&mut self) {
+        self.numbers += 1;
+        let entry = RunnerEntry { slots: SLOTS, ..entry(&format!("r{}", self.numbers), 1, false) };
+        self.runner_changed(RunnerChange::Usable(entry.clone()));
+        let runner = Runner { entry, runs: Vec::new(), crashed_ms: None, removed: false };
+        self.runners.insert(runner.entry.key.name.clone(), runner);
+    }
+
+    fn runner_changed(&mut self, change: RunnerChange) {
+        for host in 0..HOSTS {
+            let mut replies = Vec::new();
+            let node = &mut self.nodes[host];
+            let changes = std::slice::from_ref(&change);
+            node.coordinator.apply_runner_changes(at(self.now_ms), changes, &mut replies);
+            self.execute(host, Vec::new(), replies);
+        }
+    }
+
+    fn send_sound(&mut self) {
+        if self.sessions.is_empty() || self.rng.random_range(0..5) == 0 {
+            self.numbers += 1;
+            self.sessions.push((0x1_0000 + self.numbers, self.rng.random_range(0..5)));
+        }
+        let pick = self.rng.random_range(0..self.sessions.len());
+        let (session, caller) = self.sessions[pick];
+        if self.rng.random_range(0..6) == 0 {
+            self.sessions.swap_remove(pick);
+        }
+        self.submit_new(vec![PromptPart(1), PromptPart(0x10 + caller), PromptPart(session)]);
+    }
+
+    fn send_crashing(&mut self, number: usize) {
+        let (part, position) = self.crashing[number];
+        self.numbers += 1;
+        let caller = PromptPart(0x10 + self.rng.random_range(0..5));
+        let mut parts = vec![PromptPart(1), caller, PromptPart(0x2_0000 + self.numbers)];
+        parts.insert(position, part);
+        self.submit_new(parts);
+    }
+
+    fn submit_new(&mut self, parts: Vec<PromptPart>) {
+        let host = self.rng.random_range(0..HOSTS);
+        if self.is_late_sound(&parts, self.now_ms) {
+            self.counts.sound_late += 1;
+        }
+        let request = Request { host, parts, attempts: 0, sent_ms: self.now_ms };
+        self.submit(request);
+    }
+
+    fn is_late_sound(&self, parts: &[PromptPart], sent_ms: u64) -> bool {
+        let fifths = self.part_crashes.values().map(|crashes| crashes.get(4));
+        let after = fifths.flatten().max().is_some_and(|fifth| sent_ms > fifth + 2 * CONTACT_MS);
+        // The others may not have begun by the end of the play.
+        after && sent_ms < LAST_COUNTED_MS && !parts.iter().any(|part| self.is_crashing(part))
+    }
+
+    fn submit(&mut self, request: Request) {
+        self.numbers += 1;
+        let mut req = placement_request(u128::from(self.numbers), 0.0);
+        req.parts.clone_from(&request.parts);
+        req.prior_attempts = request.attempts;
+        req.record.entry = self.nodes[request.host].id.clone();
+        let (id, host) = (req.record.id, request.host);
+        self.requests.insert(id, request);
+        let mut actions = Vec::new();
+        self.nodes[host].client.submit(at(self.now_ms), req, &mut actions);
+        self.execute(host, actions, Vec::new());
+    }
+
+    /// Carries out the actions of a host's client and the replies of its coordinator.
+    fn execute(
+        &mut self,
+        host: usize,
+        actions: Vec<ClientAction>,
+        replies: Vec<(HostId, PlacementReply)>,
+    ) {
+        let now = at(self.now_ms);
+        let mut actions: VecDeque<_> = actions.into_iter().map(|action| (host, action)).collect();
+        let mut replies: VecDeque<_> = replies.into_iter().map(|reply| (host, reply)).collect();
+        loop {
+            let (mut new_actions, mut new_replies) = (Vec::new(), Vec::new());
+            let by;
+            if let Some((from, (to, reply))) = replies.pop_front() {
+                let Some(to) = self.nodes.iter().position(|node| node.id == to) else { continue };
+                by = to;
+                let from_id = Some(self.nodes[from].id.clone()).filter(|_| from != to);
+                let client = &mut self.nodes[to].client;
+                client.handle_reply(from_id.as_ref(), reply, &mut new_actions);
+            } else if let Some((at_host, action)) = actions.pop_front() {
+                by = at_host;
+                match action {
+                    ClientAction::Send(to, update) => {
+                        let to = match to {
+                            None => Some(by),
+                            Some(id) => self.nodes.iter().position(|node| node.id == id),
+                        };
+                        let Some(to) = to else { continue };
+                        let id = self.nodes[by].id.clone();
+                        let coordinator = &mut self.nodes[to].coordinator;
+                        coordinator.handle_update(now, &id, update, &mut new_replies);
+                        replies.extend(new_replies.drain(..).map(|reply| (to, reply)));
+                    }
+                    ClientAction::Dispatch(id, runner, _) => {
+                        let Node { client, coordinator, .. } = &mut self.nodes[by];
+                        if client.is_quarantined(id, coordinator) {
+                            client.refuse_quarantined(id, &mut new_actions);
+                        } else {
+                            self.dispatch(by, id, &runner, &mut new_actions);
+                        }
+                    }
+                    ClientAction::Refuse(id, ..) => {
+                        self.requests.remove(&id);
+                    }
+                }
+            } else {
+                return;
+            }
+            actions.extend(new_actions.into_iter().map(|action| (by, action)));
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        host: usize,
+        id: RequestId,
+        runner: &RunnerName,
+        out: &mut Vec<ClientAction>,
+    ) {
+        let found = self.runners.get_mut(runner);
+        let Some(runner) = found.filter(|runner| runner.crashed_ms.is_none()) else {
+            self.nodes[host].client.requeue(id, RetryReason::ConnectRefused, out);
+            return;
+        };
+        let first_ms = self.now_ms + self.rng.random_range(40..250);
+        let end_ms = first_ms + self.rng.random_range(300..3_000);
+        runner.runs.push(Run { id, host, first_ms, end_ms, begun: false });
+        let parts = self.requests[&id].parts.iter();
+        let crashing = parts.filter(|part| self.crashing.iter().any(|(c, _)| c == *part));
+        for part in crashing.copied().collect::<Vec<_>>() {
+            self.part_arrivals.entry(part).or_default().push(self.now_ms);
+        }
+    }
+
+    fn update_runners(&mut self) {
+        let now_ms = self.now_ms;
+        let names: Vec<_> = self.runners.keys().cloned().collect();
+        for name in names {
+            let runner = &self.runners[&name];
+            if let Some(crashed_ms) = runner.crashed_ms {
+                if !runner.removed && now_ms > crashed_ms + REMOVAL_MS {
+                    let entry = runner.entry.clone();
+                    self.runners.get_mut(&name).unwrap().removed = true;
+                    self.runner_changed(RunnerChange::Removed(entry));
+                } else if now_ms > crashed_ms + RESTART_MS {
+                    self.runners.remove(&name);
+                    self.start_runner();
+                }
+                continue;
+            }
+            let crash = runner.runs.iter().find_map(|run| {
+                let parts = &self.requests.get(&run.id)?.parts;
+                let part = parts.iter().find(|part| self.is_crashing(part))?;
+                (now_ms >= run.first_ms + CRASH_MS).then_some(*part)
+            });
+            if let Some(part) = crash {
+                self.part_crashes.entry(part).or_default().push(now_ms);
+                self.crash(&name);
+                continue;
+            }
+            let runner = self.runners.get_mut(&name).unwrap();
+            let ended: Vec<_> = runner.runs.extract_if(.., |run| now_ms >= run.end_ms).collect();
+            let begun = runner.runs.iter_mut().filter(|run| !run.begun && now_ms >= run.first_ms);
+            let begun: Vec<_> = begun.map(|run| (run.host, run.id, run.begun = true)).collect();
+            for (host, id, ()) in begun {
+                self.begin(host, id);
+            }
+            for run in ended {
+                let usage = Usage { decode_tokens: 50, ..Usage::default() };
+                self.end(run.host, run.id, DispatchEnd::Complete(usage));
+            }
+        }
+    }
+
+    fn begin(&mut self, host: usize, id: RequestId) {
+        let mut actions = Vec::new();
+        self.nodes[host].client.first_token(id, &mut actions);
+        self.execute(host, actions, Vec::new());
+        let Some(Request { parts, sent_ms, attempts, .. }) = self.requests.get(&id) else { return };
+        if *attempts == 0 && self.is_late_sound(parts, *sent_ms) {
+            self.counts.sound_began_late += 1;
+        }
+    }
+
+    fn end(&mut self, host: usize, id: RequestId, end: DispatchEnd) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        let mut actions = Vec::new();
+        self.nodes[host].client.ended(id, end, &mut actions);
+        self.execute(host, actions, Vec::new());
+        // Hosts send a broken request once more, and so do their callers.
+        if end == DispatchEnd::Failed && request.attempts < 3 {
+            self.submit(Request { attempts: request.attempts + 1, ..request });
+        }
+    }
+
+    fn crash(&mut self, name: &RunnerName) {
+        let runner = self.runners.get_mut(name).unwrap();
+        runner.crashed_ms = Some(self.now_ms);
+        self.counts.crashes += 1;
+        for run in std::mem::take(&mut runner.runs) {
+            self.end(run.host, run.id, DispatchEnd::Failed);
+        }
+    }
+
+    fn inject_faults(&mut self) {
+        if self.faults == Faults::None {
+            return;
+        }
+        let up = self.runners.values().filter(|runner| runner.crashed_ms.is_none());
+        let up: Vec<_> = up.map(|runner| runner.entry.key.name.clone()).collect();
+        if !up.is_empty() && self.rng.random_range(0..400) == 0 {
+            // Single runners, or several at once.
+            for _ in 0..[1, 1, 3][self.rng.random_range(0..3)] {
+                let name = &up[self.rng.random_range(0..up.len())];
+                if self.runners[name].crashed_ms.is_none() {
+                    self.crash(name);
+                }
+            }
+        }
+        if !up.is_empty() && self.rng.random_range(0..100) == 0 {
+            let name = &up[self.rng.random_range(0..up.len())];
+            let broken = self.runners.get_mut(name).unwrap().runs.pop();
+            if let Some(run) = broken {
+                self.end(run.host, run.id, DispatchEnd::Failed);
+            }
+        }
+        if self.faults == Faults::Hosts && self.rng.random_range(0..250) == 0 {
+            let host = self.rng.random_range(0..HOSTS);
+            let host = if self.rng.random_bool(0.5) { self.leader } else { host };
+            self.kill(host);
+        }
+    }
+
+    /// Kills a host, which starts again at once and has read the store.
+    fn kill(&mut self, host: usize) {
+        for runner in self.runners.values_mut() {
+            runner.runs.retain(|run| run.host != host);
+        }
+        self.requests.retain(|_, request| request.host != host);
+        let quarantine = self.nodes[self.leader].coordinator.quarantine();
+        let stored: Vec<_> = quarantine.quarantined().map(|(p, runs)| (p, runs.to_vec())).collect();
+        let mut node = new_node(host, self.now_ms);
+        let (now, mut out) = (at(self.now_ms), Vec::new());
+        let known = self.runners.values().filter(|runner| !runner.removed);
+        let changes: Vec<_> = known.map(|r| RunnerChange::Usable(r.entry.clone())).collect();
+        node.coordinator.apply_runner_changes(now, &changes, &mut out);
+        for (part, runs) in stored {
+            node.coordinator.set_quarantined(now, part, runs, &mut out);
+        }
+        let killed = std::mem::replace(&mut self.nodes[host], node).id;
+        if host == self.leader {
+            self.elect((host + 1) % HOSTS);
+        } else {
+            let mut replies = Vec::new();
+            self.nodes[self.leader].coordinator.host_left(now, &killed, &mut replies);
+            self.execute(self.leader, Vec::new(), replies);
+            self.join(host);
+        }
+    }
+
+    fn elect(&mut self, leader: usize) {
+        self.leader = leader;
+        let mut actions = Vec::new();
+        self.nodes[leader].client.set_coordinator(at(self.now_ms), None, &mut actions);
+        self.execute(leader, actions, Vec::new());
+        (0..HOSTS).filter(|host| *host != leader).for_each(|host| self.join(host));
+    }
+
+    /// Lets a host use the coordinator, which it tells all that it knows.
+    fn join(&mut self, host: usize) {
+        let now = at(self.now_ms);
+        let id = self.nodes[host].id.clone();
+        let quarantine = self.nodes[host].coordinator.quarantine();
+        let records: Vec<_> = quarantine.known_parts().map(|p| quarantine.record(p)).collect();
+        let (mut replies, mut actions) = (Vec::new(), Vec::new());
+        let leader = &mut self.nodes[self.leader];
+        leader.coordinator.host_joined(now, id.clone());
+        leader.coordinator.learn_parts(now, records, RecordSource::Client, &mut replies);
+        let leader_id = leader.id.clone();
+        self.execute(self.leader, Vec::new(), replies);
+        self.nodes[host].client.set_coordinator(now, Some(leader_id), &mut actions);
+        self.execute(host, actions, Vec::new());
+        let mut replies = Vec::new();
+        self.nodes[host].coordinator.host_left(now, &id, &mut replies);
+        self.execute(host, Vec::new(), replies);
+    }
+
+    fn share_parts(&mut self) {
+        let updates = self.nodes[self.leader].coordinator.take_part_updates();
+        for host in (0..HOSTS).filter(|host| *host != self.leader).collect::<BTreeSet<_>>() {
+            let mut replies = Vec::new();
+            let coordinator = &mut self.nodes[host].coordinator;
+            let source = RecordSource::Coordinator;
+            coordinator.learn_parts(at(self.now_ms), updates.clone(), source, &mut replies);
+            coordinator.take_part_updates();
+            self.execute(host, Vec::new(), replies);
+        }
+    }
+}
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -166,6 +166,16 @@
     /// The store's record of the versions that serve side by side could not be
     /// written. Fields: cause.
     VersionRecordNotWritten = "CF0547", Info, "record of versions can't be written";
+    /// Requests with a part of a prompt are tried one at a time: runners broke off their
+    /// responses to it one after the other. Fields: part, runners.
+    PromptPartSuspected = "CF0548", Info, "prompt part may crash runners";
+    /// Requests with a part of a prompt are refused from now on: the runners crashed as
+    /// they responded to it. Fields: part, runners.
+    PromptPartQuarantined = "CF0549", Warn, "prompt part quarantined";
+    /// Operators allowed a quarantined part again. Fields: part.
+    PromptPartAllowed = "CF0550", Info, "prompt part allowed again";
+    /// A quarantined part could not be written to the store. Fields: key, cause.
+    QuarantineNotWritten = "CF0552", Info, "quarantine can't be written";
     /// The watch on the store failed. Fields: cause.
     StoreWatchLost = "CF0541", Warn, "store can't be watched";
     /// The watch on the store works again. Fields: revision.
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -42,6 +42,7 @@
 mod absent_hosts;
 mod coordination;
 mod election;
+mod quarantine;
 mod rollback;
 mod runner_notices;
 mod store_relay;
@@ -142,6 +143,8 @@
     version_record: VersionRecord,
     /// When this host last wrote that record.
     version_record_written: Option<MonoTime>,
+    /// When this host last wrote a quarantined part to the store.
+    quarantine_written: Option<MonoTime>,
     logged_share: ShareBasis,
     first_feed: FirstFeed,
     /// True while the store has an older configuration than the one in force.
@@ -194,6 +197,7 @@
             copy_holders: Vec::new(),
             version_record: VersionRecord::default(),
             version_record_written: None,
+            quarantine_written: None,
             logged_share: ShareBasis::default(),
             first_feed: FirstFeed::Started,
             stored_config_is_older: false,
@@ -231,6 +235,11 @@
                     ClientAction::Send(Some(host), update) => {
                         self.send_to_coordinator(&host, ToCoordinator::Update(update));
                     }
+                    ClientAction::Dispatch(id, ..)
+                        if self.coordinator_client.is_quarantined(id, &self.coordinator) =>
+                    {
+                        self.coordinator_client.refuse_quarantined(id, &mut more);
+                    }
                     ClientAction::Dispatch(id, runner, version) => {
                         match self.directory.dispatchable(now, &runner) {
                             // Another run has taken over the runner's name.
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreyway_core::{
-    fleet::{Member, OpenOutcome},
+    fleet::{Member, OpenOutcome, RecordSource},
     ids::HostId,
     time::MonoTime,
 };
@@ -45,6 +45,7 @@
         let (mut actions, mut replies) = (Vec::new(), Vec::new());
         // Before the open requests, some of which may go on with these streams.
         self.report_streams(&host);
+        self.report_parts(&host);
         self.coordinator_client.set_coordinator(now, Some(host), &mut actions);
         self.execute(actions, Vec::new());
         self.coordinator.host_left(now, &self.me.id.clone(), &mut replies);
@@ -151,6 +152,14 @@
             | SessionEvent::FromCoordinator(_, ToHost::Streams(records)) => {
                 self.learn_streams(records);
             }
+            SessionEvent::FromHost(_, _, ToCoordinator::Parts(records)) => {
+                self.learn_parts(records, RecordSource::Client);
+            }
+            SessionEvent::FromCoordinator(host, ToHost::Parts(records)) => {
+                if self.coordinator_session.as_ref().is_some_and(|session| session.host == host) {
+                    self.learn_parts(records, RecordSource::Coordinator);
+                }
+            }
             SessionEvent::FromHost(host, _, ToCoordinator::Hello(..)) => {
                 log::warn!("host {host} sent a second hello");
             }
@@ -244,6 +253,7 @@
             self.send_to_client(host, &ToHost::NotCoordinator);
         } else {
             self.coordinator.host_joined(self.now(), host.clone());
+            self.send_known_parts(host);
         }
     }
 
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -86,6 +86,7 @@
         if let Some(item) = items.iter().find(|item| item.key == keys.versions) {
             self.apply_version_record(item);
         }
+        self.apply_quarantine_items(&items);
         let runners = items.iter().filter(|item| item.key.starts_with(keys.runners));
         let entries: Vec<_> = runners.filter_map(|item| self.read_runner(item)).collect();
         let mut changes = Vec::new();
@@ -109,6 +110,7 @@
         if let Some(item) = items.iter().find(|item| item.key == keys.versions) {
             self.apply_version_record(item);
         }
+        self.apply_quarantine_items(items);
         let runners = items.iter().filter(|item| item.key.starts_with(keys.runners));
         let entries = runners.filter_map(|item| self.read_runner(item)).collect();
         let mut out = Vec::new();
@@ -153,6 +155,15 @@
             && item.key == keys.versions
         {
             self.apply_version_record(item);
+        } else if let KvEvent::Put(item) = event {
+            self.apply_quarantine_items(std::slice::from_ref(item));
+        }
+    }
+
+    fn apply_quarantine_items(&mut self, items: &[Versioned]) {
+        let prefix = self.format.keys.quarantine;
+        for item in items.iter().filter(|item| item.key.starts_with(prefix)) {
+            self.apply_quarantine_item(item);
         }
     }
 
@@ -274,6 +285,8 @@
         self.choose_coordinator();
         self.update_absent_hosts(now);
         self.copy_streams();
+        self.share_parts();
+        self.store_quarantine();
         self.update_version_record();
         self.host_state.set_hosts(self.coordinator.share_basis().known);
         self.log_share();
--- a/crates/node/src/fleet/platform_format.rs
+++ b/crates/node/src/fleet/platform_format.rs
@@ -65,6 +65,8 @@
     pub members: &'static str,
     /// Key of the record of runners' versions that serve side by side.
     pub versions: &'static str,
+    /// Prefix of the quarantined prompt parts.
+    pub quarantine: &'static str,
 }
 
 /// Header names, store keys and record parsers of a platform.
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -20,6 +20,7 @@
 use super::{
     admitted::{AdmittedRequest, end_to_end},
     attempt::{Attempt, RunnerResponse, attempt},
+    framing::Framing,
     handler::{Proxy, ProxyState},
     relay::relay,
     response::{ResponseBody, buffered, not_run, unknown},
@@ -260,7 +261,8 @@
 
 fn completed(response: &RunnerResponse) -> DispatchEnd {
     let total = response.sent_at.elapsed();
-    DispatchEnd::Complete(Usage { first_token: total, total, ..Usage::default() })
+    let until_close = response.framing == Framing::Connection;
+    DispatchEnd::Complete(Usage { first_token: total, total, until_close, ..Usage::default() })
 }
 
 /// Returns the status for the caller. A runner that does not state that it ran
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -192,6 +192,7 @@
                 decode_tokens: events * self.request.tokens_per_event(),
                 first_token: first,
                 total,
+                until_close: response.framing == Framing::Connection,
             }));
             let events = StreamEvents { first: self.first_event, count: self.events.events() };
             record_answered(&self.proxy, &self.request, &response, self.sent, events);
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use comfreyway_core::{
-    fleet::{PlacementReply, RequestUpdate, RunnerEntry, RunnerNotice, StreamRecord},
+    fleet::{PartRecord, PlacementReply, RequestUpdate, RunnerEntry, RunnerNotice, StreamRecord},
     ids::HostId,
 };
 use futures_util::{SinkExt, StreamExt};
@@ -41,8 +41,11 @@
 /// Protocol from which on a host understands `Streams`.
 pub(super) const PROTOCOL_STREAMS: u8 = 1;
 
+/// Protocol from which on a host understands `Parts`.
+pub(super) const PROTOCOL_PARTS: u8 = 2;
+
 /// The protocol of this build.
-pub(super) const PROTOCOL: u8 = PROTOCOL_STREAMS;
+pub(super) const PROTOCOL: u8 = PROTOCOL_PARTS;
 
 /// A message from a client host to its coordinator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -66,6 +69,9 @@
     /// Versions of the streams that the sender knows.
     #[serde(rename = "v")]
     Streams(Vec<StreamRecord>),
+    /// What the sender knows of prompt parts that crash runners.
+    #[serde(rename = "q")]
+    Parts(Vec<PartRecord>),
 }
 
 /// A message from a coordinator to a client host.
@@ -99,6 +105,9 @@
     /// Versions of streams, for a host that keeps copies.
     #[serde(rename = "v")]
     Streams(Vec<StreamRecord>),
+    /// What has changed of prompt parts that crash runners.
+    #[serde(rename = "q")]
+    Parts(Vec<PartRecord>),
     /// The sender does not coordinate, or no longer: choose another
     /// coordinator.
     #[serde(rename = "l")]
--- a/crates/node/src/fleet/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -1,8 +1,9 @@
 //! Hosts of different versions in one fleet.
 
 use comfreyway_core::{
-    fleet::RunnerVersion,
+    fleet::{PromptPart, RunnerKey, RunnerVersion},
     ids::{RequestId, RunnerName},
+    request::Usage,
 };
 
 use super::*;
@@ -33,6 +34,33 @@
     assert_eq!(recode::<_, FormerMessage>(&grant(RunnerVersion::new("v1"))), former);
 }
 
+/// Token counts before they said what ended the response.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct FormerUsage {
+    pt: u32,
+    ct: u32,
+    dt: u32,
+    ft: Duration,
+    tt: Duration,
+}
+
+#[test]
+fn token_counts_are_read_by_and_from_hosts_that_know_no_unframed_responses() {
+    let time = Duration::from_millis(90);
+    let former = FormerUsage { pt: 1, ct: 0, dt: 3, ft: time, tt: time };
+    let usage: Usage = recode(&former);
+    assert!(!usage.until_close);
+    assert_eq!(recode::<_, FormerUsage>(&Usage { until_close: true, ..usage }), former);
+}
+
+#[test]
+fn prompt_parts_are_sent_with_the_runs_that_ended() {
+    let key = RunnerKey { name: RunnerName::new("e1").unwrap(), started_ms: Some(3) };
+    let record = PartRecord { part: PromptPart(7), breaks: vec![(key, true)], quarantined: true };
+    let message = ToHost::Parts(vec![record]);
+    assert_eq!(recode::<_, ToHost>(&message), message);
+}
+
 /// The response to a ping before it named the number of hosts.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
 enum FormerToHost {
--- a/crates/node/src/http/problem.rs
+++ b/crates/node/src/http/problem.rs
@@ -107,7 +107,8 @@
         | NotRunReason::TimeLimit
         | NotRunReason::TurnedAway
         | NotRunReason::VersionUnknown
-        | NotRunReason::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
+        | NotRunReason::VersionGone
+        | NotRunReason::PromptQuarantined => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/node/src/http/request_handle.rs
+++ b/crates/node/src/http/request_handle.rs
@@ -164,6 +164,7 @@
             decode_tokens: usage.decode_tokens.unwrap_or(events),
             first_token: self.first_token.unwrap_or(total),
             total,
+            until_close: false,
         };
         let end = match status {
             StatusCode::BAD_GATEWAY
--- a/crates/node/src/metrics/fleet.rs
+++ b/crates/node/src/metrics/fleet.rs
@@ -54,6 +54,7 @@
     store_calls: Counter<u64>,
     store_rollbacks: Counter<u64>,
     runner_notices: Counter<u64>,
+    parts_quarantined: Counter<u64>,
     waiting: Gauge<u64>,
     at_runners: Gauge<u64>,
     slots: Gauge<u64>,
@@ -104,6 +105,10 @@
                 "comfreyway_runner_notices",
                 "Responses in which a runner says that it is leaving or asks for rest, by kind",
             ),
+            parts_quarantined: counter(
+                "comfreyway_prompt_parts_quarantined",
+                "Prompt parts that were quarantined because they crash runners",
+            ),
             waiting: gauge(
                 "comfreyway_upstream_waiting",
                 "Requests queued at this coordinator, by upstream",
@@ -119,6 +124,7 @@
             upstreams: Arc::default(),
         };
         metrics.store_rollbacks.add(0, &[]);
+        metrics.parts_quarantined.add(0, &[]);
         for kind in ["leaving", "ended", "rest"] {
             metrics.runner_notices.add(0, &[KeyValue::new("kind", kind)]);
         }
@@ -167,6 +173,11 @@
         self.runner_notices.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a prompt part that was quarantined.
+    pub fn part_quarantined(&self) {
+        self.parts_quarantined.add(1, &[]);
+    }
+
     /// Counts a store that came back from an older copy.
     pub fn store_rolled_back(&self) {
         self.store_rollbacks.add(1, &[]);
--- a/crates/testkit/src/capacity/coordination.rs
+++ b/crates/testkit/src/capacity/coordination.rs
@@ -229,6 +229,7 @@
             decode_tokens: 100,
             first_token: FIRST_TOKEN_TIME,
             total: FIRST_TOKEN_TIME + DECODE_TIME,
+            until_close: false,
         };
         self.sequence += 1;
         self.updates.insert((now + FIRST_TOKEN_TIME, self.sequence), RequestUpdate::FirstToken(id));
--- a/crates/testkit/src/experiment/engine_events.rs
+++ b/crates/testkit/src/experiment/engine_events.rs
@@ -144,5 +144,6 @@
         decode_tokens: arrival.decode_tokens,
         first_token: timeline.first_token_at.unwrap_or(now).since(dispatched),
         total: now.since(dispatched),
+        until_close: false,
     }
 }
