Log the rate limits that runners name

`Server-Limit` is read now, and CF0526 to CF0528 say which limit a host knows of; nothing is decided by it yet. Responses overtake each other: one changes what an earlier one said only if its request was sent later, and of those on the way at the same time the lowest counts. A value that is no decimal number changes nothing; of several the lowest counts.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! - [`StreamVersions`] and [`VersionHistory`] bind streams to the software version
 //!   that began them.
 //! - [`PartQuarantine`] keeps prompts away from runners that they crash.
+//! - [`RunnerLimits`] holds the rate limits that runners name.
 //! - [`FleetHosts`] counts the hosts among which quotas and runners are shared.
 //! - [`Coordinator`] schedules the requests of its client hosts, and enforces the
 //!   quotas and the retry budget. It is built for the combined load of these
@@ -33,6 +34,7 @@
 mod quarantine;
 mod quota;
 mod runner;
+mod runner_limits;
 mod runner_notice;
 mod scheduler;
 mod sessions;
@@ -54,6 +56,7 @@
     quarantine::{PartQuarantine, PartRecord, PartRun, PartState, RecordSource},
     quota::{QuotaTolerance, Quotas, SHARE_LEASE},
     runner::{RunnerEntry, RunnerKey, RunnerVersion},
+    runner_limits::{LimitReport, NamedLimit, RunnerLimits},
     runner_notice::RunnerNotice,
     scheduler::{Decision, DispatchFailure, RunnerState, UpstreamScheduler},
     sessions::{HostSessions, OpenOutcome},
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -142,6 +142,13 @@
     /// A runner asked this host to send it nothing for a while. Fields: runner,
     /// rest_ms.
     RunnerResting = "CF0525", Info, "runner asked for rest";
+    /// A runner names a rate limit, or another one. Fields: runner, per_s.
+    RunnerLimited = "CF0526", Info, "runner has a rate limit";
+    /// A runner names no rate limit any more. Fields: runner.
+    RunnerLimitLifted = "CF0527", Info, "rate limit of runner lifted";
+    /// A runner names a rate limit that is no decimal number; what it named before
+    /// stays in force. Fields: id, runner.
+    RunnerLimitUnreadable = "CF0528", Warn, "rate limit of runner can't be read";
     /// This host uses another host as its coordinator. Fields: host, address.
     CoordinatorChosen = "CF0531", Info, "another host is the coordinator";
     /// The session with the coordinator was established. Fields: host.
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -11,7 +11,7 @@
 use comfreyway_core::{
     fleet::{
         ClientAction, Coordinator, CoordinatorClient, HostSessions, Member, PlacementReply,
-        RunnerDirectory, ShareBasis,
+        RunnerDirectory, RunnerLimits, ShareBasis,
     },
     ids::{HostId, HostName, RequestId},
     outcome::RetryReason,
@@ -44,6 +44,7 @@
 mod election;
 mod quarantine;
 mod rollback;
+mod runner_limits;
 mod runner_notices;
 mod store_relay;
 mod store_updates;
@@ -121,6 +122,7 @@
     session_tx: UnboundedSender<SessionEvent>,
     receivers: Option<EventReceivers>,
     directory: RunnerDirectory,
+    limits: RunnerLimits,
     coordinator_client: CoordinatorClient,
     coordinator: Coordinator,
     metrics: FleetMetrics,
@@ -181,6 +183,7 @@
             session_tx: receivers.senders.sessions.clone(),
             receivers: Some(receivers),
             directory: RunnerDirectory::default(),
+            limits: RunnerLimits::default(),
             coordinator_client: CoordinatorClient::default(),
             coordinator,
             metrics,
@@ -357,6 +360,7 @@
                 self.coordinator_client.ended(id, end, &mut actions);
             }
             WorkerMessage::RunnerNotice(notice) => self.handle_own_notice(now, notice),
+            WorkerMessage::RunnerLimit(report) => self.handle_own_limit(now, &report),
         }
         self.execute(actions, Vec::new());
         self.arm_timer(cx);
--- a/crates/node/src/fleet/host_state.rs
+++ b/crates/node/src/fleet/host_state.rs
@@ -22,6 +22,7 @@
     refusing: AtomicBool,
     in_progress: AtomicUsize,
     hosts: AtomicUsize,
+    limited_runners: AtomicBool,
     pub(super) response_memory: Arc<ResponseMemory>,
 }
 
@@ -35,6 +36,7 @@
             refusing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             hosts: AtomicUsize::new(1),
+            limited_runners: AtomicBool::new(false),
             response_memory: Arc::default(),
         }
     }
@@ -48,6 +50,15 @@
         self.hosts.store(hosts, Ordering::Relaxed);
     }
 
+    /// Returns true if a runner is known to have a rate limit.
+    pub(super) fn has_limited_runners(&self) -> bool {
+        self.limited_runners.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_limited_runners(&self, any: bool) {
+        self.limited_runners.store(any, Ordering::Relaxed);
+    }
+
     /// Returns the configuration in force.
     pub(super) fn config(&self) -> Option<Arc<FleetConfig>> {
         self.config.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
--- a/crates/node/src/fleet/platform_format.rs
+++ b/crates/node/src/fleet/platform_format.rs
@@ -45,6 +45,9 @@
     pub not_executed: &'static str,
     /// Set by a runner that is leaving, with the value `1`.
     pub leaving: &'static str,
+    /// Requests a second that a runner takes from all hosts together, for as long as its
+    /// responses name it.
+    pub limit: &'static str,
     /// The event after which a stream resumes.
     pub last_event_id: &'static str,
     /// Id of the caller's attempt that brought the first event of the stream which
@@ -83,6 +86,8 @@
     /// Parses prompt tokens and maximum generated tokens from the token usage
     /// header.
     pub read_usage: fn(&str) -> Option<(u32, u32)>,
+    /// Parses a runner's rate limit.
+    pub read_limit: fn(&str) -> Option<f64>,
     /// Parses the parts of a prompt that other requests may share.
     pub read_parts: fn(&str) -> Vec<PromptPart>,
 }
--- a/crates/node/src/fleet/proxy/admitted.rs
+++ b/crates/node/src/fleet/proxy/admitted.rs
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 pub(super) struct AdmittedRequest {
     pub(super) header_names: HeaderNames,
+    /// Parses a runner's rate limit.
+    pub(super) read_limit: fn(&str) -> Option<f64>,
     /// Id that the caller gave.
     pub(super) caller_id: String,
     /// The caller's id of the stream that this request takes up.
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
-    fleet::{RunnerEntry, RunnerKey, RunnerNotice, RunnerVersion},
+    fleet::{LimitReport, RunnerEntry, RunnerKey, RunnerNotice, RunnerVersion},
     outcome::{RetryReason, UnknownReason},
 };
 use http_body_util::BodyExt;
@@ -43,6 +43,14 @@
     Unknown(UnknownReason),
 }
 
+/// What a runner says about itself in a response.
+#[derive(Debug, Default)]
+pub(super) struct RunnerStatements {
+    pub(super) notice: Option<RunnerNotice>,
+    /// Its rate limit. None if there was no response, or the limit can't be read.
+    pub(super) limit: Option<LimitReport>,
+}
+
 /// A response whose body is being read.
 pub(super) struct RunnerResponse {
     pub(super) runner: RunnerKey,
@@ -59,14 +67,13 @@
     max_idle_connections: usize,
 }
 
-/// Sends a request and checks that the response belongs to it. The second value
-/// is what the runner says about itself in the response.
+/// Sends a request and checks that the response belongs to it.
 pub(super) async fn attempt(
     connections: &RunnerConnections,
     request: &AdmittedRequest,
     runner: &RunnerEntry,
     after: Option<u64>,
-) -> (Attempt, Option<RunnerNotice>) {
+) -> (Attempt, RunnerStatements) {
     let sent_at = Instant::now();
     let req = request.request_to(runner, after);
     log_event!(
@@ -86,19 +93,26 @@
     let sending = connections.send(&runner.key, runner.address, req);
     let (res, connection) = match timeout_at(request.deadline, sending).await {
         Ok(Ok(received)) => received,
-        Ok(Err(SendFailure::NotSent(reason))) => return (Attempt::NotRun(reason), None),
+        Ok(Err(SendFailure::NotSent(reason))) => {
+            return (Attempt::NotRun(reason), RunnerStatements::default());
+        }
         Ok(Err(SendFailure::Unknown(cause))) => {
             log_unusable_response(request, runner, &cause, sent_at);
-            return (Attempt::Unknown(UnknownReason::UpstreamBroke), None);
+            return (Attempt::Unknown(UnknownReason::UpstreamBroke), RunnerStatements::default());
+        }
+        Err(_) => {
+            return (Attempt::Unknown(UnknownReason::UpstreamTimeout), RunnerStatements::default());
         }
-        Err(_) => return (Attempt::Unknown(UnknownReason::UpstreamTimeout), None),
     };
     // Any response on this connection is the runner's, even one to an earlier
     // request.
-    let notice = runner_notice(request, runner, &res);
+    let statements = RunnerStatements {
+        notice: runner_notice(request, runner, &res),
+        limit: limit_report(request, runner, &res, sent_at),
+    };
     if !echoes_request_id(request, &res) {
         log_unusable_response(request, runner, "the response belongs to another request", sent_at);
-        return (Attempt::Unknown(UnknownReason::UpstreamBroke), notice);
+        return (Attempt::Unknown(UnknownReason::UpstreamBroke), statements);
     }
     let (head, body) = res.into_parts();
     let keep_alive = keep_alive_timeout(&head.headers);
@@ -127,7 +141,7 @@
             true => RetryReason::RunnerLeaving,
             false => RetryReason::TurnedAway,
         };
-        return (Attempt::NotRun(reason), notice);
+        return (Attempt::NotRun(reason), statements);
     }
     if status.is_success() && !response.is_signed(request) {
         log_unusable_response(
@@ -136,9 +150,9 @@
             "the runner's signature is missing, or the body is content-encoded",
             sent_at,
         );
-        return (Attempt::Unknown(UnknownReason::UpstreamBroke), notice);
+        return (Attempt::Unknown(UnknownReason::UpstreamBroke), statements);
     }
-    (Attempt::Response(Box::new(response)), notice)
+    (Attempt::Response(Box::new(response)), statements)
 }
 
 impl RunnerResponse {
@@ -284,6 +298,35 @@
         .map(|rest| RunnerNotice::Rest(key(), rest))
 }
 
+/// Returns what a response says of the runner's rate limit, the lowest if it names
+/// several; none if it names one that can't be read.
+fn limit_report(
+    request: &AdmittedRequest,
+    runner: &RunnerEntry,
+    res: &Response<Incoming>,
+    sent_at: Instant,
+) -> Option<LimitReport> {
+    // Another runner responded.
+    if res.status() == StatusCode::MISDIRECTED_REQUEST {
+        return None;
+    }
+    let values = res.headers().get_all(header(request.header_names.limit)).iter();
+    let values: Vec<_> = values.flat_map(|value| value.as_bytes().split(|b| *b == b',')).collect();
+    let limits = values
+        .iter()
+        .filter_map(|value| std::str::from_utf8(value).ok().and_then(request.read_limit));
+    let per_s = limits.min_by(f64::total_cmp);
+    if per_s.is_none() && !values.is_empty() {
+        log_event!(
+            Event::RunnerLimitUnreadable,
+            id = request.caller_id.as_str(),
+            runner:% = runner.key.name
+        );
+        return None;
+    }
+    Some(LimitReport { key: runner.key.clone(), per_s, sent_ago: sent_at.elapsed() })
+}
+
 /// Parses the seconds, with an optional fraction, for which a runner wants no
 /// requests. Anything else, such as a date, asks for no rest.
 fn parse_rest(value: &str) -> Option<Duration> {
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -68,10 +68,14 @@
                 return DispatchResult::NotRun(NotRunReason::TimeLimit, TIME_LIMIT_RETRY_AFTER);
             }
         };
-        let (attempt, notice) = attempt(&proxy.connections, request, &runner, after).await;
-        if let Some(notice) = notice {
+        let (attempt, statements) = attempt(&proxy.connections, request, &runner, after).await;
+        if let Some(notice) = statements.notice {
             handle.runner_notice(notice);
         }
+        let is_limited = proxy.host_state.has_limited_runners();
+        if let Some(limit) = statements.limit.filter(|limit| limit.per_s.is_some() || is_limited) {
+            handle.runner_limit(limit);
+        }
         match attempt {
             Attempt::Response(response) => return DispatchResult::Response(response),
             Attempt::NotRun(reason) => {
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -293,6 +293,7 @@
         let uri = path.parse::<Uri>().map_err(|_| reject(NotRunReason::BadRequest.into()))?;
         Ok(AdmittedRequest {
             header_names,
+            read_limit: self.format.read_limit,
             caller_id,
             resumes,
             method: head.method,
--- a/crates/node/src/fleet/request_handle.rs
+++ b/crates/node/src/fleet/request_handle.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use comfreyway_core::{
-    fleet::{PlacementRequest, RunnerEntry, RunnerNotice},
+    fleet::{LimitReport, PlacementRequest, RunnerEntry, RunnerNotice},
     ids::{RequestId, RunnerName},
     outcome::{NotRunReason, RetryReason},
     request::DispatchEnd,
@@ -31,6 +31,8 @@
     Ended(RequestId, DispatchEnd),
     /// A runner said this about itself in a response.
     RunnerNotice(RunnerNotice),
+    /// What a response said of its runner's rate limit.
+    RunnerLimit(LimitReport),
 }
 
 /// The control thread's decision on a request.
@@ -137,6 +139,11 @@
         self.notify(WorkerMessage::RunnerNotice(notice));
     }
 
+    /// Reports what a response said of its runner's rate limit.
+    pub(super) fn runner_limit(&self, report: LimitReport) {
+        self.notify(WorkerMessage::RunnerLimit(report));
+    }
+
     fn notify(&self, message: WorkerMessage) {
         if self.control.send(message).is_err() {
             log::error!("the control thread has ended; request {} gets no decision", self.id);
