--- a/crates/testkit/src/fleet_runner/handler.rs
+++ b/crates/testkit/src/fleet_runner/handler.rs
@@ -26,6 +26,7 @@
 const NOT_EXECUTED: &str = "x-comfreyway-not-executed";
 const LEAVING: &str = "server-leaving";
 const PROMPT_PARTS: &str = "x-comfreyway-prompt-prefix";
+const LIMIT: &str = "server-limit";
 const EXPECT_RUNNER: &str = "x-comfreyway-expect-runner";
 
 pub(super) async fn respond(runner: Data<Shared>, req: HttpRequest, body: Bytes) -> HttpResponse {
@@ -68,6 +69,9 @@
     if matches!(mode, RunnerMode::Leaving | RunnerMode::LeavingStream(_)) {
         res.insert_header((LEAVING, "1"));
     }
+    if let Some(limit) = runner.limit.lock().unwrap_or_else(PoisonError::into_inner).clone() {
+        res.insert_header((LIMIT, limit));
+    }
     let after = header("last-event-id").parse().unwrap_or(0);
     match mode {
         RunnerMode::Stream(count) | RunnerMode::LeavingStream(count) => {
--- a/crates/testkit/src/fleet_runner/mod.rs
+++ b/crates/testkit/src/fleet_runner/mod.rs
@@ -75,6 +75,8 @@
     name: String,
     mode: Mutex<RunnerMode>,
     version: Mutex<String>,
+    /// Value of the header that names a rate limit, if any.
+    limit: Mutex<Option<String>>,
     /// The part of a prompt that crashes the runner, if any.
     crashing_part: Mutex<Option<String>>,
     crashed: AtomicBool,
@@ -114,6 +116,7 @@
             name: name.to_owned(),
             mode: Mutex::new(mode),
             version: Mutex::default(),
+            limit: Mutex::default(),
             crashing_part: Mutex::default(),
             crashed: AtomicBool::new(false),
             gate: Gate::default(),
@@ -152,6 +155,12 @@
             format!(" of {version}");
     }
 
+    /// Sets the rate limit that each response names.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        let limit = limit.map(str::to_owned);
+        *self.shared.limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
+    }
+
     /// Lets the runner crash as it begins to respond to a prompt with this part.
     pub fn crash_on(&self, part: &str) {
         let part = Some(part.to_owned());
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod hosts;
 mod malformed_input;
 mod planned_stop;
+mod rate_limits;
 mod requests;
 mod responses;
 mod rollback;
