Keep to the rate limits that runners name, over all hosts

Runners in need got far more requests than the limit that they named: 22 in 4 s at a limit of 1.1 a second, where 12 are allowed, and 19 at one of 2.3.

Cause: `Server-Limit` was not read, and a runner's capacity was its slots alone: no decision knew a rate. Evidence: the load of both runners didn't change when they named their limits, and no host logged a refusal or a pause (hypothesis 1); a limit that each host or the average respects (2, 3) would have changed it. The class: a statement of a runner that no rule had named before.

Change: the coordinator grants a limited runner's requests from a bucket that fills at the limit and is empty at first. All arrivals are grants, so all count. A coordinator uses its client hosts' share of the limit, as with the retry budget. Client hosts report responses that say something new, and are told what changed, so that they know the limits without their coordinator. A limited runner counts as the slots that its rate keeps in use, in the expected wait and the times to come back. At least one request in five seconds is sent: only a response tells that a limit is over.

Ruled out: a share of the whole limit at each coordinator.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -15,10 +15,11 @@
 use super::{
     FleetConfig, FleetHosts, PartQuarantine, PlacementReply, PlacementRequest, PromptPart, Quota,
     QuotaTolerance, Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, RunnerKey,
-    ShareBasis, StreamRecord, StreamVersions, UpstreamScheduler, VersionHistory,
+    RunnerLimits, ShareBasis, StreamRecord, StreamVersions, UpstreamScheduler, VersionHistory,
 };
 
 mod decisions;
+mod limits;
 mod requests;
 mod streams;
 mod trials;
@@ -73,6 +74,8 @@
     take_ups: BTreeMap<RequestId, TakeUp>,
     /// When the view of the store was last verified as the newest.
     verified_at: MonoTime,
+    /// Limits that runners have named.
+    limits: RunnerLimits,
     quarantine: PartQuarantine,
     /// Open requests with each suspicious part.
     trials: BTreeMap<PromptPart, BTreeSet<RequestId>>,
@@ -100,6 +103,7 @@
             new_streams: Vec::new(),
             take_ups: BTreeMap::new(),
             verified_at: MonoTime::ZERO,
+            limits: RunnerLimits::default(),
             quarantine: PartQuarantine::default(),
             trials: BTreeMap::new(),
             changed_parts: BTreeSet::new(),
@@ -263,6 +267,9 @@
                 state.history.runner_present(now, &name, entry.version.clone());
                 state.scheduler.set_runner(name.clone(), slots, entry.leaving);
                 state.scheduler.set_version(&name, entry.version.clone());
+                if self.limits.of(&entry.key).is_some() {
+                    self.enforce_limit(now, &name);
+                }
             }
             upstreams.insert(&entry.upstream);
         }
@@ -412,6 +419,7 @@
             return;
         }
         self.quotas.set_known_hosts(now, known);
+        self.enforce_all_limits(now);
         let (before, share) = (before.slot_share(), basis.slot_share());
         for state in self.upstreams.values_mut() {
             for (name, known) in &state.runners {
--- a/crates/core/src/fleet/runner_limits.rs
+++ b/crates/core/src/fleet/runner_limits.rs
@@ -43,8 +43,8 @@
     pub per_s: f64,
     /// When it began to name a limit.
     pub since: MonoTime,
-    /// When the last response that changed it arrived.
-    heard_at: MonoTime,
+    /// When the last response that named it arrived.
+    pub heard_at: MonoTime,
 }
 
 /// The limits that runs have named, by runner.
@@ -123,6 +123,14 @@
         self.named.get(&key.name).filter(|known| known.key == *key)
     }
 
+    /// Discards the limits for which `keep` returns false.
+    pub(super) fn retain<F>(&mut self, keep: F)
+    where
+        F: Fn(&NamedLimit) -> bool,
+    {
+        self.named.retain(|_, limit| keep(limit));
+    }
+
     /// Returns all limits.
     pub fn iter(&self) -> impl Iterator<Item = &NamedLimit> {
         self.named.values()
--- a/crates/core/src/fleet/scheduler/granting.rs
+++ b/crates/core/src/fleet/scheduler/granting.rs
@@ -28,6 +28,7 @@
             let Some(waiting) = self.queue.remove(id) else { return };
             out.push(Decision::Grant(waiting.record.entry.clone(), id, runner.clone()));
             self.floors.started(now, &waiting.record.class);
+            self.runners.update(&runner, |runner| runner.take_from_rate_limit(now));
             let Deadlines { target_at, respond_by, .. } = waiting.deadlines;
             let WaitingRequest { record, version, .. } = waiting;
             self.start(now, Granted { record, runner, version, target_at, respond_by });
--- a/crates/core/src/fleet/scheduler/mod.rs
+++ b/crates/core/src/fleet/scheduler/mod.rs
@@ -5,7 +5,8 @@
 //! lengths that differ by a factor of 100.
 //!
 //! - A runner never gets more requests than it has slots, so that no request
-//!   waits in an engine's own queue, which has no tiers.
+//!   waits in an engine's own queue, which has no tiers. One that names a rate limit
+//!   gets them at that rate, and counts as the slots that this rate keeps in use.
 //! - Requests are ordered by tier. Within a tier, requests that can still meet
 //!   their target come first, then the late ones; both are ordered by latest
 //!   start.
@@ -23,6 +24,7 @@
 mod learning;
 mod placement;
 mod queue;
+mod rate_limit;
 mod returns;
 mod runner;
 mod runner_index;
--- a/crates/core/src/fleet/scheduler/runner.rs
+++ b/crates/core/src/fleet/scheduler/runner.rs
@@ -8,7 +8,7 @@
     time::MonoTime,
 };
 
-use super::ewma::Ewma;
+use super::{ewma::Ewma, rate_limit::RateLimit};
 
 /// Assumed prefill time of a token before the first sample, in microseconds.
 const DEFAULT_PREFILL_US: f64 = 22.0;
@@ -82,6 +82,8 @@
     pub(super) rates: Rates,
     pub(super) paused_until: MonoTime,
     pub(super) failures: u32,
+    /// Limit on the requests that it gets from this coordinator's hosts.
+    rate_limit: Option<RateLimit>,
     /// Hosts whose requests the runner does not accept until the given time.
     rests: BTreeMap<HostId, MonoTime>,
 }
@@ -97,6 +99,7 @@
             rates: Rates::default(),
             paused_until: MonoTime::ZERO,
             failures: 0,
+            rate_limit: None,
             rests: BTreeMap::new(),
         }
     }
@@ -112,7 +115,8 @@
     }
 
     pub(super) fn has_free_slot(&self, now: MonoTime) -> bool {
-        self.is_usable(now) && !self.is_full()
+        let is_allowed = self.rate_limit.is_none_or(|limit| limit.allows(now));
+        self.is_usable(now) && !self.is_full() && is_allowed
     }
 
     pub(super) fn is_full(&self) -> bool {
@@ -121,6 +125,31 @@
         self.requests.len() >= slots as usize
     }
 
+    /// Returns the slots that requests of `time_us` each keep in use, at most.
+    pub(super) fn usable_slots(&self, time_us: f64) -> f64 {
+        let by_rate = self.rate_limit.map(|limit| limit.per_s() * time_us / 1e6);
+        by_rate.unwrap_or(f64::INFINITY).min(f64::from(self.slots))
+    }
+
+    /// Returns the requests a second that it may get, if it has a rate limit.
+    pub(super) fn rate_limit_per_s(&self) -> Option<f64> {
+        self.rate_limit.map(|limit| limit.per_s())
+    }
+
+    pub(super) fn set_rate_limit(&mut self, now: MonoTime, per_s: Option<f64>) {
+        match (&mut self.rate_limit, per_s) {
+            (Some(limit), Some(per_s)) => limit.set(now, per_s),
+            (limit, per_s) => *limit = per_s.map(|per_s| RateLimit::new(now, per_s)),
+        }
+    }
+
+    /// Counts a granted request against the rate limit.
+    pub(super) fn take_from_rate_limit(&mut self, now: MonoTime) {
+        if let Some(limit) = &mut self.rate_limit {
+            limit.take(now);
+        }
+    }
+
     /// Returns the fraction of slots that are taken.
     pub(super) fn load(&self) -> f64 {
         self.requests.len() as f64 / f64::from(self.slots.max(1))
--- a/crates/core/src/fleet/scheduler/runner_index.rs
+++ b/crates/core/src/fleet/scheduler/runner_index.rs
@@ -54,8 +54,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Totals {
     computed_at: Option<MonoTime>,
-    /// Total slots.
-    pub(super) slots: u32,
+    /// Total slots, of limited runners as many as their rates keep in use.
+    pub(super) slots: f64,
     /// Mean prefill time of a token over all slots, in microseconds.
     pub(super) prefill_us: f64,
     /// Mean decode time of a token over all slots, in microseconds.
@@ -192,6 +192,11 @@
         list.iter().filter_map(move |(_, name)| lookup(name))
     }
 
+    pub(super) fn set_rate_limit(&mut self, now: MonoTime, name: &RunnerName, per_s: Option<f64>) {
+        self.update(name, |runner| runner.set_rate_limit(now, per_s));
+        self.totals.computed_at = None;
+    }
+
     /// Returns the totals over all runners as of the last refresh.
     pub(super) fn totals(&self) -> &Totals {
         &self.totals
@@ -210,8 +215,8 @@
         };
         let (mut prefill, mut decode, mut service) = (0.0, 0.0, 0.0);
         for (_, runner) in self.runners.values().filter(|(_, runner)| !runner.leaving) {
-            let slots = f64::from(runner.slots);
-            totals.slots += runner.slots;
+            let slots = runner.usable_slots(typical_us(self.engine, runner));
+            totals.slots += slots;
             prefill += slots / runner.prefill_us().max(MIN_RATE_US);
             decode += slots / runner.decode_us().max(MIN_RATE_US);
             service += slots / runner.service_us().max(MIN_RATE_US);
@@ -220,15 +225,24 @@
                 totals.min_service_us = totals.min_service_us.min(runner.service_us());
             }
         }
-        let slots = f64::from(totals.slots.max(1));
-        let mean = |speed: f64| if speed > 0.0 { slots / speed } else { 0.0 };
-        totals.prefill_us = mean(prefill);
-        totals.decode_us = mean(decode);
-        totals.service_us = mean(service);
+        let mean = |speed: f64| if speed > 0.0 { totals.slots / speed } else { 0.0 };
+        (totals.prefill_us, totals.decode_us, totals.service_us) =
+            (mean(prefill), mean(decode), mean(service));
         self.totals = totals;
     }
 }
 
+/// Returns the expected time of a typical request at a runner, in microseconds.
+fn typical_us(engine: bool, runner: &RunnerState) -> f64 {
+    match engine {
+        true => {
+            let prefill_us = runner.prefill_us() * TYPICAL_PROMPT_TOKENS;
+            prefill_us + runner.decode_us() * TYPICAL_RESPONSE_TOKENS
+        }
+        false => runner.service_us(),
+    }
+}
+
 /// Lower bound on rates in microseconds, so that no speed is infinite.
 const MIN_RATE_US: f64 = 0.01;
 
--- a/crates/core/src/fleet/scheduler/shedding.rs
+++ b/crates/core/src/fleet/scheduler/shedding.rs
@@ -49,8 +49,7 @@
                 self.expected_us(count as f64, prompt as f64, self.expected_response_tokens(class))
             })
             .sum();
-        let slots = self.runners.totals().slots.max(1);
-        Duration::from_micros((work / f64::from(slots)) as u64)
+        Duration::from_micros((work / self.total_slots()) as u64)
     }
 
     /// Returns the time after which the caller may try again if a request has to be
@@ -80,12 +79,19 @@
     ) -> Duration {
         let length = self.expected_response_tokens(&record.class);
         let work_us = self.expected_us(1.0, f64::from(record.prefill_tokens), length);
-        let slots = self.runners.totals().slots.max(1);
-        let work = Duration::from_micros((work_us / f64::from(slots)) as u64);
+        let work = Duration::from_micros((work_us / self.total_slots()) as u64);
         let max = left.mul_f64(MAX_RETRY_AFTER_FRACTION);
         self.returns.next(now, record.tier, wait, work, max).max(MIN_RETRY_AFTER)
     }
 
+    /// Returns the slots of all runners, or one if there are none.
+    fn total_slots(&self) -> f64 {
+        match self.runners.totals().slots {
+            0.0 => 1.0,
+            slots => slots.max(MIN_SLOTS),
+        }
+    }
+
     fn backlog_threshold(&self) -> usize {
         self.runners.totals().slots as usize / BACKLOG_DIVISOR
     }
@@ -105,5 +111,8 @@
     timeout.saturating_sub(record.age).min(left)
 }
 
+/// Lower bound on the slots that the rate limits of all runners leave.
+const MIN_SLOTS: f64 = 0.01;
+
 /// A queue shorter than the slots divided by this is no backlog.
 const BACKLOG_DIVISOR: usize = 8;
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -111,6 +111,11 @@
         self.runners.update(name, |runner| runner.version = version);
     }
 
+    /// Sets the requests a second that a runner gets at most.
+    pub fn set_rate_limit(&mut self, now: MonoTime, name: &RunnerName, per_s: Option<f64>) {
+        self.runners.set_rate_limit(now, name, per_s);
+    }
+
     /// Returns true if a runner of this version accepts requests.
     #[must_use]
     pub fn serves_version(&self, version: &RunnerVersion) -> bool {
@@ -368,9 +373,12 @@
         let all = self.runners.iter().count();
         let few = all <= MAX_LOGGED;
         if !few {
-            write!(f, " {all} runners, those with failures or leaving:")?;
+            write!(f, " {all} runners, those with failures, limited or leaving:")?;
         }
-        let is_logged = |runner: &RunnerState| few || runner.failures > 0 || runner.leaving;
+        let is_logged = |runner: &RunnerState| {
+            let is_limited = runner.rate_limit_per_s().is_some();
+            few || is_limited || runner.failures > 0 || runner.leaving
+        };
         for (name, runner) in self.runners.iter().filter(|(_, r)| is_logged(r)).take(MAX_LOGGED) {
             let (load, slots) = (runner.in_progress(), runner.slots);
             let (prefill, decode) = (runner.prefill_us(), runner.decode_us());
@@ -379,6 +387,9 @@
             if runner.failures > 0 {
                 write!(f, " {} failures", runner.failures)?;
             }
+            if let Some(per_s) = runner.rate_limit_per_s() {
+                write!(f, " limit {per_s:.2}/s")?;
+            }
             if runner.leaving {
                 write!(f, " leaving")?;
             }
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod quarantine;
 mod quota_changes;
 mod quotas;
+mod rate_limits;
 mod releases;
 mod returns;
 mod runner_fleet;
--- a/crates/core/tests/fleet/runner_fleet.rs
+++ b/crates/core/tests/fleet/runner_fleet.rs
@@ -1,12 +1,15 @@
-//! Hosts with their coordinators, runners that crash, and callers whose
-//! prompts share parts.
+//! Hosts with their coordinators, runners that crash or name rate limits, and callers
+//! whose prompts share parts.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
 
 use comfreyway_core::{
     fleet::{
-        ClientAction, Coordinator, CoordinatorClient, PartRecord, PlacementReply, PromptPart,
-        QuotaTolerance, RecordSource, RetryBudgetLimits, RunnerChange, RunnerEntry,
+        ClientAction, Coordinator, CoordinatorClient, LimitReport, PartRecord, PlacementReply,
+        PromptPart, QuotaTolerance, RecordSource, RetryBudgetLimits, RunnerChange, RunnerEntry,
     },
     ids::{HostId, RequestId, RunnerName},
     outcome::RetryReason,
@@ -73,6 +76,7 @@
 struct Run {
     id: RequestId,
     host: usize,
+    sent_ms: u64,
     first_ms: u64,
     end_ms: u64,
     /// True if it has brought its first token.
@@ -84,6 +88,9 @@
     runs: Vec<Run>,
     crashed_ms: Option<u64>,
     removed: bool,
+    /// Rate limit that it names, and since when.
+    limit: Option<(f64, u64)>,
+    arrivals: Vec<u64>,
 }
 
 struct Request {
@@ -106,6 +113,8 @@
     cut: BTreeSet<usize>,
     /// Suspected parts in the store.
     suspects: BTreeMap<PromptPart, PartRecord>,
+    /// One of this many steps brings a sound request.
+    pub(crate) steps_per_request: u32,
     runners: BTreeMap<RunnerName, Runner>,
     requests: BTreeMap<RequestId, Request>,
     /// Requests of the callers' sessions, by their part.
@@ -138,6 +147,7 @@
             leader: 0,
             cut: BTreeSet::new(),
             suspects: BTreeMap::new(),
+            steps_per_request: 5,
             runners: BTreeMap::new(),
             requests: BTreeMap::new(),
             sessions: Vec::new(),
@@ -155,7 +165,7 @@
         self.now_ms += STEP_MS;
         self.update_runners();
         self.inject_faults();
-        if self.rng.random_range(0..5) == 0 {
+        if self.rng.random_range(0..self.steps_per_request) == 0 {
             self.send_sound();
         }
         for number in 0..self.crashing.len() {
@@ -200,7 +210,14 @@
         self.numbers += 1;
         let entry = RunnerEntry { slots: SLOTS, ..entry(&format!("r{}", self.numbers), 1, false) };
         self.runner_changed(RunnerChange::Usable(entry.clone()));
-        let runner = Runner { entry, runs: Vec::new(), crashed_ms: None, removed: false };
+        let runner = Runner {
+            entry,
+            runs: Vec::new(),
+            crashed_ms: None,
+            removed: false,
+            limit: None,
+            arrivals: Vec::new(),
+        };
         self.runners.insert(runner.entry.key.name.clone(), runner);
     }
 
@@ -331,7 +348,8 @@
         };
         let first_ms = self.now_ms + self.rng.random_range(40..250);
         let end_ms = first_ms + self.rng.random_range(300..3_000);
-        runner.runs.push(Run { id, host, first_ms, end_ms, begun: false });
+        runner.arrivals.push(self.now_ms);
+        runner.runs.push(Run { id, host, sent_ms: self.now_ms, first_ms, end_ms, begun: false });
         let parts = self.requests[&id].parts.iter();
         let crashing = parts.filter(|part| self.crashing.iter().any(|(c, _)| c == *part));
         for part in crashing.copied().collect::<Vec<_>>() {
@@ -370,9 +388,14 @@
             let begun = runner.runs.iter_mut().filter(|run| !run.begun && now_ms >= run.first_ms);
             let begun = begun.map(|run| {
                 run.begun = true;
-                (run.host, run.id)
+                (run.host, run.id, run.sent_ms)
             });
-            for (host, id) in begun.collect::<Vec<_>>() {
+            let begun: Vec<_> = begun.collect();
+            let per_s = runner.limit.map(|(per_s, _)| per_s);
+            let key = runner.entry.key.clone();
+            for (host, id, sent_ms) in begun {
+                let sent_ago = Duration::from_millis(now_ms - sent_ms);
+                self.report_limit(host, &LimitReport { key: key.clone(), per_s, sent_ago });
                 self.begin(host, id);
             }
             for run in ended {
@@ -503,6 +526,35 @@
         self.execute(self.leader, Vec::new(), replies);
     }
 
+    /// Tells a host's coordinator what a response said of its runner's limit.
+    fn report_limit(&mut self, host: usize, report: &LimitReport) {
+        let by = if self.cut.contains(&host) { host } else { self.leader };
+        let now = at(self.now_ms);
+        if !self.nodes[by].coordinator.apply_limit(now, report) || by != self.leader {
+            return;
+        }
+        let limit = self.nodes[by].coordinator.limits().of(&report.key).map(|limit| limit.per_s);
+        for other in (0..HOSTS).filter(|other| *other != by && !self.cut.contains(other)) {
+            self.nodes[other].coordinator.set_limit(now, &report.key, limit);
+        }
+    }
+
+    /// Lets a runner name a limit, or none any more.
+    pub(crate) fn set_limit(&mut self, pick: usize, per_s: Option<f64>) {
+        let pick = pick % self.runners.len();
+        let runner = self.runners.values_mut().nth(pick).unwrap();
+        runner.limit = per_s.map(|per_s| (per_s, self.now_ms));
+        runner.arrivals.clear();
+    }
+
+    /// The limits of running runners, since when they are named, and the arrivals since.
+    pub(crate) fn limited(&self) -> Vec<(f64, u64, &[u64])> {
+        let runners = self.runners.values().filter(|runner| runner.crashed_ms.is_none());
+        let limited =
+            runners.filter_map(|r| r.limit.map(|(per_s, at)| (per_s, at, &r.arrivals[..])));
+        limited.collect()
+    }
+
     fn elect(&mut self, leader: usize) {
         self.leader = leader;
         self.cut.remove(&leader);
@@ -519,10 +571,19 @@
         let id = self.nodes[host].id.clone();
         let quarantine = self.nodes[host].coordinator.quarantine();
         let records: Vec<_> = quarantine.known_parts().map(|p| quarantine.record(p)).collect();
+        let limits = self.nodes[host].coordinator.limits().iter().map(|limit| LimitReport {
+            key: limit.key.clone(),
+            per_s: Some(limit.per_s),
+            sent_ago: now.since(limit.heard_at),
+        });
+        let limits: Vec<_> = limits.collect();
         let (mut replies, mut actions) = (Vec::new(), Vec::new());
         let leader = &mut self.nodes[self.leader];
         leader.coordinator.host_joined(now, id.clone());
         leader.coordinator.learn_parts(now, records, RecordSource::Client, &mut replies);
+        for limit in &limits {
+            leader.coordinator.apply_limit(now, limit);
+        }
         let leader_id = leader.id.clone();
         self.execute(self.leader, Vec::new(), replies);
         self.nodes[host].client.set_coordinator(now, Some(leader_id), &mut actions);
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -11,7 +11,7 @@
 use comfreyway_core::{
     fleet::{
         ClientAction, Coordinator, CoordinatorClient, HostSessions, Member, PlacementReply,
-        RunnerDirectory, RunnerLimits, ShareBasis,
+        RunnerDirectory, ShareBasis,
     },
     ids::{HostId, HostName, RequestId},
     outcome::RetryReason,
@@ -122,7 +122,6 @@
     session_tx: UnboundedSender<SessionEvent>,
     receivers: Option<EventReceivers>,
     directory: RunnerDirectory,
-    limits: RunnerLimits,
     coordinator_client: CoordinatorClient,
     coordinator: Coordinator,
     metrics: FleetMetrics,
@@ -183,7 +182,6 @@
             session_tx: receivers.senders.sessions.clone(),
             receivers: Some(receivers),
             directory: RunnerDirectory::default(),
-            limits: RunnerLimits::default(),
             coordinator_client: CoordinatorClient::default(),
             coordinator,
             metrics,
@@ -361,7 +359,7 @@
                 self.coordinator_client.ended(id, end, &mut actions);
             }
             WorkerMessage::RunnerNotice(notice) => self.handle_own_notice(now, notice),
-            WorkerMessage::RunnerLimit(report) => self.handle_own_limit(now, &report),
+            WorkerMessage::RunnerLimit(report) => self.handle_own_limit(now, report),
         }
         self.execute(actions, Vec::new());
         self.arm_timer(cx);
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -46,6 +46,7 @@
         // Before the open requests, some of which may go on with these streams.
         self.report_streams(&host);
         self.report_parts(&host);
+        self.report_limits(&host);
         self.coordinator_client.set_coordinator(now, Some(host), &mut actions);
         self.execute(actions, Vec::new());
         self.coordinator.host_left(now, &self.me.id.clone(), &mut replies);
@@ -152,6 +153,14 @@
             | SessionEvent::FromCoordinator(_, ToHost::Streams(records)) => {
                 self.learn_streams(records);
             }
+            SessionEvent::FromHost(_, _, ToCoordinator::Limit(report)) => {
+                self.apply_limit(now, &report);
+            }
+            SessionEvent::FromCoordinator(host, ToHost::Limits(limits)) => {
+                if self.coordinator_session.as_ref().is_some_and(|session| session.host == host) {
+                    self.set_limits(limits);
+                }
+            }
             SessionEvent::FromHost(_, _, ToCoordinator::Parts(records)) => {
                 self.learn_parts(records, RecordSource::Client);
             }
@@ -254,6 +263,7 @@
         } else {
             self.coordinator.host_joined(self.now(), host.clone());
             self.send_known_parts(host);
+            self.send_known_limits(host);
         }
     }
 
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -287,6 +287,7 @@
         self.copy_streams();
         self.share_parts();
         self.store_quarantine();
+        self.expire_limits();
         self.update_version_record();
         self.host_state.set_hosts(self.coordinator.share_basis().known);
         self.log_share();
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use comfreyway_core::{
-    fleet::{PartRecord, PlacementReply, RequestUpdate, RunnerEntry, RunnerNotice, StreamRecord},
+    fleet::{
+        LimitReport, PartRecord, PlacementReply, RequestUpdate, RunnerEntry, RunnerKey,
+        RunnerNotice, StreamRecord,
+    },
     ids::HostId,
 };
 use futures_util::{SinkExt, StreamExt};
@@ -44,8 +47,11 @@
 /// Protocol from which on a host understands `Parts`.
 pub(super) const PROTOCOL_PARTS: u8 = 2;
 
+/// Protocol from which on a host understands `Limit` and `Limits`.
+pub(super) const PROTOCOL_LIMITS: u8 = 3;
+
 /// The protocol of this build.
-pub(super) const PROTOCOL: u8 = PROTOCOL_PARTS;
+pub(super) const PROTOCOL: u8 = PROTOCOL_LIMITS;
 
 /// A message from a client host to its coordinator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -72,6 +78,18 @@
     /// What the sender knows of prompt parts that crash runners.
     #[serde(rename = "q")]
     Parts(Vec<PartRecord>),
+    /// What a response to the sender said of its runner's rate limit.
+    #[serde(rename = "l")]
+    Limit(LimitReport),
+}
+
+/// The rate limit of a run; none if it names no limit any more.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RunnerLimit {
+    #[serde(rename = "k")]
+    pub(super) key: RunnerKey,
+    #[serde(rename = "l")]
+    pub(super) per_s: Option<f64>,
 }
 
 /// A message from a coordinator to a client host.
@@ -108,6 +126,9 @@
     /// What has changed of prompt parts that crash runners.
     #[serde(rename = "q")]
     Parts(Vec<PartRecord>),
+    /// Rate limits of runners that have changed.
+    #[serde(rename = "r")]
+    Limits(Vec<RunnerLimit>),
     /// The sender does not coordinate, or no longer: choose another
     /// coordinator.
     #[serde(rename = "l")]
--- a/crates/node/src/fleet/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -34,6 +34,17 @@
     assert_eq!(recode::<_, FormerMessage>(&grant(RunnerVersion::new("v1"))), former);
 }
 
+#[test]
+fn limits_are_sent_to_both_sides() {
+    let key = RunnerKey { name: RunnerName::new("e1").unwrap(), started_ms: None };
+    let sent_ago = Duration::from_millis(40);
+    let report = LimitReport { key: key.clone(), per_s: Some(2.5), sent_ago };
+    let message = ToCoordinator::Limit(report);
+    assert_eq!(recode::<_, ToCoordinator>(&message), message);
+    let message = ToHost::Limits(vec![RunnerLimit { key, per_s: None }]);
+    assert_eq!(recode::<_, ToHost>(&message), message);
+}
+
 /// Token counts before they said what ended the response.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
 struct FormerUsage {
