Soak prompts that crash runners, and runners that name rate limits

Two callers send prompts with a part that crashes the runners of the engine, which are replaced; runners name limits of 0.5 and 8 a second now and then. The other callers, who share a part with these prompts, must be served as before and after all faults are cleared.

--- a/tests/testsuite/fleet/crashing_prompts.rs
+++ b/tests/testsuite/fleet/crashing_prompts.rs
@@ -11,9 +11,7 @@
 
 use crate::support::Daemon;
 
-use super::harness::{DESK_KEY, FleetHarness, KEY, call_with, events};
-
-const PARTS: &str = "x-comfreyway-prompt-prefix";
+use super::harness::{DESK_KEY, FleetHarness, KEY, PARTS, call_with, events};
 
 /// The part that crashes runners.
 const CRASHING_PART: &str = "bad0";
--- a/tests/testsuite/fleet/harness.rs
+++ b/tests/testsuite/fleet/harness.rs
@@ -20,6 +20,7 @@
 pub(super) const ID: &str = "x-comfreyway-request-id";
 pub(super) const KEY: &str = "x-api-key";
 pub(super) const DEADLINE: &str = "x-comfreyway-request-deadline-ms";
+pub(super) const PARTS: &str = "x-comfreyway-prompt-prefix";
 pub(super) const USAGE: &str = "x-comfreyway-token-usage";
 
 /// Key of the workspace `desk`.
--- a/tests/testsuite/fleet/soak.rs
+++ b/tests/testsuite/fleet/soak.rs
@@ -2,7 +2,8 @@
 //! load. A request that may run at most once never runs twice and has not run if
 //! it is reported as not run; a success is a runner's whole response to that request;
 //! a stream stays at one software version, also if its caller takes it up again; no
-//! workspace exceeds its quota; afterwards all hosts serve.
+//! workspace exceeds its quota; afterwards all hosts serve. Meanwhile runners crash under
+//! one part of prompts, which must not keep the others from being served, and name limits.
 //!
 //! CI runs a few short seeds. To run fifty seeds, and some with many hosts, by hand:
 //!
@@ -23,7 +24,7 @@
 use actix_rt::time::sleep;
 use comfreyway_testkit::{
     daemon::{DaemonSettings, Signal, eventually},
-    fleet_runner::{FleetRunner, RunnerMode},
+    fleet_runner::{FleetRunner, RunnerMode, RunnerRun},
     proxy::FaultProxy,
     store::{StoreFaults, StoreOutage, StoreStandIn},
 };
@@ -65,6 +66,7 @@
     name: "desk",
     key: DESK_KEY,
     paths: &["/lookup/count/", "/tags/", "/report/", "/lookup/", "/open/"],
+    parts: "a1:60,5e:200,1:90",
     pause: Duration::from_millis(15),
     // Longer than any time limit of the configuration.
     timeout: Duration::from_secs(12),
@@ -74,9 +76,24 @@
     name: "bulk",
     key: "key-of-bulk",
     paths: &["/lookup/count/"],
+    parts: "a1:60,1:90",
     pause: Duration::from_millis(1),
     timeout: Duration::from_millis(500),
 };
+/// Callers whose prompts crash runners.
+const CRASHING: CallerKind = CallerKind {
+    name: "crashing",
+    key: DESK_KEY,
+    paths: &["/report/"],
+    parts: "a1:60,bad0:200,1:90",
+    pause: Duration::from_millis(100),
+    timeout: Duration::from_secs(12),
+};
+/// The part of these prompts that does it.
+const CRASHING_PART: &str = "bad0";
+const CRASHING_CALLERS: usize = 2;
+/// Rate limits of runners.
+const LIMITS: [Option<&str>; 4] = [None, None, Some("0.5"), Some("8")];
 /// Units of each request of the workspace `bulk`.
 const BULK_COST: f64 = 200.0;
 const BULK_RATE_PER_S: f64 = 4_000.0;
@@ -105,6 +122,9 @@
     hosts: Vec<Option<Daemon>>,
     /// Runners with their upstreams and the proxy before each.
     runners: Vec<(FleetRunner, &'static str, FaultProxy)>,
+    /// Runs of the runners that have crashed, and the number of these.
+    ended_runs: Vec<RunnerRun>,
+    crashes: usize,
     version: u64,
 }
 
@@ -135,6 +155,7 @@
                 let runner = FleetRunner::start(&format!("{upstream}-{n}"), mode).unwrap();
                 if upstream == "dala" {
                     runner.set_version(version);
+                    runner.crash_on(CRASHING_PART);
                 }
                 let proxy = FaultProxy::start(runner.address()).unwrap();
                 runners.push((runner, upstream, proxy));
@@ -142,7 +163,17 @@
         }
         let hosts = settings.iter().map(|s| Some(Daemon::start(s.clone()))).collect();
         let rng = StdRng::seed_from_u64(seed);
-        let mut soak = Self { rng, store, store_proxies, settings, hosts, runners, version: 1 };
+        let mut soak = Self {
+            rng,
+            store,
+            store_proxies,
+            settings,
+            hosts,
+            runners,
+            ended_runs: Vec::new(),
+            crashes: 0,
+            version: 1,
+        };
         for n in 0..soak.runners.len() {
             soak.put_runner(n, "ready");
         }
@@ -157,11 +188,34 @@
         let (runner, upstream, proxy) = &self.runners[n];
         let mut entry = runner_entry(proxy.address(), upstream, state);
         if let Some(number) = runner.name().strip_prefix("dala-") {
+            let number = number.split('-').next().unwrap();
             entry["version"] = json!(VERSIONS[number.parse::<usize>().unwrap()]);
         }
         self.store.put(&format!("servers/{}", runner.name()), entry.to_string().as_bytes());
     }
 
+    /// Replaces the runners that have crashed by others, which breaks their connections.
+    fn replace_crashed(&mut self) {
+        for n in 0..self.runners.len() {
+            if !self.runners[n].0.has_crashed() {
+                continue;
+            }
+            self.crashes += 1;
+            let former = self.runners[n].0.name().to_owned();
+            let number = former.split('-').nth(1).unwrap();
+            let name = format!("dala-{number}-{}", self.crashes);
+            let runner = FleetRunner::start(&name, RunnerMode::Stream(EVENTS)).unwrap();
+            runner.set_version(VERSIONS[number.parse::<usize>().unwrap()]);
+            runner.crash_on(CRASHING_PART);
+            let proxy = FaultProxy::start(runner.address()).unwrap();
+            let former = std::mem::replace(&mut self.runners[n], (runner, "dala", proxy));
+            former.2.cut_all();
+            self.ended_runs.extend(former.0.runs());
+            self.store.delete(&format!("servers/{}", former.0.name()));
+            self.put_runner(n, "ready");
+        }
+    }
+
     fn usual_mode(upstream: &str) -> RunnerMode {
         if upstream == "survey" { RunnerMode::Whole } else { RunnerMode::Stream(EVENTS) }
     }
@@ -179,7 +233,7 @@
     fn inject_fault(&mut self) {
         let host = self.rng.random_range(0..self.hosts.len());
         let runner = self.rng.random_range(0..self.runners.len());
-        match self.rng.random_range(0..17) {
+        match self.rng.random_range(0..18) {
             0 => self.hosts[host] = None,
             1 => self.signal(host, Signal::Terminate),
             2 => self.signal(host, Signal::Stop),
@@ -226,6 +280,10 @@
                 self.runners[runner].0.set_mode(mode);
             }
             13 => self.runners[runner].2.cut_all(),
+            17 => {
+                let limit = LIMITS[self.rng.random_range(0..LIMITS.len())];
+                self.runners[runner].0.set_limit(limit);
+            }
             _ => {
                 let states = ["ready", "draining"];
                 let state = states[self.rng.random_range(0..states.len())];
@@ -246,6 +304,7 @@
 
     /// Clears all faults and waits until all hosts serve.
     async fn heal(&mut self) {
+        self.replace_crashed();
         self.store.set_faults(StoreFaults::default());
         for proxy in &self.store_proxies {
             proxy.heal().unwrap();
@@ -253,6 +312,7 @@
         for n in 0..self.runners.len() {
             self.put_runner(n, "ready");
             self.runners[n].0.set_mode(Self::usual_mode(self.runners[n].1));
+            self.runners[n].0.set_limit(None);
         }
         for (host, settings) in self.hosts.iter_mut().zip(&self.settings) {
             // A host in its planned stop would exit later.
@@ -278,7 +338,8 @@
     /// Counts how often each request ran.
     fn runs(&self) -> BTreeMap<String, usize> {
         let mut runs = BTreeMap::new();
-        for run in self.runners.iter().flat_map(|(runner, ..)| runner.runs()) {
+        let running = self.runners.iter().flat_map(|(runner, ..)| runner.runs());
+        for run in running.chain(self.ended_runs.iter().cloned()) {
             *runs.entry(run.request_id).or_default() += 1;
         }
         runs
@@ -291,6 +352,7 @@
     let results = Rc::new(RefCell::new(Vec::new()));
     let addresses: Vec<SocketAddr> = soak.settings.iter().map(|s| s.callers).collect();
     let kinds = std::iter::repeat_n(DESK, CALLERS).chain(std::iter::repeat_n(BULK, BULK_CALLERS));
+    let kinds = kinds.chain(std::iter::repeat_n(CRASHING, CRASHING_CALLERS));
     let callers: Vec<_> = (0..)
         .zip(kinds)
         .map(|(caller, kind)| {
@@ -300,6 +362,7 @@
     for _ in 0..fault_count {
         let pause = soak.rng.random_range(50..500);
         sleep(Duration::from_millis(pause)).await;
+        soak.replace_crashed();
         soak.inject_fault();
     }
     for caller in callers {
@@ -365,7 +428,11 @@
         }
     }
     let desk = results.iter().filter(|result| result.id.starts_with(DESK.name)).count();
-    eprintln!("seed {seed}: {served} of {desk} served");
+    let crashing = runs.keys().filter(|id| id.starts_with(CRASHING.name)).count();
+    eprintln!(
+        "seed {seed}: {served} of {desk} served, {crashing} with the crashing part ran, {} crashes",
+        soak.crashes
+    );
     assert!(served * 4 > desk, "seed {seed}: {served} of {desk} served");
 }
 
--- a/tests/testsuite/fleet/soak/callers.rs
+++ b/tests/testsuite/fleet/soak/callers.rs
@@ -12,7 +12,7 @@
     net::TcpStream,
 };
 
-use crate::fleet::harness::{ID, KEY};
+use crate::fleet::harness::{ID, KEY, PARTS};
 
 /// Path of the streams that callers take up again.
 const RESUMABLE_PATH: &str = "/report/";
@@ -62,6 +62,8 @@
     pub(super) name: &'static str,
     pub(super) key: &'static str,
     pub(super) paths: &'static [&'static str],
+    /// Parts of each prompt.
+    pub(super) parts: &'static str,
     /// Pause between two requests.
     pub(super) pause: Duration,
     /// Time after which a caller closes its connection.
@@ -89,7 +91,7 @@
         broken: Option<&BrokenStream>,
     ) -> (Option<CallResult>, bool) {
         let more = broken.map(BrokenStream::headers).unwrap_or_default();
-        match timeout(kind.timeout, self.exchange(kind.key, &id, path, &more)).await {
+        match timeout(kind.timeout, self.exchange(kind, &id, path, &more)).await {
             Ok(Some((head, (body, complete)))) => {
                 let before = broken.map_or("", |broken| &broken.events);
                 let body = format!("{before}{body}");
@@ -106,14 +108,15 @@
 
     async fn exchange(
         &mut self,
-        key: &str,
+        kind: &CallerKind,
         id: &str,
         path: &str,
         more: &str,
     ) -> Option<(String, (String, bool))> {
+        let CallerKind { key, parts, .. } = kind;
         let head = format!(
             "POST {path} HTTP/1.1\r\nhost: desk.example\r\n{ID}: {id}\r\n{KEY}: {key}\r\n\
-             {more}content-length: 0\r\n\r\n"
+             {PARTS}: {parts}\r\n{more}content-length: 0\r\n\r\n"
         );
         self.stream.write_all(head.as_bytes()).await.ok()?;
         let head = self.read_until(b"\r\n\r\n").await?.to_ascii_lowercase();
