Bound the cost of suspicious prompt parts, and test their items in the store

Each first token and end scanned all suspects for unconfirmed breaks, up to 4,096 of them, and the store's items were parsed ten times a second. The time of the last break and the parsed items are kept instead. Tested: an item holds for hosts that start, comes back after a deletion, and `allowed` lifts it.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -333,8 +333,12 @@
             }
             RequestUpdate::Requeue(id, reason) => self.requeue(now, host, id, reason, out),
             RequestUpdate::FirstToken(id) => {
-                let Some(open) = self.open.get(&id).cloned() else { return };
-                self.record_response(now, &open);
+                let Some(open) = self.open.get(&id) else { return };
+                if self.quarantine.has_unconfirmed(now) {
+                    let open = open.clone();
+                    self.record_response(now, &open);
+                }
+                let Some(open) = self.open.get(&id) else { return };
                 if let Some(state) = self.upstreams.get_mut(&open.upstream) {
                     state.scheduler.first_token(now, id);
                 }
--- a/crates/core/src/fleet/coordinator/trials.rs
+++ b/crates/core/src/fleet/coordinator/trials.rs
@@ -140,7 +140,7 @@
 
     /// Records that a request got a response.
     pub(super) fn record_response(&mut self, now: MonoTime, open: &HostRequest) {
-        if !self.quarantine.has_unconfirmed() {
+        if !self.quarantine.has_unconfirmed(now) {
             return;
         }
         let Some((runner, _)) = &open.dispatch else { return };
@@ -156,7 +156,7 @@
         let Some((runner, _)) = &open.dispatch else { return };
         let state = self.upstreams.get(&open.upstream);
         let Some(known) = state.and_then(|state| state.runners.get(runner)) else { return };
-        if !known.leaving && self.quarantine.has_unconfirmed() {
+        if !known.leaving && self.quarantine.has_unconfirmed(now) {
             self.quarantine.run_ended(now, &known.key);
         }
     }
@@ -164,7 +164,7 @@
     /// Records the runs whose end a runner's entry shows: its own, or one that had its
     /// address.
     pub(super) fn record_ended_runs(&mut self, now: MonoTime, change: &RunnerChange) {
-        if !self.quarantine.has_unconfirmed() {
+        if !self.quarantine.has_unconfirmed(now) {
             return;
         }
         let entry = change.entry();
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -145,6 +145,8 @@
     proven: BTreeSet<PromptPart>,
     /// Responses that only the end of their connections ended.
     unframed: Vec<PartRun>,
+    /// Until when the last break may become a crash.
+    unconfirmed_until: MonoTime,
     /// Parts whose state may have changed since it was last taken.
     changed: BTreeSet<PromptPart>,
 }
@@ -212,8 +214,8 @@
     /// Returns true if a break, or a response that may be one, waits for the end of
     /// its run to be known.
     #[must_use]
-    pub fn has_unconfirmed(&self) -> bool {
-        !self.unframed.is_empty() || self.suspects.values().any(Suspect::has_unconfirmed)
+    pub fn has_unconfirmed(&self, now: MonoTime) -> bool {
+        !self.unframed.is_empty() || now <= self.unconfirmed_until
     }
 
     /// Records that a run has ended without having left as planned.
--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -43,10 +43,6 @@
 }
 
 impl Suspect {
-    pub(super) fn has_unconfirmed(&self) -> bool {
-        self.breaks.iter().any(|broken| !broken.confirmed)
-    }
-
     /// Sets the breaks that another host knows of. They don't quarantine the part without
     /// one that is seen here.
     pub(super) fn set_breaks(&mut self, now: MonoTime, breaks: &[(RunnerKey, bool)]) {
@@ -97,6 +93,7 @@
 impl PartQuarantine {
     /// Counts a break against the parts that may have caused it.
     pub(super) fn count_break(&mut self, run: &PartRun) {
+        self.unconfirmed_until = self.unconfirmed_until.max(run.ended_at + CONFIRM_TIME);
         let all_sound = run.parts.iter().all(|part| self.sound.contains(part));
         for (position, part) in run.parts.iter().enumerate() {
             let was_sound = self.sound.remove(part);
@@ -180,6 +177,7 @@
     pub(super) fn quarantine_suspects(&mut self) {
         loop {
             let suspects = self.suspects.iter();
+            let suspects = suspects.filter(|(_, s)| s.breaks.len() >= QUARANTINE_CRASHES);
             let crashes = suspects.map(|(part, suspect)| (self.crashes(*part, suspect), *part));
             let convicted = crashes.filter(|(crashes, part)| *crashes >= self.max_crashes(*part));
             let key = |(crashes, part): &(usize, PromptPart)| {
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -11,7 +11,7 @@
 use comfreyway_core::{
     fleet::{
         ClientAction, Coordinator, CoordinatorClient, HostSessions, Member, PlacementReply,
-        RunnerDirectory, ShareBasis,
+        PromptPart, RunnerDirectory, ShareBasis,
     },
     ids::{HostId, HostName, RequestId},
     outcome::RetryReason,
@@ -52,8 +52,8 @@
 mod version_record;
 
 use self::{
-    absent_hosts::AbsentHosts, election::OwnEntry, rollback::MissingHosts,
-    version_record::VersionRecord,
+    absent_hosts::AbsentHosts, election::OwnEntry, quarantine::QuarantineItem,
+    rollback::MissingHosts, version_record::VersionRecord,
 };
 
 /// Interval of the periodic checks.
@@ -144,7 +144,9 @@
     version_record: VersionRecord,
     /// When this host last wrote that record.
     version_record_written: Option<MonoTime>,
-    /// When this host last wrote a quarantined part to the store.
+    /// The store's items of prompt parts.
+    quarantine_items: BTreeMap<PromptPart, QuarantineItem>,
+    /// When this host last wrote one of them.
     quarantine_written: Option<MonoTime>,
     logged_share: ShareBasis,
     first_feed: FirstFeed,
@@ -198,6 +200,7 @@
             copy_holders: Vec::new(),
             version_record: VersionRecord::default(),
             version_record_written: None,
+            quarantine_items: BTreeMap::new(),
             quarantine_written: None,
             logged_share: ShareBasis::default(),
             first_feed: FirstFeed::Started,
--- a/crates/node/src/fleet/control/quarantine.rs
+++ b/crates/node/src/fleet/control/quarantine.rs
@@ -35,7 +35,7 @@
 /// The store's item of one part.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
-struct QuarantineItem {
+pub(super) struct QuarantineItem {
     /// True if operators allowed the part again.
     allowed: bool,
     /// Runs that ended under it, if it is quarantined.
@@ -63,6 +63,7 @@
                 return;
             }
         };
+        self.quarantine_items.insert(part, read.clone());
         let (now, mut replies) = (self.now(), Vec::new());
         if read.allowed {
             log_event!(Event::PromptPartAllowed, part:% = part);
@@ -76,6 +77,13 @@
         self.execute(Vec::new(), replies);
     }
 
+    /// Forgets the store's item of a part; that lifts no quarantine.
+    pub(super) fn forget_quarantine_item(&mut self, key: &str) {
+        if let Some(part) = self.part_of(key) {
+            self.quarantine_items.remove(&part);
+        }
+    }
+
     /// Adds what another host knows of prompt parts.
     pub(super) fn learn_parts(&mut self, records: Vec<PartRecord>, source: RecordSource) {
         let (now, mut replies) = (self.now(), Vec::new());
@@ -169,16 +177,16 @@
     fn unstored_part(&self) -> Option<(PromptPart, QuarantineItem)> {
         let quarantine = self.coordinator.quarantine();
         let is_stored = |part: PromptPart| {
-            self.stored_part(part).is_some_and(|item| !item.allowed && item.suspected.is_none())
+            let item = self.quarantine_items.get(&part);
+            item.is_some_and(|item| !item.allowed && item.suspected.is_none())
         };
         let mut unstored = quarantine.quarantined().filter(|(part, _)| !is_stored(*part));
         if let Some((part, runs)) = unstored.next() {
             return Some((part, QuarantineItem { runs: runs.to_vec(), ..Default::default() }));
         }
-        let stored = self.mirror.range(self.format.keys.quarantine).filter_map(|item| {
-            let read = serde_json::from_slice::<QuarantineItem>(&item.value).ok()?;
-            let breaks = read.suspected?.len();
-            Some((self.part_of(&item.key)?, (breaks, read.proven)))
+        let stored = self.quarantine_items.iter().filter_map(|(part, item)| {
+            let breaks = item.suspected.as_ref()?.len();
+            Some((*part, (breaks, item.proven)))
         });
         let stored: BTreeMap<_, _> = stored.collect();
         let mut suspected = stored.iter().filter(|(_, (breaks, _))| *breaks > 0);
@@ -206,11 +214,6 @@
         u64::from_str_radix(id, 16).ok().map(PromptPart)
     }
 
-    fn stored_part(&self, part: PromptPart) -> Option<QuarantineItem> {
-        let item = self.mirror.get(&format!("{}{part}", self.format.keys.quarantine))?;
-        serde_json::from_slice(&item.value).ok()
-    }
-
     fn known_parts(&self) -> Vec<PartRecord> {
         let quarantine = self.coordinator.quarantine();
         quarantine.known_parts().map(|part| quarantine.record(part)).collect()
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -110,6 +110,7 @@
         if let Some(item) = items.iter().find(|item| item.key == keys.versions) {
             self.apply_version_record(item);
         }
+        self.quarantine_items.clear();
         self.apply_quarantine_items(items);
         let runners = items.iter().filter(|item| item.key.starts_with(keys.runners));
         let entries = runners.filter_map(|item| self.read_runner(item)).collect();
@@ -157,6 +158,8 @@
             self.apply_version_record(item);
         } else if let KvEvent::Put(item) = event {
             self.apply_quarantine_items(std::slice::from_ref(item));
+        } else if let KvEvent::Delete { key, .. } = event {
+            self.forget_quarantine_item(key);
         }
     }
 
--- a/crates/node/src/fleet/mirror.rs
+++ b/crates/node/src/fleet/mirror.rs
@@ -187,12 +187,6 @@
         self.items.get(key)
     }
 
-    /// Returns the items whose keys begin with `prefix`.
-    pub(super) fn range<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Versioned> {
-        let items = self.items.range(prefix.to_owned()..).map(|(_, item)| item);
-        items.take_while(move |item| item.key.starts_with(prefix))
-    }
-
     /// Returns the changes after revision `from`.
     pub(super) fn changes_since(&self, from: Revision) -> SyncMessages {
         if from.era() < self.revision.era() && from > self.last_of_former_era {
--- a/tests/testsuite/fleet/crashing_prompts.rs
+++ b/tests/testsuite/fleet/crashing_prompts.rs
@@ -7,7 +7,10 @@
 };
 
 use actix_rt::time::sleep;
-use comfreyway_testkit::fleet_runner::{FleetRunner, RunnerMode};
+use comfreyway_testkit::{
+    daemon::eventually,
+    fleet_runner::{FleetRunner, RunnerMode},
+};
 
 use crate::support::Daemon;
 
@@ -153,3 +156,39 @@
     let (served, lost): (Vec<_>, Vec<_>) = after.partition(|call| call.served);
     assert!(served.len() > 20 && lost.is_empty(), "{} served, {} lost", served.len(), lost.len());
 }
+
+/// Sends one request whose prompt has this part.
+async fn call_with_part(host: &Daemon, id: &str, part: &str) -> (u16, String) {
+    let parts = format!("a1:60,{part}:200,1:90");
+    let headers = [(KEY, DESK_KEY), (PARTS, &*parts)];
+    let response = call_with(host, id, "/report/", &headers, "question").await;
+    (response.status, response.reason())
+}
+
+#[actix_rt::test]
+async fn a_quarantine_in_the_store_holds_for_hosts_that_start_until_operators_lift_it() {
+    let fleet = FleetHarness::new();
+    let runner = fleet.start_version("dala", "e1", "v1", RunnerMode::Stream(EVENTS));
+    let item = r#"{"runs":[{"name":"e0","born_ms":null}]}"#;
+    fleet.store.put("comfreyway/quarantine/bad0", item.as_bytes());
+    let host = fleet.start_host("h1").await;
+    let refused = (503, "prompt-quarantined".to_owned());
+    assert_eq!(call_with_part(&host, "id-1", "bad0").await, refused);
+    assert_eq!(runner.arrivals(), 0);
+    assert_eq!(call_with_part(&host, "id-2", "5e").await, (200, String::new()));
+
+    fleet.store.delete("comfreyway/quarantine/bad0");
+    let is_back = || async {
+        let keys = fleet.store.keys();
+        keys.with_store(|keys, now| keys.get("comfreyway/quarantine/bad0", now))
+    };
+    eventually(is_back).await.expect("the host writes the item again");
+    assert_eq!(call_with_part(&host, "id-3", "bad0").await, refused);
+
+    fleet.store.put("comfreyway/quarantine/bad0", br#"{"allowed":true}"#);
+    let is_allowed = || async {
+        let answer = call_with_part(&host, "id-4", "bad0").await;
+        (answer.0 == 200).then_some(())
+    };
+    eventually(is_allowed).await.expect("the part is allowed again");
+}
