Split the files of the quarantine, and index its unconfirmed breaks

Each response compared its runner with all suspects while a break was not confirmed. The runs with such breaks are indexed now, and nothing is scanned for the others.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -20,6 +20,7 @@
 
 mod decisions;
 mod limits;
+mod parts;
 mod requests;
 mod streams;
 mod trials;
@@ -334,7 +335,7 @@
             RequestUpdate::Requeue(id, reason) => self.requeue(now, host, id, reason, out),
             RequestUpdate::FirstToken(id) => {
                 let Some(open) = self.open.get(&id) else { return };
-                if self.quarantine.has_unconfirmed(now) {
+                if self.quarantine.has_unconfirmed() {
                     let open = open.clone();
                     self.record_response(now, &open);
                 }
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -15,19 +15,20 @@
 //!   before. Those don't count that another request of the run explains better.
 
 mod evidence;
+mod records;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
-
 use crate::time::MonoTime;
 
 use super::{PromptPart, RunnerKey};
 
-use self::evidence::{Break, Suspect};
+pub use self::records::{PartRecord, RecordSource};
+
+use self::evidence::Suspect;
 
 /// Number of breaks from which on requests with a part are tried one at a time.
 const TRIAL_BREAKS: usize = 2;
@@ -69,23 +70,6 @@
     Quarantined,
 }
 
-/// What a host knows of one part, for other hosts.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PartRecord {
-    /// The part.
-    #[serde(rename = "p")]
-    pub part: PromptPart,
-    /// Runs that broke under it, and whether they are known to have ended.
-    #[serde(rename = "b")]
-    pub breaks: Vec<(RunnerKey, bool)>,
-    /// True if no request with it may be sent.
-    #[serde(rename = "q")]
-    pub quarantined: bool,
-    /// True if requests with it have had complete responses.
-    #[serde(rename = "s", default)]
-    pub proven: bool,
-}
-
 /// The end of a request with parts at a run of a runner.
 #[derive(Clone, Debug)]
 pub struct PartRun {
@@ -99,17 +83,6 @@
     pub ended_at: MonoTime,
 }
 
-/// Who sent a record.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RecordSource {
-    /// This host's coordinator: its records replace what is known.
-    Coordinator,
-    /// A client host: of its records those count that say more than what is known.
-    Client,
-    /// The store: as for a client host, but an empty record clears the part.
-    Store,
-}
-
 /// Decides which parts of prompts may reach runners.
 ///
 /// # Examples
@@ -145,8 +118,8 @@
     proven: BTreeSet<PromptPart>,
     /// Responses that only the end of their connections ended.
     unframed: Vec<PartRun>,
-    /// Until when the last break may become a crash.
-    unconfirmed_until: MonoTime,
+    /// Runs with breaks that may become crashes, and the last of them.
+    unconfirmed: BTreeMap<RunnerKey, MonoTime>,
     /// Parts whose state may have changed since it was last taken.
     changed: BTreeSet<PromptPart>,
 }
@@ -214,8 +187,8 @@
     /// Returns true if a break, or a response that may be one, waits for the end of
     /// its run to be known.
     #[must_use]
-    pub fn has_unconfirmed(&self, now: MonoTime) -> bool {
-        !self.unframed.is_empty() || now <= self.unconfirmed_until
+    pub fn has_unconfirmed(&self) -> bool {
+        !self.unframed.is_empty() || !self.unconfirmed.is_empty()
     }
 
     /// Records that a run has ended without having left as planned.
@@ -224,6 +197,7 @@
         for unframed in self.unframed.extract_if(.., same).collect::<Vec<_>>() {
             self.count_break(&unframed);
         }
+        self.unconfirmed.remove(runner);
         for (part, suspect) in &mut self.suspects {
             if suspect.confirm(now, runner) {
                 self.changed.insert(*part);
@@ -234,16 +208,22 @@
 
     /// Records that a run has responded: what broke there before was no crash.
     pub fn run_responded(&mut self, now: MonoTime, runner: &RunnerKey) {
-        self.retain_breaks(|broken| {
-            let is_crash = broken.confirmed || now.since(broken.at) <= REPORT_TIME;
-            is_crash || broken.runner != *runner
-        });
+        let broke_at = self.unconfirmed.get(runner);
+        if broke_at.is_some_and(|at| now.since(*at) > REPORT_TIME) {
+            self.discard_breaks(runner);
+        }
     }
 
     /// Records that a run left as planned: what broke there says nothing.
     pub fn run_left(&mut self, runner: &RunnerKey) {
         self.unframed.retain(|run| run.runner != *runner);
-        self.retain_breaks(|broken| broken.confirmed || broken.runner != *runner);
+        self.discard_breaks(runner);
+    }
+
+    fn discard_breaks(&mut self, runner: &RunnerKey) {
+        if self.unconfirmed.remove(runner).is_some() {
+            self.retain_breaks(|broken| broken.confirmed || broken.runner != *runner);
+        }
     }
 
     /// Discards breaks whose runs have not ended, and counts unframed responses as
@@ -253,54 +233,11 @@
         for run in self.unframed.extract_if(.., is_due).collect::<Vec<_>>() {
             self.completed(&run.parts);
         }
-        self.retain_breaks(|broken| broken.confirmed || now.since(broken.at) < CONFIRM_TIME);
-    }
-
-    /// Adds what another host knows of a part.
-    pub fn learn(&mut self, now: MonoTime, record: &PartRecord, source: RecordSource) {
-        let part = record.part;
-        if record.proven && self.proven.len() < MAX_PARTS {
-            self.proven.insert(part);
-        }
-        if record.quarantined {
-            let is_outdated = source != RecordSource::Coordinator && self.allowed.contains(&part);
-            if !is_outdated && self.quarantined.len() < MAX_PARTS {
-                self.allowed.remove(&part);
-                let runs = record.breaks.iter().map(|(runner, _)| runner.clone()).collect();
-                self.insert_quarantined(part, runs);
-            }
-            return;
+        let before = self.unconfirmed.len();
+        self.unconfirmed.retain(|_, at| now.since(*at) < CONFIRM_TIME);
+        if self.unconfirmed.len() < before {
+            self.retain_breaks(|broken| broken.confirmed || now.since(broken.at) < CONFIRM_TIME);
         }
-        let known = self.suspects.get(&part).map_or(0, |suspect| suspect.breaks.len());
-        // The sum of two records would leave out what cleared the part between them.
-        let is_cleared = source == RecordSource::Store && record.breaks.is_empty();
-        let is_kept = source != RecordSource::Coordinator
-            && (self.sound.contains(&part) || known >= record.breaks.len());
-        let is_kept = is_kept && !(is_cleared && known > 0);
-        if is_kept || self.quarantined.contains_key(&part) {
-            return;
-        }
-        self.suspects.remove(&part);
-        if !record.breaks.is_empty() {
-            self.suspect(part, 0).set_breaks(now, &record.breaks);
-        }
-        self.changed.insert(part);
-    }
-
-    /// Quarantines a part that was quarantined by another host.
-    pub fn set_quarantined(&mut self, part: PromptPart, runs: Vec<RunnerKey>) {
-        self.allowed.remove(&part);
-        self.insert_quarantined(part, runs);
-    }
-
-    /// Allows a part again, as the operators decided.
-    pub fn allow(&mut self, part: PromptPart) {
-        if self.allowed.len() < MAX_PARTS {
-            self.allowed.insert(part);
-        }
-        self.suspects.remove(&part);
-        self.quarantined.remove(&part);
-        self.changed.insert(part);
     }
 
     /// Returns true if a request with this part was answered completely since the last
@@ -315,28 +252,6 @@
         self.quarantined.iter().map(|(part, runs)| (*part, &runs[..]))
     }
 
-    /// Returns what other hosts need to know of a part.
-    #[must_use]
-    pub fn record(&self, part: PromptPart) -> PartRecord {
-        let suspect = self.suspects.get(&part);
-        let breaks = suspect.map(|suspect| suspect.breaks.iter().map(Break::to_pair).collect());
-        let runs = self.quarantined.get(&part);
-        let ended = runs.map(|runs| runs.iter().map(|runner| (runner.clone(), true)).collect());
-        PartRecord {
-            part,
-            breaks: ended.or(breaks).unwrap_or_default(),
-            quarantined: runs.is_some(),
-            proven: self.proven.contains(&part),
-        }
-    }
-
-    /// Returns the parts that other hosts need to know of.
-    pub fn known_parts(&self) -> impl Iterator<Item = PromptPart> {
-        let is_shared = |part: &PromptPart| self.state(*part) != PartState::Free;
-        let suspects = self.suspects.keys().copied().filter(is_shared);
-        suspects.chain(self.quarantined.keys().copied())
-    }
-
     /// Returns the parts whose state may have changed since the last call.
     pub fn take_changed(&mut self) -> BTreeSet<PromptPart> {
         std::mem::take(&mut self.changed)
--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -93,7 +93,7 @@
 impl PartQuarantine {
     /// Counts a break against the parts that may have caused it.
     pub(super) fn count_break(&mut self, run: &PartRun) {
-        self.unconfirmed_until = self.unconfirmed_until.max(run.ended_at + CONFIRM_TIME);
+        self.unconfirmed.insert(run.runner.clone(), run.ended_at);
         let all_sound = run.parts.iter().all(|part| self.sound.contains(part));
         for (position, part) in run.parts.iter().enumerate() {
             let was_sound = self.sound.remove(part);
