--- a/crates/core/src/fleet/coordinator/trials.rs
+++ b/crates/core/src/fleet/coordinator/trials.rs
@@ -2,7 +2,7 @@
 //!
 //! Requests with a suspicious part wait in the scheduler's queue, where they expire like
 //! all others, until the one that tries it has ended. The request with the fewest
-//! suspicious parts goes first: it tells the most about each of them.
+//! suspicious parts goes first, because its end is evidence for or against few of them.
 
 use std::{collections::BTreeSet, time::Duration};
 
--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -145,12 +145,12 @@
         }
     }
 
-    /// Returns the number of crashes that speak against a part.
+    /// Returns the number of crashes that count against a part.
     fn crashes(&self, part: PromptPart, suspect: &Suspect) -> usize {
         self.unexplained(part, suspect).filter(|broken| broken.confirmed).count()
     }
 
-    /// Returns the breaks that speak against a part, or will if their runs have ended.
+    /// Returns the breaks that count against a part, or will once their runs have ended.
     pub(super) fn unexplained<'a>(
         &'a self,
         part: PromptPart,
@@ -179,12 +179,12 @@
             let suspects = self.suspects.iter();
             let suspects = suspects.filter(|(_, s)| s.breaks.len() >= QUARANTINE_CRASHES);
             let crashes = suspects.map(|(part, suspect)| (self.crashes(*part, suspect), *part));
-            let convicted = crashes.filter(|(crashes, part)| *crashes >= self.max_crashes(*part));
+            let over_limit = crashes.filter(|(crashes, part)| *crashes >= self.max_crashes(*part));
             let key = |(crashes, part): &(usize, PromptPart)| {
                 let position = self.suspects.get(part).map_or(0, |suspect| suspect.position);
                 (*crashes, !self.proven.contains(part), position)
             };
-            let Some((_, part)) = convicted.max_by_key(key) else { return };
+            let Some((_, part)) = over_limit.max_by_key(key) else { return };
             let Some(suspect) = self.suspects.remove(&part) else { return };
             self.explain(&suspect.runs);
             self.insert_quarantined(part, suspect.runs.into_iter().collect());
