Log the identity of a request when it is sent to a runner

Cause: the logs of the incident show that the same workspace is near every crash, and can't show whether it is the same request: CF0504 has the id of the attempt, which is new for each repeat.

Change: CF0504 has the field digest, a BLAKE3 hash of workspace, method, host, target and body. Host is compared without case and port; ids, deadlines, other headers and the framing of the body are left out. All hosts derive the same one.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -13,8 +13,9 @@
 
 use comfreyway_core::{
     fleet::{
-        Coordinator, PlacementReply, PlacementRequest, QuotaTolerance, RequestUpdate,
-        RetryBudgetLimits, RunnerChange, RunnerDirectory, RunnerEntry, RunnerKey, RunnerVersion,
+        Coordinator, PlacementReply, PlacementRequest, QuotaTolerance, RequestContent,
+        RequestDigest, RequestUpdate, RetryBudgetLimits, RunnerChange, RunnerDirectory,
+        RunnerEntry, RunnerKey, RunnerVersion,
     },
     ids::{HostId, RequestId, Tier},
     request::{DispatchEnd, RequestRecord, Target, Usage},
@@ -28,6 +29,7 @@
 /// Number of hosts that start at once.
 const STARTING_HOSTS: usize = 380;
 const SLOTS: u32 = 4;
+const BODY_BYTES: [usize; 3] = [500, 16 << 10, 100 << 10];
 const PROMPT_TOKENS: u32 = 3_000;
 /// Time between two requests.
 const REQUEST_INTERVAL: Duration = Duration::from_micros(700);
@@ -212,9 +214,29 @@
     coordinator
 }
 
+/// Identity of a request, by the size of its body.
+fn bench_digest(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request_digest");
+    for size in BODY_BYTES {
+        let body = vec![b'q'; size];
+        let content = RequestContent {
+            workspace: None,
+            method: "POST",
+            host: "desk.example",
+            target: "/lookup/7?full=1",
+            body: &body,
+        };
+        group.bench_function(BenchmarkId::from_parameter(size), |b| {
+            b.iter(|| RequestDigest::new(black_box(&content)));
+        });
+    }
+    group.finish();
+}
+
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     bench_request(&mut criterion);
     bench_start(&mut criterion);
+    bench_digest(&mut criterion);
     criterion.final_summary();
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -33,6 +33,7 @@
 mod prompt_part;
 mod quarantine;
 mod quota;
+mod request_digest;
 mod runner;
 mod runner_limits;
 mod runner_notice;
@@ -55,6 +56,7 @@
     prompt_part::PromptPart,
     quarantine::{PartQuarantine, PartRecord, PartRun, PartState, RecordSource},
     quota::{QuotaTolerance, Quotas, SHARE_LEASE},
+    request_digest::{InvalidDigest, RequestContent, RequestDigest},
     runner::{RunnerEntry, RunnerKey, RunnerVersion},
     runner_limits::{LimitReport, NamedLimit, RunnerLimits},
     runner_notice::RunnerNotice,
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -13,6 +13,7 @@
 mod quotas;
 mod rate_limits;
 mod releases;
+mod request_digest;
 mod returns;
 mod runner_fleet;
 mod scheduler;
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -100,7 +100,7 @@
     /// sent, total_ms.
     RequestOutcomeUnknown = "CF0503", Warn, "outcome of request unknown, reported to its caller";
     /// A request was sent to a runner. Fields: id, runner, address, version,
-    /// workspace, cost, waited_ms, left_ms, after, resumes, parts.
+    /// workspace, cost, waited_ms, left_ms, after, resumes, parts, digest.
     RequestDispatched = "CF0504", Info, "request sent to runner";
     /// A runner declared that it did not run a request, which was requeued.
     /// Fields: id, runner, reason.
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -88,7 +88,8 @@
         left_ms = request.deadline.saturating_duration_since(sent_at).as_millis() as u64,
         after:% = Optional(after),
         resumes = request.resumes.as_deref().unwrap_or("none"),
-        parts:% = List(&request.placement.parts)
+        parts:% = List(&request.placement.parts),
+        digest:% = request.digest
     );
     let sending = connections.send(&runner.key, runner.address, req);
     let (res, connection) = match timeout_at(request.deadline, sending).await {
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
-    fleet::{FleetConfig, Route, StreamBinding, Workspace},
+    fleet::{FleetConfig, RequestContent, RequestDigest, Route, StreamBinding, Workspace},
     ids::{HostId, RequestId, RunnerName},
     outcome::NotRunReason,
 };
@@ -255,7 +255,8 @@
             return Err(reject(NotRunReason::BadRequest.into()));
         };
         let resumes = text(header_names.resumes).map(str::to_owned);
-        let route = find_route(&config, &head.headers, &head.uri).cloned();
+        let host = requested_host(&head.headers, &head.uri);
+        let route = host.as_deref().and_then(|host| config.route(host, head.uri.path())).cloned();
         let route = route.ok_or_else(|| reject(NotRunReason::UnknownRoute.into()))?;
         let workspace =
             self.workspace(&config, &route, text(header_names.api_key)).map_err(reject)?;
@@ -291,10 +292,18 @@
         }
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let uri = path.parse::<Uri>().map_err(|_| reject(NotRunReason::BadRequest.into()))?;
+        let digest = RequestDigest::new(&RequestContent {
+            workspace: workspace.as_ref().map(|w| &w.name),
+            method: head.method.as_str(),
+            host: host.as_deref().unwrap_or_default(),
+            target: path,
+            body: &body,
+        });
         Ok(AdmittedRequest {
             header_names,
             read_limit: self.format.read_limit,
             caller_id,
+            digest,
             resumes,
             method: head.method,
             uri,
@@ -329,10 +338,10 @@
     }
 }
 
-fn find_route<'a>(config: &'a FleetConfig, headers: &HeaderMap, uri: &Uri) -> Option<&'a Route> {
+/// Returns the host that the caller named, in lower case and without its port.
+fn requested_host(headers: &HeaderMap, uri: &Uri) -> Option<String> {
     let host = headers.get(HOST).and_then(|value| value.to_str().ok()).or_else(|| uri.host())?;
-    let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-    config.route(&name, uri.path())
+    Some(host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase())
 }
 
 async fn read_body(body: &mut Incoming, max: usize, deadline: Instant) -> Result<Bytes, Rejection> {
