Play a request that crashes runners and is repeated, test failing

Two hosts, three runners of a plain service, one request that crashes each runner that begins it and is repeated by two callers, beside polls and questions that crash none. Nothing else is at work: no host is lost, no view is stale, no copies wait for runners to come back.

The runners that crash and are replaced move to a module that both plays use; the checks of the play of crashing prompts are the same.

--- a/crates/testkit/src/fleet_runner/handler.rs
+++ b/crates/testkit/src/fleet_runner/handler.rs
@@ -57,7 +57,11 @@
     }
     record(&runner, &req, &id, &body);
     runner.gate.wait_until_open().await;
-    if runner.crashes_on(&header(PROMPT_PARTS)) {
+    let work_time = *runner.work_time.lock().unwrap_or_else(PoisonError::into_inner);
+    if !work_time.is_zero() {
+        tokio::time::sleep(work_time).await;
+    }
+    if runner.crashes_on(&body, &header(PROMPT_PARTS)) {
         runner.crashed.store(true, Ordering::Relaxed);
     }
     let mode = if runner.crashed.load(Ordering::Relaxed) { RunnerMode::CutAfter(1) } else { mode };
--- a/crates/testkit/src/fleet_runner/mod.rs
+++ b/crates/testkit/src/fleet_runner/mod.rs
@@ -13,7 +13,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use actix_web::web::{Data, PayloadConfig, ServiceConfig, to};
@@ -79,6 +79,10 @@
     limit: Mutex<Option<String>>,
     /// The part of a prompt that crashes the runner, if any.
     crashing_part: Mutex<Option<String>>,
+    /// The body of a request that crashes the runner, if any.
+    crashing_body: Mutex<Option<Vec<u8>>>,
+    /// Time before each response.
+    work_time: Mutex<Duration>,
     crashed: AtomicBool,
     gate: Gate,
     runs: Mutex<Vec<RunnerRun>>,
@@ -86,8 +90,13 @@
 }
 
 impl Shared {
-    /// Returns true if a prompt with these parts crashes the runner.
-    fn crashes_on(&self, parts: &str) -> bool {
+    /// Returns true if a request with this body, or a prompt with these parts, crashes the
+    /// runner.
+    fn crashes_on(&self, body: &[u8], parts: &str) -> bool {
+        let crashing = self.crashing_body.lock().unwrap_or_else(PoisonError::into_inner);
+        if crashing.as_deref() == Some(body) {
+            return true;
+        }
         let crashing = self.crashing_part.lock().unwrap_or_else(PoisonError::into_inner);
         let is_crashing = |part: &str| Some(part.split(':').next()) == Some(crashing.as_deref());
         crashing.is_some() && parts.split(',').any(is_crashing)
@@ -118,6 +127,8 @@
             version: Mutex::default(),
             limit: Mutex::default(),
             crashing_part: Mutex::default(),
+            crashing_body: Mutex::default(),
+            work_time: Mutex::default(),
             crashed: AtomicBool::new(false),
             gate: Gate::default(),
             runs: Mutex::default(),
@@ -167,6 +178,17 @@
         *self.shared.crashing_part.lock().unwrap_or_else(PoisonError::into_inner) = part;
     }
 
+    /// Lets the runner crash as it begins to respond to a request with this body.
+    pub fn crash_on_body(&self, body: &[u8]) {
+        let body = Some(body.to_owned());
+        *self.shared.crashing_body.lock().unwrap_or_else(PoisonError::into_inner) = body;
+    }
+
+    /// Sets the time that the runner works on each request before it responds.
+    pub fn set_work_time(&self, time: Duration) {
+        *self.shared.work_time.lock().unwrap_or_else(PoisonError::into_inner) = time;
+    }
+
     /// Returns true if the runner has crashed: the test then drops it, which breaks all
     /// its connections.
     #[must_use]
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -1,7 +1,9 @@
 //! Serving a fleet through the platform's store, with real daemons.
 
 mod configuration;
+mod crashing_fleet;
 mod crashing_prompts;
+mod crashing_requests;
 mod endless_responses;
 pub(crate) mod harness;
 mod hosts;
