--- a/crates/core/src/fleet/client.rs
+++ b/crates/core/src/fleet/client.rs
@@ -10,8 +10,8 @@
 };
 
 use super::{
-    Coordinator, PartState, PlacementReply, PlacementRequest, PromptPart, RequestUpdate,
-    RunnerVersion, StreamRecord, coordinator::QUARANTINE_RETRY_AFTER,
+    Coordinator, PlacementReply, PlacementRequest, RequestUpdate, RunnerVersion, StreamRecord,
+    Suspect, SuspectState, coordinator::QUARANTINE_RETRY_AFTER,
 };
 
 /// Retry-after time of a request that goes on with a stream and was granted by a
@@ -125,24 +125,23 @@
         })
     }
 
-    /// Returns true if a request has a prompt part that this host's own coordinator
-    /// knows as quarantined.
+    /// Returns true if this host's own coordinator knows a request as quarantined.
     #[must_use]
     pub fn is_quarantined(&self, id: RequestId, known: &Coordinator) -> bool {
-        known.quarantine().state_of(self.parts(id)) == PartState::Quarantined
+        known.quarantine().state_of(&self.suspects(id)) == SuspectState::Quarantined
     }
 
-    /// Refuses a request that was granted and has a quarantined prompt part.
+    /// Refuses a request that was granted and is quarantined.
     pub fn refuse_quarantined(&mut self, id: RequestId, out: &mut Vec<ClientAction>) {
         self.withdraw(id, out);
         let reason = NotRunReason::PromptQuarantined;
         out.push(ClientAction::Refuse(id, reason, QUARANTINE_RETRY_AFTER));
     }
 
-    /// Returns the parts of a request's prompt that other requests may share.
+    /// Returns what a request may crash its runner with.
     #[must_use]
-    pub fn parts(&self, id: RequestId) -> &[PromptPart] {
-        self.open.get(&id).map_or(&[], |open| &open.req.parts)
+    pub fn suspects(&self, id: RequestId) -> Vec<Suspect> {
+        self.open.get(&id).map(|open| open.req.suspects()).unwrap_or_default()
     }
 
     /// Reports that the first token or byte of the response arrived.
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -13,16 +13,17 @@
 };
 
 use super::{
-    FleetConfig, FleetHosts, PartQuarantine, PlacementReply, PlacementRequest, PromptPart, Quota,
-    QuotaTolerance, Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, RunnerKey,
-    RunnerLimits, ShareBasis, StreamRecord, StreamVersions, UpstreamScheduler, VersionHistory,
+    FleetConfig, FleetHosts, PlacementReply, PlacementRequest, Quarantine, Quota, QuotaTolerance,
+    Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, RunnerKey, RunnerLimits,
+    ShareBasis, StreamRecord, StreamVersions, Suspect, UpstreamScheduler, VersionHistory,
 };
 
 mod decisions;
 mod limits;
-mod parts;
+
 mod requests;
 mod streams;
+mod suspects;
 mod trials;
 
 pub(super) use self::trials::QUARANTINE_RETRY_AFTER;
@@ -77,13 +78,13 @@
     verified_at: MonoTime,
     /// Limits that runners have named.
     limits: RunnerLimits,
-    quarantine: PartQuarantine,
-    /// Open requests with each suspicious part.
-    trials: BTreeMap<PromptPart, BTreeSet<RequestId>>,
-    /// Parts whose state has changed since other hosts were told, and those that they
+    quarantine: Quarantine,
+    /// Open requests with each suspect that is tried.
+    trials: BTreeMap<Suspect, BTreeSet<RequestId>>,
+    /// Suspects whose state has changed since other hosts were told, and those that they
     /// were told of.
-    changed_parts: BTreeSet<PromptPart>,
-    shared_parts: BTreeSet<PromptPart>,
+    changed_suspects: BTreeSet<Suspect>,
+    shared_suspects: BTreeSet<Suspect>,
 }
 
 impl Coordinator {
@@ -105,10 +106,10 @@
             take_ups: BTreeMap::new(),
             verified_at: MonoTime::ZERO,
             limits: RunnerLimits::default(),
-            quarantine: PartQuarantine::default(),
+            quarantine: Quarantine::default(),
             trials: BTreeMap::new(),
-            changed_parts: BTreeSet::new(),
-            shared_parts: BTreeSet::new(),
+            changed_suspects: BTreeSet::new(),
+            shared_suspects: BTreeSet::new(),
         }
     }
 
@@ -306,8 +307,8 @@
         match update {
             RequestUpdate::Submit(req) => self.submit_bound(now, host, *req, out),
             RequestUpdate::Adopt(req, runner) => {
-                let PlacementRequest { record, upstream, cost, time_limit, stream, parts, .. } =
-                    *req;
+                let suspects = req.suspects();
+                let PlacementRequest { record, upstream, cost, time_limit, stream, .. } = *req;
                 let (id, time_left) = (record.id, time_limit.saturating_sub(record.age));
                 self.record_open(host, &upstream, &record, cost, true);
                 let scheduler = &mut self.upstream_state(now, &upstream).scheduler;
@@ -317,7 +318,7 @@
                 }
                 if let Some(open) = self.open.get_mut(&id) {
                     open.stream = stream;
-                    open.parts = parts;
+                    open.suspects = suspects;
                     open.dispatch = Some((runner, MonoTime::ZERO));
                 }
                 self.join_trials(id);
@@ -349,7 +350,7 @@
             }
             RequestUpdate::Ended(id, end) => {
                 let Some(open) = self.open.remove(&id) else { return };
-                self.record_part_end(&open, now, end);
+                self.record_suspect_end(&open, now, end);
                 self.step(now, &open.upstream, out, |scheduler, decisions| {
                     scheduler.ended(now, id, end);
                     scheduler.tick(now, decisions);
@@ -365,7 +366,7 @@
         for upstream in self.upstream_names() {
             self.step(now, &upstream, out, |scheduler, decisions| scheduler.tick(now, decisions));
         }
-        self.check_parts(now, out);
+        self.check_suspects(now, out);
     }
 
     /// Returns when [`Coordinator::tick`] is due.
--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -5,8 +5,8 @@
 
 use crate::{
     fleet::{
-        DispatchFailure, PartState, PlacementReply, PlacementRequest, PromptPart, RunnerVersion,
-        StreamBinding, StreamRecord,
+        DispatchFailure, PlacementReply, PlacementRequest, RunnerVersion, StreamBinding,
+        StreamRecord, Suspect, SuspectState,
     },
     ids::{HostId, RequestId, RunnerName, UpstreamName, WorkspaceName},
     outcome::{NotRunReason, RetryReason},
@@ -35,11 +35,11 @@
     /// True while the quota holds a reservation for the request.
     pub(super) reserved: bool,
     pub(super) stream: Option<StreamBinding>,
-    /// Parts of its prompt that other requests may share.
-    pub(super) parts: Vec<PromptPart>,
+    /// What it may crash its runner with.
+    pub(super) suspects: Vec<Suspect>,
     /// The runner it was granted, and when; zero if by another coordinator.
     pub(super) dispatch: Option<(RunnerName, MonoTime)>,
-    /// True while it waits until another request has tried one of its parts.
+    /// True while it waits until another request has tried one of its suspects.
     pub(super) held: bool,
 }
 
@@ -65,6 +65,7 @@
         version: Option<RunnerVersion>,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
+        let suspects = req.suspects();
         let PlacementRequest {
             record,
             upstream,
@@ -73,13 +74,13 @@
             prior_attempts,
             avoid,
             stream,
-            parts,
+            ..
         } = req;
         let (id, share) = (record.id, self.basis.budget_share());
         if self.open.contains_key(&id) {
             return;
         }
-        let Some(admission) = self.admit_parts(&parts) else {
+        let Some(admission) = self.admit_suspects(&suspects) else {
             let reason = NotRunReason::PromptQuarantined;
             out.push((host.clone(), PlacementReply::Refuse(id, reason, QUARANTINE_RETRY_AFTER)));
             return;
@@ -101,7 +102,7 @@
         self.record_open(host, &upstream, &record, cost, false);
         if let Some(open) = self.open.get_mut(&id) {
             open.stream = stream;
-            open.parts = parts;
+            open.suspects = suspects;
             open.held = admission == Admission::Hold;
             if prior_attempts == 0 {
                 open.reserved = true;
@@ -142,8 +143,9 @@
         if reason == RetryReason::ConnectRefused {
             self.record_refused_connection(now, id);
         }
-        let parts = self.open.get(&id).map(|open| open.parts.clone()).unwrap_or_default();
-        if self.quarantine.state_of(&parts) == PartState::Quarantined {
+        let open = self.open.get(&id);
+        let state = open.map(|open| self.quarantine.state_of(&open.suspects));
+        if state == Some(SuspectState::Quarantined) {
             self.refuse_quarantined(now, id, out);
             return;
         }
@@ -182,7 +184,7 @@
             granted,
             reserved: false,
             stream: None,
-            parts: Vec::new(),
+            suspects: Vec::new(),
             dispatch: None,
             held: false,
         };
--- a/crates/core/src/fleet/coordinator/parts.rs
+++ b/crates/core/src/fleet/coordinator/suspects.rs
@@ -1,9 +1,9 @@
-//! What the coordinator learns of prompt parts that crash runners.
+//! What the coordinator learns of requests that crash runners.
 
 use crate::{
     fleet::{
-        PartQuarantine, PartRecord, PartRun, PartState, PlacementReply, PromptPart, RecordSource,
-        RunnerChange, RunnerKey,
+        PlacementReply, Quarantine, RecordSource, RunnerChange, RunnerKey, Suspect, SuspectRecord,
+        SuspectRun, SuspectState,
     },
     ids::{HostId, RequestId},
     request::DispatchEnd,
@@ -13,21 +13,21 @@
 use super::{Coordinator, requests::HostRequest};
 
 impl Coordinator {
-    /// Returns the prompt parts that are suspicious or quarantined.
+    /// Returns what is suspected or quarantined.
     #[must_use]
-    pub fn quarantine(&self) -> &PartQuarantine {
+    pub fn quarantine(&self) -> &Quarantine {
         &self.quarantine
     }
 
-    /// Adds what another host knows of prompt parts.
-    pub fn learn_parts<I>(
+    /// Adds what another host knows of suspects.
+    pub fn learn_suspects<I>(
         &mut self,
         now: MonoTime,
         records: I,
         source: RecordSource,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) where
-        I: IntoIterator<Item = PartRecord>,
+        I: IntoIterator<Item = SuspectRecord>,
     {
         for record in records {
             self.quarantine.learn(now, &record, source);
@@ -35,26 +35,26 @@
         self.update_trials(now, out);
     }
 
-    /// Quarantines a prompt part, as the store says.
+    /// Quarantines a suspect, as the store says.
     pub fn set_quarantined(
         &mut self,
         now: MonoTime,
-        part: PromptPart,
+        suspect: Suspect,
         runs: Vec<RunnerKey>,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
-        self.quarantine.set_quarantined(part, runs);
+        self.quarantine.set_quarantined(suspect, runs);
         self.update_trials(now, out);
     }
 
-    /// Allows a quarantined prompt part again, as the operators decided.
-    pub fn allow_part(
+    /// Allows a quarantined suspect again, as the operators decided.
+    pub fn allow_suspect(
         &mut self,
         now: MonoTime,
-        part: PromptPart,
+        suspect: Suspect,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
-        self.quarantine.allow(part);
+        self.quarantine.allow(suspect);
         self.update_trials(now, out);
     }
 
@@ -63,47 +63,52 @@
     pub fn record_own_response(
         &mut self,
         now: MonoTime,
-        parts: &[PromptPart],
+        suspects: &[Suspect],
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
-        self.quarantine.completed(parts);
+        self.quarantine.completed(suspects);
         self.update_trials(now, out);
     }
 
-    /// Updates what only time changes of prompt parts.
-    pub fn check_parts(&mut self, now: MonoTime, out: &mut Vec<(HostId, PlacementReply)>) {
+    /// Updates what only time changes of suspects.
+    pub fn check_suspects(&mut self, now: MonoTime, out: &mut Vec<(HostId, PlacementReply)>) {
         self.quarantine.tick(now);
         self.update_trials(now, out);
     }
 
-    /// Returns what has changed of prompt parts since the last call, as far as other
+    /// Returns what has changed of suspects since the last call, as far as other
     /// hosts need to know.
-    pub fn take_part_updates(&mut self) -> Vec<PartRecord> {
+    pub fn take_suspect_updates(&mut self) -> Vec<SuspectRecord> {
         let mut updates = Vec::new();
-        for part in std::mem::take(&mut self.changed_parts) {
-            let is_known = self.quarantine.state(part) != PartState::Free;
+        for suspect in std::mem::take(&mut self.changed_suspects) {
+            let is_known = self.quarantine.state(suspect) != SuspectState::Free;
             let was_shared = match is_known {
-                true => !self.shared_parts.insert(part),
-                false => self.shared_parts.remove(&part),
+                true => !self.shared_suspects.insert(suspect),
+                false => self.shared_suspects.remove(&suspect),
             };
             if is_known || was_shared {
-                updates.push(self.quarantine.record(part));
+                updates.push(self.quarantine.record(suspect));
             }
         }
         updates
     }
 
-    /// Records how a request with prompt parts ended at its runner.
-    pub(super) fn record_part_end(&mut self, open: &HostRequest, now: MonoTime, end: DispatchEnd) {
+    /// Records how a request with suspects ended at its runner.
+    pub(super) fn record_suspect_end(
+        &mut self,
+        open: &HostRequest,
+        now: MonoTime,
+        end: DispatchEnd,
+    ) {
         if matches!(end, DispatchEnd::Complete(_)) {
             self.record_response(now, open);
         }
-        if open.parts.is_empty() {
+        if open.suspects.is_empty() {
             return;
         }
         let unframed = match end {
             DispatchEnd::Complete(usage) if !usage.until_close => {
-                self.quarantine.completed(&open.parts);
+                self.quarantine.completed(&open.suspects);
                 return;
             }
             DispatchEnd::Complete(_) => true,
@@ -115,9 +120,9 @@
         let known = state.and_then(|state| state.runners.get(runner));
         // A run that leaves as planned breaks off what takes too long.
         let Some(known) = known.filter(|known| !known.leaving) else { return };
-        let run = PartRun {
+        let run = SuspectRun {
             runner: known.key.clone(),
-            parts: open.parts.clone(),
+            suspects: open.suspects.clone(),
             granted_at: *granted_at,
             ended_at: now,
         };
--- a/crates/core/src/fleet/coordinator/trials.rs
+++ b/crates/core/src/fleet/coordinator/trials.rs
@@ -1,13 +1,13 @@
-//! Requests whose prompts have suspicious or quarantined parts.
+//! Requests that may crash runners, or are known to.
 //!
-//! Requests with a suspicious part wait in the scheduler's queue, where they expire like
-//! all others, until the one that tries it has ended. The request with the fewest
-//! suspicious parts goes first, because its end is evidence for or against few of them.
+//! Requests with a suspect wait in the scheduler's queue, where they expire like all
+//! others, until the one that tries it has ended. The request with the fewest suspects
+//! goes first, because its end is evidence for or against few of them.
 
 use std::{collections::BTreeSet, time::Duration};
 
 use crate::{
-    fleet::{PartState, PlacementReply, PromptPart},
+    fleet::{PlacementReply, Suspect, SuspectState},
     ids::{HostId, RequestId, UpstreamName},
     outcome::NotRunReason,
     time::MonoTime,
@@ -15,49 +15,52 @@
 
 use super::{Coordinator, requests::HostRequest};
 
-/// Time after which a caller whose prompt has a quarantined part may ask again: only
+/// Time after which a caller of a quarantined request may ask again: only
 /// operators lift a quarantine.
 pub(crate) const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 impl Coordinator {
-    /// Returns how a request with these parts may start, or `None` if it may not.
-    pub(super) fn admit_parts(&self, parts: &[PromptPart]) -> Option<Admission> {
-        if self.trials.is_empty() && self.quarantine.state_of(parts) != PartState::Quarantined {
+    /// Returns how a request with these suspects may start, or `None` if it may not.
+    pub(super) fn admit_suspects(&self, suspects: &[Suspect]) -> Option<Admission> {
+        if self.trials.is_empty() && self.quarantine.state_of(suspects) != SuspectState::Quarantined
+        {
             return Some(Admission::Start);
         }
-        match self.quarantine.state_of(parts) {
-            PartState::Quarantined => None,
-            PartState::Stopped => Some(Admission::Hold),
-            PartState::Free | PartState::Trial if self.is_tried(parts) => Some(Admission::Hold),
-            PartState::Free | PartState::Trial => Some(Admission::Start),
+        match self.quarantine.state_of(suspects) {
+            SuspectState::Quarantined => None,
+            SuspectState::Stopped => Some(Admission::Hold),
+            SuspectState::Free | SuspectState::Trial if self.is_tried(suspects) => {
+                Some(Admission::Hold)
+            }
+            SuspectState::Free | SuspectState::Trial => Some(Admission::Start),
         }
     }
 
-    /// Adds an open request to the trials of its parts.
+    /// Adds an open request to the trials of its suspects.
     pub(super) fn join_trials(&mut self, id: RequestId) {
         let Some(open) = self.open.get(&id) else { return };
-        for part in &open.parts {
-            if let Some(members) = self.trials.get_mut(part) {
+        for suspect in &open.suspects {
+            if let Some(members) = self.trials.get_mut(suspect) {
                 members.insert(id);
             }
         }
     }
 
-    /// Returns true if a request that is not held has one of these parts, of those that
+    /// Returns true if a request that is not held has one of these suspects, of those that
     /// are suspicious.
-    fn is_tried(&self, parts: &[PromptPart]) -> bool {
-        let members = parts.iter().filter_map(|part| self.trials.get(part)).flatten();
+    fn is_tried(&self, suspects: &[Suspect]) -> bool {
+        let members = suspects.iter().filter_map(|suspect| self.trials.get(suspect)).flatten();
         members.into_iter().any(|id| self.open.get(id).is_some_and(|open| !open.held))
     }
 
-    /// Applies changed states of prompt parts to the open requests, and starts those
+    /// Applies changed states of suspects to the open requests, and starts those
     /// that may be tried next.
     pub(super) fn update_trials(&mut self, now: MonoTime, out: &mut Vec<(HostId, PlacementReply)>) {
         let changed = self.quarantine.take_changed();
-        for part in &changed {
-            self.update_trial(now, *part, out);
+        for suspect in &changed {
+            self.update_trial(now, *suspect, out);
         }
-        self.changed_parts.extend(changed);
+        self.changed_suspects.extend(changed);
         let open = &self.open;
         self.trials.values_mut().for_each(|members| members.retain(|id| open.contains_key(id)));
         while let Some(id) = self.next_trial() {
@@ -68,45 +71,49 @@
     fn update_trial(
         &mut self,
         now: MonoTime,
-        part: PromptPart,
+        suspect: Suspect,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
-        match self.quarantine.state(part) {
-            PartState::Free => {
-                for id in self.trials.remove(&part).into_iter().flatten() {
+        match self.quarantine.state(suspect) {
+            SuspectState::Free => {
+                for id in self.trials.remove(&suspect).into_iter().flatten() {
                     let is_free = |open: &HostRequest| {
-                        open.held && !open.parts.iter().any(|part| self.trials.contains_key(part))
+                        open.held
+                            && !open
+                                .suspects
+                                .iter()
+                                .any(|suspect| self.trials.contains_key(suspect))
                     };
                     if self.open.get(&id).is_some_and(is_free) {
                         self.start_trial(now, id, out);
                     }
                 }
             }
-            PartState::Quarantined => {
-                self.trials.remove(&part);
-                for id in self.waiting_with(part) {
+            SuspectState::Quarantined => {
+                self.trials.remove(&suspect);
+                for id in self.waiting_with(suspect) {
                     self.refuse_quarantined(now, id, out);
                 }
             }
-            PartState::Trial | PartState::Stopped => {
-                let open = self.open.iter().filter(|(_, open)| open.parts.contains(&part));
+            SuspectState::Trial | SuspectState::Stopped => {
+                let open = self.open.iter().filter(|(_, open)| open.suspects.contains(&suspect));
                 let members = open.map(|(id, _)| *id).collect::<BTreeSet<_>>();
-                self.trials.insert(part, members);
-                for id in self.waiting_with(part) {
+                self.trials.insert(suspect, members);
+                for id in self.waiting_with(suspect) {
                     self.hold(id);
                 }
             }
         }
     }
 
-    /// Returns the requests with this part that are not granted.
-    fn waiting_with(&self, part: PromptPart) -> Vec<RequestId> {
+    /// Returns the requests with this suspect that are not granted.
+    fn waiting_with(&self, suspect: Suspect) -> Vec<RequestId> {
         let open = self.open.iter();
-        let waiting = open.filter(|(_, open)| !open.granted && open.parts.contains(&part));
+        let waiting = open.filter(|(_, open)| !open.granted && open.suspects.contains(&suspect));
         waiting.map(|(id, _)| *id).collect()
     }
 
-    /// Refuses a waiting request that has a quarantined part.
+    /// Refuses a waiting request that has a quarantined suspect.
     pub(super) fn refuse_quarantined(
         &mut self,
         now: MonoTime,
@@ -131,14 +138,14 @@
 
     /// Returns the held request that may be tried next.
     fn next_trial(&self) -> Option<RequestId> {
-        let free = self.trials.iter().filter(|(part, _)| {
-            self.quarantine.state(**part) == PartState::Trial && !self.is_tried(&[**part])
+        let free = self.trials.iter().filter(|(suspect, _)| {
+            self.quarantine.state(**suspect) == SuspectState::Trial && !self.is_tried(&[**suspect])
         });
         let candidates = free.flat_map(|(_, members)| members).filter_map(|id| {
             let open = self.open.get(id).filter(|open| open.held)?;
-            let may_start = self.admit_parts(&open.parts) == Some(Admission::Start);
-            let suspicious = open.parts.iter().filter(|part| self.trials.contains_key(part));
-            may_start.then(|| (suspicious.count(), *id))
+            let may_start = self.admit_suspects(&open.suspects) == Some(Admission::Start);
+            let tried = open.suspects.iter().filter(|suspect| self.trials.contains_key(suspect));
+            may_start.then(|| (tried.count(), *id))
         });
         candidates.min().map(|(_, id)| id)
     }
@@ -164,6 +171,6 @@
 pub(super) enum Admission {
     /// At once.
     Start,
-    /// Once the request that tries one of its parts has ended.
+    /// Once the request that tries one of its suspects has ended.
     Hold,
 }
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -13,7 +13,7 @@
     request::{DispatchEnd, RequestRecord},
 };
 
-use super::{PromptPart, RunnerVersion, StreamBinding};
+use super::{PromptPart, RunnerVersion, StreamBinding, Suspect};
 
 /// A request that needs a runner.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -44,6 +44,14 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl PlacementRequest {
+    /// Returns what the request may crash its runner with.
+    #[must_use]
+    pub fn suspects(&self) -> Vec<Suspect> {
+        self.parts.iter().copied().map(Suspect::Part).collect()
+    }
+}
+
 /// Update on one request, sent by a host to its coordinator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum RequestUpdate {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 //! - [`UpstreamScheduler`] orders and places the requests of one upstream.
 //! - [`StreamVersions`] and [`VersionHistory`] bind streams to the software version
 //!   that began them.
-//! - [`PartQuarantine`] keeps prompts away from runners that they crash.
+//! - [`Quarantine`] keeps requests away from runners that they crash.
 //! - [`RunnerLimits`] holds the rate limits that runners name.
 //! - [`FleetHosts`] counts the hosts among which quotas and runners are shared.
 //! - [`Coordinator`] schedules the requests of its client hosts, and enforces the
@@ -42,6 +42,7 @@
 mod share;
 mod stream;
 mod stream_versions;
+mod suspect;
 mod version_history;
 
 pub use self::{
@@ -54,7 +55,7 @@
     member::{Member, elect},
     message::{PlacementReply, PlacementRequest, RequestUpdate},
     prompt_part::PromptPart,
-    quarantine::{PartQuarantine, PartRecord, PartRun, PartState, RecordSource},
+    quarantine::{Quarantine, RecordSource, SuspectRecord, SuspectRun, SuspectState},
     quota::{QuotaTolerance, Quotas, SHARE_LEASE},
     request_digest::{InvalidDigest, RequestContent, RequestDigest},
     runner::{RunnerEntry, RunnerKey, RunnerVersion},
@@ -65,5 +66,6 @@
     share::{Share, ShareBasis},
     stream::{StreamBinding, StreamId, StreamRecord},
     stream_versions::StreamVersions,
+    suspect::{InvalidSuspect, Suspect},
     version_history::VersionHistory,
 };
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -1,18 +1,18 @@
-//! Quarantine of prompt parts that crash runners.
+//! Quarantine of what crashes runners.
 //!
 //! Protects against a part of prompts that ends every runner that responds to it,
 //! whatever else the request holds. That a response broke is a fact about a runner and a
 //! request; this is the request's side of it.
 //!
-//! - A break counts against the parts of the request, but at most once for requests
+//! - A break counts against the suspects of the request, but at most once for requests
 //!   that were in progress at the same time: runners that fail together have a common
-//!   cause. A part with a complete response since its last break is left out as long as
-//!   another part of the request has none.
-//! - A complete response clears its parts.
-//! - From two breaks on, requests with the part are tried one at a time.
+//!   cause. A suspect with a complete response since its last break is left out as long
+//!   as another one of the request has none.
+//! - A complete response clears its suspects.
+//! - From two breaks on, requests with the suspect are tried one at a time.
 //! - A break becomes a crash once its run is known to have ended, and none if the run
-//!   goes on responding. Five crashes quarantine a part, or seven if it had complete responses
-//!   before. Those don't count that another request of the run explains better.
+//!   goes on responding. Five crashes quarantine a suspect, or seven if it had complete
+//!   responses before. Those don't count that another request of the run explains better.
 
 mod evidence;
 mod records;
@@ -24,19 +24,19 @@
 
 use crate::time::MonoTime;
 
-use super::{PromptPart, RunnerKey};
+use super::{RunnerKey, Suspect};
 
-pub use self::records::{PartRecord, RecordSource};
+pub use self::records::{RecordSource, SuspectRecord};
 
-use self::evidence::Suspect;
+use self::evidence::Evidence;
 
-/// Number of breaks from which on requests with a part are tried one at a time.
+/// Number of breaks from which on requests with a suspect are tried one at a time.
 const TRIAL_BREAKS: usize = 2;
 
-/// Number of crashes that quarantine a part.
+/// Number of crashes that quarantine a suspect.
 const QUARANTINE_CRASHES: usize = 5;
 
-/// Number of crashes that quarantine a part with earlier complete responses.
+/// Number of crashes that quarantine a suspect with earlier complete responses.
 const PROVEN_QUARANTINE_CRASHES: usize = 7;
 
 /// Time within which a run whose response broke is known to have ended: its entry is
@@ -54,12 +54,12 @@
 /// ended: longer than hosts take to report what happened before.
 const REPORT_TIME: Duration = Duration::from_millis(300);
 
-/// Maximum number of parts of each kind that are remembered.
-const MAX_PARTS: usize = 4_096;
+/// Maximum number of suspects of each kind that are remembered.
+const MAX_SUSPECTS: usize = 4_096;
 
-/// How requests with a part may start.
+/// How requests with a suspect may start.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum PartState {
+pub enum SuspectState {
     /// At any time.
     Free,
     /// One at a time.
@@ -70,90 +70,90 @@
     Quarantined,
 }
 
-/// The end of a request with parts at a run of a runner.
+/// The end of a request with suspects at a run of a runner.
 #[derive(Clone, Debug)]
-pub struct PartRun {
+pub struct SuspectRun {
     /// The run.
     pub runner: RunnerKey,
-    /// Parts of the request's prompt, in order.
-    pub parts: Vec<PromptPart>,
+    /// What it may crash the run with. Parts of its prompt are in order.
+    pub suspects: Vec<Suspect>,
     /// When the request was granted.
     pub granted_at: MonoTime,
     /// When its end was reported.
     pub ended_at: MonoTime,
 }
 
-/// Decides which parts of prompts may reach runners.
+/// Decides which requests may reach runners.
 ///
 /// # Examples
 ///
 /// ```
 /// use comfreyway_core::{
-///     fleet::{PartQuarantine, PartRun, PartState, PromptPart, RunnerKey},
+///     fleet::{PromptPart, Quarantine, RunnerKey, Suspect, SuspectRun, SuspectState},
 ///     time::MonoTime,
 /// };
 ///
-/// let mut quarantine = PartQuarantine::default();
-/// let part = PromptPart(0xbad);
+/// let mut quarantine = Quarantine::default();
+/// let suspect = Suspect::Part(PromptPart(0xbad));
 /// for second in 0..5 {
 ///     let runner = RunnerKey { name: format!("r{second}").parse().unwrap(), started_ms: None };
 ///     let (granted_at, ended_at) =
 ///         (MonoTime::from_millis(second * 1_000 + 1), MonoTime::from_millis(second * 1_000 + 90));
-///     let run = PartRun { runner: runner.clone(), parts: vec![part], granted_at, ended_at };
+///     let run = SuspectRun { runner: runner.clone(), suspects: vec![suspect], granted_at, ended_at };
 ///     quarantine.broke(&run);
 ///     quarantine.run_ended(ended_at, &runner);
 /// }
-/// assert_eq!(quarantine.state(part), PartState::Quarantined);
+/// assert_eq!(quarantine.state(suspect), SuspectState::Quarantined);
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct PartQuarantine {
-    suspects: BTreeMap<PromptPart, Suspect>,
-    /// Quarantined parts, with the runs that ended under them.
-    quarantined: BTreeMap<PromptPart, Vec<RunnerKey>>,
-    /// Parts that operators allowed again.
-    allowed: BTreeSet<PromptPart>,
-    /// Parts with a complete response since their last break.
-    sound: BTreeSet<PromptPart>,
-    /// Parts that have had a complete response.
-    proven: BTreeSet<PromptPart>,
+pub struct Quarantine {
+    evidence: BTreeMap<Suspect, Evidence>,
+    /// Quarantined suspects, with the runs that ended under them.
+    quarantined: BTreeMap<Suspect, Vec<RunnerKey>>,
+    /// Suspects that operators allowed again.
+    allowed: BTreeSet<Suspect>,
+    /// Suspects with a complete response since their last break.
+    sound: BTreeSet<Suspect>,
+    /// Suspects that have had a complete response.
+    proven: BTreeSet<Suspect>,
     /// Responses that only the end of their connections ended.
-    unframed: Vec<PartRun>,
+    unframed: Vec<SuspectRun>,
     /// Runs with breaks that may become crashes, and the last of them.
     unconfirmed: BTreeMap<RunnerKey, MonoTime>,
-    /// Parts whose state may have changed since it was last taken.
-    changed: BTreeSet<PromptPart>,
+    /// Suspects whose state may have changed since it was last taken.
+    changed: BTreeSet<Suspect>,
 }
 
-impl PartQuarantine {
-    /// Returns how requests with this part may start.
+impl Quarantine {
+    /// Returns how requests with this suspect may start.
     #[must_use]
-    pub fn state(&self, part: PromptPart) -> PartState {
-        if self.quarantined.contains_key(&part) {
-            return PartState::Quarantined;
+    pub fn state(&self, suspect: Suspect) -> SuspectState {
+        if self.quarantined.contains_key(&suspect) {
+            return SuspectState::Quarantined;
         }
-        let Some(suspect) = self.suspects.get(&part) else { return PartState::Free };
-        match suspect.breaks.len() {
-            0..TRIAL_BREAKS => PartState::Free,
-            TRIAL_BREAKS..QUARANTINE_CRASHES => PartState::Trial,
-            _ if self.unexplained(part, suspect).count() < self.max_crashes(part) => {
-                PartState::Trial
+        let Some(evidence) = self.evidence.get(&suspect) else { return SuspectState::Free };
+        match evidence.breaks.len() {
+            0..TRIAL_BREAKS => SuspectState::Free,
+            TRIAL_BREAKS..QUARANTINE_CRASHES => SuspectState::Trial,
+            _ if self.unexplained(suspect, evidence).count() < self.max_crashes(suspect) => {
+                SuspectState::Trial
             }
-            _ => PartState::Stopped,
+            _ => SuspectState::Stopped,
         }
     }
 
-    /// Returns how a request with these parts may start.
+    /// Returns how a request with these suspects may start.
     #[must_use]
-    pub fn state_of(&self, parts: &[PromptPart]) -> PartState {
-        let is_empty = self.suspects.is_empty() && self.quarantined.is_empty();
-        let parts = parts.iter().filter(|_| !is_empty);
-        parts.map(|part| self.state(*part)).max().unwrap_or(PartState::Free)
+    pub fn state_of(&self, suspects: &[Suspect]) -> SuspectState {
+        let is_empty = self.evidence.is_empty() && self.quarantined.is_empty();
+        let suspects = suspects.iter().filter(|_| !is_empty);
+        suspects.map(|suspect| self.state(*suspect)).max().unwrap_or(SuspectState::Free)
     }
 
     /// Records that a response broke.
-    pub fn broke(&mut self, run: &PartRun) {
+    pub fn broke(&mut self, run: &SuspectRun) {
         let at = run.ended_at;
-        let same = |other: &mut PartRun| {
+        let same = |other: &mut SuspectRun| {
             other.runner == run.runner && at.since(other.ended_at) <= CRASH_SPREAD
         };
         for unframed in self.unframed.extract_if(.., same).collect::<Vec<_>>() {
@@ -163,23 +163,23 @@
     }
 
     /// Records a complete response.
-    pub fn completed(&mut self, parts: &[PromptPart]) {
-        for part in parts {
-            if self.suspects.remove(part).is_some() {
-                self.changed.insert(*part);
+    pub fn completed(&mut self, suspects: &[Suspect]) {
+        for suspect in suspects {
+            if self.evidence.remove(suspect).is_some() {
+                self.changed.insert(*suspect);
             }
-            for parts in [&mut self.sound, &mut self.proven] {
-                if parts.len() >= MAX_PARTS && !parts.contains(part) {
-                    parts.pop_first();
+            for known in [&mut self.sound, &mut self.proven] {
+                if known.len() >= MAX_SUSPECTS && !known.contains(suspect) {
+                    known.pop_first();
                 }
-                parts.insert(*part);
+                known.insert(*suspect);
             }
         }
     }
 
     /// Records a response that only the end of its connection ended.
-    pub fn completed_unframed(&mut self, run: PartRun) {
-        if self.unframed.len() < MAX_PARTS {
+    pub fn completed_unframed(&mut self, run: SuspectRun) {
+        if self.unframed.len() < MAX_SUSPECTS {
             self.unframed.push(run);
         }
     }
@@ -193,14 +193,14 @@
 
     /// Records that a run has ended without having left as planned.
     pub fn run_ended(&mut self, now: MonoTime, runner: &RunnerKey) {
-        let same = |other: &mut PartRun| other.runner == *runner;
+        let same = |other: &mut SuspectRun| other.runner == *runner;
         for unframed in self.unframed.extract_if(.., same).collect::<Vec<_>>() {
             self.count_break(&unframed);
         }
         self.unconfirmed.remove(runner);
-        for (part, suspect) in &mut self.suspects {
-            if suspect.confirm(now, runner) {
-                self.changed.insert(*part);
+        for (suspect, evidence) in &mut self.evidence {
+            if evidence.confirm(now, runner) {
+                self.changed.insert(*suspect);
             }
         }
         self.quarantine_suspects();
@@ -229,9 +229,9 @@
     /// Discards breaks whose runs have not ended, and counts unframed responses as
     /// complete whose runs have not ended.
     pub fn tick(&mut self, now: MonoTime) {
-        let is_due = |run: &mut PartRun| now.since(run.ended_at) >= UNFRAMED_TIME;
+        let is_due = |run: &mut SuspectRun| now.since(run.ended_at) >= UNFRAMED_TIME;
         for run in self.unframed.extract_if(.., is_due).collect::<Vec<_>>() {
-            self.completed(&run.parts);
+            self.completed(&run.suspects);
         }
         let before = self.unconfirmed.len();
         self.unconfirmed.retain(|_, at| now.since(*at) < CONFIRM_TIME);
@@ -240,20 +240,20 @@
         }
     }
 
-    /// Returns true if a request with this part was answered completely since the last
+    /// Returns true if a request with this suspect was answered completely since the last
     /// one that broke.
     #[must_use]
-    pub fn is_sound(&self, part: PromptPart) -> bool {
-        self.sound.contains(&part)
+    pub fn is_sound(&self, suspect: Suspect) -> bool {
+        self.sound.contains(&suspect)
     }
 
-    /// Returns the quarantined parts, with the runs that ended under them.
-    pub fn quarantined(&self) -> impl Iterator<Item = (PromptPart, &[RunnerKey])> {
-        self.quarantined.iter().map(|(part, runs)| (*part, &runs[..]))
+    /// Returns the quarantined suspects, with the runs that ended under them.
+    pub fn quarantined(&self) -> impl Iterator<Item = (Suspect, &[RunnerKey])> {
+        self.quarantined.iter().map(|(suspect, runs)| (*suspect, &runs[..]))
     }
 
-    /// Returns the parts whose state may have changed since the last call.
-    pub fn take_changed(&mut self) -> BTreeSet<PromptPart> {
+    /// Returns the suspects whose state may have changed since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<Suspect> {
         std::mem::take(&mut self.changed)
     }
 }
--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -1,17 +1,18 @@
-//! The breaks that count against a part.
+//! The breaks that count against a suspect.
 
 use std::collections::{BTreeSet, btree_map::Entry};
 
 use crate::{
-    fleet::{PromptPart, RunnerKey},
+    fleet::{RunnerKey, Suspect},
     time::MonoTime,
 };
 
 use super::{
-    CONFIRM_TIME, MAX_PARTS, PROVEN_QUARANTINE_CRASHES, PartQuarantine, PartRun, QUARANTINE_CRASHES,
+    CONFIRM_TIME, MAX_SUSPECTS, PROVEN_QUARANTINE_CRASHES, QUARANTINE_CRASHES, Quarantine,
+    SuspectRun,
 };
 
-/// Maximum number of runs that are remembered of one part.
+/// Maximum number of runs that are remembered of one suspect.
 const MAX_RUNS: usize = 16;
 
 /// A run at which a response broke.
@@ -21,8 +22,8 @@
     pub(super) at: MonoTime,
     /// True if the run is known to have ended.
     pub(super) confirmed: bool,
-    /// Parts of the request; none if another host reported it.
-    pub(super) parts: Vec<PromptPart>,
+    /// Suspects of the request; none if another host reported it.
+    pub(super) suspects: Vec<Suspect>,
 }
 
 impl Break {
@@ -31,19 +32,19 @@
     }
 }
 
-/// A part under which responses broke.
+/// A suspect under which responses broke.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Suspect {
+pub(super) struct Evidence {
     /// Those that count: not of requests that were in progress at the same time.
     pub(super) breaks: Vec<Break>,
-    /// All runs at which requests with the part broke.
+    /// All runs at which requests with the suspect broke.
     runs: BTreeSet<RunnerKey>,
     /// Position in the prompt. Parts further back are shared by fewer requests.
     position: usize,
 }
 
-impl Suspect {
-    /// Sets the breaks that another host knows of. They don't quarantine the part without
+impl Evidence {
+    /// Sets the breaks that another host knows of. They don't quarantine the suspect without
     /// one that is seen here.
     pub(super) fn set_breaks(&mut self, now: MonoTime, breaks: &[(RunnerKey, bool)]) {
         self.breaks = breaks
@@ -53,14 +54,14 @@
                 runner: runner.clone(),
                 at: now,
                 confirmed: *confirmed,
-                parts: Vec::new(),
+                suspects: Vec::new(),
             })
             .collect();
         self.runs = self.breaks.iter().map(|broken| broken.runner.clone()).collect();
     }
 
     /// Adds a break, unless the request was granted before an earlier one was known.
-    fn add(&mut self, run: &PartRun) -> bool {
+    fn add(&mut self, run: &SuspectRun) -> bool {
         if self.runs.len() < MAX_RUNS {
             self.runs.insert(run.runner.clone());
         }
@@ -72,7 +73,7 @@
             runner: run.runner.clone(),
             at: run.ended_at,
             confirmed: false,
-            parts: run.parts.clone(),
+            suspects: run.suspects.clone(),
         });
         true
     }
@@ -90,37 +91,38 @@
     }
 }
 
-impl PartQuarantine {
-    /// Counts a break against the parts that may have caused it.
-    pub(super) fn count_break(&mut self, run: &PartRun) {
+impl Quarantine {
+    /// Counts a break against the suspects that may have caused it.
+    pub(super) fn count_break(&mut self, run: &SuspectRun) {
         self.unconfirmed.insert(run.runner.clone(), run.ended_at);
-        let all_sound = run.parts.iter().all(|part| self.sound.contains(part));
-        for (position, part) in run.parts.iter().enumerate() {
-            let was_sound = self.sound.remove(part);
-            let is_settled = self.quarantined.contains_key(part);
+        let all_sound = run.suspects.iter().all(|suspect| self.sound.contains(suspect));
+        for (position, suspect) in run.suspects.iter().enumerate() {
+            let was_sound = self.sound.remove(suspect);
+            let is_settled = self.quarantined.contains_key(suspect);
             if is_settled || (was_sound && !all_sound) {
                 continue;
             }
-            if self.suspect(*part, position).add(run) {
-                self.changed.insert(*part);
+            if self.evidence_of(*suspect, position).add(run) {
+                self.changed.insert(*suspect);
             }
         }
     }
 
-    /// Returns what is known against a part. Forgets another part if there are too many.
-    pub(super) fn suspect(&mut self, part: PromptPart, position: usize) -> &mut Suspect {
-        if self.suspects.len() >= MAX_PARTS && !self.suspects.contains_key(&part) {
-            let key = |(_, suspect): &(&PromptPart, &Suspect)| {
-                (suspect.breaks.len(), suspect.last_break())
+    /// Returns what is known against a suspect. Forgets another suspect if there are too many.
+    pub(super) fn evidence_of(&mut self, suspect: Suspect, position: usize) -> &mut Evidence {
+        if self.evidence.len() >= MAX_SUSPECTS && !self.evidence.contains_key(&suspect) {
+            let key = |(_, evidence): &(&Suspect, &Evidence)| {
+                (evidence.breaks.len(), evidence.last_break())
             };
-            if let Some(part) = self.suspects.iter().min_by_key(key).map(|(part, _)| *part) {
-                self.suspects.remove(&part);
-                self.changed.insert(part);
+            if let Some(suspect) = self.evidence.iter().min_by_key(key).map(|(suspect, _)| *suspect)
+            {
+                self.evidence.remove(&suspect);
+                self.changed.insert(suspect);
             }
         }
-        let suspect = self.suspects.entry(part).or_default();
-        suspect.position = suspect.position.max(position);
-        suspect
+        let evidence = self.evidence.entry(suspect).or_default();
+        evidence.position = evidence.position.max(position);
+        evidence
     }
 
     /// Discards the breaks for which `keep` returns false.
@@ -128,88 +130,90 @@
     where
         F: Fn(&Break) -> bool,
     {
-        for (part, suspect) in &mut self.suspects {
-            for broken in suspect.breaks.extract_if(.., |broken| !keep(broken)) {
-                suspect.runs.remove(&broken.runner);
-                self.changed.insert(*part);
+        for (suspect, evidence) in &mut self.evidence {
+            for broken in evidence.breaks.extract_if(.., |broken| !keep(broken)) {
+                evidence.runs.remove(&broken.runner);
+                self.changed.insert(*suspect);
             }
         }
-        self.suspects.retain(|_, suspect| !suspect.breaks.is_empty());
+        self.evidence.retain(|_, evidence| !evidence.breaks.is_empty());
     }
 
-    /// Returns the number of crashes that quarantine a part.
-    pub(super) fn max_crashes(&self, part: PromptPart) -> usize {
-        match self.proven.contains(&part) {
+    /// Returns the number of crashes that quarantine a suspect.
+    pub(super) fn max_crashes(&self, suspect: Suspect) -> usize {
+        match self.proven.contains(&suspect) {
             true => PROVEN_QUARANTINE_CRASHES,
             false => QUARANTINE_CRASHES,
         }
     }
 
-    /// Returns the number of crashes that count against a part.
-    fn crashes(&self, part: PromptPart, suspect: &Suspect) -> usize {
-        self.unexplained(part, suspect).filter(|broken| broken.confirmed).count()
+    /// Returns the number of crashes that count against a suspect.
+    fn crashes(&self, suspect: Suspect, evidence: &Evidence) -> usize {
+        self.unexplained(suspect, evidence).filter(|broken| broken.confirmed).count()
     }
 
-    /// Returns the breaks that count against a part, or will once their runs have ended.
+    /// Returns the breaks that count against a suspect, or will once their runs have ended.
     pub(super) fn unexplained<'a>(
         &'a self,
-        part: PromptPart,
-        suspect: &'a Suspect,
+        suspect: Suspect,
+        evidence: &'a Evidence,
     ) -> impl Iterator<Item = &'a Break> {
-        let breaks = suspect.breaks.iter();
-        breaks.filter(move |broken| !self.is_explained(part, suspect, broken))
+        let breaks = evidence.breaks.iter();
+        breaks.filter(move |broken| !self.is_explained(suspect, evidence, broken))
     }
 
-    /// Returns true if another request at the run had a part under which more runs
+    /// Returns true if another request at the run had a suspect under which more runs
     /// broke.
-    fn is_explained(&self, part: PromptPart, suspect: &Suspect, broken: &Break) -> bool {
-        let (runner, runs) = (&broken.runner, suspect.runs.len());
-        let is_other = |other: &PromptPart| *other != part && !broken.parts.contains(other);
-        let suspects = self.suspects.iter().map(|(part, s)| (part, s.runs.len(), &s.runs));
-        let mut more = suspects.filter(|(other, count, _)| {
-            !broken.parts.is_empty() && is_other(other) && *count > runs
+    fn is_explained(&self, suspect: Suspect, evidence: &Evidence, broken: &Break) -> bool {
+        let (runner, runs) = (&broken.runner, evidence.runs.len());
+        let is_other = |other: &Suspect| *other != suspect && !broken.suspects.contains(other);
+        let all = self.evidence.iter().map(|(suspect, s)| (suspect, s.runs.len(), &s.runs));
+        let mut more = all.filter(|(other, count, _)| {
+            !broken.suspects.is_empty() && is_other(other) && *count > runs
         });
         more.any(|(.., runs)| runs.contains(runner))
             || self.quarantined.iter().any(|(p, runs)| is_other(p) && runs.contains(runner))
     }
 
-    /// Quarantines the parts with enough crashes, the most suspicious first.
+    /// Quarantines the suspects with enough crashes, the most suspicious first.
     pub(super) fn quarantine_suspects(&mut self) {
         loop {
-            let suspects = self.suspects.iter();
-            let suspects = suspects.filter(|(_, s)| s.breaks.len() >= QUARANTINE_CRASHES);
-            let crashes = suspects.map(|(part, suspect)| (self.crashes(*part, suspect), *part));
-            let over_limit = crashes.filter(|(crashes, part)| *crashes >= self.max_crashes(*part));
-            let key = |(crashes, part): &(usize, PromptPart)| {
-                let position = self.suspects.get(part).map_or(0, |suspect| suspect.position);
-                (*crashes, !self.proven.contains(part), position)
+            let all = self.evidence.iter();
+            let all = all.filter(|(_, s)| s.breaks.len() >= QUARANTINE_CRASHES);
+            let crashes =
+                all.map(|(suspect, evidence)| (self.crashes(*suspect, evidence), *suspect));
+            let over_limit =
+                crashes.filter(|(crashes, suspect)| *crashes >= self.max_crashes(*suspect));
+            let key = |(crashes, suspect): &(usize, Suspect)| {
+                let position = self.evidence.get(suspect).map_or(0, |evidence| evidence.position);
+                (*crashes, !self.proven.contains(suspect), position)
             };
-            let Some((_, part)) = over_limit.max_by_key(key) else { return };
-            let Some(suspect) = self.suspects.remove(&part) else { return };
-            self.explain(&suspect.runs);
-            self.insert_quarantined(part, suspect.runs.into_iter().collect());
+            let Some((_, suspect)) = over_limit.max_by_key(key) else { return };
+            let Some(evidence) = self.evidence.remove(&suspect) else { return };
+            self.explain(&evidence.runs);
+            self.insert_quarantined(suspect, evidence.runs.into_iter().collect());
         }
     }
 
-    pub(super) fn insert_quarantined(&mut self, part: PromptPart, runs: Vec<RunnerKey>) {
-        self.suspects.remove(&part);
-        if let Entry::Vacant(entry) = self.quarantined.entry(part) {
+    pub(super) fn insert_quarantined(&mut self, suspect: Suspect, runs: Vec<RunnerKey>) {
+        self.evidence.remove(&suspect);
+        if let Entry::Vacant(entry) = self.quarantined.entry(suspect) {
             entry.insert(runs);
-            self.changed.insert(part);
+            self.changed.insert(suspect);
         }
     }
 
-    /// Clears the parts of which a quarantined part explains all breaks. One that broke
+    /// Clears the suspects of which a quarantined suspect explains all breaks. One that broke
     /// as often may be the cause as well, so one more crash quarantines it.
     fn explain(&mut self, runs: &BTreeSet<RunnerKey>) {
-        for (part, suspect) in &mut self.suspects {
-            if !suspect.runs.is_subset(runs) {
+        for (suspect, evidence) in &mut self.evidence {
+            if !evidence.runs.is_subset(runs) {
                 continue;
             }
-            self.changed.insert(*part);
-            let is_alike = suspect.breaks.len() >= QUARANTINE_CRASHES;
-            suspect.breaks.truncate(if is_alike { QUARANTINE_CRASHES - 1 } else { 0 });
+            self.changed.insert(*suspect);
+            let is_alike = evidence.breaks.len() >= QUARANTINE_CRASHES;
+            evidence.breaks.truncate(if is_alike { QUARANTINE_CRASHES - 1 } else { 0 });
         }
-        self.suspects.retain(|_, suspect| !suspect.breaks.is_empty());
+        self.evidence.retain(|_, evidence| !evidence.breaks.is_empty());
     }
 }
--- a/crates/core/src/fleet/quarantine/records.rs
+++ b/crates/core/src/fleet/quarantine/records.rs
@@ -1,20 +1,20 @@
-//! What hosts tell each other of prompt parts.
+//! What hosts tell each other of suspects.
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    fleet::{PromptPart, RunnerKey},
+    fleet::{RunnerKey, Suspect},
     time::MonoTime,
 };
 
-use super::{MAX_PARTS, PartQuarantine, PartState, evidence::Break};
+use super::{MAX_SUSPECTS, Quarantine, SuspectState, evidence::Break};
 
-/// What a host knows of one part, for other hosts.
+/// What a host knows of one suspect, for other hosts.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PartRecord {
-    /// The part.
+pub struct SuspectRecord {
+    /// The suspect.
     #[serde(rename = "p")]
-    pub part: PromptPart,
+    pub suspect: Suspect,
     /// Runs that broke under it, and whether they are known to have ended.
     #[serde(rename = "b")]
     pub breaks: Vec<(RunnerKey, bool)>,
@@ -33,80 +33,81 @@
     Coordinator,
     /// A client host: of its records those count that say more than what is known.
     Client,
-    /// The store: as for a client host, but an empty record clears the part.
+    /// The store: as for a client host, but an empty record clears the suspect.
     Store,
 }
 
-impl PartQuarantine {
-    /// Adds what another host knows of a part.
-    pub fn learn(&mut self, now: MonoTime, record: &PartRecord, source: RecordSource) {
-        let part = record.part;
-        if record.proven && self.proven.len() < MAX_PARTS {
-            self.proven.insert(part);
+impl Quarantine {
+    /// Adds what another host knows of a suspect.
+    pub fn learn(&mut self, now: MonoTime, record: &SuspectRecord, source: RecordSource) {
+        let suspect = record.suspect;
+        if record.proven && self.proven.len() < MAX_SUSPECTS {
+            self.proven.insert(suspect);
         }
         if record.quarantined {
-            let is_outdated = source != RecordSource::Coordinator && self.allowed.contains(&part);
-            if !is_outdated && self.quarantined.len() < MAX_PARTS {
-                self.allowed.remove(&part);
+            let is_outdated =
+                source != RecordSource::Coordinator && self.allowed.contains(&suspect);
+            if !is_outdated && self.quarantined.len() < MAX_SUSPECTS {
+                self.allowed.remove(&suspect);
                 let runs = record.breaks.iter().map(|(runner, _)| runner.clone()).collect();
-                self.insert_quarantined(part, runs);
+                self.insert_quarantined(suspect, runs);
             }
             return;
         }
-        let known = self.suspects.get(&part).map_or(0, |suspect| suspect.breaks.len());
+        let known = self.evidence.get(&suspect).map_or(0, |evidence| evidence.breaks.len());
         let is_news = match source {
             RecordSource::Coordinator => true,
             RecordSource::Store if record.breaks.is_empty() => known > 0,
-            // The sum of two records would leave out what cleared the part between them.
-            _ => !self.sound.contains(&part) && record.breaks.len() > known,
+            // The sum of two records would leave out what cleared the suspect between them.
+            _ => !self.sound.contains(&suspect) && record.breaks.len() > known,
         };
-        if !is_news || self.quarantined.contains_key(&part) {
+        if !is_news || self.quarantined.contains_key(&suspect) {
             return;
         }
-        self.suspects.remove(&part);
+        self.evidence.remove(&suspect);
         if !record.breaks.is_empty() {
-            self.suspect(part, 0).set_breaks(now, &record.breaks);
+            self.evidence_of(suspect, 0).set_breaks(now, &record.breaks);
         }
-        self.changed.insert(part);
+        self.changed.insert(suspect);
     }
 
-    /// Quarantines a part that was quarantined by another host.
-    pub fn set_quarantined(&mut self, part: PromptPart, runs: Vec<RunnerKey>) {
-        self.allowed.remove(&part);
-        if self.quarantined.len() < MAX_PARTS {
-            self.insert_quarantined(part, runs);
+    /// Quarantines a suspect that was quarantined by another host.
+    pub fn set_quarantined(&mut self, suspect: Suspect, runs: Vec<RunnerKey>) {
+        self.allowed.remove(&suspect);
+        if self.quarantined.len() < MAX_SUSPECTS {
+            self.insert_quarantined(suspect, runs);
         }
     }
 
-    /// Allows a part again, as the operators decided.
-    pub fn allow(&mut self, part: PromptPart) {
-        if self.allowed.len() < MAX_PARTS {
-            self.allowed.insert(part);
+    /// Allows a suspect again, as the operators decided.
+    pub fn allow(&mut self, suspect: Suspect) {
+        if self.allowed.len() < MAX_SUSPECTS {
+            self.allowed.insert(suspect);
         }
-        self.suspects.remove(&part);
-        self.quarantined.remove(&part);
-        self.changed.insert(part);
+        self.evidence.remove(&suspect);
+        self.quarantined.remove(&suspect);
+        self.changed.insert(suspect);
     }
 
-    /// Returns what other hosts need to know of a part.
+    /// Returns what other hosts need to know of a suspect.
     #[must_use]
-    pub fn record(&self, part: PromptPart) -> PartRecord {
-        let suspect = self.suspects.get(&part);
-        let breaks = suspect.map(|suspect| suspect.breaks.iter().map(Break::to_pair).collect());
-        let runs = self.quarantined.get(&part);
+    pub fn record(&self, suspect: Suspect) -> SuspectRecord {
+        let evidence = self.evidence.get(&suspect);
+        let breaks = evidence.map(|evidence| evidence.breaks.iter().map(Break::to_pair).collect());
+        let runs = self.quarantined.get(&suspect);
         let ended = runs.map(|runs| runs.iter().map(|runner| (runner.clone(), true)).collect());
-        PartRecord {
-            part,
+        SuspectRecord {
+            suspect,
             breaks: ended.or(breaks).unwrap_or_default(),
             quarantined: runs.is_some(),
-            proven: self.proven.contains(&part),
+            proven: self.proven.contains(&suspect),
         }
     }
 
-    /// Returns the parts that other hosts need to know of.
-    pub fn known_parts(&self) -> impl Iterator<Item = PromptPart> {
-        let is_shared = |part: &PromptPart| self.state(*part) != PartState::Free;
-        let suspects = self.suspects.keys().copied().filter(is_shared);
-        suspects.chain(self.quarantined.keys().copied())
+    /// Returns the suspects that other hosts need to know of.
+    pub fn known_suspects(&self) -> impl Iterator<Item = Suspect> {
+        let is_shared = |suspect: &Suspect| self.state(*suspect) != SuspectState::Free;
+        let suspected = self.evidence.keys().copied().filter(is_shared);
+        suspected.chain(self.quarantined.keys().copied())
     }
 }
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -2,7 +2,10 @@
 //! quarantined, whatever else happens to runners, hosts and coordinators.
 
 use comfreyway_core::{
-    fleet::{PartQuarantine, PartRecord, PartRun, PartState, PromptPart, RecordSource, RunnerKey},
+    fleet::{
+        PromptPart, Quarantine, RecordSource, RunnerKey, Suspect, SuspectRecord, SuspectRun,
+        SuspectState,
+    },
     time::MonoTime,
 };
 use rstest::rstest;
@@ -17,7 +20,7 @@
     while fleet.now_ms < PLAY_MS {
         fleet.step();
     }
-    assert_eq!(fleet.wrongly_quarantined(), Vec::<PromptPart>::new(), "seed {seed}");
+    assert_eq!(fleet.wrongly_quarantined(), Vec::<Suspect>::new(), "seed {seed}");
     for (part, late) in fleet.late_arrivals() {
         assert!(late <= 3, "seed {seed}: {late} requests with {part} after its fifth crash");
     }
@@ -68,33 +71,33 @@
     assert_eq!(total.quarantined, 0, "{total:?}");
 }
 
-const PART: PromptPart = PromptPart(0xbad);
+const PART: Suspect = Suspect::Part(PromptPart(0xbad));
 
-fn run(number: u64, granted_ms: u64) -> PartRun {
+fn run(number: u64, granted_ms: u64) -> SuspectRun {
     let runner = RunnerKey { name: name(&format!("r{number}")), started_ms: Some(1) };
     let (granted_at, ended_at) = (at(granted_ms), at(granted_ms + 100));
-    PartRun { runner, parts: vec![PART], granted_at, ended_at }
+    SuspectRun { runner, suspects: vec![PART], granted_at, ended_at }
 }
 
-fn crash(quarantine: &mut PartQuarantine, number: u64) {
+fn crash(quarantine: &mut Quarantine, number: u64) {
     let run = run(number, 1_000 * number);
     quarantine.broke(&run);
     quarantine.run_ended(run.ended_at, &run.runner);
 }
 
-fn crashed(times: u64) -> PartQuarantine {
-    let mut quarantine = PartQuarantine::default();
+fn crashed(times: u64) -> Quarantine {
+    let mut quarantine = Quarantine::default();
     (1..=times).for_each(|number| crash(&mut quarantine, number));
     quarantine
 }
 
 #[rstest]
-#[case(1, PartState::Free)]
-#[case(2, PartState::Trial)]
-#[case(3, PartState::Trial)]
-#[case(4, PartState::Trial)]
-#[case(5, PartState::Quarantined)]
-fn a_part_is_tried_and_then_quarantined(#[case] crashes: u64, #[case] expected: PartState) {
+#[case(1, SuspectState::Free)]
+#[case(2, SuspectState::Trial)]
+#[case(3, SuspectState::Trial)]
+#[case(4, SuspectState::Trial)]
+#[case(5, SuspectState::Quarantined)]
+fn a_part_is_tried_and_then_quarantined(#[case] crashes: u64, #[case] expected: SuspectState) {
     assert_eq!(crashed(crashes).state(PART), expected);
 }
 
@@ -103,34 +106,34 @@
     let mut quarantine = crashed(3);
     quarantine.completed(&[PART]);
     crash(&mut quarantine, 4);
-    assert_eq!(quarantine.state(PART), PartState::Free);
+    assert_eq!(quarantine.state(PART), SuspectState::Free);
 }
 
 #[test]
 fn runners_that_crash_together_count_once() {
-    let mut quarantine = PartQuarantine::default();
+    let mut quarantine = Quarantine::default();
     for number in 1..=5 {
         quarantine.broke(&run(number, 1_000));
         quarantine.run_ended(at(1_100), &run(number, 0).runner);
     }
-    assert_eq!(quarantine.state(PART), PartState::Free);
+    assert_eq!(quarantine.state(PART), SuspectState::Free);
 }
 
 #[test]
 fn responses_that_break_off_at_running_runners_quarantine_nothing() {
-    let mut quarantine = PartQuarantine::default();
+    let mut quarantine = Quarantine::default();
     (1..=6).for_each(|number| quarantine.broke(&run(number, 1_000 * number)));
-    assert_eq!(quarantine.state(PART), PartState::Stopped);
+    assert_eq!(quarantine.state(PART), SuspectState::Stopped);
     quarantine.tick(at(20_000));
-    assert_eq!(quarantine.state(PART), PartState::Free);
+    assert_eq!(quarantine.state(PART), SuspectState::Free);
 }
 
 #[rstest]
-#[case::run_goes_on(false, PartState::Free)]
-#[case::run_has_ended(true, PartState::Quarantined)]
+#[case::run_goes_on(false, SuspectState::Free)]
+#[case::run_has_ended(true, SuspectState::Quarantined)]
 fn a_response_without_an_end_counts_by_what_becomes_of_its_run(
     #[case] ended: bool,
-    #[case] expected: PartState,
+    #[case] expected: SuspectState,
 ) {
     let mut quarantine = crashed(4);
     let last = run(5, 5_000);
@@ -145,10 +148,10 @@
 #[test]
 fn an_allowed_part_is_quarantined_again_only_by_new_crashes() {
     let mut quarantine = crashed(5);
-    let record: PartRecord = quarantine.record(PART);
+    let record: SuspectRecord = quarantine.record(PART);
     quarantine.allow(PART);
     quarantine.learn(MonoTime::from_millis(9_000), &record, RecordSource::Client);
-    assert_eq!(quarantine.state(PART), PartState::Free);
+    assert_eq!(quarantine.state(PART), SuspectState::Free);
     (6..11).for_each(|number| crash(&mut quarantine, number));
-    assert_eq!(quarantine.state(PART), PartState::Quarantined);
+    assert_eq!(quarantine.state(PART), SuspectState::Quarantined);
 }
--- a/crates/core/tests/fleet/runner_fleet.rs
+++ b/crates/core/tests/fleet/runner_fleet.rs
@@ -10,8 +10,8 @@
 
 use comfreyway_core::{
     fleet::{
-        ClientAction, Coordinator, CoordinatorClient, LimitReport, PartRecord, PlacementReply,
-        PromptPart, QuotaTolerance, RetryBudgetLimits, RunnerChange, RunnerEntry,
+        ClientAction, Coordinator, CoordinatorClient, LimitReport, PlacementReply, PromptPart,
+        QuotaTolerance, RetryBudgetLimits, RunnerChange, RunnerEntry, Suspect, SuspectRecord,
     },
     ids::{HostId, RequestId, RunnerName},
     outcome::RetryReason,
@@ -113,8 +113,8 @@
     leader: usize,
     /// Hosts that use their own coordinators.
     cut: BTreeSet<usize>,
-    /// Suspected parts in the store.
-    suspects: BTreeMap<PromptPart, PartRecord>,
+    /// Suspects in the store.
+    suspects: BTreeMap<Suspect, SuspectRecord>,
     /// One of this many steps brings a sound request.
     pub(crate) steps_per_request: u32,
     runners: BTreeMap<RunnerName, Runner>,
@@ -181,16 +181,19 @@
             self.execute(host, Vec::new(), replies);
         }
         if self.now_ms.is_multiple_of(SHARE_INTERVAL_MS) {
-            self.share_parts();
+            self.share_suspects();
         }
     }
 
     /// Parts that are quarantined and don't crash runners.
-    pub(crate) fn wrongly_quarantined(&mut self) -> Vec<PromptPart> {
+    pub(crate) fn wrongly_quarantined(&mut self) -> Vec<Suspect> {
         let quarantine = self.nodes[self.leader].coordinator.quarantine();
-        let parts: Vec<_> = quarantine.quarantined().map(|(part, _)| part).collect();
-        self.counts.quarantined = parts.len();
-        parts.into_iter().filter(|part| !self.is_crashing(part)).collect()
+        let suspects: Vec<_> = quarantine.quarantined().map(|(suspect, _)| suspect).collect();
+        self.counts.quarantined = suspects.len();
+        let is_crashing = |suspect: &Suspect| match suspect {
+            Suspect::Part(part) => self.is_crashing(part),
+        };
+        suspects.into_iter().filter(|suspect| !is_crashing(suspect)).collect()
     }
 
     /// Requests with each crashing part that runners got too late.
@@ -424,7 +427,7 @@
             && !self.cut.contains(&host)
         {
             let Node { client, coordinator, .. } = &mut self.nodes[host];
-            coordinator.record_own_response(at(self.now_ms), client.parts(id), &mut Vec::new());
+            coordinator.record_own_response(at(self.now_ms), &client.suspects(id), &mut Vec::new());
         }
         let mut actions = Vec::new();
         self.nodes[host].client.ended(id, end, &mut actions);
--- a/crates/core/tests/fleet/runner_fleet/hosts.rs
+++ b/crates/core/tests/fleet/runner_fleet/hosts.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use comfreyway_core::{
-    fleet::{LimitReport, PartRecord, RecordSource, RunnerChange},
+    fleet::{LimitReport, RecordSource, RunnerChange, SuspectRecord},
     request::DispatchEnd,
 };
 use rand::RngExt;
@@ -141,7 +141,7 @@
         let now = at(self.now_ms);
         let id = self.nodes[host].id.clone();
         let quarantine = self.nodes[host].coordinator.quarantine();
-        let records: Vec<_> = quarantine.known_parts().map(|p| quarantine.record(p)).collect();
+        let records: Vec<_> = quarantine.known_suspects().map(|p| quarantine.record(p)).collect();
         let limits = self.nodes[host].coordinator.limits().iter().map(|limit| LimitReport {
             key: limit.key.clone(),
             per_s: Some(limit.per_s),
@@ -151,7 +151,7 @@
         let (mut replies, mut actions) = (Vec::new(), Vec::new());
         let leader = &mut self.nodes[self.leader];
         leader.coordinator.host_joined(now, id.clone());
-        leader.coordinator.learn_parts(now, records, RecordSource::Client, &mut replies);
+        leader.coordinator.learn_suspects(now, records, RecordSource::Client, &mut replies);
         for limit in &limits {
             leader.coordinator.apply_limit(now, limit);
         }
@@ -165,41 +165,41 @@
     }
 
     /// Shares what each coordinator suspects through the store.
-    fn share_suspects(&mut self) {
+    fn share_through_store(&mut self) {
         for by in self.cut.iter().copied().chain([self.leader]).collect::<Vec<_>>() {
             let quarantine = self.nodes[by].coordinator.quarantine();
             let suspected = self.suspects.values().filter(|stored| !stored.breaks.is_empty());
-            let sound = suspected.filter(|stored| quarantine.is_sound(stored.part));
-            let sound = sound.map(|stored| PartRecord {
+            let sound = suspected.filter(|stored| quarantine.is_sound(stored.suspect));
+            let sound = sound.map(|stored| SuspectRecord {
                 breaks: Vec::new(),
                 proven: true,
                 ..stored.clone()
             });
-            let is_news = |record: &PartRecord| {
-                let stored = self.suspects.get(&record.part);
+            let is_news = |record: &SuspectRecord| {
+                let stored = self.suspects.get(&record.suspect);
                 let (breaks, proven) = stored.map_or((0, false), |s| (s.breaks.len(), s.proven));
                 !record.quarantined && (record.breaks.len() > breaks || (record.proven && !proven))
             };
-            let known = quarantine.known_parts().map(|part| quarantine.record(part));
+            let known = quarantine.known_suspects().map(|part| quarantine.record(part));
             let news = known.filter(is_news);
             let records: Vec<_> = sound.chain(news).collect();
             for record in &records {
-                self.suspects.insert(record.part, record.clone());
+                self.suspects.insert(record.suspect, record.clone());
             }
             for host in 0..HOSTS {
                 let (coordinator, mut replies) = (&mut self.nodes[host].coordinator, Vec::new());
                 let (now, source) = (at(self.now_ms), RecordSource::Store);
-                coordinator.learn_parts(now, records.clone(), source, &mut replies);
+                coordinator.learn_suspects(now, records.clone(), source, &mut replies);
                 self.execute(host, Vec::new(), replies);
             }
         }
     }
 
-    pub(super) fn share_parts(&mut self) {
+    pub(super) fn share_suspects(&mut self) {
         // All hosts read the store, those that are cut off from the others too, and write
         // now and then.
         if self.faults == Faults::Cuts && self.now_ms.is_multiple_of(2 * SHARE_INTERVAL_MS) {
-            self.share_suspects();
+            self.share_through_store();
         }
         let quarantines = self.nodes.iter().flat_map(|node| {
             node.coordinator.quarantine().quarantined().map(|(part, runs)| (part, runs.to_vec()))
@@ -211,7 +211,7 @@
                 self.execute(host, Vec::new(), replies);
             }
         }
-        let updates = self.nodes[self.leader].coordinator.take_part_updates();
+        let updates = self.nodes[self.leader].coordinator.take_suspect_updates();
         for host in (0..HOSTS)
             .filter(|host| *host != self.leader && !self.cut.contains(host))
             .collect::<Vec<_>>()
@@ -219,8 +219,8 @@
             let mut replies = Vec::new();
             let coordinator = &mut self.nodes[host].coordinator;
             let source = RecordSource::Coordinator;
-            coordinator.learn_parts(at(self.now_ms), updates.clone(), source, &mut replies);
-            coordinator.take_part_updates();
+            coordinator.learn_suspects(at(self.now_ms), updates.clone(), source, &mut replies);
+            coordinator.take_suspect_updates();
             self.execute(host, Vec::new(), replies);
         }
     }
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -11,7 +11,7 @@
 use comfreyway_core::{
     fleet::{
         ClientAction, Coordinator, CoordinatorClient, HostSessions, Member, PlacementReply,
-        PromptPart, RunnerDirectory, ShareBasis,
+        RunnerDirectory, ShareBasis, Suspect,
     },
     ids::{HostId, HostName, RequestId},
     outcome::RetryReason,
@@ -144,8 +144,8 @@
     version_record: VersionRecord,
     /// When this host last wrote that record.
     version_record_written: Option<MonoTime>,
-    /// The store's items of prompt parts.
-    quarantine_items: BTreeMap<PromptPart, QuarantineItem>,
+    /// The store's items of suspects.
+    quarantine_items: BTreeMap<Suspect, QuarantineItem>,
     /// When this host last wrote one of them.
     quarantine_written: Option<MonoTime>,
     logged_share: ShareBasis,
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -45,7 +45,7 @@
         let (mut actions, mut replies) = (Vec::new(), Vec::new());
         // Before the open requests, some of which may go on with these streams.
         self.report_streams(&host);
-        self.report_parts(&host);
+        self.report_suspects(&host);
         self.report_limits(&host);
         self.coordinator_client.set_coordinator(now, Some(host), &mut actions);
         self.execute(actions, Vec::new());
@@ -161,12 +161,12 @@
                     self.set_limits(limits);
                 }
             }
-            SessionEvent::FromHost(_, _, ToCoordinator::Parts(records)) => {
-                self.learn_parts(records, RecordSource::Client);
+            SessionEvent::FromHost(_, _, ToCoordinator::Suspects(records)) => {
+                self.learn_suspects(records, RecordSource::Client);
             }
-            SessionEvent::FromCoordinator(host, ToHost::Parts(records)) => {
+            SessionEvent::FromCoordinator(host, ToHost::Suspects(records)) => {
                 if self.coordinator_session.as_ref().is_some_and(|session| session.host == host) {
-                    self.learn_parts(records, RecordSource::Coordinator);
+                    self.learn_suspects(records, RecordSource::Coordinator);
                 }
             }
             SessionEvent::FromHost(host, _, ToCoordinator::Hello(..)) => {
@@ -262,7 +262,7 @@
             self.send_to_client(host, &ToHost::NotCoordinator);
         } else {
             self.coordinator.host_joined(self.now(), host.clone());
-            self.send_known_parts(host);
+            self.send_known_suspects(host);
             self.send_known_limits(host);
         }
     }
--- a/crates/node/src/fleet/control/quarantine.rs
+++ b/crates/node/src/fleet/control/quarantine.rs
@@ -1,18 +1,18 @@
-//! Prompt parts that crash runners, shared with other hosts and kept in the store.
+//! Suspects that crash runners, shared with other hosts and kept in the store.
 //!
 //! The coordinator tells its client hosts what changes, and a host tells each next
 //! coordinator all that it knows. What is quarantined stands in the store, an item for
-//! each part, so that it outlasts all hosts. Only operators lift a quarantine: they write
+//! each suspect, so that it outlasts all hosts. Only operators lift a quarantine: they write
 //! `{"allowed":true}` to the item. A deletion doesn't, since a store that comes back from
 //! an older copy has lost items too.
 //!
 //! While hosts serve that don't use the same coordinator, each group of them would find a
-//! part by itself. They share their suspicions through the store then.
+//! suspect by itself. They share their suspicions through the store then.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use comfreyway_core::{
-    fleet::{PartRecord, PromptPart, RecordSource, RunnerKey},
+    fleet::{RecordSource, RunnerKey, Suspect, SuspectRecord},
     ids::{HostId, RequestId},
     request::DispatchEnd,
 };
@@ -21,7 +21,7 @@
 
 use crate::{
     events::{Event, List, log_event},
-    fleet::wire::{PROTOCOL_PARTS, ToCoordinator, ToHost},
+    fleet::wire::{PROTOCOL_SUSPECTS, ToCoordinator, ToHost},
 };
 
 use super::FleetControl;
@@ -29,14 +29,14 @@
 /// Minimum time between two writes to the store.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Maximum number of parts in one message.
-const MAX_PARTS_PER_MESSAGE: usize = 2_000;
+/// Maximum number of suspects in one message.
+const MAX_SUSPECTS_PER_MESSAGE: usize = 2_000;
 
-/// The store's item of one part.
+/// The store's item of one suspect.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 pub(super) struct QuarantineItem {
-    /// True if operators allowed the part again.
+    /// True if operators allowed the suspect again.
     allowed: bool,
     /// Runs that ended under it, if it is quarantined.
     runs: Vec<RunnerKey>,
@@ -48,13 +48,13 @@
 }
 
 impl FleetControl {
-    /// Applies the store's item of a part.
+    /// Applies the store's item of a suspect.
     pub(super) fn apply_quarantine_item(&mut self, item: &Versioned) {
         let read = serde_json::from_slice::<QuarantineItem>(&item.value);
-        let (part, read) = match (self.part_of(&item.key), read) {
-            (Some(part), Ok(read)) => (part, read),
+        let (suspect, read) = match (self.suspect_of(&item.key), read) {
+            (Some(suspect), Ok(read)) => (suspect, read),
             (None, _) => {
-                let cause = "its key names no prompt part";
+                let cause = "its key names no suspect";
                 log_event!(Event::EntryUnreadable, key = item.key.as_str(), cause = cause);
                 return;
             }
@@ -63,35 +63,35 @@
                 return;
             }
         };
-        self.quarantine_items.insert(part, read.clone());
+        self.quarantine_items.insert(suspect, read.clone());
         let (now, mut replies) = (self.now(), Vec::new());
         if read.allowed {
-            log_event!(Event::PromptPartAllowed, part:% = part);
-            self.coordinator.allow_part(now, part, &mut replies);
+            log_event!(Event::PromptPartAllowed, part:% = suspect);
+            self.coordinator.allow_suspect(now, suspect, &mut replies);
         } else if let Some(breaks) = read.suspected {
-            let record = PartRecord { part, breaks, quarantined: false, proven: read.proven };
-            self.coordinator.learn_parts(now, [record], RecordSource::Store, &mut replies);
+            let record = SuspectRecord { suspect, breaks, quarantined: false, proven: read.proven };
+            self.coordinator.learn_suspects(now, [record], RecordSource::Store, &mut replies);
         } else {
-            self.coordinator.set_quarantined(now, part, read.runs, &mut replies);
+            self.coordinator.set_quarantined(now, suspect, read.runs, &mut replies);
         }
         self.execute(Vec::new(), replies);
     }
 
-    /// Forgets the store's item of a part; that lifts no quarantine.
+    /// Forgets the store's item of a suspect; that lifts no quarantine.
     pub(super) fn forget_quarantine_item(&mut self, key: &str) {
-        if let Some(part) = self.part_of(key) {
-            self.quarantine_items.remove(&part);
+        if let Some(suspect) = self.suspect_of(key) {
+            self.quarantine_items.remove(&suspect);
         }
     }
 
-    /// Adds what another host knows of prompt parts.
-    pub(super) fn learn_parts(&mut self, records: Vec<PartRecord>, source: RecordSource) {
+    /// Adds what another host knows of suspects.
+    pub(super) fn learn_suspects(&mut self, records: Vec<SuspectRecord>, source: RecordSource) {
         let (now, mut replies) = (self.now(), Vec::new());
-        self.coordinator.learn_parts(now, records, source, &mut replies);
+        self.coordinator.learn_suspects(now, records, source, &mut replies);
         self.execute(Vec::new(), replies);
     }
 
-    /// Remembers the parts of an own request with a complete response, for the time when
+    /// Remembers the suspects of an own request with a complete response, for the time when
     /// this host loses its coordinator.
     pub(super) fn record_own_response(&mut self, id: RequestId, end: &DispatchEnd) {
         let is_complete = matches!(end, DispatchEnd::Complete(usage) if !usage.until_close);
@@ -99,42 +99,42 @@
             return;
         }
         let (now, mut replies) = (self.now(), Vec::new());
-        let parts = self.coordinator_client.parts(id);
-        self.coordinator.record_own_response(now, parts, &mut replies);
+        let suspects = self.coordinator_client.suspects(id);
+        self.coordinator.record_own_response(now, &suspects, &mut replies);
         self.execute(Vec::new(), replies);
     }
 
-    /// Sends the next coordinator all that this host knows of prompt parts.
-    pub(super) fn report_parts(&mut self, host: &HostId) {
+    /// Sends the next coordinator all that this host knows of suspects.
+    pub(super) fn report_suspects(&mut self, host: &HostId) {
         let session = self.coordinator_session.as_ref().filter(|session| session.host == *host);
-        if session.is_none_or(|session| session.protocol < PROTOCOL_PARTS) {
+        if session.is_none_or(|session| session.protocol < PROTOCOL_SUSPECTS) {
             return;
         }
-        for records in self.known_parts().chunks(MAX_PARTS_PER_MESSAGE) {
-            self.send_to_coordinator(host, ToCoordinator::Parts(records.to_vec()));
+        for records in self.known_suspects().chunks(MAX_SUSPECTS_PER_MESSAGE) {
+            self.send_to_coordinator(host, ToCoordinator::Suspects(records.to_vec()));
         }
     }
 
-    /// Sends a client host all that this coordinator knows of prompt parts.
-    pub(super) fn send_known_parts(&mut self, host: &HostId) {
-        let records = self.known_parts();
-        self.send_parts(host, &records);
+    /// Sends a client host all that this coordinator knows of suspects.
+    pub(super) fn send_known_suspects(&mut self, host: &HostId) {
+        let records = self.known_suspects();
+        self.send_suspects(host, &records);
     }
 
-    /// Logs and shares what has changed of prompt parts.
-    pub(super) fn share_parts(&mut self) {
+    /// Logs and shares what has changed of suspects.
+    pub(super) fn share_suspects(&mut self) {
         let (now, mut replies) = (self.now(), Vec::new());
-        self.coordinator.check_parts(now, &mut replies);
+        self.coordinator.check_suspects(now, &mut replies);
         self.execute(Vec::new(), replies);
-        let updates = self.coordinator.take_part_updates();
+        let updates = self.coordinator.take_suspect_updates();
         let is_client = self.coordinator_client.coordinator().is_some();
-        for PartRecord { part, breaks, quarantined, .. } in &updates {
+        for SuspectRecord { suspect, breaks, quarantined, .. } in &updates {
             let runs: Vec<_> = breaks.iter().map(|(key, _)| &key.name).collect();
             if *quarantined {
                 self.metrics.part_quarantined();
-                log_event!(Event::PromptPartQuarantined, part:% = part, runners:% = List(&runs));
+                log_event!(Event::PromptPartQuarantined, part:% = suspect, runners:% = List(&runs));
             } else if !runs.is_empty() && !is_client {
-                log_event!(Event::PromptPartSuspected, part:% = part, runners:% = List(&runs));
+                log_event!(Event::PromptPartSuspected, part:% = suspect, runners:% = List(&runs));
             }
         }
         if updates.is_empty() || is_client {
@@ -142,11 +142,11 @@
         }
         let hosts: Vec<_> = self.clients.iter().map(|(host, _)| host.clone()).collect();
         for host in hosts {
-            self.send_parts(&host, &updates);
+            self.send_suspects(&host, &updates);
         }
     }
 
-    /// Writes the state of a part that the store does not have.
+    /// Writes the state of a suspect that the store does not have.
     pub(super) fn store_quarantine(&mut self) {
         let now = self.now();
         if self.coordinator_client.coordinator().is_some()
@@ -155,12 +155,12 @@
         {
             return;
         }
-        let Some((part, item)) = self.unstored_part() else { return };
-        let key = format!("{}{part}", self.format.keys.quarantine);
+        let Some((suspect, item)) = self.unstored_suspect() else { return };
+        let key = format!("{}{suspect}", self.format.keys.quarantine);
         let value = match serde_json::to_vec(&item) {
             Ok(value) => value,
             Err(e) => {
-                log::error!("can't encode the state of prompt part {part}: {e}");
+                log::error!("can't encode the state of suspect {suspect}: {e}");
                 return;
             }
         };
@@ -173,58 +173,57 @@
         });
     }
 
-    /// Returns a part whose state the store does not have, with its item.
-    fn unstored_part(&self) -> Option<(PromptPart, QuarantineItem)> {
+    /// Returns a suspect whose state the store does not have, with its item.
+    fn unstored_suspect(&self) -> Option<(Suspect, QuarantineItem)> {
         let quarantine = self.coordinator.quarantine();
-        let is_stored = |part: PromptPart| {
-            let item = self.quarantine_items.get(&part);
+        let is_stored = |suspect: Suspect| {
+            let item = self.quarantine_items.get(&suspect);
             item.is_some_and(|item| !item.allowed && item.suspected.is_none())
         };
-        let mut unstored = quarantine.quarantined().filter(|(part, _)| !is_stored(*part));
-        if let Some((part, runs)) = unstored.next() {
-            return Some((part, QuarantineItem { runs: runs.to_vec(), ..Default::default() }));
+        let mut unstored = quarantine.quarantined().filter(|(suspect, _)| !is_stored(*suspect));
+        if let Some((suspect, runs)) = unstored.next() {
+            return Some((suspect, QuarantineItem { runs: runs.to_vec(), ..Default::default() }));
         }
-        let stored = self.quarantine_items.iter().filter_map(|(part, item)| {
+        let stored = self.quarantine_items.iter().filter_map(|(suspect, item)| {
             let breaks = item.suspected.as_ref()?.len();
-            Some((*part, (breaks, item.proven)))
+            Some((*suspect, (breaks, item.proven)))
         });
         let stored: BTreeMap<_, _> = stored.collect();
         let mut suspected = stored.iter().filter(|(_, (breaks, _))| *breaks > 0);
-        if let Some((part, _)) = suspected.find(|(part, _)| quarantine.is_sound(**part)) {
+        if let Some((suspect, _)) = suspected.find(|(suspect, _)| quarantine.is_sound(**suspect)) {
             let suspected = Some(Vec::new());
             let item = QuarantineItem { suspected, proven: true, ..Default::default() };
-            return Some((*part, item));
+            return Some((*suspect, item));
         }
         let basis = self.coordinator.share_basis();
         if basis.clients >= basis.known {
             return None;
         }
-        let is_news = |record: &PartRecord| {
-            let (breaks, proven) = stored.get(&record.part).copied().unwrap_or_default();
+        let is_news = |record: &SuspectRecord| {
+            let (breaks, proven) = stored.get(&record.suspect).copied().unwrap_or_default();
             !record.quarantined && (record.breaks.len() > breaks || (record.proven && !proven))
         };
-        let mut records = quarantine.known_parts().map(|part| quarantine.record(part));
+        let mut records = quarantine.known_suspects().map(|suspect| quarantine.record(suspect));
         let news = records.find(is_news)?;
         let (suspected, proven) = (Some(news.breaks), news.proven);
-        Some((news.part, QuarantineItem { suspected, proven, ..Default::default() }))
+        Some((news.suspect, QuarantineItem { suspected, proven, ..Default::default() }))
     }
 
-    fn part_of(&self, key: &str) -> Option<PromptPart> {
-        let id = key.strip_prefix(self.format.keys.quarantine)?;
-        u64::from_str_radix(id, 16).ok().map(PromptPart)
+    fn suspect_of(&self, key: &str) -> Option<Suspect> {
+        key.strip_prefix(self.format.keys.quarantine)?.parse().ok()
     }
 
-    fn known_parts(&self) -> Vec<PartRecord> {
+    fn known_suspects(&self) -> Vec<SuspectRecord> {
         let quarantine = self.coordinator.quarantine();
-        quarantine.known_parts().map(|part| quarantine.record(part)).collect()
+        quarantine.known_suspects().map(|suspect| quarantine.record(suspect)).collect()
     }
 
-    fn send_parts(&mut self, host: &HostId, records: &[PartRecord]) {
-        if self.clients.get(host).is_none_or(|client| client.protocol < PROTOCOL_PARTS) {
+    fn send_suspects(&mut self, host: &HostId, records: &[SuspectRecord]) {
+        if self.clients.get(host).is_none_or(|client| client.protocol < PROTOCOL_SUSPECTS) {
             return;
         }
-        for records in records.chunks(MAX_PARTS_PER_MESSAGE) {
-            self.send_to_client(host, &ToHost::Parts(records.to_vec()));
+        for records in records.chunks(MAX_SUSPECTS_PER_MESSAGE) {
+            self.send_to_client(host, &ToHost::Suspects(records.to_vec()));
         }
     }
 }
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -288,7 +288,7 @@
         self.choose_coordinator();
         self.update_absent_hosts(now);
         self.copy_streams();
-        self.share_parts();
+        self.share_suspects();
         self.store_quarantine();
         self.expire_limits();
         self.update_version_record();
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use comfreyway_core::{
     fleet::{
-        LimitReport, PartRecord, PlacementReply, RequestUpdate, RunnerEntry, RunnerKey,
-        RunnerNotice, StreamRecord,
+        LimitReport, PlacementReply, RequestUpdate, RunnerEntry, RunnerKey, RunnerNotice,
+        StreamRecord, SuspectRecord,
     },
     ids::HostId,
 };
@@ -44,8 +44,8 @@
 /// Protocol from which on a host understands `Streams`.
 pub(super) const PROTOCOL_STREAMS: u8 = 1;
 
-/// Protocol from which on a host understands `Parts`.
-pub(super) const PROTOCOL_PARTS: u8 = 2;
+/// Protocol from which on a host understands `Suspects`.
+pub(super) const PROTOCOL_SUSPECTS: u8 = 2;
 
 /// Protocol from which on a host understands `Limit` and `Limits`.
 pub(super) const PROTOCOL_LIMITS: u8 = 3;
@@ -75,9 +75,9 @@
     /// Versions of the streams that the sender knows.
     #[serde(rename = "v")]
     Streams(Vec<StreamRecord>),
-    /// What the sender knows of prompt parts that crash runners.
+    /// What the sender knows of suspects that may crash runners.
     #[serde(rename = "q")]
-    Parts(Vec<PartRecord>),
+    Suspects(Vec<SuspectRecord>),
     /// What a response to the sender said of its runner's rate limit.
     #[serde(rename = "l")]
     Limit(LimitReport),
@@ -123,9 +123,9 @@
     /// Versions of streams, for a host that keeps copies.
     #[serde(rename = "v")]
     Streams(Vec<StreamRecord>),
-    /// What has changed of prompt parts that crash runners.
+    /// What has changed of suspects that may crash runners.
     #[serde(rename = "q")]
-    Parts(Vec<PartRecord>),
+    Suspects(Vec<SuspectRecord>),
     /// Rate limits of runners that have changed.
     #[serde(rename = "r")]
     Limits(Vec<RunnerLimit>),
--- a/crates/node/src/fleet/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -1,7 +1,7 @@
 //! Hosts of different versions in one fleet.
 
 use comfreyway_core::{
-    fleet::{PromptPart, RunnerKey, RunnerVersion},
+    fleet::{PromptPart, RunnerKey, RunnerVersion, Suspect},
     ids::{RequestId, RunnerName},
     request::Usage,
 };
@@ -68,8 +68,13 @@
 fn prompt_parts_are_sent_with_the_runs_that_ended() {
     let key = RunnerKey { name: RunnerName::new("e1").unwrap(), started_ms: Some(3) };
     let breaks = vec![(key, true)];
-    let record = PartRecord { part: PromptPart(7), breaks, quarantined: true, proven: false };
-    let message = ToHost::Parts(vec![record]);
+    let record = SuspectRecord {
+        suspect: Suspect::Part(PromptPart(7)),
+        breaks,
+        quarantined: true,
+        proven: false,
+    };
+    let message = ToHost::Suspects(vec![record]);
     assert_eq!(recode::<_, ToHost>(&message), message);
 }
 
