Count no refused connection as the end of a runner's run

Callers of a host that is cut off from all runners had their requests broken by a reset and the next connections refused, while the runners lived. That confirmed each break as a crash: five in a row quarantine a prompt part that crashes nothing.

Cause: one host's path was taken for the runner's state. Evidence: the play of one such host, added here, ended with the part quarantined; now its requests wait for the store's word.

Change: only the store shows that a run has ended, by its entry or by another run at its address. As that takes seconds longer, (1) a break is discarded only by a verified view of the store that still lists the run after six seconds, so an outage of the store neither clears nor confirms; (2) a host that becomes the coordinator knows the breaks of the former one with their open ends, all of them; (3) a response that only the end of its connection ended counts as complete once its run responds again, no longer after two seconds, in which no entry is removed. The check of that time is replaced by five: too soon, in time, still listed, not yet verified, ended.

The runners of the drawn plays have addresses of their own now: they shared one, so that each start had confirmed all crashes at once.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -251,7 +251,7 @@
             let entry = change.entry();
             let name = entry.key.name.clone();
             let share = self.basis.slot_share();
-            self.record_ended_runs(now, change);
+            self.record_ended_runs(change);
             let state = self.upstream_state(now, &entry.upstream);
             if let RunnerChange::Removed(_) = change {
                 state.runners.remove(&name);
--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -140,9 +140,6 @@
             }
             _ => None,
         };
-        if reason == RetryReason::ConnectRefused {
-            self.record_refused_connection(now, id);
-        }
         let open = self.open.get(&id);
         let state = open.map(|open| self.quarantine.state_of(&open.suspects));
         if state == Some(SuspectState::Quarantined) {
--- a/crates/core/src/fleet/coordinator/suspects.rs
+++ b/crates/core/src/fleet/coordinator/suspects.rs
@@ -5,7 +5,7 @@
         PlacementReply, Quarantine, RecordSource, RunnerChange, RunnerKey, Suspect, SuspectRecord,
         SuspectRun, SuspectState,
     },
-    ids::{HostId, RequestId},
+    ids::HostId,
     request::DispatchEnd,
     time::MonoTime,
 };
@@ -72,7 +72,7 @@
 
     /// Updates what only time changes of suspects.
     pub fn check_suspects(&mut self, now: MonoTime, out: &mut Vec<(HostId, PlacementReply)>) {
-        self.quarantine.tick(now);
+        self.quarantine.tick(self.verified_at);
         self.update_trials(now, out);
     }
 
@@ -144,20 +144,9 @@
         }
     }
 
-    /// Records that a runner refused the connection of a request.
-    pub(super) fn record_refused_connection(&mut self, now: MonoTime, id: RequestId) {
-        let Some(open) = self.open.get(&id) else { return };
-        let Some((runner, _)) = &open.dispatch else { return };
-        let state = self.upstreams.get(&open.upstream);
-        let Some(known) = state.and_then(|state| state.runners.get(runner)) else { return };
-        if !known.leaving && self.quarantine.has_unconfirmed() {
-            self.quarantine.run_ended(now, &known.key);
-        }
-    }
-
     /// Records the runs whose end a runner's entry shows: its own, or one that had its
     /// address.
-    pub(super) fn record_ended_runs(&mut self, now: MonoTime, change: &RunnerChange) {
+    pub(super) fn record_ended_runs(&mut self, change: &RunnerChange) {
         if !self.quarantine.has_unconfirmed() {
             return;
         }
@@ -168,7 +157,7 @@
                 let known = state.runners.get(&entry.key.name);
                 match known.is_some_and(|known| known.leaving) {
                     true => self.quarantine.run_left(&entry.key),
-                    false => self.quarantine.run_ended(now, &entry.key),
+                    false => self.quarantine.run_ended(&entry.key),
                 }
             }
             RunnerChange::Leaving(_) => self.quarantine.run_left(&entry.key),
@@ -177,7 +166,7 @@
                     known.address == entry.address && known.key != entry.key && !known.leaving
                 });
                 for key in replaced.map(|known| known.key.clone()).collect::<Vec<_>>() {
-                    self.quarantine.run_ended(now, &key);
+                    self.quarantine.run_ended(&key);
                 }
             }
         }
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -10,8 +10,9 @@
 //!   as another one of the request has none.
 //! - A complete response clears its suspects.
 //! - From two breaks on, requests with the suspect are tried one at a time.
-//! - A break becomes a crash once its run is known to have ended, and none if the run
-//!   goes on responding. Five crashes quarantine a suspect, or seven if it had complete
+//! - A break becomes a crash once the store shows that its run has ended, and none if the
+//!   run goes on responding. A refused connection shows nothing: it may be the host that is
+//!   cut off. Five crashes quarantine a suspect, or seven if it had complete
 //!   responses before. Those don't count that another request of the run explains better.
 
 mod evidence;
@@ -43,10 +44,6 @@
 /// removed from the store after three missed heartbeats.
 const CONFIRM_TIME: Duration = Duration::from_secs(6);
 
-/// Time after which a response that only the end of its connection ended counts as
-/// complete, if its run has not ended.
-const UNFRAMED_TIME: Duration = Duration::from_secs(2);
-
 /// Maximum time between the ends of all connections of a run that crashed.
 const CRASH_SPREAD: Duration = Duration::from_millis(100);
 
@@ -101,7 +98,7 @@
 ///         (MonoTime::from_millis(second * 1_000 + 1), MonoTime::from_millis(second * 1_000 + 90));
 ///     let run = SuspectRun { runner: runner.clone(), suspects: vec![suspect], granted_at, ended_at };
 ///     quarantine.broke(&run);
-///     quarantine.run_ended(ended_at, &runner);
+///     quarantine.run_ended(&runner);
 /// }
 /// assert_eq!(quarantine.state(suspect), SuspectState::Quarantined);
 /// ```
@@ -192,22 +189,28 @@
     }
 
     /// Records that a run has ended without having left as planned.
-    pub fn run_ended(&mut self, now: MonoTime, runner: &RunnerKey) {
+    pub fn run_ended(&mut self, runner: &RunnerKey) {
         let same = |other: &mut SuspectRun| other.runner == *runner;
         for unframed in self.unframed.extract_if(.., same).collect::<Vec<_>>() {
             self.count_break(&unframed);
         }
         self.unconfirmed.remove(runner);
         for (suspect, evidence) in &mut self.evidence {
-            if evidence.confirm(now, runner) {
+            if evidence.confirm(runner) {
                 self.changed.insert(*suspect);
             }
         }
         self.quarantine_suspects();
     }
 
-    /// Records that a run has responded: what broke there before was no crash.
+    /// Records that a run has responded: what broke there before was no crash, and what
+    /// only the end of its connection ended is complete.
     pub fn run_responded(&mut self, now: MonoTime, runner: &RunnerKey) {
+        let is_complete =
+            |run: &mut SuspectRun| run.runner == *runner && now.since(run.ended_at) > REPORT_TIME;
+        for run in self.unframed.extract_if(.., is_complete).collect::<Vec<_>>() {
+            self.completed(&run.suspects);
+        }
         let broke_at = self.unconfirmed.get(runner);
         if broke_at.is_some_and(|at| now.since(*at) > REPORT_TIME) {
             self.discard_breaks(runner);
@@ -227,16 +230,18 @@
     }
 
     /// Discards breaks whose runs have not ended, and counts unframed responses as
-    /// complete whose runs have not ended.
-    pub fn tick(&mut self, now: MonoTime) {
-        let is_due = |run: &mut SuspectRun| now.since(run.ended_at) >= UNFRAMED_TIME;
+    /// complete whose runs have not ended. The view of the store was the newest at
+    /// `verified_at`.
+    pub fn tick(&mut self, verified_at: MonoTime) {
+        let may_end = |at: MonoTime| verified_at.since(at) < CONFIRM_TIME;
+        let is_due = |run: &mut SuspectRun| !may_end(run.ended_at);
         for run in self.unframed.extract_if(.., is_due).collect::<Vec<_>>() {
             self.completed(&run.suspects);
         }
         let before = self.unconfirmed.len();
-        self.unconfirmed.retain(|_, at| now.since(*at) < CONFIRM_TIME);
+        self.unconfirmed.retain(|_, at| may_end(*at));
         if self.unconfirmed.len() < before {
-            self.retain_breaks(|broken| broken.confirmed || now.since(broken.at) < CONFIRM_TIME);
+            self.retain_breaks(|broken| broken.confirmed || may_end(broken.at));
         }
     }
 
--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -7,13 +7,10 @@
     time::MonoTime,
 };
 
-use super::{
-    CONFIRM_TIME, MAX_SUSPECTS, PROVEN_QUARANTINE_CRASHES, QUARANTINE_CRASHES, Quarantine,
-    SuspectRun,
-};
+use super::{MAX_SUSPECTS, PROVEN_QUARANTINE_CRASHES, QUARANTINE_CRASHES, Quarantine, SuspectRun};
 
 /// Maximum number of runs that are remembered of one suspect.
-const MAX_RUNS: usize = 16;
+pub(super) const MAX_RUNS: usize = 16;
 
 /// A run at which a response broke.
 #[derive(Clone, Debug)]
@@ -44,12 +41,11 @@
 }
 
 impl Evidence {
-    /// Sets the breaks that another host knows of. They don't quarantine the suspect without
-    /// one that is seen here.
-    pub(super) fn set_breaks(&mut self, now: MonoTime, breaks: &[(RunnerKey, bool)]) {
+    /// Sets up to `max` of the breaks that another host knows of.
+    pub(super) fn set_breaks(&mut self, now: MonoTime, breaks: &[(RunnerKey, bool)], max: usize) {
         self.breaks = breaks
             .iter()
-            .take(QUARANTINE_CRASHES - 1)
+            .take(max)
             .map(|(runner, confirmed)| Break {
                 runner: runner.clone(),
                 at: now,
@@ -78,11 +74,9 @@
         true
     }
 
-    /// Marks a recent break as a crash.
-    pub(super) fn confirm(&mut self, now: MonoTime, runner: &RunnerKey) -> bool {
-        let is_recent = |broken: &&mut Break| now.since(broken.at) <= CONFIRM_TIME;
-        let mut breaks = self.breaks.iter_mut().filter(|broken| broken.runner == *runner);
-        let broken = breaks.next().filter(is_recent);
+    /// Marks a break as a crash.
+    pub(super) fn confirm(&mut self, runner: &RunnerKey) -> bool {
+        let broken = self.breaks.iter_mut().find(|broken| broken.runner == *runner);
         broken.is_some_and(|broken| !std::mem::replace(&mut broken.confirmed, true))
     }
 
--- a/crates/core/src/fleet/quarantine/records.rs
+++ b/crates/core/src/fleet/quarantine/records.rs
@@ -7,7 +7,10 @@
     time::MonoTime,
 };
 
-use super::{MAX_SUSPECTS, Quarantine, SuspectState, evidence::Break};
+use super::{
+    MAX_SUSPECTS, QUARANTINE_CRASHES, Quarantine, SuspectState,
+    evidence::{Break, MAX_RUNS},
+};
 
 /// What a host knows of one suspect, for other hosts.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -66,7 +69,14 @@
         }
         self.evidence.remove(&suspect);
         if !record.breaks.is_empty() {
-            self.evidence_of(suspect, 0).set_breaks(now, &record.breaks);
+            let max = match source {
+                RecordSource::Store => QUARANTINE_CRASHES - 1,
+                RecordSource::Client | RecordSource::Coordinator => MAX_RUNS,
+            };
+            self.evidence_of(suspect, 0).set_breaks(now, &record.breaks, max);
+        }
+        for (runner, _) in record.breaks.iter().filter(|(_, confirmed)| !confirmed) {
+            self.unconfirmed.entry(runner.clone()).or_insert(now);
         }
         self.changed.insert(suspect);
     }
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod coordinator;
+mod crash_evidence;
 mod directory;
 mod floors;
 mod hosts;
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -82,7 +82,7 @@
 fn crash(quarantine: &mut Quarantine, number: u64) {
     let run = run(number, 1_000 * number);
     quarantine.broke(&run);
-    quarantine.run_ended(run.ended_at, &run.runner);
+    quarantine.run_ended(&run.runner);
 }
 
 fn crashed(times: u64) -> Quarantine {
@@ -114,7 +114,7 @@
     let mut quarantine = Quarantine::default();
     for number in 1..=5 {
         quarantine.broke(&run(number, 1_000));
-        quarantine.run_ended(at(1_100), &run(number, 0).runner);
+        quarantine.run_ended(&run(number, 0).runner);
     }
     assert_eq!(quarantine.state(PART), SuspectState::Free);
 }
@@ -129,22 +129,36 @@
 }
 
 #[rstest]
-#[case::run_goes_on(false, SuspectState::Free)]
-#[case::run_has_ended(true, SuspectState::Quarantined)]
+#[case::run_responds(|q: &mut Quarantine, run: &RunnerKey| q.run_responded(at(5_500), run), SuspectState::Free)]
+#[case::run_responds_too_soon(
+    |q: &mut Quarantine, run: &RunnerKey| q.run_responded(at(5_300), run),
+    SuspectState::Trial
+)]
+#[case::run_is_still_listed(|q: &mut Quarantine, _: &RunnerKey| q.tick(at(11_100)), SuspectState::Free)]
+#[case::run_may_have_ended(|q: &mut Quarantine, _: &RunnerKey| q.tick(at(11_000)), SuspectState::Trial)]
+#[case::run_has_ended(|q: &mut Quarantine, run: &RunnerKey| q.run_ended(run), SuspectState::Quarantined)]
 fn a_response_without_an_end_counts_by_what_becomes_of_its_run(
-    #[case] ended: bool,
+    #[case] then: fn(&mut Quarantine, &RunnerKey),
     #[case] expected: SuspectState,
 ) {
     let mut quarantine = crashed(4);
     let last = run(5, 5_000);
     quarantine.completed_unframed(last.clone());
-    if ended {
-        quarantine.run_ended(at(5_500), &last.runner);
-    }
-    quarantine.tick(at(8_000));
+    then(&mut quarantine, &last.runner);
     assert_eq!(quarantine.state(PART), expected);
 }
 
+#[test]
+fn breaks_count_until_a_later_view_of_the_store_still_lists_their_runs() {
+    let mut quarantine = Quarantine::default();
+    (1..=5).for_each(|number| quarantine.broke(&run(number, 1_000 * number)));
+    // The store can't be read for a minute.
+    quarantine.tick(at(5_000));
+    assert_eq!(quarantine.state(PART), SuspectState::Stopped);
+    (1..=5).for_each(|number| quarantine.run_ended(&run(number, 0).runner));
+    assert_eq!(quarantine.state(PART), SuspectState::Quarantined);
+}
+
 #[test]
 fn an_allowed_part_is_quarantined_again_only_by_new_crashes() {
     let mut quarantine = crashed(5);
--- a/crates/core/tests/fleet/runner_fleet.rs
+++ b/crates/core/tests/fleet/runner_fleet.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -25,6 +26,7 @@
 const HOSTS: usize = 6;
 const RUNNERS: usize = 12;
 const SLOTS: u32 = 5;
+const FIRST_PORT: u16 = 8_000;
 /// Time from a crash to the removal of the store's entry, and to the next start.
 const REMOVAL_MS: u64 = 3_000;
 const RESTART_MS: u64 = 3_400;
@@ -125,6 +127,8 @@
     part_crashes: BTreeMap<PromptPart, Vec<u64>>,
     part_arrivals: BTreeMap<PromptPart, Vec<u64>>,
     numbers: u64,
+    /// Number of runners that were started.
+    started: u16,
     pub(crate) counts: Counts,
 }
 
@@ -156,6 +160,7 @@
             part_crashes: BTreeMap::new(),
             part_arrivals: BTreeMap::new(),
             numbers: 0,
+            started: 0,
             counts: Counts::default(),
         };
         (0..RUNNERS).for_each(|_| fleet.start_runner());
@@ -177,7 +182,9 @@
         }
         for host in 0..HOSTS {
             let mut replies = Vec::new();
-            self.nodes[host].coordinator.tick(at(self.now_ms), &mut replies);
+            let (now, coordinator) = (at(self.now_ms), &mut self.nodes[host].coordinator);
+            coordinator.set_verified(now, now, &mut replies);
+            coordinator.tick(now, &mut replies);
             self.execute(host, Vec::new(), replies);
         }
         if self.now_ms.is_multiple_of(SHARE_INTERVAL_MS) {
@@ -213,7 +220,10 @@
 
     fn start_runner(&mut self) {
         self.numbers += 1;
-        let entry = RunnerEntry { slots: SLOTS, ..entry(&format!("r{}", self.numbers), 1, false) };
+        let address = SocketAddr::from(([10, 0, 0, 1], FIRST_PORT + self.started));
+        self.started += 1;
+        let name = format!("r{}", self.numbers);
+        let entry = RunnerEntry { slots: SLOTS, address, ..entry(&name, 1, false) };
         self.runner_changed(RunnerChange::Usable(entry.clone()));
         let runner = Runner {
             entry,
