--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -132,6 +132,10 @@
             let text = "its prompt has a part under which runners crashed one after the other";
             (text.to_owned(), failed_dispatches(timeline))
         }
+        "request-quarantined" => {
+            let text = "runners crashed one after the other as they ran this request";
+            (text.to_owned(), failed_dispatches(timeline))
+        }
         other => (format!("the host refused it: {other}"), Vec::new()),
     };
     Cause { outcome, text, evidence }
--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -29,6 +29,8 @@
 /// Number of hosts that start at once.
 const STARTING_HOSTS: usize = 380;
 const SLOTS: u32 = 4;
+/// Number of requests that differ.
+const DIGESTS: u64 = 10_000;
 const BODY_BYTES: [usize; 3] = [500, 16 << 10, 100 << 10];
 const PROMPT_TOKENS: u32 = 3_000;
 /// Time between two requests.
@@ -44,6 +46,7 @@
     last_id: u128,
     /// Granted requests, the oldest first.
     in_progress: VecDeque<(HostId, RequestId)>,
+    digests: Vec<RequestDigest>,
 }
 
 impl Fleet {
@@ -55,7 +58,9 @@
         let changes: Vec<_> =
             (0..runners).map(|number| RunnerChange::Usable(entry(number))).collect();
         coordinator.apply_runner_changes(now, &changes, &mut Vec::new());
-        let mut fleet = Self { coordinator, now, last_id: 0, in_progress: VecDeque::new() };
+        let digests = (0..DIGESTS).map(digest).collect();
+        let in_progress = VecDeque::new();
+        let mut fleet = Self { coordinator, now, last_id: 0, in_progress, digests };
         for _ in 0..runners * SLOTS as usize + waiting {
             fleet.arrive();
         }
@@ -86,6 +91,7 @@
             record,
             upstream: "dala".parse().unwrap_or_else(|_| unreachable!()),
             parts: Vec::new(),
+            digest: self.digests.get(self.last_id as usize % DIGESTS as usize).copied(),
             cost: 1.0,
             time_limit: Duration::from_secs(7_200),
             prior_attempts: 0,
@@ -130,6 +136,16 @@
     }
 }
 
+fn digest(number: u64) -> RequestDigest {
+    RequestDigest::new(&RequestContent {
+        workspace: None,
+        method: "POST",
+        host: "desk.example",
+        target: "/",
+        body: &number.to_be_bytes(),
+    })
+}
+
 fn entry(number: usize) -> RunnerEntry {
     RunnerEntry {
         key: RunnerKey { name: name(number), started_ms: Some(1) },
--- a/crates/core/src/fleet/client.rs
+++ b/crates/core/src/fleet/client.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Coordinator, PlacementReply, PlacementRequest, RequestUpdate, RunnerVersion, StreamRecord,
-    Suspect, SuspectState, coordinator::QUARANTINE_RETRY_AFTER,
+    Suspect, coordinator::QUARANTINE_RETRY_AFTER,
 };
 
 /// Retry-after time of a request that goes on with a stream and was granted by a
@@ -125,16 +125,21 @@
         })
     }
 
-    /// Returns true if this host's own coordinator knows a request as quarantined.
+    /// Returns why a request is refused if this host's own coordinator knows it as
+    /// quarantined.
     #[must_use]
-    pub fn is_quarantined(&self, id: RequestId, known: &Coordinator) -> bool {
-        known.quarantine().state_of(&self.suspects(id)) == SuspectState::Quarantined
+    pub fn quarantine_refusal(&self, id: RequestId, known: &Coordinator) -> Option<NotRunReason> {
+        known.quarantine().refusal(&self.suspects(id))
     }
 
     /// Refuses a request that was granted and is quarantined.
-    pub fn refuse_quarantined(&mut self, id: RequestId, out: &mut Vec<ClientAction>) {
+    pub fn refuse_quarantined(
+        &mut self,
+        id: RequestId,
+        reason: NotRunReason,
+        out: &mut Vec<ClientAction>,
+    ) {
         self.withdraw(id, out);
-        let reason = NotRunReason::PromptQuarantined;
         out.push(ClientAction::Refuse(id, reason, QUARANTINE_RETRY_AFTER));
     }
 
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -335,7 +335,8 @@
             }
             RequestUpdate::Requeue(id, reason) => self.requeue(now, host, id, reason, out),
             RequestUpdate::FirstToken(id) => {
-                let Some(open) = self.open.get(&id) else { return };
+                let Some(open) = self.open.get_mut(&id) else { return };
+                open.begun_at.get_or_insert(now);
                 if self.quarantine.has_unconfirmed() {
                     let open = open.clone();
                     self.record_response(now, &open);
--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -39,6 +39,8 @@
     pub(super) suspects: Vec<Suspect>,
     /// The runner it was granted, and when; zero if by another coordinator.
     pub(super) dispatch: Option<(RunnerName, MonoTime)>,
+    /// When its first token or byte was reported.
+    pub(super) begun_at: Option<MonoTime>,
     /// True while it waits until another request has tried one of its suspects.
     pub(super) held: bool,
 }
@@ -80,10 +82,13 @@
         if self.open.contains_key(&id) {
             return;
         }
-        let Some(admission) = self.admit_suspects(&suspects) else {
-            let reason = NotRunReason::PromptQuarantined;
-            out.push((host.clone(), PlacementReply::Refuse(id, reason, QUARANTINE_RETRY_AFTER)));
-            return;
+        let admission = match self.admit_suspects(now, &upstream, &suspects) {
+            Ok(admission) => admission,
+            Err(reason) => {
+                let refusal = PlacementReply::Refuse(id, reason, QUARANTINE_RETRY_AFTER);
+                out.push((host.clone(), refusal));
+                return;
+            }
         };
         if prior_attempts > 0 {
             if !self.upstream_state(now, &upstream).budget.take(now, share) {
@@ -157,8 +162,10 @@
             });
             return;
         }
-        self.step(now, &upstream, out, |scheduler, decisions| {
-            scheduler.requeue(now, id, failure, decisions)
+        let is_held = self.hold_for_trial(id);
+        self.step(now, &upstream, out, |scheduler, decisions| match is_held {
+            true => scheduler.requeue_held(now, id, failure, decisions),
+            false => scheduler.requeue(now, id, failure, decisions),
         });
     }
 
@@ -183,6 +190,7 @@
             stream: None,
             suspects: Vec::new(),
             dispatch: None,
+            begun_at: None,
             held: false,
         };
         self.open.insert(record.id, open);
--- a/crates/core/src/fleet/coordinator/suspects.rs
+++ b/crates/core/src/fleet/coordinator/suspects.rs
@@ -124,6 +124,7 @@
             runner: known.key.clone(),
             suspects: open.suspects.clone(),
             granted_at: *granted_at,
+            begun_at: open.begun_at,
             ended_at: now,
         };
         match unframed {
--- a/crates/core/src/fleet/coordinator/trials.rs
+++ b/crates/core/src/fleet/coordinator/trials.rs
@@ -19,21 +19,39 @@
 /// operators lift a quarantine.
 pub(crate) const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
+/// Time after the last break from which on a request is tried even if its upstream has no
+/// other runner.
+const LAST_RUNNER_DELAY: Duration = Duration::from_secs(10);
+
 impl Coordinator {
-    /// Returns how a request with these suspects may start, or `None` if it may not.
-    pub(super) fn admit_suspects(&self, suspects: &[Suspect]) -> Option<Admission> {
-        if self.trials.is_empty() && self.quarantine.state_of(suspects) != SuspectState::Quarantined
-        {
-            return Some(Admission::Start);
+    /// Returns how a request with these suspects may start, or why it may not.
+    pub(super) fn admit_suspects(
+        &self,
+        now: MonoTime,
+        upstream: &UpstreamName,
+        suspects: &[Suspect],
+    ) -> Result<Admission, NotRunReason> {
+        if let Some(reason) = self.quarantine.refusal(suspects) {
+            return Err(reason);
         }
-        match self.quarantine.state_of(suspects) {
-            SuspectState::Quarantined => None,
-            SuspectState::Stopped => Some(Admission::Hold),
-            SuspectState::Free | SuspectState::Trial if self.is_tried(suspects) => {
-                Some(Admission::Hold)
-            }
-            SuspectState::Free | SuspectState::Trial => Some(Admission::Start),
+        if self.trials.is_empty() {
+            return Ok(Admission::Start);
         }
+        let may_start = match self.quarantine.state_of(suspects) {
+            SuspectState::Quarantined | SuspectState::Stopped => false,
+            SuspectState::Free => !self.is_tried(upstream, suspects),
+            SuspectState::Trial => {
+                !self.is_tried(upstream, suspects) && self.may_try(now, upstream, suspects)
+            }
+        };
+        Ok(if may_start { Admission::Start } else { Admission::Hold })
+    }
+
+    /// Returns true if the upstream can spare the runner that a trial may crash.
+    fn may_try(&self, now: MonoTime, upstream: &UpstreamName, suspects: &[Suspect]) -> bool {
+        let state = self.upstreams.get(upstream);
+        state.is_none_or(|state| state.scheduler.can_spare_runner(now))
+            || now.since(self.quarantine.last_break(suspects)) >= LAST_RUNNER_DELAY
     }
 
     /// Adds an open request to the trials of its suspects.
@@ -47,15 +65,27 @@
     }
 
     /// Returns true if a request that is not held has one of these suspects, of those that
-    /// are suspicious.
-    fn is_tried(&self, suspects: &[Suspect]) -> bool {
-        let members = suspects.iter().filter_map(|suspect| self.trials.get(suspect)).flatten();
-        members.into_iter().any(|id| self.open.get(id).is_some_and(|open| !open.held))
+    /// are tried. A whole request is tried alone at its upstream.
+    fn is_tried(&self, upstream: &UpstreamName, suspects: &[Suspect]) -> bool {
+        let is_request = |suspect: &Suspect| matches!(suspect, Suspect::Request(_));
+        let is_started = |id: &RequestId| self.open.get(id).is_some_and(|open| !open.held);
+        let is_here = |id: &RequestId| {
+            self.open.get(id).is_some_and(|open| !open.held && open.upstream == *upstream)
+        };
+        let mut tried = suspects.iter().filter_map(|suspect| self.trials.get_key_value(suspect));
+        tried.any(|(suspect, members)| {
+            let mut others = self.trials.iter().filter(|(other, _)| is_request(other));
+            members.iter().any(is_started)
+                || (is_request(suspect) && others.any(|(_, members)| members.iter().any(is_here)))
+        })
     }
 
     /// Applies changed states of suspects to the open requests, and starts those
     /// that may be tried next.
     pub(super) fn update_trials(&mut self, now: MonoTime, out: &mut Vec<(HostId, PlacementReply)>) {
+        if !self.clients.is_empty() {
+            self.quarantine.decide();
+        }
         let changed = self.quarantine.take_changed();
         for suspect in &changed {
             self.update_trial(now, *suspect, out);
@@ -63,7 +93,7 @@
         self.changed_suspects.extend(changed);
         let open = &self.open;
         self.trials.values_mut().for_each(|members| members.retain(|id| open.contains_key(id)));
-        while let Some(id) = self.next_trial() {
+        while let Some(id) = self.next_trial(now) {
             self.start_trial(now, id, out);
         }
     }
@@ -120,8 +150,9 @@
         id: RequestId,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
-        let Some(open) = self.remove_open(now, id) else { return };
-        let reason = NotRunReason::PromptQuarantined;
+        let suspects = self.open.get(&id).map(|open| &open.suspects[..]);
+        let reason = suspects.and_then(|suspects| self.quarantine.refusal(suspects));
+        let (Some(reason), Some(open)) = (reason, self.remove_open(now, id)) else { return };
         out.push((open.host, PlacementReply::Refuse(id, reason, QUARANTINE_RETRY_AFTER)));
         self.step(now, &open.upstream, out, |scheduler, decisions| {
             scheduler.withdraw(now, id, decisions);
@@ -136,16 +167,24 @@
         }
     }
 
+    /// Holds a request that waits again if one of its suspects is tried. Returns true if so.
+    pub(super) fn hold_for_trial(&mut self, id: RequestId) -> bool {
+        let Some(open) = self.open.get_mut(&id) else { return false };
+        open.held = open.suspects.iter().any(|suspect| self.trials.contains_key(suspect));
+        open.held
+    }
+
     /// Returns the held request that may be tried next.
-    fn next_trial(&self) -> Option<RequestId> {
-        let free = self.trials.iter().filter(|(suspect, _)| {
-            self.quarantine.state(**suspect) == SuspectState::Trial && !self.is_tried(&[**suspect])
-        });
-        let candidates = free.flat_map(|(_, members)| members).filter_map(|id| {
+    fn next_trial(&self, now: MonoTime) -> Option<RequestId> {
+        let tried = self
+            .trials
+            .iter()
+            .filter(|(suspect, _)| self.quarantine.state(**suspect) == SuspectState::Trial);
+        let candidates = tried.flat_map(|(_, members)| members).filter_map(|id| {
             let open = self.open.get(id).filter(|open| open.held)?;
-            let may_start = self.admit_suspects(&open.suspects) == Some(Admission::Start);
+            let admission = self.admit_suspects(now, &open.upstream, &open.suspects);
             let tried = open.suspects.iter().filter(|suspect| self.trials.contains_key(suspect));
-            may_start.then(|| (tried.count(), *id))
+            (admission == Ok(Admission::Start)).then(|| (tried.count(), *id))
         });
         candidates.min().map(|(_, id)| id)
     }
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -13,7 +13,7 @@
     request::{DispatchEnd, RequestRecord},
 };
 
-use super::{PromptPart, RunnerVersion, StreamBinding, Suspect};
+use super::{PromptPart, RequestDigest, RunnerVersion, StreamBinding, Suspect};
 
 /// A request that needs a runner.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -42,13 +42,17 @@
     /// Parts of its prompt that other requests may share.
     #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
     pub parts: Vec<PromptPart>,
+    /// Identity of what it asks for; none from hosts of earlier versions.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub digest: Option<RequestDigest>,
 }
 
 impl PlacementRequest {
     /// Returns what the request may crash its runner with.
     #[must_use]
     pub fn suspects(&self) -> Vec<Suspect> {
-        self.parts.iter().copied().map(Suspect::Part).collect()
+        let parts = self.parts.iter().copied().map(Suspect::Part);
+        parts.chain(self.digest.map(Suspect::Request)).collect()
     }
 }
 
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -1,21 +1,26 @@
 //! Quarantine of what crashes runners.
 //!
-//! Protects against a part of prompts that ends every runner that responds to it,
-//! whatever else the request holds. That a response broke is a fact about a runner and a
-//! request; this is the request's side of it.
+//! Protects against requests that end every runner that responds to them: because of a
+//! part of their prompt, whatever else they hold, or as a whole, whenever their callers
+//! repeat them. That a response broke is a fact about a runner and a request; this is the
+//! request's side of it.
 //!
 //! - A break counts against the suspects of the request, but at most once for requests
 //!   that were in progress at the same time: runners that fail together have a common
-//!   cause. A suspect with a complete response since its last break is left out as long
+//!   cause. A part with a complete response since its last break is left out as long
 //!   as another one of the request has none.
 //! - A complete response clears its suspects.
-//! - From two breaks on, requests with the suspect are tried one at a time.
+//! - From two breaks on, requests with the suspect are tried one at a time, and while
+//!   the upstream has another runner. Requests that are suspects as a whole are tried one
+//!   at a time at each upstream, so that none is near the crash of another one.
 //! - A break becomes a crash once the store shows that its run has ended, and none if the
 //!   run goes on responding. A refused connection shows nothing: it may be the host that is
-//!   cut off. Five crashes quarantine a suspect, or seven if it had complete
-//!   responses before. Those don't count that another request of the run explains better.
+//!   cut off. As many crashes as [`CrashLimits`] allows quarantine a suspect. Those don't
+//!   count that another request of the run explains better.
 
 mod evidence;
+mod limits;
+mod recent;
 mod records;
 
 use std::{
@@ -23,23 +28,17 @@
     time::Duration,
 };
 
-use crate::time::MonoTime;
+use crate::{outcome::NotRunReason, time::MonoTime};
 
 use super::{RunnerKey, Suspect};
 
 pub use self::records::{RecordSource, SuspectRecord};
 
-use self::evidence::Evidence;
+use self::{evidence::Evidence, limits::CrashLimits, recent::RecentSet};
 
 /// Number of breaks from which on requests with a suspect are tried one at a time.
 const TRIAL_BREAKS: usize = 2;
 
-/// Number of crashes that quarantine a suspect.
-const QUARANTINE_CRASHES: usize = 5;
-
-/// Number of crashes that quarantine a suspect with earlier complete responses.
-const PROVEN_QUARANTINE_CRASHES: usize = 7;
-
 /// Time within which a run whose response broke is known to have ended: its entry is
 /// removed from the store after three missed heartbeats.
 const CONFIRM_TIME: Duration = Duration::from_secs(6);
@@ -51,6 +50,10 @@
 /// ended: longer than hosts take to report what happened before.
 const REPORT_TIME: Duration = Duration::from_millis(300);
 
+/// Time from the first token of a response within which the request crashes the run, if
+/// it does.
+const BEGIN_TIME: Duration = Duration::from_secs(1);
+
 /// Maximum number of suspects of each kind that are remembered.
 const MAX_SUSPECTS: usize = 4_096;
 
@@ -76,10 +79,20 @@
     pub suspects: Vec<Suspect>,
     /// When the request was granted.
     pub granted_at: MonoTime,
+    /// When its first token or byte was reported.
+    pub begun_at: Option<MonoTime>,
     /// When its end was reported.
     pub ended_at: MonoTime,
 }
 
+impl SuspectRun {
+    /// Returns true if the response went on for too long to have crashed the run: a
+    /// request does so as it begins.
+    fn outlived_begin(&self) -> bool {
+        self.begun_at.is_some_and(|at| self.ended_at.since(at) >= BEGIN_TIME)
+    }
+}
+
 /// Decides which requests may reach runners.
 ///
 /// # Examples
@@ -96,10 +109,12 @@
 ///     let runner = RunnerKey { name: format!("r{second}").parse().unwrap(), started_ms: None };
 ///     let (granted_at, ended_at) =
 ///         (MonoTime::from_millis(second * 1_000 + 1), MonoTime::from_millis(second * 1_000 + 90));
-///     let run = SuspectRun { runner: runner.clone(), suspects: vec![suspect], granted_at, ended_at };
+///     let (runner, begun_at) = (runner.clone(), None);
+///     let run = SuspectRun { runner, suspects: vec![suspect], granted_at, begun_at, ended_at };
 ///     quarantine.broke(&run);
 ///     quarantine.run_ended(&runner);
 /// }
+/// quarantine.decide();
 /// assert_eq!(quarantine.state(suspect), SuspectState::Quarantined);
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -110,13 +125,17 @@
     /// Suspects that operators allowed again.
     allowed: BTreeSet<Suspect>,
     /// Suspects with a complete response since their last break.
-    sound: BTreeSet<Suspect>,
+    sound: RecentSet<Suspect>,
     /// Suspects that have had a complete response.
-    proven: BTreeSet<Suspect>,
+    proven: RecentSet<Suspect>,
     /// Responses that only the end of their connections ended.
     unframed: Vec<SuspectRun>,
     /// Runs with breaks that may become crashes, and the last of them.
     unconfirmed: BTreeMap<RunnerKey, MonoTime>,
+    /// Runs that broke a moment ago.
+    recent_breaks: Vec<(RunnerKey, MonoTime)>,
+    /// Runs with breaks that have ended.
+    ended: RecentSet<RunnerKey>,
     /// Suspects whose state may have changed since it was last taken.
     changed: BTreeSet<Suspect>,
 }
@@ -129,14 +148,18 @@
             return SuspectState::Quarantined;
         }
         let Some(evidence) = self.evidence.get(&suspect) else { return SuspectState::Free };
-        match evidence.breaks.len() {
-            0..TRIAL_BREAKS => SuspectState::Free,
-            TRIAL_BREAKS..QUARANTINE_CRASHES => SuspectState::Trial,
-            _ if self.unexplained(suspect, evidence).count() < self.max_crashes(suspect) => {
-                SuspectState::Trial
-            }
-            _ => SuspectState::Stopped,
+        let max_crashes = self.max_crashes(suspect);
+        if evidence.breaks.len() >= max_crashes
+            && self.unexplained(suspect, evidence).count() >= max_crashes
+        {
+            return SuspectState::Stopped;
         }
+        // Repeats of a request may crash several runs before the first break is known.
+        let breaks = match suspect {
+            Suspect::Part(_) => evidence.breaks.len(),
+            Suspect::Request(_) => evidence.runs.len(),
+        };
+        if breaks < TRIAL_BREAKS { SuspectState::Free } else { SuspectState::Trial }
     }
 
     /// Returns how a request with these suspects may start.
@@ -147,6 +170,25 @@
         suspects.map(|suspect| self.state(*suspect)).max().unwrap_or(SuspectState::Free)
     }
 
+    /// Returns when a response to a request with one of these suspects broke last, of
+    /// those that count.
+    #[must_use]
+    pub fn last_break(&self, suspects: &[Suspect]) -> MonoTime {
+        let evidence = suspects.iter().filter_map(|suspect| self.evidence.get(suspect));
+        evidence.map(Evidence::last_break).max().unwrap_or(MonoTime::ZERO)
+    }
+
+    /// Returns why a request with these suspects is refused, if one is quarantined.
+    #[must_use]
+    pub fn refusal(&self, suspects: &[Suspect]) -> Option<NotRunReason> {
+        let quarantined = suspects.iter().filter(|suspect| self.quarantined.contains_key(suspect));
+        let reasons = quarantined.map(|suspect| match suspect {
+            Suspect::Part(_) => NotRunReason::PromptQuarantined,
+            Suspect::Request(_) => NotRunReason::RequestQuarantined,
+        });
+        reasons.min()
+    }
+
     /// Records that a response broke.
     pub fn broke(&mut self, run: &SuspectRun) {
         let at = run.ended_at;
@@ -165,12 +207,8 @@
             if self.evidence.remove(suspect).is_some() {
                 self.changed.insert(*suspect);
             }
-            for known in [&mut self.sound, &mut self.proven] {
-                if known.len() >= MAX_SUSPECTS && !known.contains(suspect) {
-                    known.pop_first();
-                }
-                known.insert(*suspect);
-            }
+            self.sound.insert(*suspect);
+            self.proven.insert(*suspect);
         }
     }
 
@@ -194,12 +232,19 @@
         for unframed in self.unframed.extract_if(.., same).collect::<Vec<_>>() {
             self.count_break(&unframed);
         }
-        self.unconfirmed.remove(runner);
+        if self.unconfirmed.remove(runner).is_some() {
+            self.ended.insert(runner.clone());
+        }
         for (suspect, evidence) in &mut self.evidence {
             if evidence.confirm(runner) {
                 self.changed.insert(*suspect);
             }
         }
+    }
+
+    /// Quarantines the suspects with enough crashes, the most suspicious first. Only for
+    /// the host that coordinates: others know breaks without the requests around them.
+    pub fn decide(&mut self) {
         self.quarantine_suspects();
     }
 
--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -1,17 +1,24 @@
 //! The breaks that count against a suspect.
 
-use std::collections::{BTreeSet, btree_map::Entry};
+use std::{
+    collections::{BTreeSet, btree_map::Entry},
+    time::Duration,
+};
 
 use crate::{
     fleet::{RunnerKey, Suspect},
     time::MonoTime,
 };
 
-use super::{MAX_SUSPECTS, PROVEN_QUARANTINE_CRASHES, QUARANTINE_CRASHES, Quarantine, SuspectRun};
+use super::{CRASH_SPREAD, CrashLimits, MAX_SUSPECTS, Quarantine, SuspectRun};
 
 /// Maximum number of runs that are remembered of one suspect.
 pub(super) const MAX_RUNS: usize = 16;
 
+/// Time between the ends of runs that crash together. Shorter than a request takes from
+/// one runner to the next and until that crashes.
+const SAME_CRASH_TIME: Duration = Duration::from_millis(20);
+
 /// A run at which a response broke.
 #[derive(Clone, Debug)]
 pub(super) struct Break {
@@ -21,6 +28,8 @@
     pub(super) confirmed: bool,
     /// Suspects of the request; none if another host reported it.
     pub(super) suspects: Vec<Suspect>,
+    /// Other runs that broke at about the same time.
+    others: Vec<RunnerKey>,
 }
 
 impl Break {
@@ -35,7 +44,7 @@
     /// Those that count: not of requests that were in progress at the same time.
     pub(super) breaks: Vec<Break>,
     /// All runs at which requests with the suspect broke.
-    runs: BTreeSet<RunnerKey>,
+    pub(super) runs: BTreeSet<RunnerKey>,
     /// Position in the prompt. Parts further back are shared by fewer requests.
     position: usize,
 }
@@ -51,17 +60,22 @@
                 at: now,
                 confirmed: *confirmed,
                 suspects: Vec::new(),
+                others: Vec::new(),
             })
             .collect();
         self.runs = self.breaks.iter().map(|broken| broken.runner.clone()).collect();
     }
 
-    /// Adds a break, unless the request was granted before an earlier one was known.
-    fn add(&mut self, run: &SuspectRun) -> bool {
+    /// Adds a break, unless the request was granted before an earlier one was known, or got
+    /// to a run that ended with that one.
+    fn add(&mut self, run: &SuspectRun, others: &[RunnerKey]) -> bool {
         if self.runs.len() < MAX_RUNS {
             self.runs.insert(run.runner.clone());
         }
-        let known = |broken: &Break| broken.runner == run.runner || run.granted_at < broken.at;
+        let known = |broken: &Break| {
+            let is_same_crash = run.ended_at.since(broken.at) <= SAME_CRASH_TIME;
+            broken.runner == run.runner || run.granted_at < broken.at || is_same_crash
+        };
         if self.breaks.len() >= MAX_RUNS || self.breaks.iter().any(known) {
             return false;
         }
@@ -70,6 +84,7 @@
             at: run.ended_at,
             confirmed: false,
             suspects: run.suspects.clone(),
+            others: others.to_vec(),
         });
         true
     }
@@ -80,7 +95,7 @@
         broken.is_some_and(|broken| !std::mem::replace(&mut broken.confirmed, true))
     }
 
-    fn last_break(&self) -> MonoTime {
+    pub(super) fn last_break(&self) -> MonoTime {
         self.breaks.last().map_or(MonoTime::ZERO, |broken| broken.at)
     }
 }
@@ -89,19 +104,50 @@
     /// Counts a break against the suspects that may have caused it.
     pub(super) fn count_break(&mut self, run: &SuspectRun) {
         self.unconfirmed.insert(run.runner.clone(), run.ended_at);
-        let all_sound = run.suspects.iter().all(|suspect| self.sound.contains(suspect));
+        let others = self.record_recent_break(run);
+        let is_part = |suspect: &&Suspect| matches!(suspect, Suspect::Part(_));
+        let mut parts = run.suspects.iter().filter(is_part);
+        let all_sound = parts.all(|part| self.sound.contains(part));
         for (position, suspect) in run.suspects.iter().enumerate() {
             let was_sound = self.sound.remove(suspect);
-            let is_settled = self.quarantined.contains_key(suspect);
-            if is_settled || (was_sound && !all_sound) {
+            if let Some(runs) = self.quarantined.get_mut(suspect) {
+                // Requests that were on their way explain what they broke, too.
+                if runs.len() < MAX_RUNS && !runs.contains(&run.runner) {
+                    runs.push(run.runner.clone());
+                }
+                continue;
+            }
+            if is_part(&suspect) && was_sound && !all_sound {
                 continue;
             }
-            if self.evidence_of(*suspect, position).add(run) {
+            if !is_part(&suspect) && run.outlived_begin() {
+                if self.evidence.remove(suspect).is_some() {
+                    self.changed.insert(*suspect);
+                }
+                continue;
+            }
+            if self.evidence_of(*suspect, position).add(run, &others) {
                 self.changed.insert(*suspect);
             }
         }
     }
 
+    /// Returns the other runs that broke a moment ago, and adds this one to their breaks.
+    fn record_recent_break(&mut self, run: &SuspectRun) -> Vec<RunnerKey> {
+        let is_recent = |at: MonoTime| run.ended_at.since(at) <= CRASH_SPREAD;
+        self.recent_breaks.retain(|(_, at)| is_recent(*at));
+        let others = self.recent_breaks.iter().filter(|(runner, _)| *runner != run.runner);
+        let others: Vec<_> = others.map(|(runner, _)| runner.clone()).take(MAX_RUNS).collect();
+        if others.len() == self.recent_breaks.len() {
+            self.recent_breaks.push((run.runner.clone(), run.ended_at));
+            let breaks = self.evidence.values_mut().flat_map(|evidence| &mut evidence.breaks);
+            for broken in breaks.filter(|broken| is_recent(broken.at)) {
+                broken.others.push(run.runner.clone());
+            }
+        }
+        others
+    }
+
     /// Returns what is known against a suspect. Forgets another suspect if there are too many.
     pub(super) fn evidence_of(&mut self, suspect: Suspect, position: usize) -> &mut Evidence {
         if self.evidence.len() >= MAX_SUSPECTS && !self.evidence.contains_key(&suspect) {
@@ -135,9 +181,10 @@
 
     /// Returns the number of crashes that quarantine a suspect.
     pub(super) fn max_crashes(&self, suspect: Suspect) -> usize {
+        let limits = CrashLimits::of(suspect);
         match self.proven.contains(&suspect) {
-            true => PROVEN_QUARANTINE_CRASHES,
-            false => QUARANTINE_CRASHES,
+            true => limits.proven,
+            false => limits.unproven,
         }
     }
 
@@ -157,23 +204,37 @@
     }
 
     /// Returns true if another request at the run had a suspect under which more runs
-    /// broke.
+    /// broke. Few crashes condemn a whole request, so as many runs are enough for it, or
+    /// another run that ended at the same time without the request.
     fn is_explained(&self, suspect: Suspect, evidence: &Evidence, broken: &Break) -> bool {
         let (runner, runs) = (&broken.runner, evidence.runs.len());
+        let is_part = matches!(suspect, Suspect::Part(_));
+        let min_runs = runs + usize::from(is_part);
+        let mut others = broken.others.iter().filter(|other| !evidence.runs.contains(other));
+        if !is_part && others.any(|other| self.ended.contains(other) && !self.has_cause(other)) {
+            return true;
+        }
         let is_other = |other: &Suspect| *other != suspect && !broken.suspects.contains(other);
         let all = self.evidence.iter().map(|(suspect, s)| (suspect, s.runs.len(), &s.runs));
-        let mut more = all.filter(|(other, count, _)| {
-            !broken.suspects.is_empty() && is_other(other) && *count > runs
-        });
+        let mut more = all.filter(|(other, count, _)| is_other(other) && *count >= min_runs);
         more.any(|(.., runs)| runs.contains(runner))
             || self.quarantined.iter().any(|(p, runs)| is_other(p) && runs.contains(runner))
     }
 
+    /// Returns true if a suspect that was near several broken runs was near this one.
+    fn has_cause(&self, runner: &RunnerKey) -> bool {
+        let mut repeated = self.evidence.values().filter(|evidence| evidence.runs.len() > 1);
+        repeated.any(|evidence| evidence.runs.contains(runner))
+            || self.quarantined.values().any(|runs| runs.contains(runner))
+    }
+
     /// Quarantines the suspects with enough crashes, the most suspicious first.
     pub(super) fn quarantine_suspects(&mut self) {
         loop {
             let all = self.evidence.iter();
-            let all = all.filter(|(_, s)| s.breaks.len() >= QUARANTINE_CRASHES);
+            let all = all.filter(|(suspect, evidence)| {
+                evidence.breaks.len() >= CrashLimits::of(**suspect).unproven
+            });
             let crashes =
                 all.map(|(suspect, evidence)| (self.crashes(*suspect, evidence), *suspect));
             let over_limit =
@@ -184,7 +245,7 @@
             };
             let Some((_, suspect)) = over_limit.max_by_key(key) else { return };
             let Some(evidence) = self.evidence.remove(&suspect) else { return };
-            self.explain(&evidence.runs);
+            self.explain(suspect, &evidence.runs);
             self.insert_quarantined(suspect, evidence.runs.into_iter().collect());
         }
     }
@@ -198,15 +259,20 @@
     }
 
     /// Clears the suspects of which a quarantined suspect explains all breaks. One that broke
-    /// as often may be the cause as well, so one more crash quarantines it.
-    fn explain(&mut self, runs: &BTreeSet<RunnerKey>) {
+    /// as often may be the cause as well, so one more crash quarantines it. A request doesn't
+    /// explain the breaks of its own parts.
+    fn explain(&mut self, cause: Suspect, runs: &BTreeSet<RunnerKey>) {
+        let is_request = matches!(cause, Suspect::Request(_));
         for (suspect, evidence) in &mut self.evidence {
-            if !evidence.runs.is_subset(runs) {
+            let mut breaks = evidence.breaks.iter();
+            let is_own = is_request && breaks.any(|broken| broken.suspects.contains(&cause));
+            if is_own || !evidence.runs.is_subset(runs) {
                 continue;
             }
             self.changed.insert(*suspect);
-            let is_alike = evidence.breaks.len() >= QUARANTINE_CRASHES;
-            evidence.breaks.truncate(if is_alike { QUARANTINE_CRASHES - 1 } else { 0 });
+            let max = CrashLimits::of(*suspect).unproven;
+            let is_alike = evidence.breaks.len() >= max;
+            evidence.breaks.truncate(if is_alike { max - 1 } else { 0 });
         }
         self.evidence.retain(|_, evidence| !evidence.breaks.is_empty());
     }
--- a/crates/core/src/fleet/quarantine/records.rs
+++ b/crates/core/src/fleet/quarantine/records.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    MAX_SUSPECTS, QUARANTINE_CRASHES, Quarantine, SuspectState,
+    CrashLimits, MAX_SUSPECTS, Quarantine, SuspectState,
     evidence::{Break, MAX_RUNS},
 };
 
@@ -44,7 +44,7 @@
     /// Adds what another host knows of a suspect.
     pub fn learn(&mut self, now: MonoTime, record: &SuspectRecord, source: RecordSource) {
         let suspect = record.suspect;
-        if record.proven && self.proven.len() < MAX_SUSPECTS {
+        if record.proven {
             self.proven.insert(suspect);
         }
         if record.quarantined {
@@ -70,7 +70,7 @@
         self.evidence.remove(&suspect);
         if !record.breaks.is_empty() {
             let max = match source {
-                RecordSource::Store => QUARANTINE_CRASHES - 1,
+                RecordSource::Store => CrashLimits::of(suspect).unproven - 1,
                 RecordSource::Client | RecordSource::Coordinator => MAX_RUNS,
             };
             self.evidence_of(suspect, 0).set_breaks(now, &record.breaks, max);
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -95,6 +95,12 @@
         self.runners.iter()
     }
 
+    /// Returns true if two runners accept requests and none of their last ones failed.
+    pub(crate) fn can_spare_runner(&self, now: MonoTime) -> bool {
+        let sound = self.runners.iter().filter(|(_, r)| r.is_usable(now) && r.failures == 0);
+        sound.take(2).count() == 2
+    }
+
     /// Returns the number of waiting requests.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -237,11 +243,29 @@
         failure: Option<DispatchFailure>,
         out: &mut Vec<Decision>,
     ) {
+        self.enqueue_again(now, id, failure);
+        self.grant(now, out);
+    }
+
+    /// Requeues a granted request, which is not granted again until
+    /// [`UpstreamScheduler::release_hold`].
+    pub(crate) fn requeue_held(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        failure: Option<DispatchFailure>,
+        out: &mut Vec<Decision>,
+    ) {
+        self.enqueue_again(now, id, failure);
+        self.queue.hold(id);
+        self.grant(now, out);
+    }
+
+    fn enqueue_again(&mut self, now: MonoTime, id: RequestId, failure: Option<DispatchFailure>) {
         let Some(granted) = self.release_failed(now, id, failure) else { return };
         let Granted { record, runner, version, target_at, respond_by } = granted;
         self.floors.requeued(now, &record.class);
         self.enqueue(now, record, target_at, respond_by, Some(runner), version);
-        self.grant(now, out);
     }
 
     /// Removes a granted request that the runner did not run and that is not sent
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -100,6 +100,8 @@
         VersionGone = "version-gone",
         /// The prompt has a part under which runners crashed one after the other.
         PromptQuarantined = "prompt-quarantined",
+        /// Runners crashed one after the other as they ran this request.
+        RequestQuarantined = "request-quarantined",
     }
 }
 
--- a/crates/core/tests/fleet/crash_evidence.rs
+++ b/crates/core/tests/fleet/crash_evidence.rs
@@ -23,6 +23,9 @@
 /// A request that is only ever refused a connection.
 const REFUSED: u128 = 100;
 
+/// A request that keeps a spare runner busy.
+const IN_PROGRESS: u128 = 101;
+
 fn runner(number: u16) -> RunnerEntry {
     let address = ([127, 0, 0, 1], number).into();
     RunnerEntry { address, ..entry(&format!("r{number}"), 1, false) }
@@ -41,6 +44,11 @@
         out
     };
     let submit = |req: PlacementRequest| RequestUpdate::Submit(Box::new(req));
+    // The last runner of an upstream is not risked for a trial.
+    let spare = RunnerEntry { slots: 1, ..entry("spare", 1, false) };
+    apply(&mut coordinator, now_ms, RunnerChange::Usable(spare));
+    let in_progress = Box::new(placement_request(IN_PROGRESS, 0.0));
+    update(&mut coordinator, now_ms, RequestUpdate::Adopt(in_progress, name("spare")));
     update(&mut coordinator, now_ms, submit(placement_request(REFUSED, 0.0)));
     for number in 1..=RUNNERS {
         now_ms += STEP_MS;
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -1,5 +1,5 @@
-//! Prompt parts that crash runners: they stop reaching runners soon, and no other part is
-//! quarantined, whatever else happens to runners, hosts and coordinators.
+//! Prompt parts and requests that crash runners: they stop reaching runners soon, and
+//! nothing else is quarantined, whatever else happens to runners, hosts and coordinators.
 
 use comfreyway_core::{
     fleet::{
@@ -11,30 +11,34 @@
 use rstest::rstest;
 
 use crate::{
-    runner_fleet::{Counts, Faults, Fleet, PLAY_MS},
+    runner_fleet::{
+        Counts,
+        Crashing::{self, Part, Request},
+        Faults, Fleet, PLAY_MS, Pool,
+    },
     support::{at, name},
 };
 
-fn play(seed: u64, crashing: &[(u64, usize)], faults: Faults) -> Counts {
-    let mut fleet = Fleet::new(seed, crashing, faults);
+fn play(seed: u64, pool: Pool, crashing: &[Crashing], faults: Faults) -> Counts {
+    let mut fleet = Fleet::new(seed, pool, crashing, faults);
     while fleet.now_ms < PLAY_MS {
         fleet.step();
     }
     assert_eq!(fleet.wrongly_quarantined(), Vec::<Suspect>::new(), "seed {seed}");
-    for (part, late) in fleet.late_arrivals() {
-        assert!(late <= 3, "seed {seed}: {late} requests with {part} after its fifth crash");
+    for (suspect, late) in fleet.late_arrivals() {
+        assert!(late <= 3, "seed {seed}: {late} requests with {suspect} after its known crashes");
     }
     fleet.counts
 }
 
 #[rstest]
-#[case::first_part(&[(0xbad, 0)])]
-#[case::last_shared_part(&[(0xbad, 3)])]
-#[case::two_parts(&[(0xbad, 1), (0xbad2, 2)])]
-fn prompts_with_a_crashing_part_stop_reaching_runners(#[case] crashing: &[(u64, usize)]) {
+#[case::first_part(&[Part(0xbad, 0)])]
+#[case::last_shared_part(&[Part(0xbad, 3)])]
+#[case::two_parts(&[Part(0xbad, 1), Part(0xbad2, 2)])]
+fn prompts_with_a_crashing_part_stop_reaching_runners(#[case] crashing: &[Crashing]) {
     for seed in 0..12 {
-        let counts = play(seed, crashing, Faults::None);
-        assert_eq!(counts.quarantined, crashing.len(), "seed {seed}: {counts:?}");
+        let counts = play(seed, Pool::Engines, crashing, Faults::None);
+        assert_eq!(counts.found, crashing.len(), "seed {seed}: {counts:?}");
         // The users ask for half; crashes of the other part may take some along.
         assert!(counts.sound_began_late * 10 >= counts.sound_late * 9, "{counts:?}");
     }
@@ -44,20 +48,20 @@
 fn crashing_parts_are_found_while_runners_hosts_and_coordinators_fail() {
     let mut total = Counts::default();
     for seed in 0..12 {
-        total.add(play(seed, &[(0xbad, 2)], Faults::Hosts));
+        total.add(play(seed, Pool::Engines, &[Part(0xbad, 2)], Faults::Hosts));
     }
-    assert_eq!(total.quarantined, 12, "{total:?}");
+    assert_eq!(total.found, 12, "{total:?}");
     assert!(2 * total.sound_began_late > total.sound_late, "{total:?}");
 }
 
 #[rstest]
-#[case::one_part(&[(0xbad, 2)])]
-#[case::two_parts(&[(0xbad, 0), (0xbad2, 2)])]
+#[case::one_part(&[Part(0xbad, 2)])]
+#[case::two_parts(&[Part(0xbad, 0), Part(0xbad2, 2)])]
 fn crashing_parts_are_found_by_hosts_that_are_cut_off_from_each_other(
-    #[case] crashing: &[(u64, usize)],
+    #[case] crashing: &[Crashing],
 ) {
     for seed in 0..12 {
-        play(seed, crashing, Faults::Cuts);
+        play(seed, Pool::Engines, crashing, Faults::Cuts);
     }
 }
 
@@ -65,10 +69,54 @@
 fn no_part_is_quarantined_while_runners_crash_and_connections_break_without_one() {
     let mut total = Counts::default();
     for seed in 0..24 {
-        total.add(play(seed, &[], Faults::Runners));
+        total.add(play(seed, Pool::Engines, &[], Faults::Runners));
     }
     assert!(total.crashes > 300, "{total:?}");
-    assert_eq!(total.quarantined, 0, "{total:?}");
+}
+
+#[rstest]
+#[case::one_request(&[Request(7)])]
+#[case::two_requests(&[Request(7), Request(8)])]
+fn requests_that_crash_runners_stop_reaching_a_small_service(#[case] crashing: &[Crashing]) {
+    for seed in 0..12 {
+        let counts = play(seed, Pool::Service, crashing, Faults::None);
+        assert_eq!(counts.found, crashing.len(), "seed {seed}: {counts:?}");
+        assert!(counts.sound_began_late * 10 >= counts.sound_late * 9, "{counts:?}");
+    }
+}
+
+#[test]
+fn a_request_that_crashes_engines_stops_reaching_them() {
+    for seed in 0..12 {
+        let counts = play(seed, Pool::Engines, &[Request(7)], Faults::None);
+        assert_eq!(counts.found, 1, "seed {seed}: {counts:?}");
+        assert!(counts.sound_began_late * 10 >= counts.sound_late * 9, "{counts:?}");
+    }
+}
+
+#[rstest]
+#[case::runners_crash(Faults::Runners)]
+#[case::hosts_are_cut_off_from_runners(Faults::RunnerCuts)]
+fn no_repeated_request_is_quarantined_without_a_crashing_one(#[case] faults: Faults) {
+    for seed in 0..24 {
+        play(seed, Pool::Service, &[], faults);
+    }
+}
+
+#[test]
+fn a_crashing_request_is_found_while_hosts_are_cut_off_from_runners() {
+    for seed in 0..12 {
+        let counts = play(seed, Pool::Service, &[Request(7)], Faults::RunnerCuts);
+        assert_eq!(counts.found, 1, "seed {seed}: {counts:?}");
+    }
+}
+
+#[test]
+fn a_crashing_request_is_found_while_hosts_and_coordinators_fail() {
+    for seed in 0..12 {
+        let counts = play(seed, Pool::Service, &[Request(7)], Faults::Hosts);
+        assert_eq!(counts.found, 1, "seed {seed}: {counts:?}");
+    }
 }
 
 const PART: Suspect = Suspect::Part(PromptPart(0xbad));
@@ -76,13 +124,14 @@
 fn run(number: u64, granted_ms: u64) -> SuspectRun {
     let runner = RunnerKey { name: name(&format!("r{number}")), started_ms: Some(1) };
     let (granted_at, ended_at) = (at(granted_ms), at(granted_ms + 100));
-    SuspectRun { runner, suspects: vec![PART], granted_at, ended_at }
+    SuspectRun { runner, suspects: vec![PART], granted_at, begun_at: None, ended_at }
 }
 
 fn crash(quarantine: &mut Quarantine, number: u64) {
     let run = run(number, 1_000 * number);
     quarantine.broke(&run);
     quarantine.run_ended(&run.runner);
+    quarantine.decide();
 }
 
 fn crashed(times: u64) -> Quarantine {
@@ -116,6 +165,7 @@
         quarantine.broke(&run(number, 1_000));
         quarantine.run_ended(&run(number, 0).runner);
     }
+    quarantine.decide();
     assert_eq!(quarantine.state(PART), SuspectState::Free);
 }
 
@@ -145,6 +195,7 @@
     let last = run(5, 5_000);
     quarantine.completed_unframed(last.clone());
     then(&mut quarantine, &last.runner);
+    quarantine.decide();
     assert_eq!(quarantine.state(PART), expected);
 }
 
@@ -156,6 +207,7 @@
     quarantine.tick(at(5_000));
     assert_eq!(quarantine.state(PART), SuspectState::Stopped);
     (1..=5).for_each(|number| quarantine.run_ended(&run(number, 0).runner));
+    quarantine.decide();
     assert_eq!(quarantine.state(PART), SuspectState::Quarantined);
 }
 
--- a/crates/core/tests/fleet/rate_limits.rs
+++ b/crates/core/tests/fleet/rate_limits.rs
@@ -11,7 +11,7 @@
 use rstest::rstest;
 
 use crate::{
-    runner_fleet::{Faults, Fleet, PLAY_MS},
+    runner_fleet::{Faults, Fleet, PLAY_MS, Pool},
     support::{at, name},
 };
 
@@ -46,7 +46,7 @@
 
 fn play(seed: u64, faults: Faults) -> (f64, f64) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut fleet = Fleet::new(seed, &[], faults);
+    let mut fleet = Fleet::new(seed, Pool::Engines, &[], faults);
     fleet.steps_per_request = 2;
     let (mut allowed, mut came) = (0.0, 0.0);
     let mut next_ms = fleet.now_ms + 2_000;
--- a/crates/core/tests/fleet/runner_fleet.rs
+++ b/crates/core/tests/fleet/runner_fleet.rs
@@ -1,6 +1,7 @@
 //! Hosts with their coordinators, runners that crash or name rate limits, and callers
-//! whose prompts share parts.
+//! whose prompts share parts or who repeat their requests.
 
+mod callers;
 mod hosts;
 
 use std::{
@@ -12,7 +13,8 @@
 use comfreyway_core::{
     fleet::{
         ClientAction, Coordinator, CoordinatorClient, LimitReport, PlacementReply, PromptPart,
-        QuotaTolerance, RetryBudgetLimits, RunnerChange, RunnerEntry, Suspect, SuspectRecord,
+        QuotaTolerance, RequestContent, RequestDigest, RetryBudgetLimits, RunnerChange,
+        RunnerEntry, Suspect, SuspectRecord,
     },
     ids::{HostId, RequestId, RunnerName},
     outcome::RetryReason,
@@ -20,26 +22,89 @@
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use crate::support::{self, at, entry, placement_request};
+use crate::support::{self, at, entry};
 
 const STEP_MS: u64 = 10;
 const HOSTS: usize = 6;
-const RUNNERS: usize = 12;
-const SLOTS: u32 = 5;
 const FIRST_PORT: u16 = 8_000;
 /// Time from a crash to the removal of the store's entry, and to the next start.
 const REMOVAL_MS: u64 = 3_000;
 const RESTART_MS: u64 = 3_400;
-/// Time from the first token to the crash.
-const CRASH_MS: u64 = 60;
 const CONTACT_MS: u64 = 3_000;
-/// When prompts with crashing parts begin.
+/// When crashing requests begin.
 const BEGIN_MS: u64 = 5_000;
 const SHARE_INTERVAL_MS: u64 = 100;
 pub(crate) const PLAY_MS: u64 = 40_000;
 /// Sound requests later than this are not counted.
 const LAST_COUNTED_MS: u64 = PLAY_MS - 2_000;
 
+/// The runners of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Pool {
+    /// Twelve engines, whose prompts share parts.
+    Engines,
+    /// Three runners of a plain service, whose callers repeat their requests.
+    Service,
+}
+
+impl Pool {
+    fn size(self) -> usize {
+        match self {
+            Self::Engines => 12,
+            Self::Service => 3,
+        }
+    }
+
+    fn slots(self) -> u32 {
+        match self {
+            Self::Engines => 5,
+            Self::Service => 6,
+        }
+    }
+
+    /// Time to the first token, and from there to the end of the response.
+    fn draw_times(self, rng: &mut StdRng) -> (u64, u64) {
+        match self {
+            Self::Engines => (rng.random_range(40..250), rng.random_range(300..3_000)),
+            Self::Service => (rng.random_range(30..100), 0),
+        }
+    }
+
+    /// Time from the first token to the crash, or from the arrival at a plain service.
+    fn crash_ms(self) -> u64 {
+        match self {
+            Self::Engines => 60,
+            Self::Service => 0,
+        }
+    }
+}
+
+/// What crashes runners.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Crashing {
+    /// A part of prompts, at this position.
+    Part(u64, usize),
+    /// A request, which its callers repeat.
+    Request(u64),
+}
+
+impl Crashing {
+    pub(crate) fn suspect(self) -> Suspect {
+        match self {
+            Self::Part(part, _) => Suspect::Part(PromptPart(part)),
+            Self::Request(body) => Suspect::Request(digest(body)),
+        }
+    }
+
+    /// Crashes of which the users know, before they count what still reaches runners.
+    fn known_crashes(self) -> usize {
+        match self {
+            Self::Part(..) => 5,
+            Self::Request(_) => 3,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Faults {
     None,
@@ -49,14 +114,21 @@
     Hosts,
     /// Hosts and coordinators are killed, and hosts are cut off from the others.
     Cuts,
+    /// Hosts are cut off from all runners: their connections are reset, and new ones
+    /// refused.
+    RunnerCuts,
 }
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Counts {
     pub(crate) crashes: usize,
-    pub(crate) quarantined: usize,
-    /// Sound requests later than twice the contact time after the fifth crash, and
-    /// those that began.
+    /// Crashing suspects that are quarantined.
+    pub(crate) found: usize,
+    /// Sound requests since crashing ones began, and those that were answered.
+    pub(crate) sound: usize,
+    pub(crate) sound_answered: usize,
+    /// Sound requests later than twice the contact time after the known crashes, and
+    /// those that began, or were answered by a plain service.
     pub(crate) sound_late: usize,
     pub(crate) sound_began_late: usize,
 }
@@ -64,7 +136,9 @@
 impl Counts {
     pub(crate) fn add(&mut self, other: Self) {
         self.crashes += other.crashes;
-        self.quarantined += other.quarantined;
+        self.found += other.found;
+        self.sound += other.sound;
+        self.sound_answered += other.sound_answered;
         self.sound_late += other.sound_late;
         self.sound_began_late += other.sound_began_late;
     }
@@ -100,32 +174,54 @@
 struct Request {
     host: usize,
     parts: Vec<PromptPart>,
+    body: u64,
     attempts: u32,
     sent_ms: u64,
 }
 
+impl Request {
+    fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        let parts = self.parts.iter().copied().map(Suspect::Part);
+        parts.chain([Suspect::Request(digest(self.body))])
+    }
+}
+
+/// Returns the digest of a request with this body.
+fn digest(body: u64) -> RequestDigest {
+    RequestDigest::new(&RequestContent {
+        workspace: None,
+        method: "POST",
+        host: "desk.example",
+        target: "/",
+        body: &body.to_be_bytes(),
+    })
+}
+
 pub(crate) struct Fleet {
     rng: StdRng,
     pub(crate) now_ms: u64,
     faults: Faults,
-    /// Crashing parts with their positions.
-    crashing: Vec<(PromptPart, usize)>,
+    pool: Pool,
+    crashing: Vec<Crashing>,
     nodes: Vec<Node>,
     /// The host that coordinates.
     leader: usize,
     /// Hosts that use their own coordinators.
     cut: BTreeSet<usize>,
+    /// Hosts that are cut off from all runners, and until when.
+    cut_from_runners: BTreeMap<usize, u64>,
     /// Suspects in the store.
     suspects: BTreeMap<Suspect, SuspectRecord>,
     /// One of this many steps brings a sound request.
     pub(crate) steps_per_request: u32,
     runners: BTreeMap<RunnerName, Runner>,
     requests: BTreeMap<RequestId, Request>,
+    bodies_with_crashing_parts: BTreeSet<RequestDigest>,
     /// Requests of the callers' sessions, by their part.
     sessions: Vec<(u64, u64)>,
-    /// Crashes and arrivals of each crashing part.
-    part_crashes: BTreeMap<PromptPart, Vec<u64>>,
-    part_arrivals: BTreeMap<PromptPart, Vec<u64>>,
+    /// Crashes and arrivals of what crashes runners.
+    crashes: BTreeMap<Suspect, Vec<u64>>,
+    crashing_arrivals: BTreeMap<Suspect, Vec<u64>>,
     numbers: u64,
     /// Number of runners that were started.
     started: u16,
@@ -143,27 +239,30 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(seed: u64, crashing: &[(u64, usize)], faults: Faults) -> Self {
+    pub(crate) fn new(seed: u64, pool: Pool, crashing: &[Crashing], faults: Faults) -> Self {
         let mut fleet = Self {
             rng: StdRng::seed_from_u64(seed),
             now_ms: 1_000,
             faults,
-            crashing: crashing.iter().map(|(part, at)| (PromptPart(*part), *at)).collect(),
+            pool,
+            crashing: crashing.to_vec(),
             nodes: (0..HOSTS).map(|host| new_node(host, 1_000)).collect(),
             leader: 0,
             cut: BTreeSet::new(),
+            cut_from_runners: BTreeMap::new(),
             suspects: BTreeMap::new(),
             steps_per_request: 5,
             runners: BTreeMap::new(),
             requests: BTreeMap::new(),
+            bodies_with_crashing_parts: BTreeSet::new(),
             sessions: Vec::new(),
-            part_crashes: BTreeMap::new(),
-            part_arrivals: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            crashing_arrivals: BTreeMap::new(),
             numbers: 0,
             started: 0,
             counts: Counts::default(),
         };
-        (0..RUNNERS).for_each(|_| fleet.start_runner());
+        (0..pool.size()).for_each(|_| fleet.start_runner());
         fleet.elect(0);
         fleet
     }
@@ -192,30 +291,36 @@
         }
     }
 
-    /// Parts that are quarantined and don't crash runners.
+    /// Suspects that are quarantined and don't crash runners.
     pub(crate) fn wrongly_quarantined(&mut self) -> Vec<Suspect> {
         let quarantine = self.nodes[self.leader].coordinator.quarantine();
         let suspects: Vec<_> = quarantine.quarantined().map(|(suspect, _)| suspect).collect();
-        self.counts.quarantined = suspects.len();
-        let is_crashing = |suspect: &Suspect| match suspect {
-            Suspect::Part(part) => self.is_crashing(part),
+        let is_found = |crashing: &&Crashing| suspects.contains(&crashing.suspect());
+        self.counts.found = self.crashing.iter().filter(is_found).count();
+        let is_wrong = |suspect: &Suspect| match suspect {
+            // With a crashing part, each request that is repeated often enough crashes too.
+            Suspect::Request(digest) if self.bodies_with_crashing_parts.contains(digest) => false,
+            _ => !self.crashing.iter().any(|crashing| crashing.suspect() == *suspect),
         };
-        suspects.into_iter().filter(|suspect| !is_crashing(suspect)).collect()
+        suspects.into_iter().filter(is_wrong).collect()
     }
 
-    /// Requests with each crashing part that runners got too late.
-    pub(crate) fn late_arrivals(&self) -> Vec<(PromptPart, usize)> {
-        let late = |part: &PromptPart, fifth: u64| {
-            let arrivals = self.part_arrivals[part].iter();
-            arrivals.filter(|at| **at > fifth + CONTACT_MS).count()
-        };
-        let crashes = self.part_crashes.iter();
-        let fifths = crashes.filter_map(|(part, at)| at.get(4).map(|fifth| (*part, *fifth)));
-        fifths.map(|(part, fifth)| (part, late(&part, fifth))).collect()
+    /// Crashing requests that runners got too late.
+    pub(crate) fn late_arrivals(&self) -> Vec<(Suspect, usize)> {
+        let known = self.crashing.iter().filter_map(|crashing| {
+            let suspect = crashing.suspect();
+            let known = self.crashes.get(&suspect)?.get(crashing.known_crashes() - 1)?;
+            let arrivals = self.crashing_arrivals[&suspect].iter();
+            Some((suspect, arrivals.filter(|at| **at > known + CONTACT_MS).count()))
+        });
+        known.collect()
     }
 
-    fn is_crashing(&self, part: &PromptPart) -> bool {
-        self.crashing.iter().any(|(crashing, _)| crashing == part)
+    /// Returns what a request crashes its runner with, if anything.
+    fn crashing_suspect(&self, id: RequestId) -> Option<Suspect> {
+        let request = self.requests.get(&id)?;
+        let crashing = |suspect: &Suspect| self.crashing.iter().any(|c| c.suspect() == *suspect);
+        request.suspects().find(crashing)
     }
 
     fn start_runner(&mut self) {
@@ -223,7 +328,7 @@
         let address = SocketAddr::from(([10, 0, 0, 1], FIRST_PORT + self.started));
         self.started += 1;
         let name = format!("r{}", self.numbers);
-        let entry = RunnerEntry { slots: SLOTS, address, ..entry(&name, 1, false) };
+        let entry = RunnerEntry { slots: self.pool.slots(), address, ..entry(&name, 1, false) };
         self.runner_changed(RunnerChange::Usable(entry.clone()));
         let runner = Runner {
             entry,
@@ -246,57 +351,6 @@
         }
     }
 
-    fn send_sound(&mut self) {
-        if self.sessions.is_empty() || self.rng.random_range(0..5) == 0 {
-            self.numbers += 1;
-            self.sessions.push((0x1_0000 + self.numbers, self.rng.random_range(0..5)));
-        }
-        let pick = self.rng.random_range(0..self.sessions.len());
-        let (session, caller) = self.sessions[pick];
-        if self.rng.random_range(0..6) == 0 {
-            self.sessions.swap_remove(pick);
-        }
-        self.submit_new(vec![PromptPart(1), PromptPart(0x10 + caller), PromptPart(session)]);
-    }
-
-    fn send_crashing(&mut self, number: usize) {
-        let (part, position) = self.crashing[number];
-        self.numbers += 1;
-        let caller = PromptPart(0x10 + self.rng.random_range(0..5));
-        let mut parts = vec![PromptPart(1), caller, PromptPart(0x2_0000 + self.numbers)];
-        parts.insert(position, part);
-        self.submit_new(parts);
-    }
-
-    fn submit_new(&mut self, parts: Vec<PromptPart>) {
-        let host = self.rng.random_range(0..HOSTS);
-        if self.is_late_sound(&parts, self.now_ms) {
-            self.counts.sound_late += 1;
-        }
-        let request = Request { host, parts, attempts: 0, sent_ms: self.now_ms };
-        self.submit(request);
-    }
-
-    fn is_late_sound(&self, parts: &[PromptPart], sent_ms: u64) -> bool {
-        let fifths = self.part_crashes.values().map(|crashes| crashes.get(4));
-        let after = fifths.flatten().max().is_some_and(|fifth| sent_ms > fifth + 2 * CONTACT_MS);
-        // The others may not have begun by the end of the play.
-        after && sent_ms < LAST_COUNTED_MS && !parts.iter().any(|part| self.is_crashing(part))
-    }
-
-    fn submit(&mut self, request: Request) {
-        self.numbers += 1;
-        let mut req = placement_request(u128::from(self.numbers), 0.0);
-        req.parts.clone_from(&request.parts);
-        req.prior_attempts = request.attempts;
-        req.record.entry = self.nodes[request.host].id.clone();
-        let (id, host) = (req.record.id, request.host);
-        self.requests.insert(id, request);
-        let mut actions = Vec::new();
-        self.nodes[host].client.submit(at(self.now_ms), req, &mut actions);
-        self.execute(host, actions, Vec::new());
-    }
-
     /// Carries out the actions of a host's client and the replies of its coordinator.
     fn execute(
         &mut self,
@@ -332,8 +386,8 @@
                     }
                     ClientAction::Dispatch(id, runner, _) => {
                         let Node { client, coordinator, .. } = &mut self.nodes[by];
-                        if client.is_quarantined(id, coordinator) {
-                            client.refuse_quarantined(id, &mut new_actions);
+                        if let Some(reason) = client.quarantine_refusal(id, coordinator) {
+                            client.refuse_quarantined(id, reason, &mut new_actions);
                         } else {
                             self.dispatch(by, id, &runner, &mut new_actions);
                         }
@@ -356,19 +410,19 @@
         runner: &RunnerName,
         out: &mut Vec<ClientAction>,
     ) {
-        let found = self.runners.get_mut(runner);
+        let is_reachable = !self.cut_from_runners.contains_key(&host);
+        let found = self.runners.get_mut(runner).filter(|_| is_reachable);
         let Some(runner) = found.filter(|runner| runner.crashed_ms.is_none()) else {
             self.nodes[host].client.requeue(id, RetryReason::ConnectRefused, out);
             return;
         };
-        let first_ms = self.now_ms + self.rng.random_range(40..250);
-        let end_ms = first_ms + self.rng.random_range(300..3_000);
+        let (first, length) = self.pool.draw_times(&mut self.rng);
+        let first_ms = self.now_ms + first;
+        let end_ms = first_ms + length;
         runner.arrivals.push(self.now_ms);
         runner.runs.push(Run { id, host, sent_ms: self.now_ms, first_ms, end_ms, begun: false });
-        let parts = self.requests[&id].parts.iter();
-        let crashing = parts.filter(|part| self.crashing.iter().any(|(c, _)| c == *part));
-        for part in crashing.copied().collect::<Vec<_>>() {
-            self.part_arrivals.entry(part).or_default().push(self.now_ms);
+        if let Some(suspect) = self.crashing_suspect(id) {
+            self.crashing_arrivals.entry(suspect).or_default().push(self.now_ms);
         }
     }
 
@@ -389,12 +443,11 @@
                 continue;
             }
             let crash = runner.runs.iter().find_map(|run| {
-                let parts = &self.requests.get(&run.id)?.parts;
-                let part = parts.iter().find(|part| self.is_crashing(part))?;
-                (now_ms >= run.first_ms + CRASH_MS).then_some(*part)
+                let suspect = self.crashing_suspect(run.id)?;
+                (now_ms >= run.first_ms + self.pool.crash_ms()).then_some(suspect)
             });
-            if let Some(part) = crash {
-                self.part_crashes.entry(part).or_default().push(now_ms);
+            if let Some(suspect) = crash {
+                self.crashes.entry(suspect).or_default().push(now_ms);
                 self.crash(&name);
                 continue;
             }
@@ -424,14 +477,22 @@
         let mut actions = Vec::new();
         self.nodes[host].client.first_token(id, &mut actions);
         self.execute(host, actions, Vec::new());
-        let Some(Request { parts, sent_ms, attempts, .. }) = self.requests.get(&id) else { return };
-        if *attempts == 0 && self.is_late_sound(parts, *sent_ms) {
+        let Some(Request { sent_ms, attempts, .. }) = self.requests.get(&id) else { return };
+        let is_first = *attempts == 0;
+        if is_first && self.is_sound(id) && self.is_late(*sent_ms) {
             self.counts.sound_began_late += 1;
         }
     }
 
     fn end(&mut self, host: usize, id: RequestId, end: DispatchEnd) {
+        let is_counted = self.is_sound(id) && matches!(end, DispatchEnd::Complete(_));
         let Some(request) = self.requests.remove(&id) else { return };
+        if is_counted && request.sent_ms > BEGIN_MS && request.sent_ms < LAST_COUNTED_MS {
+            self.counts.sound_answered += 1;
+        }
+        if is_counted && self.pool == Pool::Service && self.is_late(request.sent_ms) {
+            self.counts.sound_began_late += 1;
+        }
         if matches!(end, DispatchEnd::Complete(_))
             && host != self.leader
             && !self.cut.contains(&host)
--- a/crates/core/tests/fleet/runner_fleet/hosts.rs
+++ b/crates/core/tests/fleet/runner_fleet/hosts.rs
@@ -17,6 +17,10 @@
         if self.faults == Faults::None {
             return;
         }
+        if self.faults == Faults::RunnerCuts {
+            self.cut_hosts_from_runners();
+            return;
+        }
         if self.faults == Faults::Cuts && self.rng.random_range(0..150) == 0 {
             let host = self.rng.random_range(0..HOSTS);
             match self.cut.remove(&host) {
@@ -51,6 +55,25 @@
         }
     }
 
+    /// Cuts hosts off from all runners for some seconds.
+    fn cut_hosts_from_runners(&mut self) {
+        let now_ms = self.now_ms;
+        self.cut_from_runners.retain(|_, until_ms| now_ms < *until_ms);
+        if self.rng.random_range(0..200) != 0 {
+            return;
+        }
+        let host = self.rng.random_range(0..HOSTS);
+        let until_ms = now_ms + self.rng.random_range(3_000..9_000);
+        if self.cut_from_runners.len() < HOSTS / 2 {
+            self.cut_from_runners.insert(host, until_ms);
+        }
+        let runners = self.runners.values_mut();
+        let reset = runners.flat_map(|r| r.runs.extract_if(.., |run| run.host == host));
+        for run in reset.collect::<Vec<_>>() {
+            self.end(host, run.id, DispatchEnd::Failed);
+        }
+    }
+
     /// Kills a host, which starts again at once and has read the store.
     fn kill(&mut self, host: usize) {
         for runner in self.runners.values_mut() {
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -50,6 +50,7 @@
         record: record(number, 1, 1_000),
         upstream: "dala".parse().unwrap(),
         parts: Vec::new(),
+        digest: None,
         cost,
         time_limit: Duration::from_secs(12),
         prior_attempts: 0,
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -181,7 +181,15 @@
     PromptPartQuarantined = "CF0549", Warn, "prompt part quarantined";
     /// Operators allowed a quarantined part again. Fields: part.
     PromptPartAllowed = "CF0550", Info, "prompt part allowed again";
-    /// A quarantined part could not be written to the store. Fields: key, cause.
+    /// Repeats of a request are tried one at a time: runners broke off their responses to
+    /// it one after the other. Fields: digest, runners.
+    RequestSuspected = "CF0553", Info, "request may crash runners";
+    /// Repeats of a request are refused from now on: the runners crashed as they ran it.
+    /// Fields: digest, runners.
+    RequestQuarantined = "CF0554", Warn, "request quarantined";
+    /// Operators allowed a quarantined request again. Fields: digest.
+    RequestAllowed = "CF0555", Info, "request allowed again";
+    /// A quarantined suspect could not be written to the store. Fields: key, cause.
     QuarantineNotWritten = "CF0552", Info, "quarantine can't be written";
     /// The watch on the store failed. Fields: cause.
     StoreWatchLost = "CF0541", Warn, "store can't be watched";
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -239,12 +239,12 @@
                     ClientAction::Send(Some(host), update) => {
                         self.send_to_coordinator(&host, ToCoordinator::Update(update));
                     }
-                    ClientAction::Dispatch(id, ..)
-                        if self.coordinator_client.is_quarantined(id, &self.coordinator) =>
-                    {
-                        self.coordinator_client.refuse_quarantined(id, &mut more);
-                    }
                     ClientAction::Dispatch(id, runner, version) => {
+                        let client = &mut self.coordinator_client;
+                        if let Some(reason) = client.quarantine_refusal(id, &self.coordinator) {
+                            client.refuse_quarantined(id, reason, &mut more);
+                            continue;
+                        }
                         match self.directory.dispatchable(now, &runner) {
                             // Another run has taken over the runner's name.
                             Ok(entry) if version.is_some() && entry.version != version => {
--- a/crates/node/src/fleet/control/quarantine.rs
+++ b/crates/node/src/fleet/control/quarantine.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     events::{Event, List, log_event},
-    fleet::wire::{PROTOCOL_SUSPECTS, ToCoordinator, ToHost},
+    fleet::wire::{PROTOCOL_REQUESTS, PROTOCOL_SUSPECTS, ToCoordinator, ToHost},
 };
 
 use super::FleetControl;
@@ -66,7 +66,10 @@
         self.quarantine_items.insert(suspect, read.clone());
         let (now, mut replies) = (self.now(), Vec::new());
         if read.allowed {
-            log_event!(Event::PromptPartAllowed, part:% = suspect);
+            match suspect {
+                Suspect::Part(part) => log_event!(Event::PromptPartAllowed, part:% = part),
+                Suspect::Request(digest) => log_event!(Event::RequestAllowed, digest:% = digest),
+            }
             self.coordinator.allow_suspect(now, suspect, &mut replies);
         } else if let Some(breaks) = read.suspected {
             let record = SuspectRecord { suspect, breaks, quarantined: false, proven: read.proven };
@@ -107,11 +110,9 @@
     /// Sends the next coordinator all that this host knows of suspects.
     pub(super) fn report_suspects(&mut self, host: &HostId) {
         let session = self.coordinator_session.as_ref().filter(|session| session.host == *host);
-        if session.is_none_or(|session| session.protocol < PROTOCOL_SUSPECTS) {
-            return;
-        }
-        for records in self.known_suspects().chunks(MAX_SUSPECTS_PER_MESSAGE) {
-            self.send_to_coordinator(host, ToCoordinator::Suspects(records.to_vec()));
+        let protocol = session.map_or(0, |session| session.protocol);
+        for records in messages_for(protocol, &self.known_suspects()) {
+            self.send_to_coordinator(host, ToCoordinator::Suspects(records));
         }
     }
 
@@ -128,14 +129,8 @@
         self.execute(Vec::new(), replies);
         let updates = self.coordinator.take_suspect_updates();
         let is_client = self.coordinator_client.coordinator().is_some();
-        for SuspectRecord { suspect, breaks, quarantined, .. } in &updates {
-            let runs: Vec<_> = breaks.iter().map(|(key, _)| &key.name).collect();
-            if *quarantined {
-                self.metrics.part_quarantined();
-                log_event!(Event::PromptPartQuarantined, part:% = suspect, runners:% = List(&runs));
-            } else if !runs.is_empty() && !is_client {
-                log_event!(Event::PromptPartSuspected, part:% = suspect, runners:% = List(&runs));
-            }
+        for record in &updates {
+            self.log_suspect(record, is_client);
         }
         if updates.is_empty() || is_client {
             return;
@@ -146,6 +141,30 @@
         }
     }
 
+    fn log_suspect(&self, record: &SuspectRecord, is_client: bool) {
+        let SuspectRecord { suspect, breaks, quarantined, .. } = record;
+        let runs: Vec<_> = breaks.iter().map(|(key, _)| &key.name).collect();
+        let runners = List(&runs);
+        let is_logged = *quarantined || (!runs.is_empty() && !is_client);
+        match suspect {
+            _ if !is_logged => {}
+            Suspect::Part(part) if *quarantined => {
+                self.metrics.part_quarantined();
+                log_event!(Event::PromptPartQuarantined, part:% = part, runners:% = runners);
+            }
+            Suspect::Part(part) => {
+                log_event!(Event::PromptPartSuspected, part:% = part, runners:% = runners);
+            }
+            Suspect::Request(digest) if *quarantined => {
+                self.metrics.request_quarantined();
+                log_event!(Event::RequestQuarantined, digest:% = digest, runners:% = runners);
+            }
+            Suspect::Request(digest) => {
+                log_event!(Event::RequestSuspected, digest:% = digest, runners:% = runners);
+            }
+        }
+    }
+
     /// Writes the state of a suspect that the store does not have.
     pub(super) fn store_quarantine(&mut self) {
         let now = self.now();
@@ -219,11 +238,19 @@
     }
 
     fn send_suspects(&mut self, host: &HostId, records: &[SuspectRecord]) {
-        if self.clients.get(host).is_none_or(|client| client.protocol < PROTOCOL_SUSPECTS) {
-            return;
-        }
-        for records in records.chunks(MAX_SUSPECTS_PER_MESSAGE) {
-            self.send_to_client(host, &ToHost::Suspects(records.to_vec()));
+        let protocol = self.clients.get(host).map_or(0, |client| client.protocol);
+        for records in messages_for(protocol, records) {
+            self.send_to_client(host, &ToHost::Suspects(records));
         }
     }
 }
+
+/// Returns the records that a host of this protocol understands, for one message each.
+fn messages_for(protocol: u8, records: &[SuspectRecord]) -> Vec<Vec<SuspectRecord>> {
+    let is_understood = |record: &&SuspectRecord| match record.suspect {
+        Suspect::Part(_) => protocol >= PROTOCOL_SUSPECTS,
+        Suspect::Request(_) => protocol >= PROTOCOL_REQUESTS,
+    };
+    let understood: Vec<_> = records.iter().filter(is_understood).cloned().collect();
+    understood.chunks(MAX_SUSPECTS_PER_MESSAGE).map(<[_]>::to_vec).collect()
+}
--- a/crates/node/src/fleet/proxy/admitted.rs
+++ b/crates/node/src/fleet/proxy/admitted.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use comfreyway_core::{
-    fleet::{FleetConfig, PlacementRequest, RequestDigest, RetryPolicy, Route, RunnerEntry},
+    fleet::{FleetConfig, PlacementRequest, RetryPolicy, Route, RunnerEntry},
     ids::WorkspaceName,
 };
 use http_body_util::Full;
@@ -33,8 +33,6 @@
     pub(super) read_limit: fn(&str) -> Option<f64>,
     /// Id that the caller gave.
     pub(super) caller_id: String,
-    /// Identity of what it asks for; the caller's repeats share it.
-    pub(super) digest: RequestDigest,
     /// The caller's id of the stream that this request takes up.
     pub(super) resumes: Option<String>,
     pub(super) method: Method,
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -89,7 +89,7 @@
         after:% = Optional(after),
         resumes = request.resumes.as_deref().unwrap_or("none"),
         parts:% = List(&request.placement.parts),
-        digest:% = request.digest
+        digest:% = Optional(request.placement.digest)
     );
     let sending = connections.send(&runner.key, runner.address, req);
     let (res, connection) = match timeout_at(request.deadline, sending).await {
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -272,6 +272,19 @@
         let id = self.new_request_id();
         let last_event = text(header_names.last_event_id).map(str::trim);
         let takes_up = last_event.is_some_and(|last| !last.is_empty() && last != NO_EVENT);
+        let mut headers = end_to_end(&head.headers);
+        for name in header_names.host_only {
+            headers.remove(*name);
+        }
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let uri = path.parse::<Uri>().map_err(|_| reject(NotRunReason::BadRequest.into()))?;
+        let digest = RequestDigest::new(&RequestContent {
+            workspace: workspace.as_ref().map(|w| &w.name),
+            method: head.method.as_str(),
+            host: host.as_deref().unwrap_or_default(),
+            target: path,
+            body: &body,
+        });
         let placement = placement_request(&PlacementInput {
             id,
             host: &self.host,
@@ -283,27 +296,14 @@
             began_as: resumes.as_deref().filter(|_| takes_up).unwrap_or(&caller_id),
             takes_up,
             body_bytes: body.len(),
+            digest,
         });
         let mut placement = placement.ok_or_else(|| reject(NotRunReason::NoRunner.into()))?;
         placement.time_limit = deadline - arrived;
-        let mut headers = end_to_end(&head.headers);
-        for name in header_names.host_only {
-            headers.remove(*name);
-        }
-        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        let uri = path.parse::<Uri>().map_err(|_| reject(NotRunReason::BadRequest.into()))?;
-        let digest = RequestDigest::new(&RequestContent {
-            workspace: workspace.as_ref().map(|w| &w.name),
-            method: head.method.as_str(),
-            host: host.as_deref().unwrap_or_default(),
-            target: path,
-            body: &body,
-        });
         Ok(AdmittedRequest {
             header_names,
             read_limit: self.format.read_limit,
             caller_id,
-            digest,
             resumes,
             method: head.method,
             uri,
--- a/crates/node/src/fleet/proxy/placement.rs
+++ b/crates/node/src/fleet/proxy/placement.rs
@@ -4,8 +4,8 @@
 
 use comfreyway_core::{
     fleet::{
-        FleetConfig, PlacementRequest, PromptPart, RetryPolicy, Route, StreamBinding, StreamId,
-        Workspace,
+        FleetConfig, PlacementRequest, PromptPart, RequestDigest, RetryPolicy, Route,
+        StreamBinding, StreamId, Workspace,
     },
     ids::{HostId, RequestId, WorkspaceName},
     request::RequestRecord,
@@ -29,6 +29,7 @@
     /// True if the request goes on with a stream.
     pub(super) takes_up: bool,
     pub(super) body_bytes: usize,
+    pub(super) digest: RequestDigest,
 }
 
 /// Returns the placement request; `None` if the route has no upstream.
@@ -77,5 +78,6 @@
         avoid: None,
         stream,
         parts: input.parts.to_vec(),
+        digest: Some(input.digest),
     })
 }
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -50,8 +50,11 @@
 /// Protocol from which on a host understands `Limit` and `Limits`.
 pub(super) const PROTOCOL_LIMITS: u8 = 3;
 
+/// Protocol from which on a host understands requests in `Suspects`.
+pub(super) const PROTOCOL_REQUESTS: u8 = 4;
+
 /// The protocol of this build.
-pub(super) const PROTOCOL: u8 = PROTOCOL_LIMITS;
+pub(super) const PROTOCOL: u8 = PROTOCOL_REQUESTS;
 
 /// A message from a client host to its coordinator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/node/src/fleet/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -65,19 +65,43 @@
 }
 
 #[test]
-fn prompt_parts_are_sent_with_the_runs_that_ended() {
+fn suspects_are_sent_with_the_runs_that_ended() {
     let key = RunnerKey { name: RunnerName::new("e1").unwrap(), started_ms: Some(3) };
     let breaks = vec![(key, true)];
+    let digest = "d746593e2ac628579abd2bd13a6d3776".parse().unwrap();
+    let request = SuspectRecord {
+        suspect: Suspect::Request(digest),
+        breaks: breaks.clone(),
+        quarantined: false,
+        proven: true,
+    };
     let record = SuspectRecord {
         suspect: Suspect::Part(PromptPart(7)),
         breaks,
         quarantined: true,
         proven: false,
     };
-    let message = ToHost::Suspects(vec![record]);
+    let message = ToHost::Suspects(vec![record, request]);
     assert_eq!(recode::<_, ToHost>(&message), message);
 }
 
+/// What a host of an earlier version knows of a part.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct FormerPartRecord {
+    p: u64,
+    b: Vec<(RunnerKey, bool)>,
+    q: bool,
+    s: bool,
+}
+
+#[test]
+fn parts_are_read_by_and_from_hosts_that_know_no_suspects() {
+    let former = FormerPartRecord { p: 7, b: Vec::new(), q: true, s: false };
+    let record: SuspectRecord = recode(&former);
+    assert_eq!(record.suspect, Suspect::Part(PromptPart(7)));
+    assert_eq!(recode::<_, FormerPartRecord>(&record), former);
+}
+
 /// The response to a ping before it named the number of hosts.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
 enum FormerToHost {
--- a/crates/node/src/http/problem.rs
+++ b/crates/node/src/http/problem.rs
@@ -108,7 +108,8 @@
         | NotRunReason::TurnedAway
         | NotRunReason::VersionUnknown
         | NotRunReason::VersionGone
-        | NotRunReason::PromptQuarantined => StatusCode::SERVICE_UNAVAILABLE,
+        | NotRunReason::PromptQuarantined
+        | NotRunReason::RequestQuarantined => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/node/src/metrics/fleet.rs
+++ b/crates/node/src/metrics/fleet.rs
@@ -55,6 +55,7 @@
     store_rollbacks: Counter<u64>,
     runner_notices: Counter<u64>,
     parts_quarantined: Counter<u64>,
+    requests_quarantined: Counter<u64>,
     waiting: Gauge<u64>,
     at_runners: Gauge<u64>,
     slots: Gauge<u64>,
@@ -109,6 +110,10 @@
                 "comfreyway_prompt_parts_quarantined",
                 "Prompt parts that were quarantined because they crash runners",
             ),
+            requests_quarantined: counter(
+                "comfreyway_requests_quarantined",
+                "Requests whose repeats were quarantined because they crash runners",
+            ),
             waiting: gauge(
                 "comfreyway_upstream_waiting",
                 "Requests queued at this coordinator, by upstream",
@@ -125,6 +130,7 @@
         };
         metrics.store_rollbacks.add(0, &[]);
         metrics.parts_quarantined.add(0, &[]);
+        metrics.requests_quarantined.add(0, &[]);
         for kind in ["leaving", "ended", "rest"] {
             metrics.runner_notices.add(0, &[KeyValue::new("kind", kind)]);
         }
@@ -178,6 +184,11 @@
         self.parts_quarantined.add(1, &[]);
     }
 
+    /// Counts a request whose repeats were quarantined.
+    pub fn request_quarantined(&self) {
+        self.requests_quarantined.add(1, &[]);
+    }
+
     /// Counts a store that came back from an older copy.
     pub fn store_rolled_back(&self) {
         self.store_rollbacks.add(1, &[]);
--- a/crates/testkit/src/capacity/coordination.rs
+++ b/crates/testkit/src/capacity/coordination.rs
@@ -14,7 +14,9 @@
 };
 
 use comfreyway_core::{
-    fleet::{Member, PlacementReply, PlacementRequest, RequestUpdate},
+    fleet::{
+        Member, PlacementReply, PlacementRequest, RequestContent, RequestDigest, RequestUpdate,
+    },
     ids::{HostId, IdError, RequestId, Tier},
     request::{DispatchEnd, RequestRecord, Target, Usage},
 };
@@ -256,10 +258,18 @@
             prefix: Vec::new(),
             body_bytes: 8_000,
         };
+        let digest = RequestDigest::new(&RequestContent {
+            workspace: Some(&record.workspace),
+            method: "POST",
+            host: "desk.example",
+            target: "/report/",
+            body: &id.value().to_be_bytes(),
+        });
         Ok(PlacementRequest {
             record,
             upstream: "dala".parse()?,
             parts: Vec::new(),
+            digest: Some(digest),
             cost: 2_100.0,
             time_limit: Duration::from_secs(8),
             prior_attempts: 0,
--- a/tests/testsuite/fleet/crashing_requests.rs
+++ b/tests/testsuite/fleet/crashing_requests.rs
@@ -7,7 +7,8 @@
 };
 
 use actix_rt::time::sleep;
-use comfreyway_testkit::fleet_runner::RunnerMode;
+use comfreyway_core::fleet::{RequestContent, RequestDigest};
+use comfreyway_testkit::{daemon::eventually, fleet_runner::RunnerMode};
 
 use crate::support::Daemon;
 
@@ -16,7 +17,7 @@
         ALLOWED_ARRIVALS, CONTACT_TIME, CrashTrigger, CrashingFleet, RunnerSet, SoundCall,
         served_after,
     },
-    harness::{DESK_KEY, KEY, call_with},
+    harness::{DEADLINE, DESK_KEY, FleetHarness, KEY, call_with},
 };
 
 /// The body that crashes runners.
@@ -78,3 +79,40 @@
     let (served, lost) = served_after(&sound.borrow(), known + 2 * CONTACT_TIME);
     assert!(served > 100 && lost == 0, "{served} served, {lost} lost");
 }
+
+#[actix_rt::test]
+async fn a_quarantined_request_is_refused_whatever_its_other_headers_until_operators_lift_it() {
+    let workspace = "desk".parse().unwrap();
+    let digest = RequestDigest::new(&RequestContent {
+        workspace: Some(&workspace),
+        method: "POST",
+        host: "desk.example",
+        target: "/lookup/7",
+        body: CRASHING_BODY.as_bytes(),
+    });
+    let fleet = FleetHarness::new().with_runner("survey", "e1", RunnerMode::Whole);
+    let key = format!("comfreyway/quarantine/request-{digest}");
+    fleet.store.put(&key, br#"{"runs":[{"name":"e0","born_ms":null}]}"#);
+    let host = fleet.start_host("h1").await;
+
+    let refused = (503, "request-quarantined".to_owned());
+    let call = async |id: &str, path: &str, header: (&str, &str), body: &str| {
+        let headers = [(KEY, DESK_KEY), header];
+        let response = call_with(&host, id, path, &headers, body).await;
+        (response.status, response.reason())
+    };
+    let deadline = (DEADLINE, "2000");
+    assert_eq!(call("id-1", "/lookup/7", deadline, CRASHING_BODY).await, refused);
+    assert_eq!(call("id-2", "/lookup/7", ("x-other", "1"), CRASHING_BODY).await, refused);
+    assert_eq!(fleet.runners[0].arrivals(), 0);
+    let answered = (200, String::new());
+    assert_eq!(call("id-3", "/lookup/8", deadline, CRASHING_BODY).await, answered);
+    assert_eq!(call("id-4", "/lookup/7", deadline, "question").await, answered);
+
+    fleet.store.put(&key, br#"{"allowed":true}"#);
+    let is_allowed = || async {
+        let answer = call("id-5", "/lookup/7", deadline, CRASHING_BODY).await;
+        (answer == answered).then_some(())
+    };
+    eventually(is_allowed).await.expect("the request is allowed again");
+}
