Add up what hosts that don't use the same coordinator know of crashes

Cause: of two records of a suspect the longer one replaced the other, since a sum would have brought back what a complete response had cleared.

Change: a record holds the runs that broke and the runs that a complete response has cleared. Both only grow, so records are added up in any order, and a run counts once. What the store says may now complete a verdict; before it counted up to one crash less.

--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -128,6 +128,8 @@
     sound: RecentSet<Suspect>,
     /// Suspects that have had a complete response.
     proven: RecentSet<Suspect>,
+    /// Runs whose breaks no longer count against a suspect, if other hosts may know them.
+    cleared: BTreeMap<Suspect, BTreeSet<RunnerKey>>,
     /// Responses that only the end of their connections ended.
     unframed: Vec<SuspectRun>,
     /// Runs with breaks that may become crashes, and the last of them.
@@ -204,9 +206,7 @@
     /// Records a complete response.
     pub fn completed(&mut self, suspects: &[Suspect]) {
         for suspect in suspects {
-            if self.evidence.remove(suspect).is_some() {
-                self.changed.insert(*suspect);
-            }
+            self.clear(*suspect);
             self.sound.insert(*suspect);
             self.proven.insert(*suspect);
         }
@@ -290,13 +290,6 @@
         }
     }
 
-    /// Returns true if a request with this suspect was answered completely since the last
-    /// one that broke.
-    #[must_use]
-    pub fn is_sound(&self, suspect: Suspect) -> bool {
-        self.sound.contains(&suspect)
-    }
-
     /// Returns the quarantined suspects, with the runs that ended under them.
     pub fn quarantined(&self) -> impl Iterator<Item = (Suspect, &[RunnerKey])> {
         self.quarantined.iter().map(|(suspect, runs)| (*suspect, &runs[..]))
--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -10,7 +10,7 @@
     time::MonoTime,
 };
 
-use super::{CRASH_SPREAD, CrashLimits, MAX_SUSPECTS, Quarantine, SuspectRun};
+use super::{CRASH_SPREAD, CrashLimits, MAX_SUSPECTS, Quarantine, SuspectRun, SuspectState};
 
 /// Maximum number of runs that are remembered of one suspect.
 pub(super) const MAX_RUNS: usize = 16;
@@ -50,20 +50,29 @@
 }
 
 impl Evidence {
-    /// Sets up to `max` of the breaks that another host knows of.
-    pub(super) fn set_breaks(&mut self, now: MonoTime, breaks: &[(RunnerKey, bool)], max: usize) {
-        self.breaks = breaks
-            .iter()
-            .take(max)
-            .map(|(runner, confirmed)| Break {
-                runner: runner.clone(),
-                at: now,
-                confirmed: *confirmed,
-                suspects: Vec::new(),
-                others: Vec::new(),
-            })
-            .collect();
-        self.runs = self.breaks.iter().map(|broken| broken.runner.clone()).collect();
+    /// Adds a break that another host knows of.
+    pub(super) fn learn_break(&mut self, now: MonoTime, runner: &RunnerKey, confirmed: bool) {
+        if let Some(known) = self.breaks.iter_mut().find(|broken| broken.runner == *runner) {
+            known.confirmed |= confirmed;
+            return;
+        }
+        if self.breaks.len() >= MAX_RUNS {
+            return;
+        }
+        self.runs.insert(runner.clone());
+        self.breaks.push(Break {
+            runner: runner.clone(),
+            at: now,
+            confirmed,
+            suspects: Vec::new(),
+            others: Vec::new(),
+        });
+    }
+
+    /// Removes the break of a run.
+    pub(super) fn remove_break(&mut self, runner: &RunnerKey) {
+        self.breaks.retain(|broken| broken.runner != *runner);
+        self.runs.remove(runner);
     }
 
     /// Adds a break, unless the request was granted before an earlier one was known, or got
@@ -121,9 +130,7 @@
                 continue;
             }
             if !is_part(&suspect) && run.outlived_begin() {
-                if self.evidence.remove(suspect).is_some() {
-                    self.changed.insert(*suspect);
-                }
+                self.clear(*suspect);
                 continue;
             }
             if self.evidence_of(*suspect, position).add(run, &others) {
@@ -132,6 +139,16 @@
         }
     }
 
+    /// Clears a suspect of all that is known against it.
+    pub(super) fn clear(&mut self, suspect: Suspect) {
+        let is_shared = self.state(suspect) != SuspectState::Free;
+        let Some(evidence) = self.evidence.remove(&suspect) else { return };
+        self.changed.insert(suspect);
+        if is_shared {
+            self.add_cleared(suspect, evidence.runs);
+        }
+    }
+
     /// Returns the other runs that broke a moment ago, and adds this one to their breaks.
     fn record_recent_break(&mut self, run: &SuspectRun) -> Vec<RunnerKey> {
         let is_recent = |at: MonoTime| run.ended_at.since(at) <= CRASH_SPREAD;
--- a/crates/core/src/fleet/quarantine/records.rs
+++ b/crates/core/src/fleet/quarantine/records.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    CrashLimits, MAX_SUSPECTS, Quarantine, SuspectState,
+    MAX_SUSPECTS, Quarantine, SuspectState,
     evidence::{Break, MAX_RUNS},
 };
 
@@ -27,6 +27,29 @@
     /// True if requests with it have had complete responses.
     #[serde(rename = "s", default)]
     pub proven: bool,
+    /// Runs that broke under it before requests with it had complete responses.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub cleared: Vec<RunnerKey>,
+}
+
+impl SuspectRecord {
+    /// Returns true if a host that knows `stored` learns something from this record.
+    #[must_use]
+    pub fn adds_to(&self, stored: Option<&Self>) -> bool {
+        let Some(stored) = stored else {
+            return self.quarantined || !self.breaks.is_empty();
+        };
+        let is_cleared = |runner: &RunnerKey| stored.cleared.contains(runner);
+        let is_known = |(runner, confirmed): &(RunnerKey, bool)| {
+            let mut known = stored.breaks.iter();
+            known.any(|(other, known)| other == runner && (*known || !confirmed))
+        };
+        let mut news = self.breaks.iter().filter(|(runner, _)| !is_cleared(runner));
+        (self.quarantined && !stored.quarantined)
+            || (self.proven && !stored.proven)
+            || news.any(|broken| !is_known(broken))
+            || self.cleared.iter().any(|runner| !is_cleared(runner))
+    }
 }
 
 /// Who sent a record.
@@ -34,9 +57,9 @@
 pub enum RecordSource {
     /// This host's coordinator: its records replace what is known.
     Coordinator,
-    /// A client host: of its records those count that say more than what is known.
+    /// A client host, whose records are added to what is known.
     Client,
-    /// The store: as for a client host, but an empty record clears the suspect.
+    /// The store, as for a client host.
     Store,
 }
 
@@ -57,30 +80,51 @@
             }
             return;
         }
-        let known = self.evidence.get(&suspect).map_or(0, |evidence| evidence.breaks.len());
-        let is_news = match source {
-            RecordSource::Coordinator => true,
-            RecordSource::Store if record.breaks.is_empty() => known > 0,
-            // The sum of two records would leave out what cleared the suspect between them.
-            _ => !self.sound.contains(&suspect) && record.breaks.len() > known,
-        };
-        if !is_news || self.quarantined.contains_key(&suspect) {
+        if self.quarantined.contains_key(&suspect) {
             return;
         }
-        self.evidence.remove(&suspect);
-        if !record.breaks.is_empty() {
-            let max = match source {
-                RecordSource::Store => CrashLimits::of(suspect).unproven - 1,
-                RecordSource::Client | RecordSource::Coordinator => MAX_RUNS,
-            };
-            self.evidence_of(suspect, 0).set_breaks(now, &record.breaks, max);
+        if source == RecordSource::Coordinator {
+            self.evidence.remove(&suspect);
+            self.cleared.remove(&suspect);
+        }
+        self.add_cleared(suspect, record.cleared.iter().cloned());
+        let cleared = self.cleared.get(&suspect).cloned().unwrap_or_default();
+        if let Some(evidence) = self.evidence.get_mut(&suspect) {
+            cleared.iter().for_each(|runner| evidence.remove_break(runner));
         }
-        for (runner, _) in record.breaks.iter().filter(|(_, confirmed)| !confirmed) {
-            self.unconfirmed.entry(runner.clone()).or_insert(now);
+        for (runner, confirmed) in &record.breaks {
+            if cleared.contains(runner) {
+                continue;
+            }
+            self.evidence_of(suspect, 0).learn_break(now, runner, *confirmed);
+            if !confirmed {
+                self.unconfirmed.entry(runner.clone()).or_insert(now);
+            }
         }
+        self.evidence.retain(|_, evidence| !evidence.breaks.is_empty());
         self.changed.insert(suspect);
     }
 
+    /// Remembers runs whose breaks no longer count against a suspect.
+    pub(super) fn add_cleared<I>(&mut self, suspect: Suspect, runs: I)
+    where
+        I: IntoIterator<Item = RunnerKey>,
+    {
+        let mut runs = runs.into_iter().peekable();
+        if runs.peek().is_none() {
+            return;
+        }
+        if self.cleared.len() >= MAX_SUSPECTS && !self.cleared.contains_key(&suspect) {
+            self.cleared.pop_first();
+        }
+        let known = self.cleared.entry(suspect).or_default();
+        for runner in runs {
+            if known.len() < MAX_RUNS {
+                known.insert(runner);
+            }
+        }
+    }
+
     /// Quarantines a suspect that was quarantined by another host.
     pub fn set_quarantined(&mut self, suspect: Suspect, runs: Vec<RunnerKey>) {
         self.allowed.remove(&suspect);
@@ -111,6 +155,7 @@
             breaks: ended.or(breaks).unwrap_or_default(),
             quarantined: runs.is_some(),
             proven: self.proven.contains(&suspect),
+            cleared: self.cleared.get(&suspect).into_iter().flatten().cloned().collect(),
         }
     }
 
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -119,6 +119,14 @@
     }
 }
 
+#[test]
+fn a_crashing_request_is_found_by_hosts_that_do_not_use_the_same_coordinator() {
+    for seed in 0..12 {
+        let counts = play(seed, Pool::Service, &[Request(7)], Faults::Cuts);
+        assert_eq!(counts.found, 1, "seed {seed}: {counts:?}");
+    }
+}
+
 const PART: Suspect = Suspect::Part(PromptPart(0xbad));
 
 fn run(number: u64, granted_ms: u64) -> SuspectRun {
@@ -221,3 +229,29 @@
     (6..11).for_each(|number| crash(&mut quarantine, number));
     assert_eq!(quarantine.state(PART), SuspectState::Quarantined);
 }
+
+#[test]
+fn crashes_that_two_groups_of_hosts_saw_add_up() {
+    let mut quarantine = crashed(2);
+    let mut others = Quarantine::default();
+    (11..=13).for_each(|number| crash(&mut others, number));
+    quarantine.learn(at(20_000), &others.record(PART), RecordSource::Store);
+    quarantine.learn(at(20_000), &others.record(PART), RecordSource::Store);
+    quarantine.decide();
+    assert_eq!(quarantine.state(PART), SuspectState::Quarantined);
+}
+
+#[test]
+fn older_records_bring_back_no_breaks_that_a_complete_response_has_cleared() {
+    let older = crashed(4).record(PART);
+    let mut quarantine = crashed(4);
+    quarantine.completed(&[PART]);
+    let cleared = quarantine.record(PART);
+    assert!(cleared.adds_to(Some(&older)) && !older.adds_to(Some(&cleared)));
+    quarantine.learn(at(20_000), &older, RecordSource::Store);
+    assert_eq!(quarantine.state(PART), SuspectState::Free);
+
+    let mut others_later = crashed(3);
+    others_later.learn(at(20_000), &cleared, RecordSource::Store);
+    assert_eq!(others_later.state(PART), SuspectState::Free);
+}
--- a/crates/core/tests/fleet/runner_fleet/hosts.rs
+++ b/crates/core/tests/fleet/runner_fleet/hosts.rs
@@ -1,6 +1,6 @@
 //! Faults of runners and hosts, and what hosts tell each other.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use comfreyway_core::{
     fleet::{LimitReport, RecordSource, RunnerChange, SuspectRecord},
@@ -191,21 +191,13 @@
     fn share_through_store(&mut self) {
         for by in self.cut.iter().copied().chain([self.leader]).collect::<Vec<_>>() {
             let quarantine = self.nodes[by].coordinator.quarantine();
-            let suspected = self.suspects.values().filter(|stored| !stored.breaks.is_empty());
-            let sound = suspected.filter(|stored| quarantine.is_sound(stored.suspect));
-            let sound = sound.map(|stored| SuspectRecord {
-                breaks: Vec::new(),
-                proven: true,
-                ..stored.clone()
-            });
+            let stored = self.suspects.keys().copied();
+            let known: BTreeSet<_> = quarantine.known_suspects().chain(stored).collect();
+            let records = known.into_iter().map(|suspect| quarantine.record(suspect));
             let is_news = |record: &SuspectRecord| {
-                let stored = self.suspects.get(&record.suspect);
-                let (breaks, proven) = stored.map_or((0, false), |s| (s.breaks.len(), s.proven));
-                !record.quarantined && (record.breaks.len() > breaks || (record.proven && !proven))
+                !record.quarantined && record.adds_to(self.suspects.get(&record.suspect))
             };
-            let known = quarantine.known_suspects().map(|part| quarantine.record(part));
-            let news = known.filter(is_news);
-            let records: Vec<_> = sound.chain(news).collect();
+            let records: Vec<_> = records.filter(is_news).collect();
             for record in &records {
                 self.suspects.insert(record.suspect, record.clone());
             }
--- a/crates/node/src/fleet/control/quarantine.rs
+++ b/crates/node/src/fleet/control/quarantine.rs
@@ -7,9 +7,11 @@
 //! an older copy has lost items too.
 //!
 //! While hosts serve that don't use the same coordinator, each group of them would find a
-//! suspect by itself. They share their suspicions through the store then.
+//! suspect by itself. They share their suspicions through the store then. Each writes all
+//! that it knows: the runs that broke, and those of them that no longer count. Both only
+//! grow, so it doesn't matter which group writes first.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use comfreyway_core::{
     fleet::{RecordSource, RunnerKey, Suspect, SuspectRecord},
@@ -43,10 +45,26 @@
     /// Runs that broke under it and whether they have ended, if it is only suspected;
     /// empty if it no longer is.
     suspected: Option<Vec<(RunnerKey, bool)>>,
+    /// Runs that broke under it before requests with it had complete responses.
+    cleared: Vec<RunnerKey>,
     /// True if requests with it have had complete responses.
     proven: bool,
 }
 
+impl QuarantineItem {
+    fn of_suspicion(record: SuspectRecord) -> Self {
+        let SuspectRecord { breaks, cleared, proven, .. } = record;
+        Self { allowed: false, runs: Vec::new(), suspected: Some(breaks), cleared, proven }
+    }
+
+    /// Returns what the item says of a suspect that is not quarantined.
+    fn to_record(&self, suspect: Suspect) -> Option<SuspectRecord> {
+        let breaks = self.suspected.clone().filter(|_| !self.allowed)?;
+        let (cleared, proven) = (self.cleared.clone(), self.proven);
+        Some(SuspectRecord { suspect, breaks, quarantined: false, proven, cleared })
+    }
+}
+
 impl FleetControl {
     /// Applies the store's item of a suspect.
     pub(super) fn apply_quarantine_item(&mut self, item: &Versioned) {
@@ -71,8 +89,7 @@
                 Suspect::Request(digest) => log_event!(Event::RequestAllowed, digest:% = digest),
             }
             self.coordinator.allow_suspect(now, suspect, &mut replies);
-        } else if let Some(breaks) = read.suspected {
-            let record = SuspectRecord { suspect, breaks, quarantined: false, proven: read.proven };
+        } else if let Some(record) = read.to_record(suspect) {
             self.coordinator.learn_suspects(now, [record], RecordSource::Store, &mut replies);
         } else {
             self.coordinator.set_quarantined(now, suspect, read.runs, &mut replies);
@@ -203,29 +220,18 @@
         if let Some((suspect, runs)) = unstored.next() {
             return Some((suspect, QuarantineItem { runs: runs.to_vec(), ..Default::default() }));
         }
-        let stored = self.quarantine_items.iter().filter_map(|(suspect, item)| {
-            let breaks = item.suspected.as_ref()?.len();
-            Some((*suspect, (breaks, item.proven)))
-        });
-        let stored: BTreeMap<_, _> = stored.collect();
-        let mut suspected = stored.iter().filter(|(_, (breaks, _))| *breaks > 0);
-        if let Some((suspect, _)) = suspected.find(|(suspect, _)| quarantine.is_sound(**suspect)) {
-            let suspected = Some(Vec::new());
-            let item = QuarantineItem { suspected, proven: true, ..Default::default() };
-            return Some((*suspect, item));
-        }
         let basis = self.coordinator.share_basis();
-        if basis.clients >= basis.known {
-            return None;
-        }
-        let is_news = |record: &SuspectRecord| {
-            let (breaks, proven) = stored.get(&record.suspect).copied().unwrap_or_default();
-            !record.quarantined && (record.breaks.len() > breaks || (record.proven && !proven))
-        };
-        let mut records = quarantine.known_suspects().map(|suspect| quarantine.record(suspect));
-        let news = records.find(is_news)?;
-        let (suspected, proven) = (Some(news.breaks), news.proven);
-        Some((news.suspect, QuarantineItem { suspected, proven, ..Default::default() }))
+        let is_divided = basis.clients < basis.known;
+        let stored = |suspect: Suspect| self.quarantine_items.get(&suspect)?.to_record(suspect);
+        let in_store = self.quarantine_items.keys().copied();
+        let mut records = quarantine.known_suspects().chain(in_store).map(|s| quarantine.record(s));
+        let news = records.find(|record| {
+            let stored = stored(record.suspect);
+            // One coordinator needs no store to share suspicions, but ends what is there.
+            let is_shared = is_divided || (stored.is_some() && record.breaks.is_empty());
+            !record.quarantined && is_shared && record.adds_to(stored.as_ref())
+        })?;
+        Some((news.suspect, QuarantineItem::of_suspicion(news)))
     }
 
     fn suspect_of(&self, key: &str) -> Option<Suspect> {
--- a/crates/node/src/fleet/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -74,12 +74,14 @@
         breaks: breaks.clone(),
         quarantined: false,
         proven: true,
+        cleared: vec![RunnerKey { name: RunnerName::new("e2").unwrap(), started_ms: None }],
     };
     let record = SuspectRecord {
         suspect: Suspect::Part(PromptPart(7)),
         breaks,
         quarantined: true,
         proven: false,
+        cleared: Vec::new(),
     };
     let message = ToHost::Suspects(vec![record, request]);
     assert_eq!(recode::<_, ToHost>(&message), message);
