Soak a repeated request that crashes runners

A caller repeats one request that crashes each runner of both upstreams; other callers poll with equal requests without a body, and prompts with the crashing part have bodies of their own.

--- a/tests/testsuite/fleet/soak.rs
+++ b/tests/testsuite/fleet/soak.rs
@@ -3,7 +3,8 @@
 //! it is reported as not run; a success is a runner's whole response to that request;
 //! a stream stays at one software version, also if its caller takes it up again; no
 //! workspace exceeds its quota; afterwards all hosts serve. Meanwhile runners crash under
-//! one part of prompts, which must not keep the others from being served, and name limits.
+//! one part of prompts and under one request that is repeated, which must not keep the
+//! others from being served, and name limits.
 //!
 //! CI runs a few short seeds. To run fifty seeds, and some with many hosts, by hand:
 //!
@@ -34,7 +35,7 @@
 
 use crate::support::Daemon;
 
-use self::callers::{CallResult, CallerKind, Connection, start_caller};
+use self::callers::{CallBody, CallResult, CallerKind, Connection, start_caller};
 
 use super::harness::{DESK_KEY, runner_entry};
 
@@ -67,6 +68,7 @@
     key: DESK_KEY,
     paths: &["/lookup/count/", "/tags/", "/report/", "/lookup/", "/open/"],
     parts: "a1:60,5e:200,1:90",
+    body: CallBody::Same(""),
     pause: Duration::from_millis(15),
     // Longer than any time limit of the configuration.
     timeout: Duration::from_secs(12),
@@ -77,6 +79,7 @@
     key: "key-of-bulk",
     paths: &["/lookup/count/"],
     parts: "a1:60,1:90",
+    body: CallBody::Same(""),
     pause: Duration::from_millis(1),
     timeout: Duration::from_millis(500),
 };
@@ -86,12 +89,24 @@
     key: DESK_KEY,
     paths: &["/report/"],
     parts: "a1:60,bad0:200,1:90",
+    body: CallBody::Own,
     pause: Duration::from_millis(100),
     timeout: Duration::from_secs(12),
 };
 /// The part of these prompts that does it.
 const CRASHING_PART: &str = "bad0";
 const CRASHING_CALLERS: usize = 2;
+/// A caller that repeats a request which crashes runners.
+const REPEATING: CallerKind = CallerKind {
+    name: "repeating",
+    key: DESK_KEY,
+    paths: &["/lookup/"],
+    parts: "",
+    body: CallBody::Same(CRASHING_BODY),
+    pause: Duration::from_millis(100),
+    timeout: Duration::from_secs(12),
+};
+const CRASHING_BODY: &str = "poison";
 /// Rate limits of runners.
 const LIMITS: [Option<&str>; 4] = [None, None, Some("0.5"), Some("8")];
 /// Units of each request of the workspace `bulk`.
@@ -112,6 +127,17 @@
     configuration
 }
 
+/// Starts a runner that crashes under the crashing requests.
+fn start_runner(upstream: &str, name: &str, mode: RunnerMode, version: &str) -> FleetRunner {
+    let runner = FleetRunner::start(name, mode).unwrap();
+    runner.crash_on_body(CRASHING_BODY.as_bytes());
+    if upstream == "dala" {
+        runner.set_version(version);
+        runner.crash_on(CRASHING_PART);
+    }
+    runner
+}
+
 /// The processes and the state of one run.
 struct Soak {
     rng: StdRng,
@@ -152,11 +178,7 @@
             for (upstream, mode) in
                 [("survey", RunnerMode::Whole), ("dala", RunnerMode::Stream(EVENTS))]
             {
-                let runner = FleetRunner::start(&format!("{upstream}-{n}"), mode).unwrap();
-                if upstream == "dala" {
-                    runner.set_version(version);
-                    runner.crash_on(CRASHING_PART);
-                }
+                let runner = start_runner(upstream, &format!("{upstream}-{n}"), mode, version);
                 let proxy = FaultProxy::start(runner.address()).unwrap();
                 runners.push((runner, upstream, proxy));
             }
@@ -203,12 +225,12 @@
             self.crashes += 1;
             let former = self.runners[n].0.name().to_owned();
             let number = former.split('-').nth(1).unwrap();
-            let name = format!("dala-{number}-{}", self.crashes);
-            let runner = FleetRunner::start(&name, RunnerMode::Stream(EVENTS)).unwrap();
-            runner.set_version(VERSIONS[number.parse::<usize>().unwrap()]);
-            runner.crash_on(CRASHING_PART);
+            let upstream = self.runners[n].1;
+            let name = format!("{upstream}-{number}-{}", self.crashes);
+            let version = VERSIONS[number.parse::<usize>().unwrap()];
+            let runner = start_runner(upstream, &name, Self::usual_mode(upstream), version);
             let proxy = FaultProxy::start(runner.address()).unwrap();
-            let former = std::mem::replace(&mut self.runners[n], (runner, "dala", proxy));
+            let former = std::mem::replace(&mut self.runners[n], (runner, upstream, proxy));
             former.2.cut_all();
             self.ended_runs.extend(former.0.runs());
             self.store.delete(&format!("servers/{}", former.0.name()));
@@ -352,7 +374,7 @@
     let results = Rc::new(RefCell::new(Vec::new()));
     let addresses: Vec<SocketAddr> = soak.settings.iter().map(|s| s.callers).collect();
     let kinds = std::iter::repeat_n(DESK, CALLERS).chain(std::iter::repeat_n(BULK, BULK_CALLERS));
-    let kinds = kinds.chain(std::iter::repeat_n(CRASHING, CRASHING_CALLERS));
+    let kinds = kinds.chain(std::iter::repeat_n(CRASHING, CRASHING_CALLERS)).chain([REPEATING]);
     let callers: Vec<_> = (0..)
         .zip(kinds)
         .map(|(caller, kind)| {
@@ -428,9 +450,11 @@
         }
     }
     let desk = results.iter().filter(|result| result.id.starts_with(DESK.name)).count();
-    let crashing = runs.keys().filter(|id| id.starts_with(CRASHING.name)).count();
+    let count = |kind: &CallerKind| runs.keys().filter(|id| id.starts_with(kind.name)).count();
+    let (crashing, repeated) = (count(&CRASHING), count(&REPEATING));
     eprintln!(
-        "seed {seed}: {served} of {desk} served, {crashing} with the crashing part ran, {} crashes",
+        "seed {seed}: {served} of {desk} served, {crashing} with the crashing part and {repeated} \
+         repeats ran, {} crashes",
         soak.crashes
     );
     assert!(served * 4 > desk, "seed {seed}: {served} of {desk} served");
--- a/tests/testsuite/fleet/soak/callers.rs
+++ b/tests/testsuite/fleet/soak/callers.rs
@@ -56,6 +56,15 @@
     }
 }
 
+/// Bodies of the requests of one caller.
+#[derive(Clone, Copy)]
+pub(super) enum CallBody {
+    /// The same for all.
+    Same(&'static str),
+    /// Another one for each.
+    Own,
+}
+
 /// One kind of callers.
 #[derive(Clone)]
 pub(super) struct CallerKind {
@@ -64,6 +73,7 @@
     pub(super) paths: &'static [&'static str],
     /// Parts of each prompt.
     pub(super) parts: &'static str,
+    pub(super) body: CallBody,
     /// Pause between two requests.
     pub(super) pause: Duration,
     /// Time after which a caller closes its connection.
@@ -114,9 +124,14 @@
         more: &str,
     ) -> Option<(String, (String, bool))> {
         let CallerKind { key, parts, .. } = kind;
+        let body = match kind.body {
+            CallBody::Same(body) => body,
+            CallBody::Own => id,
+        };
         let head = format!(
             "POST {path} HTTP/1.1\r\nhost: desk.example\r\n{ID}: {id}\r\n{KEY}: {key}\r\n\
-             {PARTS}: {parts}\r\n{more}content-length: 0\r\n\r\n"
+             {PARTS}: {parts}\r\n{more}content-length: {}\r\n\r\n{body}",
+            body.len()
         );
         self.stream.write_all(head.as_bytes()).await.ok()?;
         let head = self.read_until(b"\r\n\r\n").await?.to_ascii_lowercase();
