Play hosts that are cut off from all runners, test failing

Up to three of six hosts lose all runners for 5 to 12 s; their connections are reset and new ones refused, or all hang. No runner ends.

--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod coordinator;
 mod crash_evidence;
+mod cut_off_hosts;
 mod directory;
 mod floors;
 mod hosts;
--- a/crates/core/tests/fleet/runner_fleet.rs
+++ b/crates/core/tests/fleet/runner_fleet.rs
@@ -31,6 +31,8 @@
 const REMOVAL_MS: u64 = 3_000;
 const RESTART_MS: u64 = 3_400;
 const CONTACT_MS: u64 = 3_000;
+/// Timeout of a connection that hangs.
+const CONNECT_MS: u64 = 500;
 /// When crashing requests begin.
 const BEGIN_MS: u64 = 5_000;
 const SHARE_INTERVAL_MS: u64 = 100;
@@ -114,8 +116,8 @@
     Hosts,
     /// Hosts and coordinators are killed, and hosts are cut off from the others.
     Cuts,
-    /// Hosts are cut off from all runners: their connections are reset, and new ones
-    /// refused.
+    /// Hosts are cut off from all runners: their connections are reset and new ones
+    /// refused, or all hang.
     RunnerCuts,
 }
 
@@ -127,6 +129,12 @@
     /// Sound requests since crashing ones began, and those that were answered.
     pub(crate) sound: usize,
     pub(crate) sound_answered: usize,
+    /// Sound requests at hosts that have been cut off from all runners for the contact
+    /// time, and at the others meanwhile, with those of them that were answered.
+    pub(crate) at_cut: usize,
+    pub(crate) at_cut_answered: usize,
+    pub(crate) at_others: usize,
+    pub(crate) at_others_answered: usize,
     /// Sound requests later than twice the contact time after the known crashes, and
     /// those that began, or were answered by a plain service.
     pub(crate) sound_late: usize,
@@ -139,6 +147,10 @@
         self.found += other.found;
         self.sound += other.sound;
         self.sound_answered += other.sound_answered;
+        self.at_cut += other.at_cut;
+        self.at_cut_answered += other.at_cut_answered;
+        self.at_others += other.at_others;
+        self.at_others_answered += other.at_others_answered;
         self.sound_late += other.sound_late;
         self.sound_began_late += other.sound_began_late;
     }
@@ -171,12 +183,23 @@
     arrivals: Vec<u64>,
 }
 
+/// Time for which a host can't reach any runner.
+#[derive(Clone, Copy)]
+struct RunnerCut {
+    from_ms: u64,
+    until_ms: u64,
+    /// True if connections hang, false if they are reset or refused.
+    hangs: bool,
+}
+
 struct Request {
     host: usize,
     parts: Vec<PromptPart>,
     body: u64,
     attempts: u32,
     sent_ms: u64,
+    /// Whether its host was cut off from runners, if any was.
+    at_cut: Option<bool>,
 }
 
 impl Request {
@@ -208,8 +231,10 @@
     leader: usize,
     /// Hosts that use their own coordinators.
     cut: BTreeSet<usize>,
-    /// Hosts that are cut off from all runners, and until when.
-    cut_from_runners: BTreeMap<usize, u64>,
+    /// Hosts that are cut off from all runners.
+    cut_from_runners: BTreeMap<usize, RunnerCut>,
+    /// Connections that cut hosts wait for, by the end of their timeout.
+    connecting: Vec<(u64, usize, RequestId)>,
     /// Suspects in the store.
     suspects: BTreeMap<Suspect, SuspectRecord>,
     /// One of this many steps brings a sound request.
@@ -250,6 +275,7 @@
             leader: 0,
             cut: BTreeSet::new(),
             cut_from_runners: BTreeMap::new(),
+            connecting: Vec::new(),
             suspects: BTreeMap::new(),
             steps_per_request: 5,
             runners: BTreeMap::new(),
@@ -410,8 +436,14 @@
         runner: &RunnerName,
         out: &mut Vec<ClientAction>,
     ) {
-        let is_reachable = !self.cut_from_runners.contains_key(&host);
-        let found = self.runners.get_mut(runner).filter(|_| is_reachable);
+        if let Some(cut) = self.cut_from_runners.get(&host) {
+            match cut.hangs {
+                true => self.connecting.push((self.now_ms + CONNECT_MS, host, id)),
+                false => self.nodes[host].client.requeue(id, RetryReason::ConnectRefused, out),
+            }
+            return;
+        }
+        let found = self.runners.get_mut(runner);
         let Some(runner) = found.filter(|runner| runner.crashed_ms.is_none()) else {
             self.nodes[host].client.requeue(id, RetryReason::ConnectRefused, out);
             return;
@@ -490,6 +522,11 @@
         if is_counted && request.sent_ms > BEGIN_MS && request.sent_ms < LAST_COUNTED_MS {
             self.counts.sound_answered += 1;
         }
+        match request.at_cut.filter(|_| is_counted) {
+            Some(true) => self.counts.at_cut_answered += 1,
+            Some(false) => self.counts.at_others_answered += 1,
+            None => {}
+        }
         if is_counted && self.pool == Pool::Service && self.is_late(request.sent_ms) {
             self.counts.sound_began_late += 1;
         }
--- a/crates/core/tests/fleet/runner_fleet/callers.rs
+++ b/crates/core/tests/fleet/runner_fleet/callers.rs
@@ -34,7 +34,27 @@
         if self.is_late(self.now_ms) {
             self.counts.sound_late += 1;
         }
-        self.submit_new(parts, body);
+        let host = self.rng.random_range(0..HOSTS);
+        let at_cut = self.is_at_cut(host);
+        match at_cut {
+            Some(true) => self.counts.at_cut += 1,
+            Some(false) => self.counts.at_others += 1,
+            None => {}
+        }
+        self.submit(Request { host, parts, body, attempts: 0, sent_ms: self.now_ms, at_cut });
+    }
+
+    /// Returns whether a host has been cut off from runners for the contact time, if any
+    /// has.
+    fn is_at_cut(&self, host: usize) -> Option<bool> {
+        let is_known = |from_ms: u64| self.now_ms > from_ms + CONTACT_MS;
+        let mut cuts = self.cut_from_runners.values();
+        if self.now_ms > LAST_COUNTED_MS || !cuts.any(|cut| is_known(cut.from_ms)) {
+            return None;
+        }
+        // Those that were cut off a moment ago are counted with neither.
+        let cut = self.cut_from_runners.get(&host);
+        cut.map_or(Some(false), |cut| is_known(cut.from_ms).then_some(true))
     }
 
     pub(super) fn send_crashing(&mut self, number: usize) {
@@ -72,7 +92,8 @@
 
     fn submit_new(&mut self, parts: Vec<PromptPart>, body: u64) {
         let host = self.rng.random_range(0..HOSTS);
-        self.submit(Request { host, parts, body, attempts: 0, sent_ms: self.now_ms });
+        let (sent_ms, at_cut) = (self.now_ms, None);
+        self.submit(Request { host, parts, body, attempts: 0, sent_ms, at_cut });
     }
 
     pub(super) fn is_sound(&self, id: RequestId) -> bool {
--- a/crates/core/tests/fleet/runner_fleet/hosts.rs
+++ b/crates/core/tests/fleet/runner_fleet/hosts.rs
@@ -4,13 +4,14 @@
 
 use comfreyway_core::{
     fleet::{LimitReport, RecordSource, RunnerChange, SuspectRecord},
+    outcome::RetryReason,
     request::DispatchEnd,
 };
 use rand::RngExt;
 
 use crate::support::at;
 
-use super::{Faults, Fleet, HOSTS, SHARE_INTERVAL_MS, new_node};
+use super::{Faults, Fleet, HOSTS, RunnerCut, SHARE_INTERVAL_MS, new_node};
 
 impl Fleet {
     pub(super) fn inject_faults(&mut self) {
@@ -58,18 +59,23 @@
     /// Cuts hosts off from all runners for some seconds.
     fn cut_hosts_from_runners(&mut self) {
         let now_ms = self.now_ms;
-        self.cut_from_runners.retain(|_, until_ms| now_ms < *until_ms);
-        if self.rng.random_range(0..200) != 0 {
+        self.cut_from_runners.retain(|_, cut| now_ms < cut.until_ms);
+        let due = self.connecting.extract_if(.., |(due_ms, ..)| *due_ms <= now_ms);
+        for (_, host, id) in due.collect::<Vec<_>>() {
+            let mut actions = Vec::new();
+            self.nodes[host].client.requeue(id, RetryReason::ConnectTimeout, &mut actions);
+            self.execute(host, actions, Vec::new());
+        }
+        if self.rng.random_range(0..200) != 0 || self.cut_from_runners.len() >= HOSTS / 2 {
             return;
         }
         let host = self.rng.random_range(0..HOSTS);
-        let until_ms = now_ms + self.rng.random_range(3_000..9_000);
-        if self.cut_from_runners.len() < HOSTS / 2 {
-            self.cut_from_runners.insert(host, until_ms);
-        }
+        let until_ms = now_ms + self.rng.random_range(5_000..12_000);
+        let hangs = self.rng.random_bool(0.5);
+        self.cut_from_runners.insert(host, RunnerCut { from_ms: now_ms, until_ms, hangs });
         let runners = self.runners.values_mut();
-        let reset = runners.flat_map(|r| r.runs.extract_if(.., |run| run.host == host));
-        for run in reset.collect::<Vec<_>>() {
+        let lost = runners.flat_map(|r| r.runs.extract_if(.., |run| run.host == host));
+        for run in lost.collect::<Vec<_>>() {
             self.end(host, run.id, DispatchEnd::Failed);
         }
     }
