--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -109,10 +109,10 @@
 ///     let runner = RunnerKey { name: format!("r{second}").parse().unwrap(), started_ms: None };
 ///     let (granted_at, ended_at) =
 ///         (MonoTime::from_millis(second * 1_000 + 1), MonoTime::from_millis(second * 1_000 + 90));
-///     let (runner, begun_at) = (runner.clone(), None);
-///     let run = SuspectRun { runner, suspects: vec![suspect], granted_at, begun_at, ended_at };
+///     let (suspects, begun_at) = (vec![suspect], None);
+///     let run = SuspectRun { runner, suspects, granted_at, begun_at, ended_at };
 ///     quarantine.broke(&run);
-///     quarantine.run_ended(&runner);
+///     quarantine.run_ended(&run.runner);
 /// }
 /// quarantine.decide();
 /// assert_eq!(quarantine.state(suspect), SuspectState::Quarantined);
