Pause a runner that one host can't reach for that host alone

Cause: a connection that one host can't open, or that breaks, paused the runner for all hosts and then gave it a single request at a time. Each grant to a cut host took one more runner away. It is a fact about a pair, host and runner; only rests were kept by pair.

Ruled out: slots that the cut hosts hold for 0.5 s each are not the cause alone; with the pause by pair the others are served, though the slots are still granted.

Change: a failure pauses the runner for the host. It counts for all hosts unless the host has failed at three runners, or at all of fewer, since its last response from any; and the runner is paused for all once it has failed two such hosts and answered none meanwhile.

The play counted requests with the others that a later cut of their own host ended, and those of a host that was cut twice; it doesn't any more. The callers of the cut hosts are not served by this.

--- a/crates/core/src/fleet/scheduler/learning.rs
+++ b/crates/core/src/fleet/scheduler/learning.rs
@@ -38,25 +38,27 @@
                 let rate = (elapsed_us - FIXED_FIRST_TOKEN_US).max(0.0) / f64::from(tokens);
                 runner.rates.prefill_us.observe(rate);
             }
-            runner.record_success();
+            runner.record_success(&granted.record.entry);
         });
+        self.reach.record_response(&granted.record.entry);
     }
 
     /// Records the end of a request at its runner.
     pub fn ended(&mut self, now: MonoTime, id: RequestId, end: DispatchEnd) {
         let Some(granted) = self.granted.remove(&id) else { return };
-        let engine = self.engine;
+        let (engine, host) = (self.engine, &granted.record.entry);
         self.runners.update(&granted.runner, |runner| {
             runner.end(id);
-            match &end {
-                DispatchEnd::Complete(usage) => {
-                    runner.record_success();
-                    runner.learn(engine, usage);
-                }
-                DispatchEnd::Failed => runner.record_failure(now, DispatchFailure::Broken),
-                DispatchEnd::Cancelled => {}
+            if let DispatchEnd::Complete(usage) = &end {
+                runner.record_success(host);
+                runner.learn(engine, usage);
             }
         });
+        match end {
+            DispatchEnd::Complete(_) => self.reach.record_response(host),
+            DispatchEnd::Failed => self.record_failure(now, &granted, DispatchFailure::Broken),
+            DispatchEnd::Cancelled => {}
+        }
         if let DispatchEnd::Complete(usage) = end
             && engine
             && (self.response_lengths.len() < MAX_CLASSES
--- a/crates/core/src/fleet/scheduler/mod.rs
+++ b/crates/core/src/fleet/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod placement;
 mod queue;
 mod rate_limit;
+mod reach;
 mod returns;
 mod runner;
 mod runner_index;
--- a/crates/core/src/fleet/scheduler/runner.rs
+++ b/crates/core/src/fleet/scheduler/runner.rs
@@ -1,6 +1,9 @@
 //! Load and learned rates of a runner.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     fleet::RunnerVersion,
@@ -24,8 +27,7 @@
 /// network round trip and one step of the engine. In microseconds.
 pub(super) const FIXED_FIRST_TOKEN_US: f64 = 22_000.0;
 
-/// Pause after the first failure that looks like the runner's own fault; doubles
-/// with each further failure.
+/// Pause after the first failure; doubles with each further one.
 const INITIAL_PAUSE: Duration = Duration::from_millis(200);
 
 /// Maximum pause after failures.
@@ -41,6 +43,10 @@
 /// by all.
 const MAX_RESTED_HOSTS: usize = 2;
 
+/// Number of hosts that a runner has to fail, without a response to any, until it is paused
+/// for all: a host that is alone with its failures may be cut off from the runner.
+const MIN_FAILED_HOSTS: usize = 2;
+
 /// Why a dispatch to a runner failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DispatchFailure {
@@ -50,6 +56,14 @@
     Full,
 }
 
+/// Failures of one host at a runner.
+#[derive(Clone, Copy, Debug)]
+struct HostFailures {
+    count: u32,
+    /// Until when the host does not use the runner.
+    paused_until: MonoTime,
+}
+
 /// Learned rates of one runner, in microseconds.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Rates {
@@ -81,7 +95,12 @@
     pub(super) pending_prompt_tokens: u32,
     pub(super) rates: Rates,
     pub(super) paused_until: MonoTime,
+    /// Number of failures since its last response.
     pub(super) failures: u32,
+    /// Failures of each host since the runner's last response to it.
+    host_failures: BTreeMap<HostId, HostFailures>,
+    /// Hosts that it has failed since its last response to any.
+    failed_hosts: BTreeSet<HostId>,
     /// Limit on the requests that it gets from this coordinator's hosts.
     rate_limit: Option<RateLimit>,
     /// Hosts whose requests the runner does not accept until the given time.
@@ -99,6 +118,8 @@
             rates: Rates::default(),
             paused_until: MonoTime::ZERO,
             failures: 0,
+            host_failures: BTreeMap::new(),
+            failed_hosts: BTreeSet::new(),
             rate_limit: None,
             rests: BTreeMap::new(),
         }
@@ -186,15 +207,28 @@
         Some(request)
     }
 
-    pub(super) fn record_failure(&mut self, now: MonoTime, failure: DispatchFailure) {
-        let pause = match failure {
-            DispatchFailure::Full => FULL_PAUSE,
-            DispatchFailure::Broken => {
-                self.failures += 1;
-                (INITIAL_PAUSE * 2_u32.saturating_pow(self.failures.min(8) - 1)).min(MAX_PAUSE)
-            }
-        };
-        self.paused_until = self.paused_until.max(now + pause);
+    /// Records that the runner turned a request away for lack of a slot.
+    pub(super) fn record_full(&mut self, now: MonoTime) {
+        self.paused_until = self.paused_until.max(now + FULL_PAUSE);
+    }
+
+    /// Records that a connection of this host failed, and pauses the runner for the host.
+    pub(super) fn record_host_failure(&mut self, now: MonoTime, host: &HostId) {
+        self.host_failures.retain(|_, failures| now < failures.paused_until + MAX_PAUSE);
+        let none = HostFailures { count: 0, paused_until: MonoTime::ZERO };
+        let of_host = self.host_failures.entry(host.clone()).or_insert(none);
+        of_host.count += 1;
+        of_host.paused_until = of_host.paused_until.max(now + failure_pause(of_host.count));
+    }
+
+    /// Records that a connection of this host failed, which reaches other runners. Pauses
+    /// the runner for all once it has failed several hosts and answered none.
+    pub(super) fn record_failure(&mut self, now: MonoTime, host: &HostId) {
+        self.failures += 1;
+        self.failed_hosts.insert(host.clone());
+        if self.failed_hosts.len() >= MIN_FAILED_HOSTS {
+            self.paused_until = self.paused_until.max(now + failure_pause(self.failures));
+        }
     }
 
     /// Records that the runner accepts no requests of `host` for a while. If several
@@ -210,12 +244,28 @@
         }
     }
 
-    /// Returns true if the runner accepts no requests of this host.
+    /// Returns true if the runner accepts no requests of this host, or has failed them.
     pub(super) fn is_resting_for(&self, now: MonoTime, host: &HostId) -> bool {
+        let failures = self.host_failures.get(host);
         self.rests.get(host).is_some_and(|until| now < *until)
+            || failures.is_some_and(|failures| now < failures.paused_until)
     }
 
-    pub(super) fn record_success(&mut self) {
+    /// Returns until when the runner is not used for some host's requests.
+    pub(super) fn hosts_differ_until(&self) -> MonoTime {
+        let paused = self.host_failures.values().map(|failures| failures.paused_until);
+        paused.max().unwrap_or(MonoTime::ZERO)
+    }
+
+    /// Records a response to this host's request.
+    pub(super) fn record_success(&mut self, host: &HostId) {
         self.failures = 0;
+        self.failed_hosts.clear();
+        self.host_failures.remove(host);
     }
 }
+
+/// Returns the pause after this number of failures in a row.
+fn failure_pause(failures: u32) -> Duration {
+    (INITIAL_PAUSE * 2_u32.saturating_pow(failures.min(8) - 1)).min(MAX_PAUSE)
+}
--- a/crates/core/src/fleet/scheduler/runner_index.rs
+++ b/crates/core/src/fleet/scheduler/runner_index.rs
@@ -115,6 +115,10 @@
         self.runners.get(name).map(|(_, runner)| runner)
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.runners.len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.runners.is_empty()
     }
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -15,6 +15,7 @@
     ewma::Ewma,
     floor::ClassFloors,
     queue::{Deadlines, Queue},
+    reach::HostReach,
     returns::ReturnTimes,
     runner_index::RunnerIndex,
 };
@@ -61,6 +62,8 @@
     pub(super) returns: ReturnTimes,
     pub(super) granted: BTreeMap<RequestId, Granted>,
     pub(super) response_lengths: BTreeMap<ClassName, Ewma>,
+    /// Which hosts reach runners.
+    pub(super) reach: HostReach,
     /// Until then some runners may not accept the requests of some hosts.
     pub(super) hosts_differ_until: MonoTime,
 }
@@ -80,6 +83,7 @@
             returns: ReturnTimes::default(),
             granted: BTreeMap::new(),
             response_lengths: BTreeMap::new(),
+            reach: HostReach::default(),
             hosts_differ_until: MonoTime::ZERO,
         }
     }
@@ -315,6 +319,7 @@
         for id in removed.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.release(id);
         }
+        self.reach.forget(host);
         self.grant(now, out);
     }
 
@@ -370,12 +375,37 @@
     ) -> Option<Granted> {
         let granted = self.release(id)?;
         if let Some(failure) = failure {
-            self.runners.update(&granted.runner, |runner| runner.record_failure(now, failure));
+            self.record_failure(now, &granted, failure);
         }
         self.runners.refresh(now);
         Some(granted)
     }
 
+    /// Records that a dispatch failed. What a host that reaches no runner reports says
+    /// nothing of the runner.
+    pub(super) fn record_failure(
+        &mut self,
+        now: MonoTime,
+        granted: &Granted,
+        failure: DispatchFailure,
+    ) {
+        let (host, name) = (&granted.record.entry, &granted.runner);
+        if failure == DispatchFailure::Full {
+            self.runners.update(name, |runner| runner.record_full(now));
+            return;
+        }
+        self.reach.record_failure(host, name);
+        let is_cut_off = self.reach.is_cut_off(host, self.runners.len());
+        self.runners.update(name, |runner| {
+            runner.record_host_failure(now, host);
+            if !is_cut_off {
+                runner.record_failure(now, host);
+            }
+        });
+        let until = self.runners.get(name).map(RunnerState::hosts_differ_until);
+        self.hosts_differ_until = self.hosts_differ_until.max(until.unwrap_or(MonoTime::ZERO));
+    }
+
     fn release(&mut self, id: RequestId) -> Option<Granted> {
         let granted = self.granted.remove(&id)?;
         self.runners.update(&granted.runner, |runner| runner.end(id));
--- a/crates/core/tests/fleet/runner_fleet/callers.rs
+++ b/crates/core/tests/fleet/runner_fleet/callers.rs
@@ -7,7 +7,9 @@
 
 use crate::support::{at, placement_request};
 
-use super::{BEGIN_MS, CONTACT_MS, Crashing, Fleet, HOSTS, LAST_COUNTED_MS, Pool, Request, digest};
+use super::{
+    BEGIN_MS, CONTACT_MS, Crashing, Fleet, HOSTS, LAST_COUNTED_MS, PLAY_MS, Pool, Request, digest,
+};
 
 /// Bodies of polls, which many callers send at any time.
 const POLLS: u64 = 3;
@@ -15,6 +17,9 @@
 /// Bodies from here on are drawn for one request each.
 const FIRST_OWN_BODY: u64 = 1_000;
 
+/// Time in which a request that is granted at once is answered.
+const MAX_RESPONSE_MS: u64 = 4_000;
+
 /// Target and time limit of a plain service.
 const SERVICE_TARGET: Duration = Duration::from_millis(300);
 const SERVICE_TIME_LIMIT: Duration = Duration::from_millis(1_500);
@@ -49,7 +54,7 @@
     fn is_at_cut(&self, host: usize) -> Option<bool> {
         let is_known = |from_ms: u64| self.now_ms > from_ms + CONTACT_MS;
         let mut cuts = self.cut_from_runners.values();
-        if self.now_ms > LAST_COUNTED_MS || !cuts.any(|cut| is_known(cut.from_ms)) {
+        if self.now_ms > PLAY_MS - MAX_RESPONSE_MS || !cuts.any(|cut| is_known(cut.from_ms)) {
             return None;
         }
         // Those that were cut off a moment ago are counted with neither.
--- a/crates/core/tests/fleet/runner_fleet/hosts.rs
+++ b/crates/core/tests/fleet/runner_fleet/hosts.rs
@@ -70,9 +70,21 @@
             return;
         }
         let host = self.rng.random_range(0..HOSTS);
+        if self.cut_from_runners.contains_key(&host) {
+            return;
+        }
         let until_ms = now_ms + self.rng.random_range(5_000..12_000);
         let hangs = self.rng.random_bool(0.5);
         self.cut_from_runners.insert(host, RunnerCut { from_ms: now_ms, until_ms, hangs });
+        // What the cut itself ends is counted with neither.
+        let requests = self.requests.values_mut().filter(|request| request.host == host);
+        for request in requests {
+            match request.at_cut.take() {
+                Some(true) => self.counts.at_cut -= 1,
+                Some(false) => self.counts.at_others -= 1,
+                None => {}
+            }
+        }
         let runners = self.runners.values_mut();
         let lost = runners.flat_map(|r| r.runs.extract_if(.., |run| run.host == host));
         for run in lost.collect::<Vec<_>>() {
