Require one more crash of a request whose context is lost, and weigh runs that end together

Change: a run that ends together with others counts against a request unless one of the others has a suspect that is at least as suspicious. Breaks that only a former coordinator saw come without the requests around them: where parts of prompts may explain them, a request needs four crashes.

--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -10,7 +10,9 @@
     time::MonoTime,
 };
 
-use super::{CRASH_SPREAD, CrashLimits, MAX_SUSPECTS, Quarantine, SuspectRun, SuspectState};
+use super::{
+    CRASH_SPREAD, CrashLimits, MAX_SUSPECTS, Quarantine, RecordSource, SuspectRun, SuspectState,
+};
 
 /// Maximum number of runs that are remembered of one suspect.
 pub(super) const MAX_RUNS: usize = 16;
@@ -30,6 +32,8 @@
     pub(super) suspects: Vec<Suspect>,
     /// Other runs that broke at about the same time.
     others: Vec<RunnerKey>,
+    /// True if it was copied from another coordinator of this host or of a client.
+    is_copied: bool,
 }
 
 impl Break {
@@ -51,7 +55,13 @@
 
 impl Evidence {
     /// Adds a break that another host knows of.
-    pub(super) fn learn_break(&mut self, now: MonoTime, runner: &RunnerKey, confirmed: bool) {
+    pub(super) fn learn_break(
+        &mut self,
+        now: MonoTime,
+        (runner, confirmed): &(RunnerKey, bool),
+        source: RecordSource,
+    ) {
+        let confirmed = *confirmed;
         if let Some(known) = self.breaks.iter_mut().find(|broken| broken.runner == *runner) {
             known.confirmed |= confirmed;
             return;
@@ -66,6 +76,7 @@
             confirmed,
             suspects: Vec::new(),
             others: Vec::new(),
+            is_copied: source != RecordSource::Store,
         });
     }
 
@@ -94,6 +105,7 @@
             confirmed: false,
             suspects: run.suspects.clone(),
             others: others.to_vec(),
+            is_copied: false,
         });
         true
     }
@@ -104,6 +116,14 @@
         broken.is_some_and(|broken| !std::mem::replace(&mut broken.confirmed, true))
     }
 
+    /// Returns true if some breaks are known from a former coordinator alone, and parts of
+    /// other requests near them might explain them.
+    fn lacks_context(&self) -> bool {
+        let mut own = self.breaks.iter().filter(|broken| !broken.suspects.is_empty());
+        let may_have_parts = own.clone().next().is_none() || own.any(|b| b.suspects.len() > 1);
+        may_have_parts && self.breaks.iter().any(|broken| broken.is_copied)
+    }
+
     pub(super) fn last_break(&self) -> MonoTime {
         self.breaks.last().map_or(MonoTime::ZERO, |broken| broken.at)
     }
@@ -199,7 +219,9 @@
     /// Returns the number of crashes that quarantine a suspect.
     pub(super) fn max_crashes(&self, suspect: Suspect) -> usize {
         let limits = CrashLimits::of(suspect);
-        match self.proven.contains(&suspect) {
+        let is_request = matches!(suspect, Suspect::Request(_));
+        let evidence = self.evidence.get(&suspect).filter(|_| is_request);
+        match evidence.is_some_and(Evidence::lacks_context) || self.proven.contains(&suspect) {
             true => limits.proven,
             false => limits.unproven,
         }
@@ -228,7 +250,9 @@
         let is_part = matches!(suspect, Suspect::Part(_));
         let min_runs = runs + usize::from(is_part);
         let mut others = broken.others.iter().filter(|other| !evidence.runs.contains(other));
-        if !is_part && others.any(|other| self.ended.contains(other) && !self.has_cause(other)) {
+        if !is_part
+            && others.any(|other| self.ended.contains(other) && !self.has_cause(other, runs))
+        {
             return true;
         }
         let is_other = |other: &Suspect| *other != suspect && !broken.suspects.contains(other);
@@ -238,9 +262,11 @@
             || self.quarantined.iter().any(|(p, runs)| is_other(p) && runs.contains(runner))
     }
 
-    /// Returns true if a suspect that was near several broken runs was near this one.
-    fn has_cause(&self, runner: &RunnerKey) -> bool {
-        let mut repeated = self.evidence.values().filter(|evidence| evidence.runs.len() > 1);
+    /// Returns true if a suspect that was near at least this many broken runs was near
+    /// this one.
+    fn has_cause(&self, runner: &RunnerKey, min_runs: usize) -> bool {
+        let mut repeated =
+            self.evidence.values().filter(|evidence| evidence.runs.len() >= min_runs);
         repeated.any(|evidence| evidence.runs.contains(runner))
             || self.quarantined.values().any(|runs| runs.contains(runner))
     }
--- a/crates/core/src/fleet/quarantine/records.rs
+++ b/crates/core/src/fleet/quarantine/records.rs
@@ -92,11 +92,12 @@
         if let Some(evidence) = self.evidence.get_mut(&suspect) {
             cleared.iter().for_each(|runner| evidence.remove_break(runner));
         }
-        for (runner, confirmed) in &record.breaks {
+        for broken in &record.breaks {
+            let (runner, confirmed) = broken;
             if cleared.contains(runner) {
                 continue;
             }
-            self.evidence_of(suspect, 0).learn_break(now, runner, *confirmed);
+            self.evidence_of(suspect, 0).learn_break(now, broken, source);
             if !confirmed {
                 self.unconfirmed.entry(runner.clone()).or_insert(now);
             }
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -14,7 +14,7 @@
     runner_fleet::{
         Counts,
         Crashing::{self, Part, Request},
-        Faults, Fleet, PLAY_MS, Pool,
+        Faults, Fleet, PLAY_MS, Pool, digest,
     },
     support::{at, name},
 };
@@ -255,3 +255,43 @@
     others_later.learn(at(20_000), &cleared, RecordSource::Store);
     assert_eq!(others_later.state(PART), SuspectState::Free);
 }
+
+fn broke(quarantine: &mut Quarantine, runner: u64, ended_ms: u64, body: u64) {
+    let request = Suspect::Request(digest(body));
+    let run = SuspectRun { suspects: vec![request], ..run(runner, ended_ms - 100) };
+    quarantine.broke(&run);
+}
+
+#[rstest]
+#[case::alone(&[], SuspectState::Quarantined)]
+#[case::others_crash_with_it(&[8, 9, 10], SuspectState::Trial)]
+#[case::another_request_crashes_them(&[8, 8, 8], SuspectState::Quarantined)]
+fn runners_that_end_together_are_no_evidence_against_a_request(
+    #[case] others: &[u64],
+    #[case] expected: SuspectState,
+) {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        let ended_ms = 1_000 * number;
+        broke(&mut quarantine, number, ended_ms, 7);
+        if let Some(other) = others.get(number as usize - 1) {
+            broke(&mut quarantine, 10 + number, ended_ms, *other);
+        }
+    }
+    for runner in [1, 2, 3, 11, 12, 13] {
+        quarantine.run_ended(&run(runner, 0).runner);
+    }
+    quarantine.decide();
+    assert_eq!(quarantine.state(Suspect::Request(digest(7))), expected);
+}
+
+#[test]
+fn a_response_that_has_gone_on_for_a_second_clears_its_request() {
+    let mut quarantine = Quarantine::default();
+    (1..=2).for_each(|number| broke(&mut quarantine, number, 1_000 * number, 7));
+    let request = Suspect::Request(digest(7));
+    assert_eq!(quarantine.state(request), SuspectState::Trial);
+    let (begun_at, ended_at) = (Some(at(4_000)), at(5_000));
+    quarantine.broke(&SuspectRun { suspects: vec![request], begun_at, ended_at, ..run(3, 3_900) });
+    assert_eq!(quarantine.state(request), SuspectState::Free);
+}
--- a/crates/core/tests/fleet/runner_fleet.rs
+++ b/crates/core/tests/fleet/runner_fleet.rs
@@ -210,7 +210,7 @@
 }
 
 /// Returns the digest of a request with this body.
-fn digest(body: u64) -> RequestDigest {
+pub(crate) fn digest(body: u64) -> RequestDigest {
     RequestDigest::new(&RequestContent {
         workspace: None,
         method: "POST",
