--- a/crates/core/tests/fleet/cut_off_hosts.rs
+++ b/crates/core/tests/fleet/cut_off_hosts.rs
@@ -23,3 +23,14 @@
     let counts = play(pool);
     assert!(counts.at_others_answered * 100 >= counts.at_others * 98, "{counts:?}");
 }
+
+#[rstest]
+#[case::engines(Pool::Engines)]
+#[case::service(Pool::Service)]
+fn callers_of_hosts_that_are_cut_off_are_served_nearly_as_often_as_others(#[case] pool: Pool) {
+    let counts = play(pool);
+    let (at_cut, at_others) = (counts.at_cut as f64, counts.at_others as f64);
+    let served = counts.at_cut_answered as f64 / at_cut;
+    let served_at_others = counts.at_others_answered as f64 / at_others;
+    assert!(served >= served_at_others * 2.0 / 3.0, "{served:.3} and {served_at_others:.3}");
+}
