Let suspects be tried again while the store can't confirm their crashes

Found by the soak by hand: requests that are rightly equal, and break at runners that go on, were held without an end while hosts didn't reach the store, since only a verified view discards their breaks.

Change: what has enough breaks for a verdict is stopped for six seconds after the last one, and tried one at a time from then on; one complete response clears it. In normal operation the store has confirmed or discarded them by then.

--- a/crates/core/src/fleet/coordinator/suspects.rs
+++ b/crates/core/src/fleet/coordinator/suspects.rs
@@ -72,7 +72,7 @@
 
     /// Updates what only time changes of suspects.
     pub fn check_suspects(&mut self, now: MonoTime, out: &mut Vec<(HostId, PlacementReply)>) {
-        self.quarantine.tick(self.verified_at);
+        self.quarantine.tick(now, self.verified_at);
         self.update_trials(now, out);
     }
 
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -64,7 +64,7 @@
     Free,
     /// One at a time.
     Trial,
-    /// Not until it is known whether the runs that broke have ended.
+    /// Not until it is known whether the runs that broke have ended, or for some seconds.
     Stopped,
     /// Never.
     Quarantined,
@@ -119,6 +119,8 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
+    /// Time of the last tick.
+    now: MonoTime,
     evidence: BTreeMap<Suspect, Evidence>,
     /// Quarantined suspects, with the runs that ended under them.
     quarantined: BTreeMap<Suspect, Vec<RunnerKey>>,
@@ -151,7 +153,10 @@
         }
         let Some(evidence) = self.evidence.get(&suspect) else { return SuspectState::Free };
         let max_crashes = self.max_crashes(suspect);
+        // An outage of the store must not stop a sound request that is sent all the time.
+        let is_recent = self.now.since(evidence.last_break()) < CONFIRM_TIME;
         if evidence.breaks.len() >= max_crashes
+            && is_recent
             && self.unexplained(suspect, evidence).count() >= max_crashes
         {
             return SuspectState::Stopped;
@@ -277,7 +282,8 @@
     /// Discards breaks whose runs have not ended, and counts unframed responses as
     /// complete whose runs have not ended. The view of the store was the newest at
     /// `verified_at`.
-    pub fn tick(&mut self, verified_at: MonoTime) {
+    pub fn tick(&mut self, now: MonoTime, verified_at: MonoTime) {
+        self.now = now;
         let may_end = |at: MonoTime| verified_at.since(at) < CONFIRM_TIME;
         let is_due = |run: &mut SuspectRun| !may_end(run.ended_at);
         for run in self.unframed.extract_if(.., is_due).collect::<Vec<_>>() {
