Verify a relayed view at the end of its sync

Cause: a host that takes over a view from its next coordinator counted it as verified only with the first pong after the sync.

Ruled out: the relayed changes themselves, which had arrived by then; the last pong before the end of the sync already says how current they are.

Change: the last pong before the end of a sync is kept with its revision. If the synced view has that revision, it is verified as of that pong.

--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -17,7 +17,7 @@
     outcome::RetryReason,
     time::MonoTime,
 };
-use comfreyway_platform::Store;
+use comfreyway_platform::{Revision, Store};
 use futures_util::stream;
 use tokio::{
     sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender},
@@ -69,10 +69,20 @@
     tx: Option<Sender<ToCoordinator>>,
     relay: StoreRelay,
     /// Protocol of that host, known from its first pong on.
+    /// The view that the last pong before the end of a sync verified.
+    verified: Option<VerifiedView>,
     protocol: u8,
 }
 
 /// Whether the coordinator sends this host the store's changes.
+/// A view of the store that a coordinator has verified as the newest.
+#[derive(Clone, Copy, Debug)]
+struct VerifiedView {
+    /// All changes up to this one are known.
+    revision: Revision,
+    at: MonoTime,
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreRelay {
     /// Not requested.
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -92,6 +92,7 @@
             host: to.id.clone(),
             tx: None,
             relay: StoreRelay::Off,
+            verified: None,
             protocol: 0,
         });
         actix_rt::spawn(dial(
--- a/crates/node/src/fleet/control/store_relay.rs
+++ b/crates/node/src/fleet/control/store_relay.rs
@@ -24,7 +24,7 @@
     wire::{Frame, ToCoordinator, ToHost},
 };
 
-use super::{FirstFeed, FleetControl, StoreRelay, coordination::encode};
+use super::{FirstFeed, FleetControl, StoreRelay, VerifiedView, coordination::encode};
 
 /// Staleness of the configuration above which a host calls the store itself. A
 /// working feed verifies its state once a second, and client hosts receive that
@@ -150,6 +150,9 @@
         else {
             return;
         };
+        if relay != StoreRelay::Active {
+            session.verified = Some(VerifiedView { revision, at: sent - staleness });
+        }
         match relay {
             // A host that has not read the store would be sent all of it.
             StoreRelay::Off
@@ -179,9 +182,10 @@
         } else {
             StoreRelay::Off
         };
-        if let Some(session) = &mut self.coordinator_session {
+        let verified = self.coordinator_session.as_mut().and_then(|session| {
             session.relay = relay;
-        }
+            session.verified.take()
+        });
         if relay == StoreRelay::Off {
             // This host's own feed has read more in the meantime.
             return;
@@ -189,6 +193,10 @@
         log_event!(Event::StoreStateRelayed, host:% = host, revision:% = end.revision());
         let deletions = self.mirror.missing_deletions(end);
         self.apply_update(FeedUpdate::Changes(deletions, end.revision()));
+        // Not only with the next pong: until then the view may become stale.
+        if let Some(view) = verified.filter(|view| view.revision <= end.revision()) {
+            self.set_verified(view.at);
+        }
     }
 
     pub(super) fn apply_relayed_changes(&mut self, host: &HostId, changes: ChangeSet) {
