Keep single versions in the store's record too

A caller whose stream broke off, when all hosts were killed while the runners of its version were replaced, could get the rest of it from another version.

Cause: the store had a record of versions only while several served, and hosts that start took no record as one version. If the old runners left while no host was up, the hosts that came back knew the new version alone, and let streams of unknown origin go on there.

Ruled out: streams known to a host, coordinator or copy (bound to their version); kills while both versions serve (the record names both, tested).

Change: the record holds the versions of every upstream, a single one too. A single version is recorded only by the coordinator of most hosts, so that hosts which start together write once.

--- a/crates/node/src/fleet/control/version_record.rs
+++ b/crates/node/src/fleet/control/version_record.rs
@@ -1,10 +1,10 @@
-//! The store's record of the versions that serve side by side.
+//! The store's record of the versions that serve or did so a short time ago.
 //!
 //! A host that has just started knows neither the streams that others began nor the
-//! versions whose runners are gone. While more than one version of an upstream can have
-//! begun a stream, the coordinator keeps them in the store; without a record there is
-//! one. The write has no condition: coordinators that don't know of each other read each
-//! other's versions and write all of them.
+//! versions whose runners are gone: all hosts may have been down while the runners of one
+//! version were replaced by those of another. The coordinator therefore keeps the versions
+//! in the store, a single one too. The write has no condition: coordinators that don't
+//! know of each other read each other's versions and write all of them.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -22,6 +22,10 @@
 /// Minimum time between two writes.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Minimum time before a write that adds a version: until then the store doesn't show that
+/// streams of that version may exist.
+const MIN_ADDITION_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Difference by which the clocks of two hosts may differ.
 const CLOCK_TOLERANCE: Duration = Duration::from_secs(5);
 
@@ -49,6 +53,16 @@
         });
         versions.collect()
     }
+
+    /// Returns the versions of each upstream.
+    fn versions(&self) -> BTreeSet<(&UpstreamName, Option<&RunnerVersion>)> {
+        self.states().into_iter().map(|(upstream, version, _)| (upstream, version)).collect()
+    }
+
+    /// Returns true if an upstream has several versions.
+    fn is_mixed(&self) -> bool {
+        self.upstreams.values().any(|versions| versions.len() > 1)
+    }
 }
 
 impl FleetControl {
@@ -74,19 +88,26 @@
         self.version_record = record;
     }
 
-    /// Writes the record if other versions serve side by side than it says.
+    /// Writes the record if other versions serve than it says.
     pub(super) fn update_version_record(&mut self) {
         let now = self.now();
-        if self.coordinator_client.coordinator().is_some()
-            || self.mirror.revision().0 == 0
-            || self.version_record_written.is_some_and(|at| now.since(at) < MIN_WRITE_INTERVAL)
-        {
+        if self.coordinator_client.coordinator().is_some() || self.mirror.revision().0 == 0 {
             return;
         }
         let record = self.current_versions(now);
         if record.states() == self.version_record.states() {
             return;
         }
+        // While all hosts start, each coordinates itself for a moment and sees the same.
+        let basis = self.coordinator.share_basis();
+        if !record.is_mixed() && 2 * basis.clients <= basis.known {
+            return;
+        }
+        let adds_version = !record.versions().is_subset(&self.version_record.versions());
+        let interval = if adds_version { MIN_ADDITION_INTERVAL } else { MIN_WRITE_INTERVAL };
+        if self.version_record_written.is_some_and(|at| now.since(at) < interval) {
+            return;
+        }
         let value = match serde_json::to_vec(&record) {
             Ok(value) => value,
             Err(e) => {
@@ -106,14 +127,15 @@
     fn current_versions(&self, now: MonoTime) -> VersionRecord {
         let unix_ms = unix_ms();
         let histories = self.coordinator.version_histories();
-        let mixed = histories.filter(|(_, history)| history.is_mixed(now));
-        let upstreams = mixed.map(|(upstream, history)| {
+        let upstreams = histories.map(|(upstream, history)| {
             let versions = history.versions(now).map(|(version, gone_for)| RecordedVersion {
                 version: version.cloned(),
                 gone_ms: gone_for.map(|gone| unix_ms.saturating_sub(gone.as_millis() as u64)),
             });
             (upstream.clone(), versions.collect())
         });
+        // Without a runner there is nothing to record.
+        let upstreams = upstreams.filter(|(_, versions): &(_, Vec<_>)| !versions.is_empty());
         VersionRecord { upstreams: upstreams.collect() }
     }
 }
--- a/tests/testsuite/fleet/versions.rs
+++ b/tests/testsuite/fleet/versions.rs
@@ -205,3 +205,23 @@
     assert_eq!(response.status, expected);
     assert_eq!(continued(&first), usize::from(!is_mixed));
 }
+
+/// All runners are replaced by those of another version while no host is up.
+#[actix_rt::test]
+async fn a_stream_is_not_joined_from_two_versions_after_all_hosts_were_down() {
+    let fleet = FleetHarness::new();
+    let first = fleet.start_version("dala", "e1", "v1", RunnerMode::Whole);
+    let host = fleet.start_host("h1").await;
+    begin_broken(&host, "began", &first).await;
+    wait_for_record(&fleet, &["v1"]).await;
+    drop(host);
+    fleet.store.delete("servers/e1");
+    let other = fleet.start_version("dala", "e2", "v2", RunnerMode::Stream(EVENTS));
+    let host = fleet.start_host("h2").await;
+    wait_until_known(&host, &other).await;
+    let response = take_up(&host, "again", "began").await;
+    assert_eq!((response.status, response.reason()), (503, "version-unknown".to_owned()));
+    assert_eq!(continued(&other), 0);
+    // New streams begin at the new version all the same.
+    assert_eq!(call(&host, "new", "/report/").await.status, 200);
+}
