Roll out versions that operators order

Cause: nothing read `op/rollout/SERVICE`, so an ordered version got requests as soon as its runners were in the store, good or bad, and no status was written.

Change: the order is read in the adapter; the scheduler lets the version have a bounded share of the requests of each class (`VersionGate`), compares its responses with those of the others at the same time (`RolloutEvidence`, `SequentialTest`) and rolls back or goes on to all requests (`Rollout`). Status by compare-and-swap, counts for the next coordinator once a second. Off without the setting `rollout-share`. A runner's failure is marked in what hosts report, and its time is no longer learned as speed.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -193,6 +193,7 @@
         first_token: Duration::from_millis(200),
         total: Duration::from_millis(6_200),
         until_close: false,
+        failed: false,
     })
 }
 
--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -129,6 +129,7 @@
                 first_token: Duration::from_millis(80),
                 total: Duration::from_millis(800),
                 until_close: false,
+                failed: false,
             };
             self.handle_update(&host, RequestUpdate::Ended(id, DispatchEnd::Complete(usage)));
         }
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -14,14 +14,16 @@
 
 use super::{
     FleetConfig, FleetHosts, PlacementReply, PlacementRequest, Quarantine, Quota, QuotaTolerance,
-    Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RunnerChange, RunnerKey, RunnerLimits,
-    ShareBasis, StreamRecord, StreamVersions, Suspect, UpstreamScheduler, VersionHistory,
+    Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RolloutLimits, RunnerChange, RunnerKey,
+    RunnerLimits, ShareBasis, StreamRecord, StreamVersions, Suspect, UpstreamScheduler,
+    VersionHistory,
 };
 
 mod decisions;
 mod limits;
 
 mod requests;
+mod rollouts;
 mod streams;
 mod suspects;
 mod trials;
@@ -85,6 +87,8 @@
     /// were told of.
     changed_suspects: BTreeSet<Suspect>,
     shared_suspects: BTreeSet<Suspect>,
+    /// Limits of rollouts; none if the settings name none.
+    rollout_limits: Option<RolloutLimits>,
 }
 
 impl Coordinator {
@@ -110,6 +114,7 @@
             trials: BTreeMap::new(),
             changed_suspects: BTreeSet::new(),
             shared_suspects: BTreeSet::new(),
+            rollout_limits: None,
         }
     }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! - [`StreamVersions`] and [`VersionHistory`] bind streams to the software version
 //!   that began them.
 //! - [`Quarantine`] keeps requests away from runners that they crash.
+//! - [`Rollout`] moves an upstream to another software version.
 //! - [`RunnerLimits`] holds the rate limits that runners name.
 //! - [`FleetHosts`] counts the hosts among which quotas and runners are shared.
 //! - [`Coordinator`] schedules the requests of its client hosts, and enforces the
@@ -34,6 +35,7 @@
 mod quarantine;
 mod quota;
 mod request_digest;
+mod rollout;
 mod runner;
 mod runner_limits;
 mod runner_notice;
@@ -58,6 +60,11 @@
     quarantine::{Quarantine, RecordSource, SuspectRecord, SuspectRun, SuspectState},
     quota::{QuotaTolerance, Quotas, SHARE_LEASE},
     request_digest::{InvalidDigest, RequestContent, RequestDigest},
+    rollout::{
+        GateMode, Rollout, RolloutEvidence, RolloutLimits, RolloutOrder, RolloutPhase,
+        RolloutProgress, RolloutSample, RolloutState, RolloutStatus, SequentialTest, UpstreamUse,
+        VersionGate,
+    },
     runner::{RunnerEntry, RunnerKey, RunnerVersion},
     runner_limits::{LimitReport, NamedLimit, RunnerLimits},
     runner_notice::RunnerNotice,
--- a/crates/core/src/fleet/scheduler/granting.rs
+++ b/crates/core/src/fleet/scheduler/granting.rs
@@ -31,13 +31,16 @@
             self.runners.update(&runner, |runner| runner.take_from_rate_limit(now));
             let Deadlines { target_at, respond_by, .. } = waiting.deadlines;
             let WaitingRequest { record, version, .. } = waiting;
-            self.start(now, Granted { record, runner, version, target_at, respond_by });
+            let served_by = self.runner_version(&runner);
+            self.count_grant(&record.class, served_by.as_ref());
+            self.start(now, Granted { record, runner, version, served_by, target_at, respond_by });
         }
     }
 
     fn next_grant(&mut self, now: MonoTime) -> Option<(RequestId, RunnerName)> {
         self.runners.free(now, |_| true).next()?;
-        let mut pass = Pass { hosts_alike: now >= self.hosts_differ_until, ..Pass::default() };
+        let alike = now >= self.hosts_differ_until && !self.gate_tells_classes_apart();
+        let mut pass = Pass { requests_alike: alike, ..Pass::default() };
         let found = self.find_for_floors(now, &mut pass).or_else(|| {
             let first = self.queue.first(MAX_TRIED_REQUESTS);
             self.find_placeable(now, first, Pauses::Short, &mut pass)
@@ -76,7 +79,9 @@
             }
             match self.find_runner(now, waiting, pauses) {
                 Placement::None
-                    if waiting.avoid.is_none() && waiting.version.is_none() && pass.hosts_alike =>
+                    if waiting.avoid.is_none()
+                        && waiting.version.is_none()
+                        && pass.requests_alike =>
                 {
                     pass.unplaceable.add(&waiting.record);
                 }
@@ -93,8 +98,8 @@
 /// One pass through the queue.
 #[derive(Debug, Default)]
 struct Pass {
-    /// True if every runner accepts the requests of all hosts alike.
-    hosts_alike: bool,
+    /// True if every runner accepts the requests of all hosts and classes alike.
+    requests_alike: bool,
     /// Requests that can no longer meet their target.
     late: Vec<RequestId>,
     unplaceable: UnplaceableRequests,
--- a/crates/core/src/fleet/scheduler/learning.rs
+++ b/crates/core/src/fleet/scheduler/learning.rs
@@ -47,13 +47,18 @@
     pub fn ended(&mut self, now: MonoTime, id: RequestId, end: DispatchEnd) {
         let Some(granted) = self.granted.remove(&id) else { return };
         let (engine, host) = (self.engine, &granted.record.entry);
-        self.runners.update(&granted.runner, |runner| {
-            runner.end(id);
+        let request = self.runners.update(&granted.runner, |runner| {
+            let request = runner.end(id);
             if let DispatchEnd::Complete(usage) = &end {
                 runner.record_success(host);
-                runner.learn(engine, usage);
+                // The time of a failure says nothing of the runner's speed.
+                if !usage.failed {
+                    runner.learn(engine, usage);
+                }
             }
+            request
         });
+        self.record_rollout_end(now, &granted, request.flatten().as_ref(), &end);
         match end {
             DispatchEnd::Complete(_) => self.reach.record_response(host),
             DispatchEnd::Failed => self.record_failure(now, &granted, DispatchFailure::Broken),
@@ -61,6 +66,7 @@
         }
         if let DispatchEnd::Complete(usage) = end
             && engine
+            && !usage.failed
             && (self.response_lengths.len() < MAX_CLASSES
                 || self.response_lengths.contains_key(&granted.record.class))
         {
--- a/crates/core/src/fleet/scheduler/mod.rs
+++ b/crates/core/src/fleet/scheduler/mod.rs
@@ -27,6 +27,7 @@
 mod rate_limit;
 mod reach;
 mod returns;
+mod rollout;
 mod runner;
 mod runner_index;
 mod shedding;
--- a/crates/core/src/fleet/scheduler/placement.rs
+++ b/crates/core/src/fleet/scheduler/placement.rs
@@ -53,12 +53,14 @@
     ) -> Placement {
         let length = self.expected_response_tokens(&waiting.record.class);
         let left_us = waiting.deadlines.target_at.since(now).as_micros() as f64;
-        let mut best: Option<(f64, bool, &RunnerName)> = None;
+        let mut best: Option<((bool, bool, f64), &RunnerName)> = None;
         let mut in_time_later = false;
         let avoid = waiting.avoid.as_ref();
         let accepts = |runner: &RunnerState| {
             let has_version = waiting.version.is_none() || runner.version == waiting.version;
-            has_version && !runner.is_resting_for(now, &waiting.record.entry)
+            has_version
+                && !runner.is_resting_for(now, &waiting.record.entry)
+                && self.gate_accepts(waiting, runner.version.as_ref())
         };
         let free = || self.runners.free(now, accepts);
         let full = || self.runners.full(now, accepts);
@@ -77,21 +79,20 @@
             let pause_cost_us = PAUSED_STREAM_COST_US * paused as f64;
             let cost = first_us + DECODE_WEIGHT * decode_us + pause_cost_us;
             // A runner that meets the target is preferred to one that does not.
-            let better = best.is_none_or(|(best_cost, best_in_time, _)| {
-                (!in_time, cost) < (!best_in_time, best_cost)
-            });
-            if better {
-                best = Some((cost, in_time, name));
+            let is_needed = self.gate_prefers(&waiting.record.class, runner.version.as_ref());
+            let rank = (!in_time, !is_needed, cost);
+            if best.is_none_or(|(best_rank, _)| rank < best_rank) {
+                best = Some((rank, name));
             }
         }
         let meets_target = |(_, runner): (_, &RunnerState)| {
             self.expected_first_token_us(runner, waiting) <= left_us
         };
         match best {
-            Some((_, true, name)) => Placement::InTime(name.clone()),
-            Some((_, false, name)) if waiting.late => Placement::Late(name.clone()),
+            Some(((false, ..), name)) => Placement::InTime(name.clone()),
+            Some((_, name)) if waiting.late => Placement::Late(name.clone()),
             Some(_) if in_time_later || full().any(meets_target) => Placement::Wait,
-            Some((_, false, name)) => Placement::Late(name.clone()),
+            Some((_, name)) => Placement::Late(name.clone()),
             None => Placement::None,
         }
     }
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
-    fleet::RunnerVersion,
+    fleet::{Rollout, RunnerVersion},
     ids::{ClassName, HostId, RequestId, RunnerName},
     outcome::NotRunReason,
     request::RequestRecord,
@@ -46,6 +46,8 @@
     pub(super) runner: RunnerName,
     /// The only software version that may run it.
     pub(super) version: Option<RunnerVersion>,
+    /// Software version of the runner, if it is known.
+    pub(super) served_by: Option<RunnerVersion>,
     /// When the target ends, as of the request's arrival.
     pub(super) target_at: MonoTime,
     pub(super) respond_by: MonoTime,
@@ -66,6 +68,7 @@
     pub(super) reach: HostReach,
     /// Until then some runners may not accept the requests of some hosts.
     pub(super) hosts_differ_until: MonoTime,
+    pub(super) rollout: Option<Rollout>,
 }
 
 impl UpstreamScheduler {
@@ -85,6 +88,7 @@
             response_lengths: BTreeMap::new(),
             reach: HostReach::default(),
             hosts_differ_until: MonoTime::ZERO,
+            rollout: None,
         }
     }
 
@@ -130,7 +134,9 @@
     #[must_use]
     pub fn serves_version(&self, version: &RunnerVersion) -> bool {
         let mut runners = self.runners.iter();
-        runners.any(|(_, runner)| !runner.leaving && runner.version.as_ref() == Some(version))
+        !self.gate_is_closed(Some(version))
+            && runners
+                .any(|(_, runner)| !runner.leaving && runner.version.as_ref() == Some(version))
     }
 
     /// Returns the software version of a runner, if it is known.
@@ -267,7 +273,8 @@
 
     fn enqueue_again(&mut self, now: MonoTime, id: RequestId, failure: Option<DispatchFailure>) {
         let Some(granted) = self.release_failed(now, id, failure) else { return };
-        let Granted { record, runner, version, target_at, respond_by } = granted;
+        self.count_not_run(&granted);
+        let Granted { record, runner, version, target_at, respond_by, .. } = granted;
         self.floors.requeued(now, &record.class);
         self.enqueue(now, record, target_at, respond_by, Some(runner), version);
     }
@@ -298,7 +305,9 @@
         self.queue.remove(record.id);
         let target_at = target_at(now, &record);
         let respond_by = now + time_left;
-        self.start(now, Granted { record, runner, version: None, target_at, respond_by });
+        let served_by = self.runner_version(&runner);
+        let version = None;
+        self.start(now, Granted { record, runner, version, served_by, target_at, respond_by });
     }
 
     /// Lets only runners of `version` run a granted request if it is requeued.
@@ -376,6 +385,9 @@
         let granted = self.release(id)?;
         if let Some(failure) = failure {
             self.record_failure(now, &granted, failure);
+            if failure == DispatchFailure::Broken {
+                self.record_rollout_break(now, &granted);
+            }
         }
         self.runners.refresh(now);
         Some(granted)
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -119,6 +119,9 @@
     /// upstream looks like.
     #[serde(rename = "uc", default)]
     pub until_close: bool,
+    /// True if the response is a failure of the upstream.
+    #[serde(rename = "uf", default)]
+    pub failed: bool,
 }
 
 /// Result of a dispatch, reported by the entry to the pool's owner.
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -17,6 +17,7 @@
 mod releases;
 mod request_digest;
 mod returns;
+mod rollouts;
 mod runner_fleet;
 mod scheduler;
 mod streams;
--- a/crates/core/tests/pool_fixture/mod.rs
+++ b/crates/core/tests/pool_fixture/mod.rs
@@ -64,6 +64,7 @@
         first_token: Duration::from_millis(first_ms),
         total: Duration::from_millis(total_ms),
         until_close: false,
+        failed: false,
     })
 }
 
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -189,6 +189,14 @@
     RequestQuarantined = "CF0554", Warn, "request quarantined";
     /// Operators allowed a quarantined request again. Fields: digest.
     RequestAllowed = "CF0555", Info, "request allowed again";
+    /// Operators ordered a rollout, or this host has read the order. Fields: upstream,
+    /// target, duration_ms, elapsed_ms, revision.
+    RolloutOrdered = "CF0561", Info, "rollout ordered";
+    /// A rollout entered a phase at this host. Fields: upstream, target, phase, good, bad,
+    /// bad_class, suspicion, exposed, granted.
+    RolloutPhase = "CF0562", Info, "rollout went on";
+    /// The state of a rollout could not be written to the store. Fields: upstream, cause.
+    RolloutNotWritten = "CF0563", Info, "state of rollout can't be written";
     /// A quarantined suspect could not be written to the store. Fields: key, cause.
     QuarantineNotWritten = "CF0552", Info, "quarantine can't be written";
     /// The watch on the store failed. Fields: cause.
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -13,11 +13,11 @@
         ClientAction, Coordinator, CoordinatorClient, HostSessions, Member, PlacementReply,
         RunnerDirectory, ShareBasis, Suspect,
     },
-    ids::{HostId, HostName, RequestId},
+    ids::{HostId, HostName, RequestId, UpstreamName},
     outcome::RetryReason,
     time::MonoTime,
 };
-use comfreyway_platform::{Revision, Store};
+use comfreyway_platform::{Revision, Store, Versioned};
 use futures_util::stream;
 use tokio::{
     sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender},
@@ -44,6 +44,7 @@
 mod election;
 mod quarantine;
 mod rollback;
+mod rollouts;
 mod runner_limits;
 mod runner_notices;
 mod store_relay;
@@ -53,7 +54,7 @@
 
 use self::{
     absent_hosts::AbsentHosts, election::OwnEntry, quarantine::QuarantineItem,
-    rollback::MissingHosts, version_record::VersionRecord,
+    rollback::MissingHosts, rollouts::AllRolloutItems, version_record::VersionRecord,
 };
 
 /// Interval of the periodic checks.
@@ -68,13 +69,12 @@
     /// `None` until the session is up.
     tx: Option<Sender<ToCoordinator>>,
     relay: StoreRelay,
-    /// Protocol of that host, known from its first pong on.
     /// The view that the last pong before the end of a sync verified.
     verified: Option<VerifiedView>,
+    /// Protocol of that host, known from its first pong on.
     protocol: u8,
 }
 
-/// Whether the coordinator sends this host the store's changes.
 /// A view of the store that a coordinator has verified as the newest.
 #[derive(Clone, Copy, Debug)]
 struct VerifiedView {
@@ -83,6 +83,7 @@
     at: MonoTime,
 }
 
+/// Whether the coordinator sends this host the store's changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreRelay {
     /// Not requested.
@@ -118,6 +119,7 @@
     pub(super) workers: UnboundedReceiver<WorkerMessage>,
     pub(super) sessions: UnboundedReceiver<SessionEvent>,
     pub(super) store: UnboundedReceiver<FeedUpdate>,
+    pub(super) rollouts: UnboundedReceiver<ReadStatus>,
     pub(super) senders: EventSenders,
 }
 
@@ -158,6 +160,9 @@
     quarantine_items: BTreeMap<Suspect, QuarantineItem>,
     /// When this host last wrote one of them.
     quarantine_written: Option<MonoTime>,
+    rollout_items: AllRolloutItems,
+    /// Statuses of rollouts that were read by themselves.
+    rollout_tx: UnboundedSender<ReadStatus>,
     logged_share: ShareBasis,
     first_feed: FirstFeed,
     /// True while the store has an older configuration than the one in force.
@@ -173,8 +178,12 @@
 pub(super) struct EventSenders {
     pub(super) store: UnboundedSender<FeedUpdate>,
     pub(super) sessions: UnboundedSender<SessionEvent>,
+    pub(super) rollouts: UnboundedSender<ReadStatus>,
 }
 
+/// The status of an upstream's rollout, if the store has one.
+pub(super) type ReadStatus = (UpstreamName, Option<Versioned>);
+
 impl FleetControl {
     pub(super) fn new(
         me: Member,
@@ -192,6 +201,7 @@
             store,
             store_tx: receivers.senders.store.clone(),
             session_tx: receivers.senders.sessions.clone(),
+            rollout_tx: receivers.senders.rollouts.clone(),
             receivers: Some(receivers),
             directory: RunnerDirectory::default(),
             coordinator_client: CoordinatorClient::default(),
@@ -212,6 +222,7 @@
             version_record_written: None,
             quarantine_items: BTreeMap::new(),
             quarantine_written: None,
+            rollout_items: AllRolloutItems::new(),
             logged_share: ShareBasis::default(),
             first_feed: FirstFeed::Started,
             stored_config_is_older: false,
@@ -256,8 +267,15 @@
                             continue;
                         }
                         match self.directory.dispatchable(now, &runner) {
-                            // Another run has taken over the runner's name.
-                            Ok(entry) if version.is_some() && entry.version != version => {
+                            // Another run has taken over the runner's name, or the
+                            // coordinator doesn't know yet that its version is bad.
+                            Ok(entry)
+                                if version.is_some() && entry.version != version
+                                    || self.coordinator.is_rolled_back(
+                                        &entry.upstream,
+                                        entry.version.as_ref(),
+                                    ) =>
+                            {
                                 let reason = RetryReason::RunnerLeaving;
                                 self.coordinator_client.requeue(id, reason, &mut more);
                             }
@@ -325,6 +343,7 @@
             cx.add_stream(receive(receivers.workers));
             cx.add_stream(receive(receivers.sessions));
             cx.add_stream(receive(receivers.store));
+            cx.add_stream(receive(receivers.rollouts));
         }
         self.start_feed();
         self.use_own_coordinator();
@@ -401,6 +420,14 @@
     fn finished(&mut self, _: &mut Self::Context) {}
 }
 
+impl StreamHandler<ReadStatus> for FleetControl {
+    fn handle(&mut self, (upstream, item): ReadStatus, _: &mut Self::Context) {
+        self.apply_read_status(&upstream, item);
+    }
+
+    fn finished(&mut self, _: &mut Self::Context) {}
+}
+
 /// Starts the planned stop of this host.
 #[derive(Debug)]
 pub(super) struct BeginStop;
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -112,6 +112,7 @@
         }
         self.quarantine_items.clear();
         self.apply_quarantine_items(items);
+        self.apply_listed_rollouts(items);
         let runners = items.iter().filter(|item| item.key.starts_with(keys.runners));
         let entries = runners.filter_map(|item| self.read_runner(item)).collect();
         let mut out = Vec::new();
@@ -133,6 +134,8 @@
         let keys = self.format.keys;
         if event.key().starts_with(keys.runners) {
             self.apply_runner(event);
+        } else if self.is_rollout_key(event.key()) {
+            self.apply_rollout_change(event.key());
         } else if event.key().starts_with(keys.members) {
             match event {
                 KvEvent::Put(item) => self.put_member(item),
@@ -292,6 +295,7 @@
         self.store_quarantine();
         self.expire_limits();
         self.update_version_record();
+        self.update_rollouts();
         self.host_state.set_hosts(self.coordinator.share_basis().known);
         self.log_share();
         self.start_feed_if_stale();
--- a/crates/node/src/fleet/counted_store.rs
+++ b/crates/node/src/fleet/counted_store.rs
@@ -78,6 +78,15 @@
         self.count("put", self.store.put(key, value, lease))
     }
 
+    fn put_if<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Revision,
+        value: Vec<u8>,
+    ) -> LocalBoxFuture<'a, Result<Option<Revision>, StoreError>> {
+        self.count("put-if", self.store.put_if(key, expected, value))
+    }
+
     fn grant_lease(&self, ttl: Duration) -> LocalBoxFuture<'_, Result<LeaseId, StoreError>> {
         self.count("grant-lease", self.store.grant_lease(ttl))
     }
--- a/crates/node/src/fleet/platform_format.rs
+++ b/crates/node/src/fleet/platform_format.rs
@@ -1,8 +1,8 @@
 //! Header names, store keys and record formats of a platform.
 
 use comfreyway_core::{
-    fleet::{FleetConfig, PromptPart, RunnerEntry},
-    ids::RunnerName,
+    fleet::{FleetConfig, PromptPart, RolloutOrder, RolloutStatus, RunnerEntry},
+    ids::{RunnerName, UpstreamName},
 };
 use hyper::header::HeaderName;
 use quick_error::quick_error;
@@ -70,6 +70,12 @@
     pub versions: &'static str,
     /// Prefix of the quarantined prompt parts.
     pub quarantine: &'static str,
+    /// Prefix of the operators' orders to roll out a version, by upstream.
+    pub rollout_orders: &'static str,
+    /// Prefix of the status of these orders.
+    pub rollout_statuses: &'static str,
+    /// Prefix of what coordinators keep of them.
+    pub rollouts: &'static str,
 }
 
 /// Header names, store keys and record parsers of a platform.
@@ -88,6 +94,12 @@
     pub read_usage: fn(&str) -> Option<(u32, u32)>,
     /// Parses a runner's rate limit.
     pub read_limit: fn(&str) -> Option<f64>,
+    /// Parses the order for an upstream that was stored at this revision.
+    pub read_rollout: fn(&UpstreamName, &[u8], u64) -> Result<RolloutOrder, RecordError>,
+    /// Parses the status of a rollout.
+    pub read_rollout_status: fn(&[u8]) -> Result<RolloutStatus, RecordError>,
+    /// Encodes the status of an upstream's rollout.
+    pub write_rollout_status: fn(&UpstreamName, &RolloutStatus) -> Result<Vec<u8>, RecordError>,
     /// Parses the parts of a prompt that other requests may share.
     pub read_parts: fn(&str) -> Vec<PromptPart>,
 }
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -145,12 +145,8 @@
                     Ok(body) => {
                         let status = response.status;
                         let retry = status.is_server_error() && may_retry(&request, sent + 1);
-                        if retry {
-                            // The time of an error response says nothing about
-                            // the runner's speed.
-                            handle.ended(DispatchEnd::Cancelled);
-                        } else {
-                            handle.ended(completed(&response));
+                        handle.ended(completed(&response));
+                        if !retry {
                             record_answered(
                                 proxy,
                                 &request,
@@ -266,7 +262,14 @@
 fn completed(response: &RunnerResponse) -> DispatchEnd {
     let total = response.sent_at.elapsed();
     let until_close = response.framing == Framing::Connection;
-    DispatchEnd::Complete(Usage { first_token: total, total, until_close, ..Usage::default() })
+    let failed = response.status.is_server_error();
+    DispatchEnd::Complete(Usage {
+        first_token: total,
+        total,
+        until_close,
+        failed,
+        ..Usage::default()
+    })
 }
 
 /// Returns the status for the caller. A runner that does not state that it ran
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -193,6 +193,7 @@
                 first_token: first,
                 total,
                 until_close: response.framing == Framing::Connection,
+                failed: false,
             }));
             let events = StreamEvents { first: self.first_event, count: self.events.events() };
             record_answered(&self.proxy, &self.request, &response, self.sent, events);
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -109,15 +109,18 @@
     let (workers_tx, workers) = unbounded_channel();
     let (session_tx, sessions) = unbounded_channel();
     let (store_tx, store_rx) = unbounded_channel();
-    let senders = EventSenders { store: store_tx, sessions: session_tx.clone() };
-    let receivers = EventReceivers { workers, sessions, store: store_rx, senders };
+    let (rollout_tx, rollouts) = unbounded_channel();
+    let senders =
+        EventSenders { store: store_tx, sessions: session_tx.clone(), rollouts: rollout_tx };
+    let receivers = EventReceivers { workers, sessions, store: store_rx, rollouts, senders };
     let control = FleetControl::new(
         me.clone(),
         platform.format,
         host_state.clone(),
         store.clone(),
         Coordinator::new(fleet.retry, fleet.quotas)
-            .with_host_memory(fleet.max_staleness() + COORDINATOR_TIMEOUT),
+            .with_host_memory(fleet.max_staleness() + COORDINATOR_TIMEOUT)
+            .with_rollouts(fleet.rollouts),
         fleet_metrics.clone(),
         receivers,
     )
--- a/crates/node/src/http/request_handle.rs
+++ b/crates/node/src/http/request_handle.rs
@@ -165,6 +165,7 @@
             first_token: self.first_token.unwrap_or(total),
             total,
             until_close: false,
+            failed: false,
         };
         let end = match status {
             StatusCode::BAD_GATEWAY
--- a/crates/node/src/metrics/fleet.rs
+++ b/crates/node/src/metrics/fleet.rs
@@ -10,7 +10,7 @@
 };
 
 use comfreyway_core::{
-    fleet::{RunnerNotice, UpstreamScheduler},
+    fleet::{RolloutState, RunnerNotice, UpstreamScheduler},
     ids::{ClassName, Tier, UpstreamName},
     outcome::{NotRunReason, RetryReason, UnknownReason},
 };
@@ -56,6 +56,7 @@
     runner_notices: Counter<u64>,
     parts_quarantined: Counter<u64>,
     requests_quarantined: Counter<u64>,
+    rollouts: Counter<u64>,
     waiting: Gauge<u64>,
     at_runners: Gauge<u64>,
     slots: Gauge<u64>,
@@ -114,6 +115,10 @@
                 "comfreyway_requests_quarantined",
                 "Requests whose repeats were quarantined because they crash runners",
             ),
+            rollouts: counter(
+                "comfreyway_rollouts",
+                "Rollouts that ended, by their final state, as this host saw them",
+            ),
             waiting: gauge(
                 "comfreyway_upstream_waiting",
                 "Requests queued at this coordinator, by upstream",
@@ -131,6 +136,9 @@
         metrics.store_rollbacks.add(0, &[]);
         metrics.parts_quarantined.add(0, &[]);
         metrics.requests_quarantined.add(0, &[]);
+        for state in ["completed", "rolled-back"] {
+            metrics.rollouts.add(0, &[KeyValue::new("state", state)]);
+        }
         for kind in ["leaving", "ended", "rest"] {
             metrics.runner_notices.add(0, &[KeyValue::new("kind", kind)]);
         }
@@ -194,6 +202,16 @@
         self.store_rollbacks.add(1, &[]);
     }
 
+    /// Counts a rollout that ended.
+    pub fn rollout_ended(&self, state: RolloutState) {
+        let state = match state {
+            RolloutState::Active => return,
+            RolloutState::Completed => "completed",
+            RolloutState::RolledBack => "rolled-back",
+        };
+        self.rollouts.add(1, &[KeyValue::new("state", state)]);
+    }
+
     /// Counts a stream that ended before its end marker.
     pub fn stream_cut(&self, reason: &'static str) {
         self.streams_cut.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -165,4 +165,18 @@
     ),
     spec("fleet", "quota-window", Some("8s"), DURATION, "Window over which quotas are measured."),
     spec("fleet", "retry-window", Some("10s"), DURATION, "Window over which retries are counted."),
+    spec(
+        "fleet",
+        "rollout-share",
+        Some(""),
+        "number, with or without a fraction; empty for none",
+        "Fraction of an upstream's requests that a version may get before its rollout has\nshown it as good. Without it, orders to roll out a version are ignored.",
+    ),
+    spec(
+        "fleet",
+        "rollout-slack",
+        Some("0"),
+        NUMBER,
+        "Requests that such a version may get in addition.",
+    ),
 ];
--- a/crates/node/src/settings/platform.rs
+++ b/crates/node/src/settings/platform.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use comfreyway_core::{
-    fleet::{QuotaTolerance, RetryBudgetLimits},
+    fleet::{QuotaTolerance, RetryBudgetLimits, RolloutLimits},
     ids::RegionName,
 };
 
@@ -47,6 +47,8 @@
     pub retry: RetryBudgetLimits,
     /// By how much the quotas of workspaces may be exceeded.
     pub quotas: QuotaTolerance,
+    /// What a version that is being rolled out may get; none if orders are ignored.
+    pub rollouts: Option<RolloutLimits>,
 }
 
 impl FleetSettings {
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -9,7 +9,7 @@
 };
 
 use comfreyway_core::{
-    fleet::{QuotaTolerance, RetryBudgetLimits},
+    fleet::{QuotaTolerance, RetryBudgetLimits, RolloutLimits},
     ids::HostName,
 };
 use ini::{Ini, ParseOption};
@@ -148,7 +148,11 @@
         let region = self.value("fleet", "region")?;
         let key_revocation = self.value("fleet", "key-revocation")?;
         let host_lease = self.value("fleet", "host-lease")?;
-        Ok(FleetSettings { store, region, key_revocation, host_lease, retry, quotas })
+        let exposure_slack = self.value("fleet", "rollout-slack")?;
+        let share = self.optional("fleet", "rollout-share")?;
+        let limits = |exposure_share| RolloutLimits { exposure_share, exposure_slack };
+        let rollouts = share.map(limits);
+        Ok(FleetSettings { store, region, key_revocation, host_lease, retry, quotas, rollouts })
     }
 
     fn peers(&self) -> Result<BTreeMap<HostName, SocketAddr>, SettingsError> {
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -106,6 +106,15 @@
         lease: Option<LeaseId>,
     ) -> LocalBoxFuture<'a, Result<Revision, StoreError>>;
 
+    /// Writes a key if it has the revision `expected`, zero if it must not exist. Returns
+    /// the new revision, or none if the key has another one.
+    fn put_if<'a>(
+        &'a self,
+        key: &'a str,
+        expected: Revision,
+        value: Vec<u8>,
+    ) -> LocalBoxFuture<'a, Result<Option<Revision>, StoreError>>;
+
     /// Grants a lease that expires `ttl` after its last renewal.
     fn grant_lease(&self, ttl: Duration) -> LocalBoxFuture<'_, Result<LeaseId, StoreError>>;
 
--- a/crates/testkit/src/capacity/coordination.rs
+++ b/crates/testkit/src/capacity/coordination.rs
@@ -232,6 +232,7 @@
             first_token: FIRST_TOKEN_TIME,
             total: FIRST_TOKEN_TIME + DECODE_TIME,
             until_close: false,
+            failed: false,
         };
         self.sequence += 1;
         self.updates.insert((now + FIRST_TOKEN_TIME, self.sequence), RequestUpdate::FirstToken(id));
--- a/crates/testkit/src/experiment/engine_events.rs
+++ b/crates/testkit/src/experiment/engine_events.rs
@@ -145,5 +145,6 @@
         first_token: timeline.first_token_at.unwrap_or(now).since(dispatched),
         total: now.since(dispatched),
         until_close: false,
+        failed: false,
     }
 }
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod requests;
 mod responses;
 mod rollback;
+mod rollouts;
 mod runner_notices;
 mod runners;
 mod soak;
