Share full runners fairly among workspaces

Cause: the queue ordered by tier, lateness and latest start and never looked at the workspace, so one that floods took queue, slots and return times from the others of its tier in proportion to what it sent.

Change: max-min shares of the slots by the rates of the quotas, computed from the demand of the last two seconds; what arrives beyond a workspace's share is marked and comes after the others of its tier, is shed first and returns later.

--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -237,6 +237,14 @@
         self.workspaces.get(self.keys.get(key)?)
     }
 
+    /// Returns the weights by which workspaces share full runners: the rates of their quotas.
+    /// A workspace without a quota has none.
+    #[must_use]
+    pub fn weights(&self) -> BTreeMap<WorkspaceName, f64> {
+        let workspaces = self.workspaces.values().filter(|w| w.quota.rate_per_s > 0.0);
+        workspaces.map(|w| (w.name.clone(), w.quota.rate_per_s)).collect()
+    }
+
     /// Returns a workspace by name.
     #[must_use]
     pub fn workspace(&self, name: &WorkspaceName) -> Option<&Workspace> {
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -130,6 +130,7 @@
     pub fn set_config(&mut self, config: Arc<FleetConfig>) {
         for (name, state) in &mut self.upstreams {
             state.scheduler.set_engine(is_engine(&config, name));
+            state.scheduler.set_weights(config.weights());
             state.history.set_memory(stream_memory(&config));
         }
         self.streams.set_memory(stream_memory(&config));
@@ -412,9 +413,11 @@
     fn upstream_state(&mut self, now: MonoTime, upstream: &UpstreamName) -> &mut UpstreamState {
         let engine = self.config.as_ref().is_some_and(|config| is_engine(config, upstream));
         let (retry_limits, share) = (self.retry_limits, self.basis.budget_share());
-        let memory = self.config.as_deref().map(stream_memory).unwrap_or_default();
+        let config = self.config.as_deref();
+        let memory = config.map(stream_memory).unwrap_or_default();
         self.upstreams.entry(upstream.clone()).or_insert_with(|| UpstreamState {
-            scheduler: UpstreamScheduler::new(engine),
+            scheduler: UpstreamScheduler::new(engine)
+                .with_weights(config.map(FleetConfig::weights).unwrap_or_default()),
             budget: RetryBudget::new(now, retry_limits, share),
             runners: BTreeMap::new(),
             history: VersionHistory::new(memory),
--- a/crates/core/src/fleet/scheduler/mod.rs
+++ b/crates/core/src/fleet/scheduler/mod.rs
@@ -15,6 +15,8 @@
 //!   still meet its target, or if its prompt would pause other streams for longer
 //!   than its own target between tokens allows.
 //! - A request that can't be started in time is refused at once.
+//! - Within a tier, workspaces get fair shares of full runners: requests beyond a
+//!   workspace's share come after the others, and are refused first.
 //! - A class that gets far fewer of its requests started than all classes do goes
 //!   first, however low its tier.
 
@@ -30,6 +32,7 @@
 mod rollout;
 mod runner;
 mod runner_index;
+mod shares;
 mod shedding;
 mod state;
 
--- a/crates/core/src/fleet/scheduler/queue.rs
+++ b/crates/core/src/fleet/scheduler/queue.rs
@@ -30,11 +30,24 @@
     /// The only software version that may run it.
     pub(super) version: Option<RunnerVersion>,
     pub(super) late: bool,
+    /// True if it is beyond the share of its workspace.
+    pub(super) over_share: bool,
     sort_key: SortKey,
 }
 
-/// Sort key: tier, lateness, latest start, and arrival number.
-type SortKey = (Tier, bool, MonoTime, u64);
+impl WaitingRequest {
+    /// Returns its tier, and whether it is beyond the share of its workspace.
+    pub(super) fn rank(&self) -> Rank {
+        (self.record.tier, self.over_share)
+    }
+}
+
+/// Sort key: tier, whether it is beyond its share, lateness, latest start, and arrival
+/// number.
+type SortKey = (Tier, bool, bool, MonoTime, u64);
+
+/// Tier of a request, and whether it is beyond the share of its workspace.
+pub(super) type Rank = (Tier, bool);
 
 /// Waiting requests, sorted by tier and latest start.
 #[derive(Clone, Debug, Default)]
@@ -44,7 +57,7 @@
     by_class: BTreeMap<ClassName, BTreeSet<(SortKey, RequestId)>>,
     expiring: BTreeSet<(MonoTime, RequestId)>,
     /// Number of requests and their total prompt tokens.
-    totals: BTreeMap<(Tier, ClassName), (usize, u64)>,
+    totals: BTreeMap<(Rank, ClassName), (usize, u64)>,
     last_number: u64,
 }
 
@@ -65,16 +78,20 @@
         latest_start: MonoTime,
         avoid: Option<RunnerName>,
         version: Option<RunnerVersion>,
+        over_share: bool,
     ) {
         self.last_number += 1;
         let id = record.id;
-        let sort_key = (record.tier, false, latest_start, self.last_number);
-        let total = self.totals.entry((record.tier, record.class.clone())).or_default();
+        let sort_key = (record.tier, over_share, false, latest_start, self.last_number);
+        let rank = (record.tier, over_share);
+        let total = self.totals.entry((rank, record.class.clone())).or_default();
         total.0 += 1;
         total.1 += u64::from(record.prefill_tokens);
         self.expiring.insert((deadlines.refuse_at, id));
         self.by_class.entry(record.class.clone()).or_default().insert((sort_key, id));
-        let waiting = WaitingRequest { record, deadlines, avoid, version, late: false, sort_key };
+        let late = false;
+        let waiting =
+            WaitingRequest { record, deadlines, avoid, version, late, over_share, sort_key };
         self.order.insert((sort_key, id));
         self.waiting.insert(id, waiting);
     }
@@ -109,7 +126,7 @@
         let waiting = self.waiting.remove(&id)?;
         self.remove_from_order(waiting.sort_key, id, &waiting.record.class);
         self.expiring.remove(&(waiting.deadlines.refuse_at, id));
-        let key = (waiting.record.tier, waiting.record.class.clone());
+        let key = (waiting.rank(), waiting.record.class.clone());
         if let Some(total) = self.totals.get_mut(&key) {
             total.0 -= 1;
             total.1 -= u64::from(waiting.record.prefill_tokens);
@@ -129,10 +146,10 @@
         self.remove(id)
     }
 
-    /// Returns each tier and class with its number of waiting requests and their
+    /// Returns each rank and class with its number of waiting requests and their
     /// total prompt tokens.
-    pub(super) fn totals(&self) -> impl Iterator<Item = (Tier, &ClassName, usize, u64)> {
-        self.totals.iter().map(|((tier, class), (count, prompt))| (*tier, class, *count, *prompt))
+    pub(super) fn totals(&self) -> impl Iterator<Item = (Rank, &ClassName, usize, u64)> {
+        self.totals.iter().map(|((rank, class), (count, prompt))| (*rank, class, *count, *prompt))
     }
 
     /// Marks a request that can no longer meet its target, which moves it behind
@@ -143,7 +160,7 @@
         };
         let before = waiting.sort_key;
         waiting.late = true;
-        waiting.sort_key.1 = true;
+        waiting.sort_key.2 = true;
         let after = waiting.sort_key;
         let in_class = self.by_class.get_mut(&waiting.record.class);
         for requests in in_class.into_iter().chain([&mut self.order]) {
--- a/crates/core/src/fleet/scheduler/returns.rs
+++ b/crates/core/src/fleet/scheduler/returns.rs
@@ -7,35 +7,37 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use crate::{ids::Tier, time::MonoTime};
+use crate::time::MonoTime;
 
-/// The times given to callers, by tier.
+use super::queue::Rank;
+
+/// The times given to callers, by rank.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ReturnTimes {
-    /// When the last caller of a tier that was told to come back has been served.
-    served_by: BTreeMap<Tier, MonoTime>,
+    /// When the last caller of a rank that was told to come back has been served.
+    served_by: BTreeMap<Rank, MonoTime>,
 }
 
 impl ReturnTimes {
     /// Returns the time after which a caller may try again: after the backlog of its
-    /// tier, which takes `wait`, and after the callers of this and more urgent tiers
+    /// rank, which takes `wait`, and after the callers of this and more urgent tiers
     /// that were refused before. `work` is the time that all runners need for its
     /// request, `max` the time for which it waits.
     pub(super) fn next(
         &mut self,
         now: MonoTime,
-        tier: Tier,
+        rank: Rank,
         wait: Duration,
         work: Duration,
         max: Duration,
     ) -> Duration {
-        let earlier = self.served_by.range(..=tier).map(|(_, at)| *at).max();
+        let earlier = self.served_by.range(..=rank).map(|(_, at)| *at).max();
         let at = earlier.unwrap_or(now).max(now + wait);
         if at.since(now) >= max {
             // It does not wait for its turn, so it takes no one else's.
             return max;
         }
-        self.served_by.insert(tier, at + work);
+        self.served_by.insert(rank, at + work);
         at.since(now)
     }
 }
--- a/crates/core/src/fleet/scheduler/shedding.rs
+++ b/crates/core/src/fleet/scheduler/shedding.rs
@@ -4,12 +4,11 @@
 use std::time::Duration;
 
 use crate::{
-    ids::Tier,
     request::{RequestRecord, Target},
     time::MonoTime,
 };
 
-use super::UpstreamScheduler;
+use super::{UpstreamScheduler, queue::Rank};
 
 /// Maximum expected wait of a request on arrival, as a fraction of its caller's
 /// timeout.
@@ -40,10 +39,10 @@
 const MAX_RETRY_AFTER_FRACTION: f64 = 0.3;
 
 impl UpstreamScheduler {
-    /// Returns the expected time until all waiting requests of this tier and of
+    /// Returns the expected time until all waiting requests of this rank and of
     /// higher ones are started.
-    pub(super) fn backlog(&self, tier: Tier) -> Duration {
-        let ahead = self.queue.totals().filter(|(of, ..)| *of <= tier);
+    pub(super) fn backlog(&self, rank: Rank) -> Duration {
+        let ahead = self.queue.totals().filter(|(of, ..)| *of <= rank);
         let work: f64 = ahead
             .map(|(_, class, count, prompt)| {
                 self.expected_us(count as f64, prompt as f64, self.expected_response_tokens(class))
@@ -58,22 +57,25 @@
         &mut self,
         now: MonoTime,
         record: &RequestRecord,
+        over_share: bool,
         left: Duration,
     ) -> Option<Duration> {
         if self.queue.len() < self.backlog_threshold() || self.is_kept_by_floor(now, record) {
             return None;
         }
-        let wait = self.backlog(record.tier);
+        let rank = (record.tier, over_share);
+        let wait = self.backlog(rank);
         let max_wait = caller_timeout(record, left).mul_f64(MAX_EXPECTED_WAIT_FRACTION);
-        (wait > max_wait).then(|| self.retry_after(now, record, wait, left))
+        (wait > max_wait).then(|| self.retry_after(now, record, rank, wait, left))
     }
 
     /// Returns the time after which the caller of a refused request may try again.
-    /// `wait` is the expected time until the waiting requests of its tier are started.
+    /// `wait` is the expected time until the waiting requests of its rank are started.
     pub(super) fn retry_after(
         &mut self,
         now: MonoTime,
         record: &RequestRecord,
+        rank: Rank,
         wait: Duration,
         left: Duration,
     ) -> Duration {
@@ -81,11 +83,11 @@
         let work_us = self.expected_us(1.0, f64::from(record.prefill_tokens), length);
         let work = Duration::from_micros((work_us / self.total_slots()) as u64);
         let max = left.mul_f64(MAX_RETRY_AFTER_FRACTION);
-        self.returns.next(now, record.tier, wait, work, max).max(MIN_RETRY_AFTER)
+        self.returns.next(now, rank, wait, work, max).max(MIN_RETRY_AFTER)
     }
 
     /// Returns the slots of all runners, or one if there are none.
-    fn total_slots(&self) -> f64 {
+    pub(super) fn total_slots(&self) -> f64 {
         match self.runners.totals().slots {
             0.0 => 1.0,
             slots => slots.max(MIN_SLOTS),
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     fleet::{Rollout, RunnerVersion},
-    ids::{ClassName, HostId, RequestId, RunnerName},
+    ids::{ClassName, HostId, RequestId, RunnerName, WorkspaceName},
     outcome::NotRunReason,
     request::RequestRecord,
     time::MonoTime,
@@ -18,6 +18,7 @@
     reach::HostReach,
     returns::ReturnTimes,
     runner_index::RunnerIndex,
+    shares::WorkspaceShares,
 };
 
 /// Time between two scheduling passes while requests wait.
@@ -62,6 +63,7 @@
     pub(super) queue: Queue,
     pub(super) floors: ClassFloors,
     pub(super) returns: ReturnTimes,
+    pub(super) shares: WorkspaceShares,
     pub(super) granted: BTreeMap<RequestId, Granted>,
     pub(super) response_lengths: BTreeMap<ClassName, Ewma>,
     /// Which hosts reach runners.
@@ -84,6 +86,7 @@
             queue: Queue::default(),
             floors: ClassFloors::default(),
             returns: ReturnTimes::default(),
+            shares: WorkspaceShares::default(),
             granted: BTreeMap::new(),
             response_lengths: BTreeMap::new(),
             reach: HostReach::default(),
@@ -92,12 +95,25 @@
         }
     }
 
+    /// Sets the weights of workspaces, as [`UpstreamScheduler::set_weights`] does.
+    #[must_use]
+    pub fn with_weights(mut self, weights: BTreeMap<WorkspaceName, f64>) -> Self {
+        self.set_weights(weights);
+        self
+    }
+
     /// Sets whether the upstream's runners are model engines.
     pub fn set_engine(&mut self, engine: bool) {
         self.engine = engine;
         self.runners.set_engine(engine);
     }
 
+    /// Sets the weights by which workspaces share full runners, such as the rates of their
+    /// quotas. A workspace without a weight counts as the one with the highest.
+    pub fn set_weights(&mut self, weights: BTreeMap<WorkspaceName, f64>) {
+        self.shares.set_weights(weights);
+    }
+
     /// Returns the runners by name.
     pub fn runners(&self) -> impl Iterator<Item = (&RunnerName, &RunnerState)> {
         self.runners.iter()
@@ -228,15 +244,24 @@
             return false;
         }
         self.floors.submitted(now, &record.class);
-        if let Some(retry_after) = self.shed_on_arrival(now, &record, time_left) {
+        let over_share = self.is_over_share(now, &record);
+        if let Some(retry_after) = self.shed_on_arrival(now, &record, over_share, time_left) {
             out.push(Decision::Refuse(record.entry, id, NotRunReason::Shed, retry_after));
             return false;
         }
         let target_at = target_at(now, &record);
-        self.enqueue(now, record, target_at, now + time_left, avoid, version);
+        self.enqueue(now, record, target_at, now + time_left, avoid, version, over_share);
         true
     }
 
+    /// Records what a workspace asks for. Returns true if a request is beyond its share.
+    fn is_over_share(&mut self, now: MonoTime, record: &RequestRecord) -> bool {
+        self.shares.refresh(now, self.total_slots());
+        let length = self.expected_response_tokens(&record.class);
+        let us = self.expected_us(1.0, f64::from(record.prefill_tokens), length);
+        !self.shares.submitted(now, record.tier, &record.workspace, us / 1e6)
+    }
+
     /// Removes a request that its host withdrew.
     pub fn withdraw(&mut self, now: MonoTime, id: RequestId, out: &mut Vec<Decision>) {
         if self.queue.remove(id).is_none() {
@@ -276,7 +301,8 @@
         self.count_not_run(&granted);
         let Granted { record, runner, version, target_at, respond_by, .. } = granted;
         self.floors.requeued(now, &record.class);
-        self.enqueue(now, record, target_at, respond_by, Some(runner), version);
+        // It had its turn before.
+        self.enqueue(now, record, target_at, respond_by, Some(runner), version, false);
     }
 
     /// Removes a granted request that the runner did not run and that is not sent
@@ -338,9 +364,10 @@
         self.grant(now, out);
         while let Some(waiting) = self.queue.pop_expired(now) {
             let id = waiting.record.id;
-            let wait = self.backlog(waiting.record.tier);
+            let rank = waiting.rank();
+            let wait = self.backlog(rank);
             let left = waiting.deadlines.respond_by.since(now);
-            let retry_after = self.retry_after(now, &waiting.record, wait, left);
+            let retry_after = self.retry_after(now, &waiting.record, rank, wait, left);
             let reason = match self.runners.is_empty() {
                 true => NotRunReason::NoRunner,
                 false => NotRunReason::TargetUnreachable,
@@ -363,11 +390,12 @@
         respond_by: MonoTime,
         avoid: Option<RunnerName>,
         version: Option<RunnerVersion>,
+        over_share: bool,
     ) {
         let latest_start = target_at - self.min_first_token(record.prefill_tokens);
         let refuse_at = Self::refusal_time(now, &record, respond_by.since(now));
         let deadlines = Deadlines { target_at, respond_by, refuse_at };
-        self.queue.insert(record, deadlines, latest_start, avoid, version);
+        self.queue.insert(record, deadlines, latest_start, avoid, version, over_share);
     }
 
     pub(super) fn start(&mut self, now: MonoTime, granted: Granted) {
@@ -436,6 +464,9 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let busy: usize = self.runners.iter().map(|(_, runner)| runner.in_progress()).sum();
         write!(f, "{} wait, {busy} in progress;", self.queue.len())?;
+        for workspace in self.shares.over_share().into_iter().take(MAX_LOGGED) {
+            write!(f, " {workspace} over its share;")?;
+        }
         let all = self.runners.iter().count();
         let few = all <= MAX_LOGGED;
         if !few {
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -20,5 +20,6 @@
 mod rollouts;
 mod runner_fleet;
 mod scheduler;
+mod shares;
 mod streams;
 mod support;
