Place by expected length, told load and kept beginnings of prompts

Cause: planning knew one mean length for each class, one learned rate for each runner, and nothing of the beginnings that a runner still holds. A rate learned from a wait (340 us a prompt token where others have 4 to 12) kept a runner out of use.

Change: the caller's hint and the class are combined by their errors (`ResponseLengths`); a runner's load header multiplies its rates for a moment (`RunnerLoad`); a sample of a prefill rate is bounded by three times what is known; each runner's prefill is what it doesn't hold of the prompt (`PromptIndex`), and a request waits for a holder's slot where that saves more.

A beginning longer than a runner's memory counted as held at first (case no_memory). Ruled out by a test with real processes: a caller that stops reading keeps its request for ever; the connection's own timeout ends it within 4 s.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -181,6 +181,8 @@
         prefill_tokens: PREFILL_TOKENS,
         max_decode_tokens: Some(200),
         prefix: (0..blocks).map(|n| BlockHash(document << 8 | u64::from(n))).collect(),
+        prefix_tokens: Vec::new(),
+        length_hint: None,
         body_bytes: 4 * PREFILL_TOKENS,
     }
 }
--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -85,6 +85,8 @@
             prefill_tokens: PROMPT_TOKENS,
             max_decode_tokens: None,
             prefix: Vec::new(),
+            prefix_tokens: Vec::new(),
+            length_hint: None,
             body_bytes: 0,
         };
         let req = PlacementRequest {
--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -43,6 +43,8 @@
     pub max_attempts: u32,
     /// True if no API key is needed.
     pub public: bool,
+    /// True if prompts of its requests share beginnings.
+    pub shares_prompts: bool,
 }
 
 impl Route {
@@ -123,6 +125,9 @@
     pub max_connections: u32,
     /// Number of generated tokens in one event of a stream.
     pub tokens_per_event: u32,
+    /// Tokens that a runner holds in memory, among them beginnings of prompts; none if it
+    /// keeps none.
+    pub prompt_memory: Option<u32>,
 }
 
 impl UpstreamConfig {
@@ -135,7 +140,12 @@
     /// ```
     /// use comfreyway_core::fleet::UpstreamConfig;
     ///
-    /// let upstream = UpstreamConfig { engine: true, max_connections: 540, tokens_per_event: 5 };
+    /// let upstream = UpstreamConfig {
+    ///     engine: true,
+    ///     max_connections: 540,
+    ///     tokens_per_event: 5,
+    ///     prompt_memory: None,
+    /// };
     /// assert_eq!(upstream.max_idle_connections(4, 68), 7);
     /// assert_eq!(upstream.max_idle_connections(4, 1_000), 0);
     /// ```
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -15,7 +15,7 @@
 use super::{
     FleetConfig, FleetHosts, PlacementReply, PlacementRequest, Quarantine, Quota, QuotaTolerance,
     Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RolloutLimits, RunnerChange, RunnerKey,
-    RunnerLimits, ShareBasis, StreamRecord, StreamVersions, Suspect, UpstreamScheduler,
+    RunnerLimits, RunnerLoad, ShareBasis, StreamRecord, StreamVersions, Suspect, UpstreamScheduler,
     VersionHistory,
 };
 
@@ -131,6 +131,7 @@
         for (name, state) in &mut self.upstreams {
             state.scheduler.set_engine(is_engine(&config, name));
             state.scheduler.set_weights(config.weights());
+            state.scheduler.set_prompt_memory(prompt_memory(&config, name));
             state.history.set_memory(stream_memory(&config));
         }
         self.streams.set_memory(stream_memory(&config));
@@ -270,8 +271,12 @@
                     slots: entry.slots,
                     leaving: entry.leaving,
                 };
-                state.runners.insert(name.clone(), known);
+                let former = state.runners.insert(name.clone(), known);
+                let started_again = former.is_some_and(|former| former.key != entry.key);
                 let slots = share.of_slots(entry.slots);
+                if started_again {
+                    state.scheduler.forget_prompts(&name);
+                }
                 state.history.runner_present(now, &name, entry.version.clone());
                 state.scheduler.set_runner(name.clone(), slots, entry.leaving);
                 state.scheduler.set_version(&name, entry.version.clone());
@@ -302,6 +307,15 @@
         }
     }
 
+    /// Records what a runner said of its load.
+    pub fn set_runner_load(&mut self, now: MonoTime, runner: &RunnerName, load: RunnerLoad) {
+        for state in self.upstreams.values_mut() {
+            if state.runners.contains_key(runner) {
+                state.scheduler.set_runner_load(now, runner, load);
+            }
+        }
+    }
+
     /// Handles an update from a client host.
     pub fn handle_update(
         &mut self,
@@ -414,10 +428,12 @@
         let engine = self.config.as_ref().is_some_and(|config| is_engine(config, upstream));
         let (retry_limits, share) = (self.retry_limits, self.basis.budget_share());
         let config = self.config.as_deref();
+        let prompt_memory = config.and_then(|config| prompt_memory(config, upstream));
         let memory = config.map(stream_memory).unwrap_or_default();
         self.upstreams.entry(upstream.clone()).or_insert_with(|| UpstreamState {
             scheduler: UpstreamScheduler::new(engine)
-                .with_weights(config.map(FleetConfig::weights).unwrap_or_default()),
+                .with_weights(config.map(FleetConfig::weights).unwrap_or_default())
+                .with_prompt_memory(prompt_memory),
             budget: RetryBudget::new(now, retry_limits, share),
             runners: BTreeMap::new(),
             history: VersionHistory::new(memory),
@@ -448,6 +464,11 @@
     }
 }
 
+/// Returns the tokens that an upstream's runners hold in memory, if they say so.
+fn prompt_memory(config: &FleetConfig, upstream: &UpstreamName) -> Option<u32> {
+    config.upstreams.get(upstream).and_then(|upstream| upstream.prompt_memory)
+}
+
 fn is_engine(config: &FleetConfig, upstream: &UpstreamName) -> bool {
     config.upstreams.get(upstream).is_some_and(|upstream| upstream.engine)
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -38,6 +38,7 @@
 mod rollout;
 mod runner;
 mod runner_limits;
+mod runner_load;
 mod runner_notice;
 mod scheduler;
 mod sessions;
@@ -56,7 +57,7 @@
     hosts::FleetHosts,
     member::{Member, elect},
     message::{PlacementReply, PlacementRequest, RequestUpdate},
-    prompt_part::PromptPart,
+    prompt_part::{PromptPart, SizedPart},
     quarantine::{Quarantine, RecordSource, SuspectRecord, SuspectRun, SuspectState},
     quota::{QuotaTolerance, Quotas, SHARE_LEASE},
     request_digest::{InvalidDigest, RequestContent, RequestDigest},
@@ -67,6 +68,7 @@
     },
     runner::{RunnerEntry, RunnerKey, RunnerVersion},
     runner_limits::{LimitReport, NamedLimit, RunnerLimits},
+    runner_load::RunnerLoad,
     runner_notice::RunnerNotice,
     scheduler::{Decision, DispatchFailure, RunnerState, UpstreamScheduler},
     sessions::{HostSessions, OpenOutcome},
--- a/crates/core/src/fleet/prompt_part.rs
+++ b/crates/core/src/fleet/prompt_part.rs
@@ -18,6 +18,15 @@
 #[serde(transparent)]
 pub struct PromptPart(pub u64);
 
+/// A part of a prompt with its length.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SizedPart {
+    /// The part.
+    pub part: PromptPart,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
 impl fmt::Display for PromptPart {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:x}", self.0)
--- a/crates/core/src/fleet/scheduler/granting.rs
+++ b/crates/core/src/fleet/scheduler/granting.rs
@@ -74,13 +74,14 @@
         I: Iterator<Item = (RequestId, &'a WaitingRequest)>,
     {
         for (id, waiting) in requests {
-            if pass.unplaceable.includes(&waiting.record) {
+            if waiting.record.prefix.is_empty() && pass.unplaceable.includes(&waiting.record) {
                 continue;
             }
             match self.find_runner(now, waiting, pauses) {
                 Placement::None
                     if waiting.avoid.is_none()
                         && waiting.version.is_none()
+                        && waiting.record.prefix.is_empty()
                         && pass.requests_alike =>
                 {
                     pass.unplaceable.add(&waiting.record);
--- a/crates/core/src/fleet/scheduler/learning.rs
+++ b/crates/core/src/fleet/scheduler/learning.rs
@@ -14,20 +14,19 @@
 /// Minimum number of generated tokens for a sample of the decode rate.
 const MIN_DECODE_SAMPLE: u32 = 6;
 
-/// Generated tokens assumed before the first response of a class.
-const DEFAULT_RESPONSE_TOKENS: f64 = 100.0;
-
-/// Maximum number of classes whose response lengths are learned.
-const MAX_CLASSES: usize = 1_024;
+/// Maximum sample of a rate, as a multiple of what is known: a longer time was mostly spent
+/// waiting at the runner.
+const MAX_SAMPLE_FACTOR: f64 = 3.0;
 
 impl UpstreamScheduler {
     /// Records the arrival of a request's first token.
     pub fn first_token(&mut self, now: MonoTime, id: RequestId) {
         let Some(granted) = self.granted.get(&id) else { return };
-        self.runners.update(&granted.runner, |runner| {
+        let mean_us = self.runners.totals().prefill_us;
+        let is_first = self.runners.update(&granted.runner, |runner| {
             let Some(request) = runner.requests.get_mut(&id).filter(|request| !request.prefilled)
             else {
-                return;
+                return false;
             };
             request.prefilled = true;
             let request = *request;
@@ -36,10 +35,17 @@
             if tokens >= MIN_PREFILL_SAMPLE {
                 let elapsed_us = now.since(request.granted_at).as_micros() as f64;
                 let rate = (elapsed_us - FIXED_FIRST_TOKEN_US).max(0.0) / f64::from(tokens);
-                runner.rates.prefill_us.observe(rate);
+                let max = MAX_SAMPLE_FACTOR * runner.prefill_us().max(mean_us);
+                runner.rates.prefill_us.observe((rate / runner.slowdown(now)).min(max));
             }
             runner.record_success(&granted.record.entry);
+            true
         });
+        if is_first == Some(true) {
+            let record = &granted.record;
+            let tokens = u64::from(record.prefill_tokens) + self.lengths.expected(record) as u64;
+            self.prompts.read(&granted.runner, &record.prefix, tokens);
+        }
         self.reach.record_response(&granted.record.entry);
     }
 
@@ -53,7 +59,7 @@
                 runner.record_success(host);
                 // The time of a failure says nothing of the runner's speed.
                 if !usage.failed {
-                    runner.learn(engine, usage);
+                    runner.learn(now, engine, usage);
                 }
             }
             request
@@ -67,38 +73,27 @@
         if let DispatchEnd::Complete(usage) = end
             && engine
             && !usage.failed
-            && (self.response_lengths.len() < MAX_CLASSES
-                || self.response_lengths.contains_key(&granted.record.class))
         {
-            let length = self.response_lengths.entry(granted.record.class).or_default();
-            length.observe(f64::from(usage.decode_tokens));
+            self.lengths.observe(&granted.record, usage.decode_tokens);
         }
     }
 
-    /// Returns the expected number of generated tokens in a response of a class.
-    pub(super) fn expected_response_tokens(&self, class: &crate::ids::ClassName) -> f64 {
-        self.response_lengths
-            .get(class)
-            .and_then(|length| length.get())
-            .unwrap_or(DEFAULT_RESPONSE_TOKENS)
-    }
-
     /// Returns the expected total time in an average slot, in microseconds, of
-    /// `count` requests with `prompt` tokens in total and responses of `length`
-    /// tokens each.
+    /// `count` requests with `prompt` tokens and responses of `length` tokens in total.
     pub(super) fn expected_us(&self, count: f64, prompt: f64, length: f64) -> f64 {
         let totals = self.runners.totals();
         match self.engine {
-            true => totals.prefill_us * prompt + totals.decode_us * length * count,
+            true => totals.prefill_us * prompt + totals.decode_us * length,
             false => totals.service_us * count,
         }
     }
 }
 
 impl RunnerState {
-    fn learn(&mut self, engine: bool, usage: &Usage) {
+    fn learn(&mut self, now: MonoTime, engine: bool, usage: &Usage) {
         if !engine {
-            self.rates.service_us.observe(usage.total.as_micros() as f64);
+            let usual_us = usage.total.as_micros() as f64 / self.slowdown(now);
+            self.rates.service_us.observe(usual_us);
             return;
         }
         if usage.decode_tokens >= MIN_DECODE_SAMPLE {
--- a/crates/core/src/fleet/scheduler/mod.rs
+++ b/crates/core/src/fleet/scheduler/mod.rs
@@ -14,6 +14,8 @@
 //!   token. It waits instead if it would be late there and another runner could
 //!   still meet its target, or if its prompt would pause other streams for longer
 //!   than its own target between tokens allows.
+//! - A runner that holds the beginning of a prompt has less to prefill; a request even
+//!   waits for its slot if that saves more time than it takes.
 //! - A request that can't be started in time is refused at once.
 //! - Within a tier, workspaces get fair shares of full runners: requests beyond a
 //!   workspace's share come after the others, and are refused first.
@@ -24,7 +26,9 @@
 mod floor;
 mod granting;
 mod learning;
+mod lengths;
 mod placement;
+mod prompt_index;
 mod queue;
 mod rate_limit;
 mod reach;
--- a/crates/core/src/fleet/scheduler/queue.rs
+++ b/crates/core/src/fleet/scheduler/queue.rs
@@ -20,10 +20,38 @@
     pub(super) refuse_at: MonoTime,
 }
 
+/// A request to add.
+#[derive(Debug)]
+pub(super) struct NewRequest {
+    pub(super) record: RequestRecord,
+    /// Expected number of generated tokens.
+    pub(super) length: f64,
+    pub(super) deadlines: Deadlines,
+    /// Orders it within its tier.
+    pub(super) latest_start: MonoTime,
+    /// The runner it was sent to last.
+    pub(super) avoid: Option<RunnerName>,
+    /// The only software version that may run it.
+    pub(super) version: Option<RunnerVersion>,
+    /// True if it is beyond the share of its workspace.
+    pub(super) over_share: bool,
+}
+
+/// Waiting requests of one rank and class.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Waiting {
+    pub(super) requests: usize,
+    pub(super) prompt_tokens: u64,
+    /// Expected number of generated tokens.
+    pub(super) response_tokens: f64,
+}
+
 /// A waiting request.
 #[derive(Clone, Debug)]
 pub(super) struct WaitingRequest {
     pub(super) record: RequestRecord,
+    /// Expected number of generated tokens.
+    pub(super) length: f64,
     pub(super) deadlines: Deadlines,
     /// The runner it was sent to last.
     pub(super) avoid: Option<RunnerName>,
@@ -56,8 +84,7 @@
     order: BTreeSet<(SortKey, RequestId)>,
     by_class: BTreeMap<ClassName, BTreeSet<(SortKey, RequestId)>>,
     expiring: BTreeSet<(MonoTime, RequestId)>,
-    /// Number of requests and their total prompt tokens.
-    totals: BTreeMap<(Rank, ClassName), (usize, u64)>,
+    totals: BTreeMap<(Rank, ClassName), Waiting>,
     last_number: u64,
 }
 
@@ -70,28 +97,31 @@
         self.waiting.contains_key(&id)
     }
 
-    /// Adds a request; `latest_start` orders it within its tier.
-    pub(super) fn insert(
-        &mut self,
-        record: RequestRecord,
-        deadlines: Deadlines,
-        latest_start: MonoTime,
-        avoid: Option<RunnerName>,
-        version: Option<RunnerVersion>,
-        over_share: bool,
-    ) {
+    /// Adds a request.
+    pub(super) fn insert(&mut self, request: NewRequest) {
+        let NewRequest { record, length, deadlines, latest_start, avoid, version, over_share } =
+            request;
         self.last_number += 1;
         let id = record.id;
         let sort_key = (record.tier, over_share, false, latest_start, self.last_number);
         let rank = (record.tier, over_share);
         let total = self.totals.entry((rank, record.class.clone())).or_default();
-        total.0 += 1;
-        total.1 += u64::from(record.prefill_tokens);
+        total.requests += 1;
+        total.prompt_tokens += u64::from(record.prefill_tokens);
+        total.response_tokens += length;
         self.expiring.insert((deadlines.refuse_at, id));
         self.by_class.entry(record.class.clone()).or_default().insert((sort_key, id));
         let late = false;
-        let waiting =
-            WaitingRequest { record, deadlines, avoid, version, late, over_share, sort_key };
+        let waiting = WaitingRequest {
+            record,
+            length,
+            deadlines,
+            avoid,
+            version,
+            late,
+            over_share,
+            sort_key,
+        };
         self.order.insert((sort_key, id));
         self.waiting.insert(id, waiting);
     }
@@ -128,9 +158,10 @@
         self.expiring.remove(&(waiting.deadlines.refuse_at, id));
         let key = (waiting.rank(), waiting.record.class.clone());
         if let Some(total) = self.totals.get_mut(&key) {
-            total.0 -= 1;
-            total.1 -= u64::from(waiting.record.prefill_tokens);
-            if total.0 == 0 {
+            total.requests -= 1;
+            total.prompt_tokens -= u64::from(waiting.record.prefill_tokens);
+            total.response_tokens -= waiting.length;
+            if total.requests == 0 {
                 self.totals.remove(&key);
             }
         }
@@ -146,10 +177,9 @@
         self.remove(id)
     }
 
-    /// Returns each rank and class with its number of waiting requests and their
-    /// total prompt tokens.
-    pub(super) fn totals(&self) -> impl Iterator<Item = (Rank, &ClassName, usize, u64)> {
-        self.totals.iter().map(|((rank, class), (count, prompt))| (*rank, class, *count, *prompt))
+    /// Returns what waits of each rank and class.
+    pub(super) fn totals(&self) -> impl Iterator<Item = (Rank, &Waiting)> {
+        self.totals.iter().map(|((rank, _), waiting)| (*rank, waiting))
     }
 
     /// Marks a request that can no longer meet its target, which moves it behind
--- a/crates/core/src/fleet/scheduler/runner.rs
+++ b/crates/core/src/fleet/scheduler/runner.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    fleet::RunnerVersion,
+    fleet::{RunnerLoad, RunnerVersion},
     ids::{HostId, RequestId},
     time::MonoTime,
 };
@@ -27,6 +27,14 @@
 /// network round trip and one step of the engine. In microseconds.
 pub(super) const FIXED_FIRST_TOKEN_US: f64 = 22_000.0;
 
+/// Time after which half of what a runner said of its slowdown counts: neighbours on its
+/// machine come and go several times a second.
+const SLOWDOWN_HALF_LIFE: Duration = Duration::from_millis(300);
+
+/// Bounds of the slowdown that a runner may claim.
+const MIN_SLOWDOWN: f64 = 0.5;
+const MAX_SLOWDOWN: f64 = 8.0;
+
 /// Pause after the first failure; doubles with each further one.
 const INITIAL_PAUSE: Duration = Duration::from_millis(200);
 
@@ -80,6 +88,8 @@
     /// Prompt tokens that were pending at the runner when it was granted.
     pub(super) tokens_ahead: u32,
     pub(super) prefilled: bool,
+    /// Expected time to the end of its response.
+    expected: Duration,
 }
 
 /// A runner with its load and learned rates.
@@ -105,6 +115,8 @@
     rate_limit: Option<RateLimit>,
     /// Hosts whose requests the runner does not accept until the given time.
     rests: BTreeMap<HostId, MonoTime>,
+    /// How long work took there, relative to the usual time, when it said so last.
+    slowdown: (f64, MonoTime),
 }
 
 impl RunnerState {
@@ -122,6 +134,7 @@
             failed_hosts: BTreeSet::new(),
             rate_limit: None,
             rests: BTreeMap::new(),
+            slowdown: (1.0, MonoTime::ZERO),
         }
     }
 
@@ -188,13 +201,48 @@
         self.rates.service_us.get().unwrap_or(DEFAULT_SERVICE_US)
     }
 
-    pub(super) fn start(&mut self, now: MonoTime, id: RequestId, prompt_tokens: u32) {
+    /// Starts a request with `prompt_tokens` to prefill and an expected response of
+    /// `length` tokens.
+    pub(super) fn start(&mut self, now: MonoTime, id: RequestId, prompt_tokens: u32, length: f64) {
         let tokens_ahead = self.pending_prompt_tokens;
         self.pending_prompt_tokens += prompt_tokens;
-        self.requests.insert(
-            id,
-            RunnerRequest { granted_at: now, prompt_tokens, tokens_ahead, prefilled: false },
-        );
+        let prefill_us = self.prefill_us() * f64::from(self.pending_prompt_tokens);
+        let us = FIXED_FIRST_TOKEN_US + prefill_us + self.decode_us() * length;
+        let expected = Duration::from_micros(us as u64);
+        let request = RunnerRequest {
+            granted_at: now,
+            prompt_tokens,
+            tokens_ahead,
+            prefilled: false,
+            expected,
+        };
+        self.requests.insert(id, request);
+    }
+
+    /// Returns the expected time until a slot is free.
+    pub(super) fn time_to_free_slot(&self, now: MonoTime) -> Duration {
+        if !self.is_full() {
+            return Duration::ZERO;
+        }
+        // One that is overdue may go on for as long as it took so far.
+        let left = self.requests.values().map(|request| {
+            let elapsed = now.since(request.granted_at);
+            request.expected.checked_sub(elapsed).unwrap_or(elapsed)
+        });
+        left.min().unwrap_or_default()
+    }
+
+    /// Records what the runner said of its load.
+    pub(super) fn set_load(&mut self, now: MonoTime, load: RunnerLoad) {
+        self.slowdown = (load.slowdown.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN), now);
+    }
+
+    /// Returns how long work takes now, relative to the usual time. What the runner said
+    /// counts less and less.
+    pub(super) fn slowdown(&self, now: MonoTime) -> f64 {
+        let (slowdown, at) = self.slowdown;
+        let age = now.since(at).div_duration_f64(SLOWDOWN_HALF_LIFE);
+        1.0 + (slowdown - 1.0) * (-age).exp2()
     }
 
     /// Removes a request, and its prompt from the pending tokens if its first
--- a/crates/core/src/fleet/scheduler/shedding.rs
+++ b/crates/core/src/fleet/scheduler/shedding.rs
@@ -44,8 +44,9 @@
     pub(super) fn backlog(&self, rank: Rank) -> Duration {
         let ahead = self.queue.totals().filter(|(of, ..)| *of <= rank);
         let work: f64 = ahead
-            .map(|(_, class, count, prompt)| {
-                self.expected_us(count as f64, prompt as f64, self.expected_response_tokens(class))
+            .map(|(_, waiting)| {
+                let prompt = waiting.prompt_tokens as f64;
+                self.expected_us(waiting.requests as f64, prompt, waiting.response_tokens)
             })
             .sum();
         Duration::from_micros((work / self.total_slots()) as u64)
@@ -79,7 +80,7 @@
         wait: Duration,
         left: Duration,
     ) -> Duration {
-        let length = self.expected_response_tokens(&record.class);
+        let length = self.lengths.expected(record);
         let work_us = self.expected_us(1.0, f64::from(record.prefill_tokens), length);
         let work = Duration::from_micros((work_us / self.total_slots()) as u64);
         let max = left.mul_f64(MAX_RETRY_AFTER_FRACTION);
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
-    fleet::{Rollout, RunnerVersion},
-    ids::{ClassName, HostId, RequestId, RunnerName, WorkspaceName},
+    fleet::{Rollout, RunnerLoad, RunnerVersion},
+    ids::{HostId, RequestId, RunnerName, WorkspaceName},
     outcome::NotRunReason,
     request::RequestRecord,
     time::MonoTime,
@@ -12,9 +12,10 @@
 
 use super::{
     DispatchFailure, RunnerState,
-    ewma::Ewma,
     floor::ClassFloors,
-    queue::{Deadlines, Queue},
+    lengths::ResponseLengths,
+    prompt_index::PromptIndex,
+    queue::{Deadlines, NewRequest, Queue},
     reach::HostReach,
     returns::ReturnTimes,
     runner_index::RunnerIndex,
@@ -65,7 +66,8 @@
     pub(super) returns: ReturnTimes,
     pub(super) shares: WorkspaceShares,
     pub(super) granted: BTreeMap<RequestId, Granted>,
-    pub(super) response_lengths: BTreeMap<ClassName, Ewma>,
+    pub(super) lengths: ResponseLengths,
+    pub(super) prompts: PromptIndex,
     /// Which hosts reach runners.
     pub(super) reach: HostReach,
     /// Until then some runners may not accept the requests of some hosts.
@@ -88,7 +90,8 @@
             returns: ReturnTimes::default(),
             shares: WorkspaceShares::default(),
             granted: BTreeMap::new(),
-            response_lengths: BTreeMap::new(),
+            lengths: ResponseLengths::default(),
+            prompts: PromptIndex::default(),
             reach: HostReach::default(),
             hosts_differ_until: MonoTime::ZERO,
             rollout: None,
@@ -138,6 +141,10 @@
 
     /// Sets the software version of a runner.
     pub fn set_version(&mut self, name: &RunnerName, version: Option<RunnerVersion>) {
+        let is_other = self.runners.get(name).is_some_and(|runner| runner.version != version);
+        if is_other {
+            self.prompts.forget(name);
+        }
         self.runners.update(name, |runner| runner.version = version);
     }
 
@@ -163,9 +170,33 @@
 
     /// Removes a runner.
     pub fn remove_runner(&mut self, name: &RunnerName) {
+        self.prompts.forget(name);
         self.runners.remove(name);
     }
 
+    /// Forgets what a runner holds of prompts, because it has started again.
+    pub fn forget_prompts(&mut self, name: &RunnerName) {
+        self.prompts.forget(name);
+    }
+
+    /// Sets the tokens that a runner holds in memory; none if it keeps no beginnings of
+    /// prompts.
+    pub fn set_prompt_memory(&mut self, tokens: Option<u32>) {
+        self.prompts.set_capacity(tokens);
+    }
+
+    /// Sets what [`UpstreamScheduler::set_prompt_memory`] does.
+    #[must_use]
+    pub fn with_prompt_memory(mut self, tokens: Option<u32>) -> Self {
+        self.set_prompt_memory(tokens);
+        self
+    }
+
+    /// Records what a runner said of its load.
+    pub fn set_runner_load(&mut self, now: MonoTime, name: &RunnerName, load: RunnerLoad) {
+        self.runners.update(name, |runner| runner.set_load(now, load));
+    }
+
     /// Sends a runner no requests of `host` for a while, as the runner asked.
     pub fn rest_runner(&mut self, now: MonoTime, name: &RunnerName, host: HostId, time: Duration) {
         let until = now + time;
@@ -257,7 +288,7 @@
     /// Records what a workspace asks for. Returns true if a request is beyond its share.
     fn is_over_share(&mut self, now: MonoTime, record: &RequestRecord) -> bool {
         self.shares.refresh(now, self.total_slots());
-        let length = self.expected_response_tokens(&record.class);
+        let length = self.lengths.expected(record);
         let us = self.expected_us(1.0, f64::from(record.prefill_tokens), length);
         !self.shares.submitted(now, record.tier, &record.workspace, us / 1e6)
     }
@@ -395,12 +426,18 @@
         let latest_start = target_at - self.min_first_token(record.prefill_tokens);
         let refuse_at = Self::refusal_time(now, &record, respond_by.since(now));
         let deadlines = Deadlines { target_at, respond_by, refuse_at };
-        self.queue.insert(record, deadlines, latest_start, avoid, version, over_share);
+        let length = self.lengths.expected(&record);
+        let request =
+            NewRequest { record, length, deadlines, latest_start, avoid, version, over_share };
+        self.queue.insert(request);
     }
 
     pub(super) fn start(&mut self, now: MonoTime, granted: Granted) {
-        let (id, prompt) = (granted.record.id, granted.record.prefill_tokens);
-        self.runners.update(&granted.runner, |runner| runner.start(now, id, prompt));
+        let (id, record) = (granted.record.id, &granted.record);
+        let kept = self.prompts.tokens_at(&granted.runner, &record.prefix, &record.prefix_tokens);
+        let prompt = record.prefill_tokens.saturating_sub(kept);
+        let length = self.lengths.expected(record);
+        self.runners.update(&granted.runner, |runner| runner.start(now, id, prompt, length));
         self.granted.insert(id, granted);
     }
 
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -73,6 +73,12 @@
     /// Chained hashes of the prompt's blocks, shortest prefix first.
     #[serde(rename = "px")]
     pub prefix: Vec<BlockHash>,
+    /// Tokens up to the end of each of these blocks; empty if they have the same length.
+    #[serde(rename = "pk", default, skip_serializing_if = "Vec::is_empty")]
+    pub prefix_tokens: Vec<u32>,
+    /// The caller's estimate of the generated tokens, if any.
+    #[serde(rename = "lh", default, skip_serializing_if = "Option::is_none")]
+    pub length_hint: Option<u32>,
     /// Body size in bytes.
     #[serde(rename = "bb")]
     pub body_bytes: u32,
--- a/crates/core/tests/entry.rs
+++ b/crates/core/tests/entry.rs
@@ -56,6 +56,8 @@
         prefill_tokens: 0,
         max_decode_tokens: None,
         prefix: Vec::new(),
+        prefix_tokens: Vec::new(),
+        length_hint: None,
         body_bytes: 0,
     };
     Submission { record, identity: at_most_once.then_some(identity) }
--- a/crates/core/tests/fleet/coordinator.rs
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -25,7 +25,12 @@
         read_timeout: Duration::from_secs(1),
         idle_timeout: Duration::from_secs(1),
     };
-    let upstream = UpstreamConfig { engine: true, max_connections: 10, tokens_per_event: 3 };
+    let upstream = UpstreamConfig {
+        engine: true,
+        max_connections: 10,
+        tokens_per_event: 3,
+        prompt_memory: None,
+    };
     let quota = Quota { rate_per_s, burst: 1_000.0, by_tokens: true, plain_cost: 1.0 };
     let workspace = Workspace { name: "desk".parse().unwrap(), tier: None, quota };
     let config = FleetConfig::new(1, 1, limits).with_upstream("dala".parse().unwrap(), upstream);
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod beginnings;
 mod client;
 mod coordinator;
 mod crash_evidence;
@@ -23,3 +24,4 @@
 mod shares;
 mod streams;
 mod support;
+mod uneven_runners;
--- a/crates/core/tests/fleet/quota_changes/fleet.rs
+++ b/crates/core/tests/fleet/quota_changes/fleet.rs
@@ -60,7 +60,12 @@
         read_timeout: Duration::from_secs(1),
         idle_timeout: Duration::from_secs(1),
     };
-    let upstream = UpstreamConfig { engine: false, max_connections: 10, tokens_per_event: 3 };
+    let upstream = UpstreamConfig {
+        engine: false,
+        max_connections: 10,
+        tokens_per_event: 3,
+        prompt_memory: None,
+    };
     let workspace = Workspace { name: "desk".parse().unwrap(), tier: None, quota: QUOTA };
     let config = FleetConfig::new(1, 1, limits).with_upstream("dala".parse().unwrap(), upstream);
     Arc::new(config.with_workspace(workspace, ["key".to_owned()]))
--- a/crates/core/tests/fleet/releases/fleet.rs
+++ b/crates/core/tests/fleet/releases/fleet.rs
@@ -111,7 +111,12 @@
         read_timeout: Duration::from_secs(1),
         idle_timeout: Duration::from_secs(1),
     };
-    let upstream = UpstreamConfig { engine: true, max_connections: 10, tokens_per_event: 3 };
+    let upstream = UpstreamConfig {
+        engine: true,
+        max_connections: 10,
+        tokens_per_event: 3,
+        prompt_memory: None,
+    };
     let route = Route {
         class: "report".parse().unwrap(),
         host: "desk.example".to_owned(),
@@ -124,6 +129,7 @@
         tier: Tier(1),
         max_attempts: 2,
         public: true,
+        shares_prompts: false,
     };
     let config = FleetConfig::new(1, 1, limits).with_upstream("dala".parse().unwrap(), upstream);
     Arc::new(config.with_route(route))
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -41,6 +41,8 @@
         prefill_tokens: prompt,
         max_decode_tokens: None,
         prefix: Vec::new(),
+        prefix_tokens: Vec::new(),
+        length_hint: None,
         body_bytes: 0,
     }
 }
--- a/crates/core/tests/owner.rs
+++ b/crates/core/tests/owner.rs
@@ -60,6 +60,8 @@
         prefill_tokens: 0,
         max_decode_tokens: None,
         prefix: Vec::new(),
+        prefix_tokens: Vec::new(),
+        length_hint: None,
         body_bytes: 1,
     };
     Submission { record, identity: Some(identity) }
--- a/crates/core/tests/pool_fixture/mod.rs
+++ b/crates/core/tests/pool_fixture/mod.rs
@@ -51,6 +51,8 @@
         prefill_tokens,
         max_decode_tokens: None,
         prefix: (0..blocks).map(|n| BlockHash((id as u64) << 16 | u64::from(n))).collect(),
+        prefix_tokens: Vec::new(),
+        length_hint: None,
         body_bytes: 100,
     }
 }
--- a/crates/core/tests/protocol_support/actor.rs
+++ b/crates/core/tests/protocol_support/actor.rs
@@ -52,6 +52,8 @@
         prefill_tokens: 0,
         max_decode_tokens: None,
         prefix: Vec::new(),
+        prefix_tokens: Vec::new(),
+        length_hint: None,
         body_bytes: 10,
     };
     Submission { record, identity: Some(Identity { key, digest: [7; 32], idempotent }) }
--- a/crates/node/src/control/requests.rs
+++ b/crates/node/src/control/requests.rs
@@ -28,6 +28,8 @@
             prefill_tokens: submission.prefill_tokens,
             max_decode_tokens: submission.max_decode_tokens,
             prefix: submission.prefix,
+            prefix_tokens: Vec::new(),
+            length_hint: None,
             body_bytes: submission.body_bytes,
         };
         let workspace = record.workspace.clone();
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -392,6 +392,7 @@
             }
             WorkerMessage::RunnerNotice(notice) => self.handle_own_notice(now, notice),
             WorkerMessage::RunnerLimit(report) => self.handle_own_limit(now, report),
+            WorkerMessage::RunnerLoad(runner, load) => self.handle_own_load(now, runner, load),
         }
         self.execute(actions, Vec::new());
         self.arm_timer(cx);
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -157,6 +157,9 @@
             SessionEvent::FromHost(_, _, ToCoordinator::Limit(report)) => {
                 self.apply_limit(now, &report);
             }
+            SessionEvent::FromHost(_, _, ToCoordinator::Load(runner, load)) => {
+                self.coordinator.set_runner_load(now, &runner, load);
+            }
             SessionEvent::FromCoordinator(host, ToHost::Limits(limits)) => {
                 if self.coordinator_session.as_ref().is_some_and(|session| session.host == host) {
                     self.set_limits(limits);
--- a/crates/node/src/fleet/control/runner_limits.rs
+++ b/crates/node/src/fleet/control/runner_limits.rs
@@ -1,18 +1,18 @@
-//! Rate limits that runners name in their responses.
+//! Rate limits and loads that runners name in their responses.
 //!
 //! The coordinator decides what holds: a client host reports the responses that say
 //! something new, and is told what changed. So all hosts know the limits when they lose
 //! their coordinator.
 
 use comfreyway_core::{
-    fleet::{LimitReport, RunnerKey},
-    ids::HostId,
+    fleet::{LimitReport, RunnerKey, RunnerLoad},
+    ids::{HostId, RunnerName},
     time::MonoTime,
 };
 
 use crate::{
     events::{Event, log_event},
-    fleet::wire::{PROTOCOL_LIMITS, RunnerLimit, ToCoordinator, ToHost},
+    fleet::wire::{PROTOCOL_LIMITS, PROTOCOL_LOADS, RunnerLimit, ToCoordinator, ToHost},
 };
 
 use super::FleetControl;
@@ -32,6 +32,19 @@
         }
     }
 
+    /// Handles what a response to this host says of its runner's load.
+    pub(super) fn handle_own_load(&mut self, now: MonoTime, runner: RunnerName, load: RunnerLoad) {
+        let session = self.coordinator_session.as_ref();
+        let protocol = session.map_or(0, |session| session.protocol);
+        match self.coordinator_client.coordinator().cloned() {
+            None => self.coordinator.set_runner_load(now, &runner, load),
+            Some(host) if protocol >= PROTOCOL_LOADS => {
+                self.send_to_coordinator(&host, ToCoordinator::Load(runner, load));
+            }
+            Some(_) => {}
+        }
+    }
+
     /// Applies what a response said, and tells the client hosts if it changes a limit.
     pub(super) fn apply_limit(&mut self, now: MonoTime, report: &LimitReport) {
         if !self.coordinator.apply_limit(now, report) {
--- a/crates/node/src/fleet/platform_format.rs
+++ b/crates/node/src/fleet/platform_format.rs
@@ -1,7 +1,7 @@
 //! Header names, store keys and record formats of a platform.
 
 use comfreyway_core::{
-    fleet::{FleetConfig, PromptPart, RolloutOrder, RolloutStatus, RunnerEntry},
+    fleet::{FleetConfig, RolloutOrder, RolloutStatus, RunnerEntry, RunnerLoad, SizedPart},
     ids::{RunnerName, UpstreamName},
 };
 use hyper::header::HeaderName;
@@ -48,6 +48,10 @@
     /// Requests a second that a runner takes from all hosts together, for as long as its
     /// responses name it.
     pub limit: &'static str,
+    /// A runner's load: requests that run and wait, slots, and how long work takes now.
+    pub load: &'static str,
+    /// The caller's estimate of the generated tokens.
+    pub length_hint: &'static str,
     /// The event after which a stream resumes.
     pub last_event_id: &'static str,
     /// Id of the caller's attempt that brought the first event of the stream which
@@ -101,7 +105,9 @@
     /// Encodes the status of an upstream's rollout.
     pub write_rollout_status: fn(&UpstreamName, &RolloutStatus) -> Result<Vec<u8>, RecordError>,
     /// Parses the parts of a prompt that other requests may share.
-    pub read_parts: fn(&str) -> Vec<PromptPart>,
+    pub read_parts: fn(&str) -> Vec<SizedPart>,
+    /// Parses what a runner says of its load.
+    pub read_load: fn(&str) -> Option<RunnerLoad>,
 }
 
 /// Converts a valid header name; panics on an invalid one.
--- a/crates/node/src/fleet/proxy/admitted.rs
+++ b/crates/node/src/fleet/proxy/admitted.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use comfreyway_core::{
-    fleet::{FleetConfig, PlacementRequest, RetryPolicy, Route, RunnerEntry},
+    fleet::{FleetConfig, PlacementRequest, RetryPolicy, Route, RunnerEntry, RunnerLoad},
     ids::WorkspaceName,
 };
 use http_body_util::Full;
@@ -31,6 +31,8 @@
     pub(super) header_names: HeaderNames,
     /// Parses a runner's rate limit.
     pub(super) read_limit: fn(&str) -> Option<f64>,
+    /// Parses what a runner says of its load.
+    pub(super) read_load: fn(&str) -> Option<RunnerLoad>,
     /// Id that the caller gave.
     pub(super) caller_id: String,
     /// The caller's id of the stream that this request takes up.
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -4,7 +4,8 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
-    fleet::{LimitReport, RunnerEntry, RunnerKey, RunnerNotice, RunnerVersion},
+    fleet::{LimitReport, RunnerEntry, RunnerKey, RunnerLoad, RunnerNotice, RunnerVersion},
+    ids::RunnerName,
     outcome::{RetryReason, UnknownReason},
 };
 use http_body_util::BodyExt;
@@ -49,6 +50,8 @@
     pub(super) notice: Option<RunnerNotice>,
     /// Its rate limit. None if there was no response, or the limit can't be read.
     pub(super) limit: Option<LimitReport>,
+    /// Its load, if that is out of the ordinary.
+    pub(super) load: Option<(RunnerName, RunnerLoad)>,
 }
 
 /// A response whose body is being read.
@@ -110,6 +113,7 @@
     let statements = RunnerStatements {
         notice: runner_notice(request, runner, &res),
         limit: limit_report(request, runner, &res, sent_at),
+        load: unusual_load(request, runner, &res),
     };
     if !echoes_request_id(request, &res) {
         log_unusable_response(request, runner, "the response belongs to another request", sent_at);
@@ -328,6 +332,17 @@
     Some(LimitReport { key: runner.key.clone(), per_s, sent_ago: sent_at.elapsed() })
 }
 
+/// Returns what a runner says of its load, if work takes longer or shorter there than usual.
+fn unusual_load(
+    request: &AdmittedRequest,
+    runner: &RunnerEntry,
+    res: &Response<Incoming>,
+) -> Option<(RunnerName, RunnerLoad)> {
+    let value = res.headers().get(header(request.header_names.load))?.to_str().ok()?;
+    let load = (request.read_load)(value).filter(|load| load.is_unusual())?;
+    (res.status() != StatusCode::MISDIRECTED_REQUEST).then(|| (runner.key.name.clone(), load))
+}
+
 /// Parses the seconds, with an optional fraction, for which a runner wants no
 /// requests. Anything else, such as a date, asks for no rest.
 fn parse_rest(value: &str) -> Option<Duration> {
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -72,6 +72,9 @@
         if let Some(notice) = statements.notice {
             handle.runner_notice(notice);
         }
+        if let Some((runner, load)) = statements.load {
+            handle.runner_load(runner, load);
+        }
         let is_limited = proxy.host_state.has_limited_runners();
         if let Some(limit) = statements.limit.filter(|limit| limit.per_s.is_some() || is_limited) {
             handle.runner_limit(limit);
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -293,6 +293,7 @@
             workspace: workspace.as_ref(),
             usage,
             parts: parts.as_deref().unwrap_or_default(),
+            length_hint: text(header_names.length_hint).and_then(|hint| hint.trim().parse().ok()),
             began_as: resumes.as_deref().filter(|_| takes_up).unwrap_or(&caller_id),
             takes_up,
             body_bytes: body.len(),
@@ -303,6 +304,7 @@
         Ok(AdmittedRequest {
             header_names,
             read_limit: self.format.read_limit,
+            read_load: self.format.read_load,
             caller_id,
             resumes,
             method: head.method,
--- a/crates/node/src/fleet/proxy/placement.rs
+++ b/crates/node/src/fleet/proxy/placement.rs
@@ -4,16 +4,20 @@
 
 use comfreyway_core::{
     fleet::{
-        FleetConfig, PlacementRequest, PromptPart, RequestDigest, RetryPolicy, Route,
-        StreamBinding, StreamId, Workspace,
+        FleetConfig, PlacementRequest, RequestDigest, RetryPolicy, Route, SizedPart, StreamBinding,
+        StreamId, Workspace,
     },
     ids::{HostId, RequestId, WorkspaceName},
-    request::RequestRecord,
+    request::{BlockHash, RequestRecord},
 };
 
 /// Workspace of requests that need no API key.
 const PUBLIC_WORKSPACE: &str = "public";
 
+/// Minimum length of a beginning worth knowing: prefilling fewer tokens takes a few
+/// milliseconds.
+const MIN_BEGINNING_TOKENS: u32 = 256;
+
 /// What is known of a request when it is submitted.
 pub(super) struct PlacementInput<'a> {
     pub(super) id: RequestId,
@@ -23,7 +27,9 @@
     pub(super) workspace: Option<&'a Workspace>,
     pub(super) usage: Option<(u32, u32)>,
     /// Parts of the prompt that other requests may share.
-    pub(super) parts: &'a [PromptPart],
+    pub(super) parts: &'a [SizedPart],
+    /// The caller's estimate of the generated tokens.
+    pub(super) length_hint: Option<u32>,
     /// The caller's id of the attempt that began the stream.
     pub(super) began_as: &'a str,
     /// True if the request goes on with a stream.
@@ -55,6 +61,8 @@
         None => quota.plain_cost,
     };
     let tier = workspace.map_or(route.tier, |w| w.tier_of(route.tier));
+    let shares = engine && route.shares_prompts;
+    let beginnings = if shares { beginnings(input.parts) } else { Vec::new() };
     let record = RequestRecord {
         id,
         entry: input.host.clone(),
@@ -65,7 +73,9 @@
         age: Duration::ZERO,
         prefill_tokens: if engine { usage.map_or(1, |(prompt, _)| prompt.max(1)) } else { 0 },
         max_decode_tokens: usage.map(|(_, generated)| generated),
-        prefix: Vec::new(),
+        prefix: beginnings.iter().map(|(hash, _)| *hash).collect(),
+        prefix_tokens: beginnings.iter().map(|(_, tokens)| *tokens).collect(),
+        length_hint: input.length_hint.filter(|_| engine),
         body_bytes: u32::try_from(body_bytes).unwrap_or(u32::MAX),
     };
     let time_limit = route.time_limit;
@@ -77,7 +87,22 @@
         prior_attempts: 0,
         avoid: None,
         stream,
-        parts: input.parts.to_vec(),
+        parts: input.parts.iter().map(|sized| sized.part).collect(),
         digest: Some(input.digest),
     })
 }
+
+/// Returns the beginnings of a prompt that other requests may share, with their tokens. The
+/// hash of each covers all parts before it: a runner can only use a part after the same ones.
+fn beginnings(parts: &[SizedPart]) -> Vec<(BlockHash, u32)> {
+    let mut hasher = blake3::Hasher::new();
+    let mut tokens = 0_u32;
+    let all = parts.iter().map(|sized| {
+        hasher.update(&sized.part.0.to_be_bytes());
+        tokens = tokens.saturating_add(sized.tokens);
+        let hash = hasher.finalize();
+        let (halves, _) = hash.as_bytes().as_chunks::<8>();
+        (BlockHash(u64::from_be_bytes(halves[0])), tokens)
+    });
+    all.filter(|(_, tokens)| *tokens >= MIN_BEGINNING_TOKENS).collect()
+}
--- a/crates/node/src/fleet/request_handle.rs
+++ b/crates/node/src/fleet/request_handle.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use comfreyway_core::{
-    fleet::{LimitReport, PlacementRequest, RunnerEntry, RunnerNotice},
+    fleet::{LimitReport, PlacementRequest, RunnerEntry, RunnerLoad, RunnerNotice},
     ids::{RequestId, RunnerName},
     outcome::{NotRunReason, RetryReason},
     request::DispatchEnd,
@@ -33,6 +33,8 @@
     RunnerNotice(RunnerNotice),
     /// What a response said of its runner's rate limit.
     RunnerLimit(LimitReport),
+    /// What a response said of its runner's load.
+    RunnerLoad(RunnerName, RunnerLoad),
 }
 
 /// The control thread's decision on a request.
@@ -134,6 +136,11 @@
         }
     }
 
+    /// Reports what a runner said of its load.
+    pub(super) fn runner_load(&self, runner: RunnerName, load: RunnerLoad) {
+        self.notify(WorkerMessage::RunnerLoad(runner, load));
+    }
+
     /// Reports what a runner said about itself in a response.
     pub(super) fn runner_notice(&self, notice: RunnerNotice) {
         self.notify(WorkerMessage::RunnerNotice(notice));
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use comfreyway_core::{
     fleet::{
-        LimitReport, PlacementReply, RequestUpdate, RunnerEntry, RunnerKey, RunnerNotice,
-        StreamRecord, SuspectRecord,
+        LimitReport, PlacementReply, RequestUpdate, RunnerEntry, RunnerKey, RunnerLoad,
+        RunnerNotice, StreamRecord, SuspectRecord,
     },
-    ids::HostId,
+    ids::{HostId, RunnerName},
 };
 use futures_util::{SinkExt, StreamExt};
 use quick_error::quick_error;
@@ -53,8 +53,11 @@
 /// Protocol from which on a host understands requests in `Suspects`.
 pub(super) const PROTOCOL_REQUESTS: u8 = 4;
 
+/// Protocol from which on a host understands `Load`.
+pub(super) const PROTOCOL_LOADS: u8 = 5;
+
 /// The protocol of this build.
-pub(super) const PROTOCOL: u8 = PROTOCOL_REQUESTS;
+pub(super) const PROTOCOL: u8 = PROTOCOL_LOADS;
 
 /// A message from a client host to its coordinator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -84,6 +87,9 @@
     /// What a response to the sender said of its runner's rate limit.
     #[serde(rename = "l")]
     Limit(LimitReport),
+    /// What a response to the sender said of its runner's load.
+    #[serde(rename = "o")]
+    Load(RunnerName, RunnerLoad),
 }
 
 /// The rate limit of a run; none if it names no limit any more.
--- a/crates/node/src/fleet/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -45,6 +45,13 @@
     assert_eq!(recode::<_, ToHost>(&message), message);
 }
 
+#[test]
+fn loads_are_sent_to_the_coordinator() {
+    let load = RunnerLoad { running: 3, waiting: 1, slots: 8, slowdown: 2.5 };
+    let message = ToCoordinator::Load(RunnerName::new("e1").unwrap(), load);
+    assert_eq!(recode::<_, ToCoordinator>(&message), message);
+}
+
 /// Token counts before they said what ended the response.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
 struct FormerUsage {
--- a/crates/proto/tests/messages.rs
+++ b/crates/proto/tests/messages.rs
@@ -51,6 +51,8 @@
         prefill_tokens: 4_096,
         max_decode_tokens: Some(256),
         prefix: vec![BlockHash(u64::MAX), BlockHash(3)],
+        prefix_tokens: Vec::new(),
+        length_hint: None,
         body_bytes: 16_000,
     };
     Submission { record, identity: Some(identity()) }
--- a/crates/testkit/src/capacity/coordination.rs
+++ b/crates/testkit/src/capacity/coordination.rs
@@ -257,6 +257,8 @@
             prefill_tokens: 2_000,
             max_decode_tokens: None,
             prefix: Vec::new(),
+            prefix_tokens: Vec::new(),
+            length_hint: None,
             body_bytes: 8_000,
         };
         let digest = RequestDigest::new(&RequestContent {
--- a/crates/testkit/src/experiment/workload.rs
+++ b/crates/testkit/src/experiment/workload.rs
@@ -230,6 +230,8 @@
         prefill_tokens: tokens + question_tokens,
         max_decode_tokens: None,
         prefix: block_hashes(index, document, tokens),
+        prefix_tokens: Vec::new(),
+        length_hint: None,
         body_bytes: tokens * 4,
     };
     Arrival { at: MonoTime::ZERO, record, decode_tokens, new_tokens }
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Serving a fleet through the platform's store, with real daemons.
 
+mod beginnings;
 mod configuration;
 mod crashing_fleet;
 mod crashing_prompts;
@@ -16,6 +17,7 @@
 mod rollouts;
 mod runner_notices;
 mod runners;
+mod slow_callers;
 mod soak;
 mod truncated_responses;
 mod versions;
