Let a host that connects to its next coordinator wait with its own feed

Cause: the periodic check started the host's own feed whenever no session with a coordinator was up, also in the milliseconds in which the next one was being connected to.

Change: the feed starts when there is no session at all, or when the view is stale, as while connected.

--- a/crates/node/src/fleet/control/store_relay.rs
+++ b/crates/node/src/fleet/control/store_relay.rs
@@ -88,13 +88,14 @@
         self.coordinator_session.as_ref().is_some_and(|session| session.tx.is_some())
     }
 
-    /// Starts this host's own feed if it is not connected to another coordinator, or
-    /// if the configuration is stale. The elected coordinator may be down, and only the
-    /// store tells of other hosts.
+    /// Starts this host's own feed if it has no session with another coordinator, or if
+    /// the configuration is stale: a coordinator that is being connected to may be down,
+    /// and only the store tells of other hosts.
     pub(super) fn start_feed_if_stale(&mut self) {
         let client = self.is_connected();
         let staleness = self.now().since(self.host_state.verified_at());
-        if self.feed.is_none() && (!client || staleness > MAX_CONFIG_STALENESS) {
+        let is_alone = self.coordinator_session.is_none();
+        if self.feed.is_none() && (is_alone || staleness > MAX_CONFIG_STALENESS) {
             if client {
                 log_event!(Event::StoreCalledDirectly, proof_ms = staleness.as_millis() as u64);
             }
