--- a/crates/core/src/fleet/scheduler/mod.rs
+++ b/crates/core/src/fleet/scheduler/mod.rs
@@ -36,9 +36,11 @@
 mod rollout;
 mod runner;
 mod runner_index;
+mod runners;
 mod shares;
 mod shedding;
 mod state;
+mod status;
 
 pub use self::{
     runner::{DispatchFailure, RunnerState},
--- a/crates/core/src/fleet/scheduler/state.rs
+++ b/crates/core/src/fleet/scheduler/state.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
-    fleet::{Rollout, RunnerLoad, RunnerVersion},
+    fleet::{Rollout, RunnerVersion},
     ids::{HostId, RequestId, RunnerName, WorkspaceName},
     outcome::NotRunReason,
     request::RequestRecord,
@@ -28,10 +28,6 @@
 /// Prompt tokens that an engine prefills in one step.
 const CHUNK_TOKENS: f64 = 2_048.0;
 
-/// Maximum number of runners in one log line. Thousands would log 100 KB a
-/// second.
-const MAX_LOGGED: usize = 32;
-
 /// A decision on one request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decision {
@@ -55,6 +51,21 @@
     pub(super) respond_by: MonoTime,
 }
 
+/// A request to queue.
+#[derive(Debug)]
+struct Submission {
+    record: RequestRecord,
+    /// When the target ends, as of the request's arrival.
+    target_at: MonoTime,
+    respond_by: MonoTime,
+    /// The runner it was sent to last.
+    avoid: Option<RunnerName>,
+    /// The only software version that may run it.
+    version: Option<RunnerVersion>,
+    /// True if it is beyond the share of its workspace.
+    over_share: bool,
+}
+
 /// Queues, places and refuses the requests of one upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamScheduler {
@@ -117,93 +128,12 @@
         self.shares.set_weights(weights);
     }
 
-    /// Returns the runners by name.
-    pub fn runners(&self) -> impl Iterator<Item = (&RunnerName, &RunnerState)> {
-        self.runners.iter()
-    }
-
-    /// Returns true if two runners accept requests and none of their last ones failed.
-    pub(crate) fn can_spare_runner(&self, now: MonoTime) -> bool {
-        let sound = self.runners.iter().filter(|(_, r)| r.is_usable(now) && r.failures == 0);
-        sound.take(2).count() == 2
-    }
-
     /// Returns the number of waiting requests.
     #[must_use]
     pub fn waiting(&self) -> usize {
         self.queue.len()
     }
 
-    /// Adds a runner or updates its slots and state.
-    pub fn set_runner(&mut self, name: RunnerName, slots: u32, leaving: bool) {
-        self.runners.set(name, slots, leaving);
-    }
-
-    /// Sets the software version of a runner.
-    pub fn set_version(&mut self, name: &RunnerName, version: Option<RunnerVersion>) {
-        let is_other = self.runners.get(name).is_some_and(|runner| runner.version != version);
-        if is_other {
-            self.prompts.forget(name);
-        }
-        self.runners.update(name, |runner| runner.version = version);
-    }
-
-    /// Sets the requests a second that a runner gets at most.
-    pub fn set_rate_limit(&mut self, now: MonoTime, name: &RunnerName, per_s: Option<f64>) {
-        self.runners.set_rate_limit(now, name, per_s);
-    }
-
-    /// Returns true if a runner of this version accepts requests.
-    #[must_use]
-    pub fn serves_version(&self, version: &RunnerVersion) -> bool {
-        let mut runners = self.runners.iter();
-        !self.gate_is_closed(Some(version))
-            && runners
-                .any(|(_, runner)| !runner.leaving && runner.version.as_ref() == Some(version))
-    }
-
-    /// Returns the software version of a runner, if it is known.
-    #[must_use]
-    pub fn version_of(&self, name: &RunnerName) -> Option<&RunnerVersion> {
-        self.runners.get(name).and_then(|runner| runner.version.as_ref())
-    }
-
-    /// Removes a runner.
-    pub fn remove_runner(&mut self, name: &RunnerName) {
-        self.prompts.forget(name);
-        self.runners.remove(name);
-    }
-
-    /// Forgets what a runner holds of prompts, because it has started again.
-    pub fn forget_prompts(&mut self, name: &RunnerName) {
-        self.prompts.forget(name);
-    }
-
-    /// Sets the tokens that a runner holds in memory; none if it keeps no beginnings of
-    /// prompts.
-    pub fn set_prompt_memory(&mut self, tokens: Option<u32>) {
-        self.prompts.set_capacity(tokens);
-    }
-
-    /// Sets what [`UpstreamScheduler::set_prompt_memory`] does.
-    #[must_use]
-    pub fn with_prompt_memory(mut self, tokens: Option<u32>) -> Self {
-        self.set_prompt_memory(tokens);
-        self
-    }
-
-    /// Records what a runner said of its load.
-    pub fn set_runner_load(&mut self, now: MonoTime, name: &RunnerName, load: RunnerLoad) {
-        self.runners.update(name, |runner| runner.set_load(now, load));
-    }
-
-    /// Sends a runner no requests of `host` for a while, as the runner asked.
-    pub fn rest_runner(&mut self, now: MonoTime, name: &RunnerName, host: HostId, time: Duration) {
-        let until = now + time;
-        self.hosts_differ_until = self.hosts_differ_until.max(until);
-        self.runners.update(name, |runner| runner.rest(now, host, until));
-    }
-
     /// Submits a request. `time_left` is the time until its response must be
     /// complete, `avoid` the runner it was sent to last.
     pub fn submit(
@@ -281,7 +211,8 @@
             return false;
         }
         let target_at = target_at(now, &record);
-        self.enqueue(now, record, target_at, now + time_left, avoid, version, over_share);
+        let respond_by = now + time_left;
+        self.enqueue(now, Submission { record, target_at, respond_by, avoid, version, over_share });
         true
     }
 
@@ -332,8 +263,10 @@
         self.count_not_run(&granted);
         let Granted { record, runner, version, target_at, respond_by, .. } = granted;
         self.floors.requeued(now, &record.class);
+        let avoid = Some(runner);
         // It had its turn before.
-        self.enqueue(now, record, target_at, respond_by, Some(runner), version, false);
+        let over_share = false;
+        self.enqueue(now, Submission { record, target_at, respond_by, avoid, version, over_share });
     }
 
     /// Removes a granted request that the runner did not run and that is not sent
@@ -413,23 +346,21 @@
         (self.queue.len() > 0).then(|| now + TICK_INTERVAL)
     }
 
-    fn enqueue(
-        &mut self,
-        now: MonoTime,
-        record: RequestRecord,
-        target_at: MonoTime,
-        respond_by: MonoTime,
-        avoid: Option<RunnerName>,
-        version: Option<RunnerVersion>,
-        over_share: bool,
-    ) {
+    fn enqueue(&mut self, now: MonoTime, submission: Submission) {
+        let Submission { record, target_at, respond_by, avoid, version, over_share } = submission;
         let latest_start = target_at - self.min_first_token(record.prefill_tokens);
         let refuse_at = Self::refusal_time(now, &record, respond_by.since(now));
         let deadlines = Deadlines { target_at, respond_by, refuse_at };
         let length = self.lengths.expected(&record);
-        let request =
-            NewRequest { record, length, deadlines, latest_start, avoid, version, over_share };
-        self.queue.insert(request);
+        self.queue.insert(NewRequest {
+            record,
+            length,
+            deadlines,
+            latest_start,
+            avoid,
+            version,
+            over_share,
+        });
     }
 
     pub(super) fn start(&mut self, now: MonoTime, granted: Granted) {
@@ -494,40 +425,3 @@
 fn target_at(now: MonoTime, record: &RequestRecord) -> MonoTime {
     now + record.target.limit().saturating_sub(record.age)
 }
-
-impl std::fmt::Display for UpstreamScheduler {
-    /// Writes one line for the log: the number of waiting requests, and each runner
-    /// with its load and rates; of many runners only those that fail or are leaving.
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let busy: usize = self.runners.iter().map(|(_, runner)| runner.in_progress()).sum();
-        write!(f, "{} wait, {busy} in progress;", self.queue.len())?;
-        for workspace in self.shares.over_share().into_iter().take(MAX_LOGGED) {
-            write!(f, " {workspace} over its share;")?;
-        }
-        let all = self.runners.iter().count();
-        let few = all <= MAX_LOGGED;
-        if !few {
-            write!(f, " {all} runners, those with failures, limited or leaving:")?;
-        }
-        let is_logged = |runner: &RunnerState| {
-            let is_limited = runner.rate_limit_per_s().is_some();
-            few || is_limited || runner.failures > 0 || runner.leaving
-        };
-        for (name, runner) in self.runners.iter().filter(|(_, r)| is_logged(r)).take(MAX_LOGGED) {
-            let (load, slots) = (runner.in_progress(), runner.slots);
-            let (prefill, decode) = (runner.prefill_us(), runner.decode_us());
-            write!(f, " {name} {load}/{slots} {prefill:.0}/{decode:.0} us")?;
-            write!(f, " {} pending", runner.pending_prompt_tokens)?;
-            if runner.failures > 0 {
-                write!(f, " {} failures", runner.failures)?;
-            }
-            if let Some(per_s) = runner.rate_limit_per_s() {
-                write!(f, " limit {per_s:.2}/s")?;
-            }
-            if runner.leaving {
-                write!(f, " leaving")?;
-            }
-        }
-        Ok(())
-    }
-}
--- a/crates/core/tests/fleet/shares.rs
+++ b/crates/core/tests/fleet/shares.rs
@@ -73,7 +73,7 @@
             let usage = Usage { decode_tokens: 80, first_token, total, ..Usage::default() };
             scheduler.ended(at(ms), id(number), DispatchEnd::Complete(usage));
         }
-        let is_counted = ms >= FLOOD_MS + SETTLE_MS && ms < LENGTH_MS - 1_000;
+        let is_counted = (FLOOD_MS + SETTLE_MS..LENGTH_MS - 1_000).contains(&ms);
         for load in loads {
             let per_s = if ms < FLOOD_MS { load.per_s.0 } else { load.per_s.1 };
             let mut due = per_s * STEP_MS as f64 / 1e3;
--- a/crates/node/src/fleet/control/rollouts.rs
+++ b/crates/node/src/fleet/control/rollouts.rs
@@ -164,7 +164,7 @@
         }
         let (evidence, progress) = (rollout.evidence(), rollout.gate().progress());
         let bad = evidence.bad_class();
-        let fields = evidence.most_suspicious().map_or(0.0, |(_, fraction)| fraction);
+        let suspicion = evidence.most_suspicious().map_or(0.0, |(_, fraction)| fraction);
         log_event!(
             Event::RolloutPhase,
             upstream:% = upstream,
@@ -173,7 +173,7 @@
             good = evidence.good_answers(),
             bad = evidence.bad_answers(),
             bad_class:% = Optional(bad),
-            suspicion = fields,
+            suspicion = suspicion,
             exposed = progress.exposed,
             granted = progress.granted
         );
