Check a configuration file before it is sent

Cause: operators learned of errors only from the daemon's refusal, and of elements without use or contradicting limits not at all.

Change: `comfreyway config check FILE [--against-current]` validates the file without a daemon, warns of routes that match nothing, of models and routes whose runners all leave, of data centres without runners, of token targets at plain services and of cancellable classes that run at most once, and shows on request what differs from the configuration in force.

A check of zero targets was dropped: validation has it already.

--- a/crates/cli/src/commands/config.rs
+++ b/crates/cli/src/commands/config.rs
@@ -3,11 +3,12 @@
 use std::path::PathBuf;
 
 use bpaf::{Parser, construct, positional};
-use comfreyway_core::config::{Document, Edit};
+use comfreyway_core::config::{Document, Edit, Finding, Severity};
 use comfreyway_proto::{
     ini::{read, write},
     operator::{ConfigReport, HistoryReport},
 };
+use serde::Serialize;
 
 use crate::{
     CliError, Exit,
@@ -21,6 +22,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum ConfigCommand {
     Apply { options: ChangeOptions, file: PathBuf },
+    Check { against_current: bool, file: PathBuf },
     Diff { file: PathBuf },
     Export,
     History,
@@ -43,6 +45,14 @@
         .to_options()
         .descr("Show what apply would change")
         .command("diff");
+    let against_current = bpaf::long("against-current")
+        .help("Also show what differs from the configuration in force")
+        .switch();
+    let file = self::file();
+    let check = construct!(ConfigCommand::Check { against_current, file })
+        .to_options()
+        .descr("Check the file for errors, elements without use and contradictions")
+        .command("check");
     let history = bpaf::pure(ConfigCommand::History)
         .to_options()
         .descr("List the recent changes, newest first")
@@ -51,7 +61,7 @@
         .to_options()
         .descr("Show the version in force on each host")
         .command("status");
-    construct!([export, apply, diff, history, status])
+    construct!([export, apply, check, diff, history, status])
         .to_options()
         .descr("Show and change the whole configuration")
         .command("config")
@@ -63,8 +73,12 @@
 
 impl ConfigCommand {
     pub(super) async fn run(self, globals: &Globals) -> Result<Exit, CliError> {
+        if let Self::Check { against_current, file } = self {
+            return check(globals, against_current, &file).await;
+        }
         let client = globals.client()?;
         match self {
+            Self::Check { .. } => {}
             Self::Export => {
                 let export = client.config().await?;
                 if globals.json {
@@ -89,6 +103,41 @@
     }
 }
 
+/// Checks a file without sending it; only the comparison needs a daemon.
+async fn check(globals: &Globals, against_current: bool, file: &PathBuf) -> Result<Exit, CliError> {
+    let document = read_file(file)?;
+    let findings = [document.validate(), document.validate_reach()].concat();
+    let edits = match against_current {
+        true => Some(globals.client()?.config().await?.document.diff(&document)),
+        false => None,
+    };
+    if globals.json {
+        print_json(&CheckReport { findings: &findings, edits: edits.as_deref() });
+    } else {
+        for finding in &findings {
+            let severity = match finding.severity {
+                Severity::Error => "error",
+                Severity::Warning => "warning",
+            };
+            println!("{severity}: {}: {finding}", file.display());
+        }
+        println!("{} findings", findings.len());
+        if let Some(edits) = &edits {
+            print_diff(globals, edits);
+        }
+    }
+    let has_errors = findings.iter().any(|finding| finding.severity == Severity::Error);
+    Ok(if has_errors { Exit::Refused } else { Exit::Done })
+}
+
+/// Result of a check, as JSON.
+#[derive(Serialize)]
+struct CheckReport<'a> {
+    findings: &'a [Finding],
+    /// What differs from the configuration in force, if that was asked.
+    edits: Option<&'a [Edit]>,
+}
+
 fn read_file(file: &PathBuf) -> Result<Document, CliError> {
     let name = file.display().to_string();
     let text =
--- a/crates/core/src/config/validate/mod.rs
+++ b/crates/core/src/config/validate/mod.rs
@@ -2,6 +2,7 @@
 //! and how to fix it.
 
 mod limits;
+mod reach;
 mod references;
 mod targets;
 mod tiers;
