Keep the versions of streams in the store while several versions serve

No host knew the streams any more, and a stream of unknown version is refused while versions differ.

Change: the coordinator writes the new streams of 0.2 s in one item, under a lease; at the beginning of a mixture all that it knows. Hosts that start read the items with their first page. They are neither mirrored nor relayed.

Measured: `a_stream_goes_on_at_its_version_after_all_hosts_were_killed` passes, and fails without the items (503 before: nothing in the store).

--- a/crates/core/src/fleet/coordinator/streams.rs
+++ b/crates/core/src/fleet/coordinator/streams.rs
@@ -85,6 +85,27 @@
         self.submit_take_ups(now, out);
     }
 
+    /// Adds the versions of streams that the store has, of which no other host needs to know.
+    pub fn restore_streams<I>(
+        &mut self,
+        now: MonoTime,
+        records: I,
+        out: &mut Vec<(HostId, PlacementReply)>,
+    ) where
+        I: IntoIterator<Item = StreamRecord>,
+    {
+        for record in records {
+            self.streams.record(now, record);
+        }
+        self.submit_take_ups(now, out);
+    }
+
+    /// Returns the time after its last use for which a stream may be taken up again.
+    #[must_use]
+    pub fn stream_memory(&self) -> Duration {
+        self.config.as_deref().map(stream_memory).unwrap_or_default()
+    }
+
     /// Returns the recent streams of which the version is known.
     pub fn known_streams(&self, now: MonoTime) -> impl Iterator<Item = StreamRecord> {
         self.streams.records(now)
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -48,12 +48,14 @@
 mod runner_notices;
 mod store_relay;
 mod store_updates;
+mod stream_items;
 mod stream_versions;
 mod version_record;
 
 use self::{
     absent_hosts::AbsentHosts, election::OwnEntry, quarantine::QuarantineItem,
-    rollback::MissingHosts, rollouts::AllRolloutItems, version_record::VersionRecord,
+    rollback::MissingHosts, rollouts::AllRolloutItems, stream_items::UnstoredStreams,
+    version_record::VersionRecord,
 };
 
 /// Interval of the periodic checks.
@@ -159,6 +161,9 @@
     quarantine_items: BTreeMap<Suspect, QuarantineItem>,
     /// When this host last wrote one of them.
     quarantine_written: Option<MonoTime>,
+    unstored_streams: UnstoredStreams,
+    /// True if several versions served at the last check.
+    was_mixed: bool,
     rollout_items: AllRolloutItems,
     /// Statuses of rollouts that were read by themselves.
     rollout_tx: UnboundedSender<ReadStatus>,
@@ -221,6 +226,8 @@
             version_record_written: None,
             quarantine_items: BTreeMap::new(),
             quarantine_written: None,
+            unstored_streams: UnstoredStreams::default(),
+            was_mixed: false,
             rollout_items: AllRolloutItems::new(),
             logged_share: ShareBasis::default(),
             first_feed: FirstFeed::Started,
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -27,10 +27,11 @@
     pub(super) fn apply_update(&mut self, update: FeedUpdate) {
         let now = self.now();
         match update {
-            FeedUpdate::FirstPage(items, requested_at) => {
+            FeedUpdate::FirstPage(mut items, requested_at) => {
                 if let Some(item) = items.first() {
                     self.enter_era(now, item.revision);
                 }
+                self.take_stream_items(&mut items);
                 self.apply_first_page(items, requested_at)
             }
             FeedUpdate::Listing(mut items, revision) => {
@@ -41,6 +42,7 @@
                 if revision.era() > self.mirror.revision().era() {
                     items = self.keep_newer_entries(items);
                 }
+                self.take_stream_items(&mut items);
                 let before = self.mirror.revision();
                 self.mirror.replace(&items, revision);
                 self.apply_listing(&items);
@@ -52,6 +54,7 @@
             }
             FeedUpdate::Changes(mut events, revision) => {
                 self.enter_era(now, revision);
+                self.take_stream_changes(&mut events);
                 events.retain(|event| self.mirror.is_newer(event));
                 self.first_feed = FirstFeed::Ended;
                 let before = self.mirror.revision();
--- a/crates/node/src/fleet/control/stream_versions.rs
+++ b/crates/node/src/fleet/control/stream_versions.rs
@@ -76,6 +76,18 @@
             let able = clients.filter(|(_, client)| client.protocol >= PROTOCOL_STREAMS);
             holders.extend(able.map(|(host, _)| host.clone()).take(COPIES));
         }
+        if is_mixed && !is_client && self.mirror.revision().0 > 0 {
+            self.unstored_streams.add(&new);
+            if !std::mem::replace(&mut self.was_mixed, true) {
+                let known: Vec<_> = self.coordinator.known_streams(now).collect();
+                self.unstored_streams.clear();
+                self.unstored_streams.add(&known);
+            }
+            self.store_streams();
+        } else {
+            self.unstored_streams.clear();
+            self.was_mixed = is_mixed;
+        }
         let former = std::mem::replace(&mut self.copy_holders, holders.clone());
         for host in holders {
             let records: Vec<_> = match former.contains(&host) {
--- a/crates/node/src/fleet/platform_format.rs
+++ b/crates/node/src/fleet/platform_format.rs
@@ -72,6 +72,8 @@
     pub members: &'static str,
     /// Key of the record of runners' versions that serve side by side.
     pub versions: &'static str,
+    /// Prefix of the items of streams' versions.
+    pub streams: &'static str,
     /// Prefix of the quarantined prompt parts.
     pub quarantine: &'static str,
     /// Prefix of the operators' orders to roll out a version, by upstream.
--- a/tests/testsuite/fleet/versions.rs
+++ b/tests/testsuite/fleet/versions.rs
@@ -206,6 +206,38 @@
     assert_eq!(continued(&first), usize::from(!is_mixed));
 }
 
+/// Both versions serve on; only the store knows which began each stream.
+#[actix_rt::test]
+async fn a_stream_goes_on_at_its_version_after_all_hosts_were_killed() {
+    let fleet = FleetHarness::new();
+    let first = fleet.start_version("dala", "e1", "v1", RunnerMode::Whole);
+    let mut host = fleet.start_host("h1").await;
+    begin_broken(&host, "before", &first).await;
+    let other = fleet.start_version("dala", "e2", "v2", RunnerMode::Whole);
+    wait_for_record(&fleet, &["v1", "v2"]).await;
+    // The first runner is paused, since its last responses broke.
+    begin_broken(&host, "beside", &other).await;
+    let resumed = [&first, &other].map(continued);
+    let stored = || fleet.store.list("comfreyway/streams/").len();
+    for wait in 0..MAX_WAITS {
+        if stored() >= 2 {
+            break;
+        }
+        assert!(wait + 1 < MAX_WAITS, "the store has {} items of streams", stored());
+        actix_rt::time::sleep(WAIT).await;
+    }
+    host.signal(Signal::Kill).unwrap();
+    host.exited().await.unwrap();
+    let host = fleet.start_host("h2").await;
+    wait_until_known(&host, &first).await;
+    wait_until_known(&host, &other).await;
+    for began in ["before", "beside"] {
+        let response = take_up(&host, &format!("again-{began}"), began).await;
+        assert_eq!(response.body, Some(remaining_events()), "{began}");
+    }
+    assert_eq!([&first, &other].map(continued), resumed.map(|number| number + 1));
+}
+
 /// All runners are replaced by those of another version while no host is up.
 #[actix_rt::test]
 async fn a_stream_is_not_joined_from_two_versions_after_all_hosts_were_down() {
