Wait for a kept beginning only while another runner would still be in time

Cause: on rereading. A request waited for a holder as long as that holder would meet the target; if its slot stayed taken, the request was late everywhere. A holder with a free slot whose streams the prompt would pause counted too.

Change: the wait must leave time for the best free runner, and only holders without a free slot are waited for.

--- a/crates/core/src/fleet/scheduler/placement.rs
+++ b/crates/core/src/fleet/scheduler/placement.rs
@@ -103,15 +103,18 @@
         let meets_target = |(_, runner): (_, &RunnerState)| {
             self.expected_first_token_us(now, runner, waiting, 0) <= left_us
         };
-        // Worth a wait if the beginning of the prompt saves more.
+        // Worth a wait if the beginning of the prompt saves more, and the best free runner
+        // would still be in time after it.
         let saves_time = |(name, runner): (&RunnerName, &RunnerState)| {
             let wait_us = runner.time_to_free_slot(now).as_micros() as f64;
             let first_us =
                 wait_us + self.expected_first_token_us(now, runner, waiting, kept_at(name));
-            first_us <= left_us && best_first_us - first_us > WAIT_MARGIN * wait_us
+            let is_safe = wait_us + best_first_us <= left_us;
+            is_safe && best_first_us - first_us > WAIT_MARGIN * wait_us
         };
+        let mut full_holders = holders().filter(|(_, runner)| runner.is_full());
         match best {
-            Some(((false, ..), _)) if holders().any(saves_time) => Placement::Wait,
+            Some(((false, ..), _)) if full_holders.any(saves_time) => Placement::Wait,
             Some(((false, ..), name)) => Placement::InTime(name.clone()),
             Some((_, name)) if waiting.late => Placement::Late(name.clone()),
             Some(_) if in_time_later || full().any(meets_target) => Placement::Wait,
--- a/crates/core/tests/fleet/beginnings.rs
+++ b/crates/core/tests/fleet/beginnings.rs
@@ -194,6 +194,58 @@
     }
 }
 
+/// The only slot of the holder is taken for some 0.95 s.
+#[rstest]
+#[case::long_wait(300, Some("b"))]
+#[case::short_wait(900, None)]
+fn a_request_waits_for_a_holder_only_if_that_saves_time(
+    #[case] ms: u64,
+    #[case] expected: Option<&str>,
+) {
+    let mut scheduler = UpstreamScheduler::new(true).with_prompt_memory(Some(DOCUMENTS.memory));
+    for runner in ["a", "b"] {
+        scheduler.set_runner(name(runner), 1, false);
+    }
+    let mut out = Vec::new();
+    let time = Duration::from_secs(8);
+    scheduler.submit(at(0), request(1, 7, DOCUMENTS, true), time, None, &mut out);
+    scheduler.first_token(at(262), id(1));
+    out.clear();
+    scheduler.submit(at(ms), request(2, 7, DOCUMENTS, true), time, None, &mut out);
+    let granted = |out: &[Decision]| match out {
+        [Decision::Grant(_, _, runner)] => Some(runner.to_string()),
+        _ => None,
+    };
+    assert_eq!(granted(&out).as_deref(), expected);
+    if expected.is_none() {
+        scheduler.ended(at(950), id(1), DispatchEnd::Cancelled);
+        scheduler.tick(at(950), &mut out);
+        assert_eq!(granted(&out).as_deref(), Some("a"));
+    }
+}
+
+/// A holder that stays taken for longer than expected makes no request late.
+#[test]
+fn a_request_that_waits_for_a_holder_goes_elsewhere_in_time() {
+    let mut scheduler = UpstreamScheduler::new(true).with_prompt_memory(Some(DOCUMENTS.memory));
+    for runner in ["a", "b"] {
+        scheduler.set_runner(name(runner), 1, false);
+    }
+    let mut out = Vec::new();
+    let time = Duration::from_secs(8);
+    scheduler.submit(at(0), request(1, 7, DOCUMENTS, true), time, None, &mut out);
+    scheduler.first_token(at(262), id(1));
+    out.clear();
+    scheduler.submit(at(900), request(2, 7, DOCUMENTS, true), time, None, &mut out);
+    let granted_at = (900..2_000).step_by(20).find(|ms| {
+        scheduler.tick(at(*ms), &mut out);
+        !out.is_empty()
+    });
+    assert!(matches!(&out[..], [Decision::Grant(_, _, runner)] if runner.as_str() == "b"));
+    // 12,400 tokens at the assumed rate, and a step, before the target of 800 ms ends.
+    assert!(granted_at.is_some_and(|ms| ms + 22 + 273 <= 900 + 800), "{granted_at:?}");
+}
+
 /// Lets two idle runners read a beginning at the first, and returns where the next goes.
 fn next_runner(
     after: impl FnOnce(&mut UpstreamScheduler, &RunnerName),
