--- a/crates/core/tests/fleet/beginnings.rs
+++ b/crates/core/tests/fleet/beginnings.rs
@@ -194,14 +194,9 @@
     }
 }
 
-/// The only slot of the holder is taken for some 0.95 s.
-#[rstest]
-#[case::long_wait(300, Some("b"))]
-#[case::short_wait(900, None)]
-fn a_request_waits_for_a_holder_only_if_that_saves_time(
-    #[case] ms: u64,
-    #[case] expected: Option<&str>,
-) {
+/// Lets a request take the only slot of one of two runners, for some 0.95 s, and submits
+/// another one with the same beginning at this time.
+fn submit_while_holder_is_taken(ms: u64) -> (UpstreamScheduler, Vec<Decision>) {
     let mut scheduler = UpstreamScheduler::new(true).with_prompt_memory(Some(DOCUMENTS.memory));
     for runner in ["a", "b"] {
         scheduler.set_runner(name(runner), 1, false);
@@ -212,6 +207,17 @@
     scheduler.first_token(at(262), id(1));
     out.clear();
     scheduler.submit(at(ms), request(2, 7, DOCUMENTS, true), time, None, &mut out);
+    (scheduler, out)
+}
+
+#[rstest]
+#[case::long_wait(300, Some("b"))]
+#[case::short_wait(900, None)]
+fn a_request_waits_for_a_holder_only_if_that_saves_time(
+    #[case] ms: u64,
+    #[case] expected: Option<&str>,
+) {
+    let (mut scheduler, mut out) = submit_while_holder_is_taken(ms);
     let granted = |out: &[Decision]| match out {
         [Decision::Grant(_, _, runner)] => Some(runner.to_string()),
         _ => None,
@@ -227,16 +233,7 @@
 /// A holder that stays taken for longer than expected makes no request late.
 #[test]
 fn a_request_that_waits_for_a_holder_goes_elsewhere_in_time() {
-    let mut scheduler = UpstreamScheduler::new(true).with_prompt_memory(Some(DOCUMENTS.memory));
-    for runner in ["a", "b"] {
-        scheduler.set_runner(name(runner), 1, false);
-    }
-    let mut out = Vec::new();
-    let time = Duration::from_secs(8);
-    scheduler.submit(at(0), request(1, 7, DOCUMENTS, true), time, None, &mut out);
-    scheduler.first_token(at(262), id(1));
-    out.clear();
-    scheduler.submit(at(900), request(2, 7, DOCUMENTS, true), time, None, &mut out);
+    let (mut scheduler, mut out) = submit_while_holder_is_taken(900);
     let granted_at = (900..2_000).step_by(20).find(|ms| {
         scheduler.tick(at(*ms), &mut out);
         !out.is_empty()
--- a/crates/node/src/fleet/control/rollouts.rs
+++ b/crates/node/src/fleet/control/rollouts.rs
@@ -8,7 +8,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use comfreyway_core::{
@@ -19,7 +19,10 @@
 use comfreyway_platform::{Revision, Versioned};
 use serde::{Deserialize, Serialize};
 
-use crate::events::{Event, Optional, log_event};
+use crate::{
+    events::{Event, Optional, log_event},
+    fleet::wall_clock::unix_ms,
+};
 
 use super::FleetControl;
 
@@ -288,10 +291,5 @@
     log_event!(Event::EntryUnreadable, key = item.key.as_str(), cause:% = cause);
 }
 
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// What this host knows of all rollouts, by upstream.
 pub(super) type AllRolloutItems = BTreeMap<UpstreamName, RolloutItems>;
--- a/crates/node/src/fleet/control/stream_items.rs
+++ b/crates/node/src/fleet/control/stream_items.rs
@@ -10,7 +10,7 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use comfreyway_core::{
@@ -21,7 +21,10 @@
 use comfreyway_platform::{KvEvent, LeaseId, Store, StoreError, Versioned};
 use serde::{Deserialize, Serialize};
 
-use crate::events::{Event, log_event};
+use crate::{
+    events::{Event, log_event},
+    fleet::wall_clock::unix_ms,
+};
 
 use super::FleetControl;
 
@@ -188,8 +191,3 @@
     store.put(key, value, Some(lease)).await?;
     Ok(lease)
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/fleet/control/version_record.rs
+++ b/crates/node/src/fleet/control/version_record.rs
@@ -8,14 +8,17 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use comfreyway_core::{fleet::RunnerVersion, ids::UpstreamName, time::MonoTime};
 use comfreyway_platform::Versioned;
 use serde::{Deserialize, Serialize};
 
-use crate::events::{Event, log_event};
+use crate::{
+    events::{Event, log_event},
+    fleet::wall_clock::unix_ms,
+};
 
 use super::FleetControl;
 
@@ -139,8 +142,3 @@
         VersionRecord { upstreams: upstreams.collect() }
     }
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod runner_connections;
 mod runner_stream;
 mod sessions;
+mod wall_clock;
 pub mod wire;
 
 pub use self::{
