Start a rollout anew when its order is given again

Cause: on rereading. A status names only the version, so an order for the same version as a former one was rolled back, or completed, the moment it was read.

Change: a status that is older than the order, by the store's revisions, is that of a former order. It is replaced by compare-and-swap like any other.

--- a/crates/node/src/fleet/control/rollouts.rs
+++ b/crates/node/src/fleet/control/rollouts.rs
@@ -12,7 +12,7 @@
 };
 
 use comfreyway_core::{
-    fleet::{Rollout, RolloutPhase, RolloutProgress, RolloutState, RolloutStatus, RunnerVersion},
+    fleet::{Rollout, RolloutPhase, RolloutProgress, RolloutState, RunnerVersion},
     ids::UpstreamName,
     time::MonoTime,
 };
@@ -133,7 +133,17 @@
             *items = RolloutItems { seen_ms, ..RolloutItems::default() };
         }
         self.coordinator.set_rollout_order(now, upstream, order, elapsed, &progress);
-        let status = status.and_then(|item| {
+        self.apply_status(upstream, status);
+    }
+
+    /// Applies the status of an upstream's rollout. One that was written before the order
+    /// is that of a former order, perhaps to the same version.
+    fn apply_status(&mut self, upstream: &UpstreamName, item: Option<Versioned>) {
+        let mut rollouts = self.coordinator.rollouts();
+        let Some((_, rollout)) = rollouts.find(|(name, _)| *name == upstream) else { return };
+        let ordered = Revision(rollout.order().revision);
+        drop(rollouts);
+        let status = item.filter(|item| item.revision > ordered).and_then(|item| {
             let status = (self.format.read_rollout_status)(&item.value);
             status.map_err(|e| log_unreadable(&item, &e)).ok()
         });
@@ -238,11 +248,7 @@
     pub(super) fn apply_read_status(&mut self, upstream: &UpstreamName, item: Option<Versioned>) {
         let revision = item.as_ref().map_or(Revision(0), |item| item.revision);
         self.rollout_items.entry(upstream.clone()).or_default().status_revision = Some(revision);
-        let status: Option<RolloutStatus> = item.and_then(|item| {
-            let status = (self.format.read_rollout_status)(&item.value);
-            status.map_err(|e| log_unreadable(&item, &e)).ok()
-        });
-        self.coordinator.set_rollout_status(upstream, status.as_ref());
+        self.apply_status(upstream, item);
     }
 
     fn store_progress(&mut self, upstream: &UpstreamName, rollout: &Rollout) {
--- a/tests/testsuite/fleet/rollouts.rs
+++ b/tests/testsuite/fleet/rollouts.rs
@@ -114,6 +114,19 @@
     assert_eq!(play.new.arrivals(), new);
 }
 
+/// The operators have repaired the version and order it again.
+#[actix_rt::test]
+async fn an_order_given_again_starts_anew() {
+    let play = RolloutFleet::new(RunnerMode::Fails);
+    let host = play.start_host("h1").await;
+    play.order();
+    play.call_until(&host, "rolled_back").await;
+    play.new.set_mode(RunnerMode::Whole);
+    play.order();
+    play.call_until(&host, "completed").await;
+    assert!(host.log().contains("phase=rolled-back"));
+}
+
 #[rstest]
 #[case::not_json("{")]
 #[case::no_target(r#"{"service":"survey","durationS":3}"#)]
