--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     fleet::{
-        DispatchFailure, PlacementReply, PlacementRequest, QuotaUse, RunnerVersion, StreamBinding,
+        DispatchFailure, PlacementReply, PlacementRequest, RunnerVersion, StreamBinding,
         StreamRecord, Suspect, SuspectState,
     },
     ids::{HostId, RequestId, RunnerName, UpstreamName, WorkspaceName},
@@ -98,9 +98,7 @@
             }
         } else {
             let quota = self.quota(&record.workspace);
-            let goes_on = stream.as_ref().is_some_and(|stream| !stream.begins);
-            let kind = if goes_on { QuotaUse::Resumed } else { QuotaUse::New };
-            if let Err(wait) = self.quotas.take(now, &record.workspace, quota, cost, kind) {
+            if let Err(wait) = self.quotas.take(now, &record.workspace, quota, cost) {
                 out.push((host.clone(), PlacementReply::Refuse(id, NotRunReason::OverQuota, wait)));
                 return;
             }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -59,7 +59,7 @@
     message::{PlacementReply, PlacementRequest, RequestUpdate},
     prompt_part::{PromptPart, SizedPart},
     quarantine::{Quarantine, RecordSource, SuspectRecord, SuspectRun, SuspectState},
-    quota::{QuotaTolerance, QuotaUse, Quotas, SHARE_LEASE},
+    quota::{QuotaTolerance, Quotas, SHARE_LEASE},
     request_digest::{InvalidDigest, RequestContent, RequestDigest},
     rollout::{
         GateMode, Rollout, RolloutEvidence, RolloutLimits, RolloutOrder, RolloutPhase,
--- a/crates/core/src/fleet/quota.rs
+++ b/crates/core/src/fleet/quota.rs
@@ -1,9 +1,7 @@
 //! Quotas of workspaces.
 //!
 //! Protects against a workspace that sends many times its usual load: requests
-//! beyond its quota are refused, requests within it are not. Streams that callers take up
-//! again come before new requests: they were begun within the quota, and all of a
-//! workspace's callers may do so at once, when hosts are back that were killed.
+//! beyond its quota are refused, requests within it are not.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -47,18 +45,6 @@
 /// coordinator, for a request refused on arrival.
 const MAX_REFUND_AGE: Duration = Duration::from_millis(20);
 
-/// Time for which units are kept for streams that were refused, so that they can go on.
-const CLAIM_MEMORY: Duration = Duration::from_secs(3);
-
-/// Whether a request begins something new.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum QuotaUse {
-    /// A new request.
-    New,
-    /// The rest of a stream that was begun before.
-    Resumed,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     /// The quota when it was last used.
@@ -68,9 +54,6 @@
     /// requests are sent, so the bucket does not refill them before.
     reserved: f64,
     filled_at: MonoTime,
-    /// Units that refused streams need, and when the last of them was refused.
-    claimed: f64,
-    claimed_at: MonoTime,
 }
 
 /// The lease on one host's share.
@@ -160,8 +143,7 @@
         self.update_share(now);
     }
 
-    /// Takes `cost` from the workspace's quota. A new request leaves what streams need that
-    /// were refused before.
+    /// Takes `cost` from the workspace's quota.
     ///
     /// # Errors
     ///
@@ -172,7 +154,6 @@
         workspace: &WorkspaceName,
         quota: Quota,
         cost: f64,
-        kind: QuotaUse,
     ) -> Result<(), Duration> {
         if quota.rate_per_s <= 0.0 {
             return Ok(());
@@ -192,30 +173,14 @@
             level,
             reserved: 0.0,
             filled_at: now,
-            claimed: 0.0,
-            claimed_at: now,
         });
         bucket.quota = quota;
         bucket.fill(now, BucketParams { rate, burst });
         // A request larger than the burst is admitted when the bucket is full.
-        if now.since(bucket.claimed_at) > CLAIM_MEMORY {
-            bucket.claimed = 0.0;
-        }
-        let needed = match kind {
-            QuotaUse::New => (cost + bucket.claimed).min(burst),
-            QuotaUse::Resumed => cost.min(burst),
-        };
-        if bucket.level < needed {
-            let missing = needed - bucket.level;
-            if kind == QuotaUse::Resumed {
-                bucket.claimed = (bucket.claimed + cost).min(burst);
-                bucket.claimed_at = now;
-            }
+        if bucket.level < cost.min(burst) {
+            let missing = cost.min(burst) - bucket.level;
             return Err(Duration::from_secs_f64((missing / rate.max(1e-9)).min(3_600.0)));
         }
-        if kind == QuotaUse::Resumed {
-            bucket.claimed = (bucket.claimed - cost).max(0.0);
-        }
         bucket.level -= cost;
         bucket.reserved += cost;
         Ok(())
