Keep streams that the store has apart from those that hosts report

After all hosts were killed, each read the streams from the store, wrote all of them again as its own coordinator, and reported all of them to the next one.

Change: what was read from the store is kept by itself: it is neither written nor reported again. Streams that are known already aren't passed on once more.

--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -72,6 +72,8 @@
     basis: ShareBasis,
     /// Versions of the streams that this host knows.
     streams: StreamVersions,
+    /// Versions of the streams that the store has. Other hosts read them there.
+    stored_streams: StreamVersions,
     /// Streams recorded while several versions serve, for the hosts that keep copies.
     new_streams: Vec<StreamRecord>,
     /// Requests that wait until the version of their stream is known.
@@ -106,6 +108,7 @@
             down_hosts: 0,
             basis: ShareBasis { clients: 0, known: 1, absent: 0 },
             streams: StreamVersions::default(),
+            stored_streams: StreamVersions::default(),
             new_streams: Vec::new(),
             take_ups: BTreeMap::new(),
             verified_at: MonoTime::ZERO,
@@ -135,6 +138,7 @@
             state.history.set_memory(stream_memory(&config));
         }
         self.streams.set_memory(stream_memory(&config));
+        self.stored_streams.set_memory(stream_memory(&config));
         self.config = Some(config);
     }
 
--- a/crates/core/src/fleet/coordinator/streams.rs
+++ b/crates/core/src/fleet/coordinator/streams.rs
@@ -85,7 +85,7 @@
         self.submit_take_ups(now, out);
     }
 
-    /// Adds the versions of streams that the store has, of which no other host needs to know.
+    /// Adds the versions of streams that the store has. They aren't told to other hosts.
     pub fn restore_streams<I>(
         &mut self,
         now: MonoTime,
@@ -95,7 +95,7 @@
         I: IntoIterator<Item = StreamRecord>,
     {
         for record in records {
-            self.streams.record(now, record);
+            self.stored_streams.record(now, record);
         }
         self.submit_take_ups(now, out);
     }
@@ -137,6 +137,7 @@
     /// Forgets streams and versions that no request can refer to any more.
     pub fn expire_versions(&mut self, now: MonoTime) {
         self.streams.expire(now);
+        self.stored_streams.expire(now);
         self.upstreams.values_mut().for_each(|state| state.history.expire(now));
     }
 
@@ -228,7 +229,8 @@
         if let Some(version) = &stream.version {
             return Required::Only(version.clone());
         }
-        if let Some((upstream, version)) = self.streams.get(stream.id) {
+        let known = self.streams.get(stream.id);
+        if let Some((upstream, version)) = known.or_else(|| self.stored_streams.get(stream.id)) {
             let version = version.filter(|_| *upstream == req.upstream);
             return version.map_or(Required::Never, |version| Required::Only(version.clone()));
         }
@@ -243,8 +245,8 @@
     pub(super) fn record_stream(&mut self, now: MonoTime, record: StreamRecord) {
         let state = self.upstreams.get(&record.upstream);
         let is_mixed = state.is_some_and(|state| state.history.is_mixed(now));
-        self.streams.record(now, record.clone());
-        if is_mixed {
+        let is_new = self.streams.record(now, record.clone());
+        if is_mixed && is_new {
             self.new_streams.push(record);
         }
     }
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -162,8 +162,8 @@
     /// When this host last wrote one of them.
     quarantine_written: Option<MonoTime>,
     unstored_streams: UnstoredStreams,
-    /// True if several versions served at the last check.
-    was_mixed: bool,
+    /// Whether several versions served at the last check.
+    was_mixed: Option<bool>,
     rollout_items: AllRolloutItems,
     /// Statuses of rollouts that were read by themselves.
     rollout_tx: UnboundedSender<ReadStatus>,
@@ -227,7 +227,7 @@
             quarantine_items: BTreeMap::new(),
             quarantine_written: None,
             unstored_streams: UnstoredStreams::default(),
-            was_mixed: false,
+            was_mixed: None,
             rollout_items: AllRolloutItems::new(),
             logged_share: ShareBasis::default(),
             first_feed: FirstFeed::Started,
--- a/crates/node/src/fleet/control/stream_versions.rs
+++ b/crates/node/src/fleet/control/stream_versions.rs
@@ -78,7 +78,8 @@
         }
         if is_mixed && !is_client && self.mirror.revision().0 > 0 {
             self.unstored_streams.add(&new);
-            if !std::mem::replace(&mut self.was_mixed, true) {
+            // Not at the start: what this host knows of a mixture is in the store.
+            if self.was_mixed.replace(true) == Some(false) {
                 let known: Vec<_> = self.coordinator.known_streams(now).collect();
                 self.unstored_streams.clear();
                 self.unstored_streams.add(&known);
@@ -86,7 +87,7 @@
             self.store_streams();
         } else {
             self.unstored_streams.clear();
-            self.was_mixed = is_mixed;
+            self.was_mixed = Some(is_mixed);
         }
         let former = std::mem::replace(&mut self.copy_holders, holders.clone());
         for host in holders {
