--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -17,6 +17,7 @@
 mod rate_limits;
 mod releases;
 mod request_digest;
+mod retry_budget;
 mod returns;
 mod rollouts;
 mod runner_fleet;
--- a/crates/core/tests/fleet/runner_fleet.rs
+++ b/crates/core/tests/fleet/runner_fleet.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod hosts;
+mod retries;
 mod setup;
 
 use std::{
@@ -25,7 +26,11 @@
 
 use crate::support::{self, at, entry};
 
-pub(crate) use self::setup::{Counts, Crashing, Faults, Pool};
+use self::retries::{NO_RETRY_LIMITS, RetryLog};
+pub(crate) use self::{
+    retries::Rejections,
+    setup::{Counts, Crashing, Faults, Pool},
+};
 
 const STEP_MS: u64 = 10;
 const HOSTS: usize = 6;
@@ -138,11 +143,13 @@
     /// Number of runners that were started.
     started: u16,
     pub(crate) counts: Counts,
+    rejections: Option<Rejections>,
+    retry_limits: RetryBudgetLimits,
+    retry_log: RetryLog,
 }
 
-fn new_node(host: usize, now_ms: u64) -> Node {
+fn new_node(host: usize, now_ms: u64, retries: RetryBudgetLimits) -> Node {
     let id = HostId { incarnation: now_ms, ..support::host(&format!("h{host}")) };
-    let retries = RetryBudgetLimits { ratio: 1.0, slack: 1_000.0, window_s: 10.0 };
     let mut coordinator = Coordinator::new(retries, QuotaTolerance::default());
     let names: Vec<_> = (0..HOSTS).map(|host| support::host(&format!("h{host}")).name).collect();
     coordinator.set_registered_hosts(at(now_ms), &names);
@@ -152,13 +159,23 @@
 
 impl Fleet {
     pub(crate) fn new(seed: u64, pool: Pool, crashing: &[Crashing], faults: Faults) -> Self {
+        Self::with_retry_limits(seed, pool, crashing, faults, NO_RETRY_LIMITS)
+    }
+
+    fn with_retry_limits(
+        seed: u64,
+        pool: Pool,
+        crashing: &[Crashing],
+        faults: Faults,
+        retry_limits: RetryBudgetLimits,
+    ) -> Self {
         let mut fleet = Self {
             rng: StdRng::seed_from_u64(seed),
             now_ms: 1_000,
             faults,
             pool,
             crashing: crashing.to_vec(),
-            nodes: (0..HOSTS).map(|host| new_node(host, 1_000)).collect(),
+            nodes: (0..HOSTS).map(|host| new_node(host, 1_000, retry_limits)).collect(),
             leader: 0,
             cut: BTreeSet::new(),
             cut_from_runners: BTreeMap::new(),
@@ -174,6 +191,9 @@
             numbers: 0,
             started: 0,
             counts: Counts::default(),
+            rejections: None,
+            retry_limits,
+            retry_log: RetryLog::default(),
         };
         (0..pool.size()).for_each(|_| fleet.start_runner());
         fleet.elect(0);
@@ -330,11 +350,16 @@
             }
             return;
         }
-        let found = self.runners.get_mut(runner);
-        let Some(runner) = found.filter(|runner| runner.crashed_ms.is_none()) else {
+        let found = self.runners.get(runner);
+        if found.is_none_or(|runner| runner.crashed_ms.is_some()) {
             self.nodes[host].client.requeue(id, RetryReason::ConnectRefused, out);
             return;
-        };
+        }
+        if let Some(reason) = self.reject(id) {
+            self.nodes[host].client.requeue(id, reason, out);
+            return;
+        }
+        let runner = self.runners.get_mut(runner).unwrap();
         let (first, length) = self.pool.draw_times(&mut self.rng);
         let first_ms = self.now_ms + first;
         let end_ms = first_ms + length;
--- a/crates/core/tests/fleet/runner_fleet/callers.rs
+++ b/crates/core/tests/fleet/runner_fleet/callers.rs
@@ -127,6 +127,7 @@
             req.time_limit = SERVICE_TIME_LIMIT;
         }
         let (id, host) = (req.record.id, request.host);
+        self.retry_log.submitted(self.now_ms, id, request.attempts);
         self.requests.insert(id, request);
         let mut actions = Vec::new();
         self.nodes[host].client.submit(at(self.now_ms), req, &mut actions);
--- a/crates/core/tests/fleet/runner_fleet/hosts.rs
+++ b/crates/core/tests/fleet/runner_fleet/hosts.rs
@@ -49,6 +49,7 @@
             }
         }
         let kills = matches!(self.faults, Faults::Hosts | Faults::Cuts);
+        self.kill_often();
         if kills && self.rng.random_range(0..250) == 0 {
             let host = self.rng.random_range(0..HOSTS);
             let host = if self.rng.random_bool(0.5) { self.leader } else { host };
@@ -93,14 +94,14 @@
     }
 
     /// Kills a host, which starts again at once and has read the store.
-    fn kill(&mut self, host: usize) {
+    pub(super) fn kill(&mut self, host: usize) {
         for runner in self.runners.values_mut() {
             runner.runs.retain(|run| run.host != host);
         }
         self.requests.retain(|_, request| request.host != host);
         let quarantine = self.nodes[self.leader].coordinator.quarantine();
         let stored: Vec<_> = quarantine.quarantined().map(|(p, runs)| (p, runs.to_vec())).collect();
-        let mut node = new_node(host, self.now_ms);
+        let mut node = new_node(host, self.now_ms, self.retry_limits);
         let (now, mut out) = (at(self.now_ms), Vec::new());
         let known = self.runners.values().filter(|runner| !runner.removed);
         let changes: Vec<_> = known.map(|r| RunnerChange::Usable(r.entry.clone())).collect();
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,7 @@
 //!   limits.
 //! - [`fleet_runner`]: a runner of a fleet.
 //! - [`raw_runner`]: a runner that writes its responses byte by byte.
+//! - [`repeating_runner`]: a runner that sends a second copy of a response.
 //! - [`daemon`]: daemon processes.
 //! - [`proxy`]: a TCP proxy that injects faults on one link.
 //! - [`load`] and [`measure`]: a load generator, and measurement of its cost.
@@ -30,6 +31,7 @@
 pub mod measure;
 pub mod proxy;
 pub mod raw_runner;
+pub mod repeating_runner;
 pub mod run_log;
 pub mod server;
 pub mod service;
