Send requests through another host if this one can't reach runners

Cause: a request could reach a runner only from the host that took it. Ruled out: the coordinator's choice; with the pause by pair the others are served and the cut hosts are not.

Change: RunnerPaths decides below the coordinator's grant whether an attempt goes directly or through another host; a hop of HTTP on a connection of its own carries it, and only the other host's statement for this attempt makes it count as not sent. Member entries name the address, so hosts of earlier versions are not asked.

What is left lies in the first three seconds of silent cuts.

--- a/crates/core/src/fleet/member.rs
+++ b/crates/core/src/fleet/member.rs
@@ -19,6 +19,10 @@
     /// versions do not report it.
     #[serde(default)]
     pub millicores: u32,
+    /// Address on which it forwards other hosts' requests to runners; none at hosts of
+    /// earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub forward: Option<SocketAddr>,
 }
 
 impl Member {
@@ -43,6 +47,7 @@
 ///     address: "127.0.0.1:1".parse().unwrap(),
 ///     token: 0,
 ///     millicores,
+///     forward: None,
 /// };
 /// let mut members = vec![member("a", 7, 130), member("b", 5, 130), member("c", 9, 200)];
 /// assert_eq!(elect(members.iter()).unwrap().id.name.as_str(), "b");
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -11,6 +11,8 @@
 //! - [`Quarantine`] keeps requests away from runners that they crash.
 //! - [`Rollout`] moves an upstream to another software version.
 //! - [`RunnerLimits`] holds the rate limits that runners name.
+//! - [`RunnerPaths`] decides whether a host sends to a runner itself or through another
+//!   host.
 //! - [`FleetHosts`] counts the hosts among which quotas and runners are shared.
 //! - [`Coordinator`] schedules the requests of its client hosts, and enforces the
 //!   quotas and the retry budget. It is built for the combined load of these
@@ -40,6 +42,7 @@
 mod runner_limits;
 mod runner_load;
 mod runner_notice;
+mod runner_paths;
 mod scheduler;
 mod sessions;
 mod share;
@@ -70,6 +73,7 @@
     runner_limits::{LimitReport, NamedLimit, RunnerLimits},
     runner_load::RunnerLoad,
     runner_notice::RunnerNotice,
+    runner_paths::{RunnerPath, RunnerPaths},
     scheduler::{Decision, DispatchFailure, RunnerState, UpstreamScheduler},
     sessions::{HostSessions, OpenOutcome},
     share::{Share, ShareBasis},
--- a/crates/core/tests/fleet/runner_fleet.rs
+++ b/crates/core/tests/fleet/runner_fleet.rs
@@ -3,6 +3,7 @@
 
 mod callers;
 mod hosts;
+mod paths;
 mod retries;
 mod setup;
 
@@ -16,7 +17,7 @@
     fleet::{
         ClientAction, Coordinator, CoordinatorClient, LimitReport, PlacementReply, PromptPart,
         QuotaTolerance, RequestContent, RequestDigest, RetryBudgetLimits, RunnerChange,
-        RunnerEntry, Suspect, SuspectRecord,
+        RunnerEntry, RunnerPaths, Suspect, SuspectRecord,
     },
     ids::{HostId, RequestId, RunnerName},
     outcome::RetryReason,
@@ -26,7 +27,10 @@
 
 use crate::support::{self, at, entry};
 
-use self::retries::{NO_RETRY_LIMITS, RetryLog};
+use self::{
+    paths::{Connecting, Way},
+    retries::{NO_RETRY_LIMITS, RetryLog},
+};
 pub(crate) use self::{
     retries::Rejections,
     setup::{Counts, Crashing, Faults, Pool},
@@ -52,6 +56,7 @@
     id: HostId,
     coordinator: Coordinator,
     client: CoordinatorClient,
+    paths: RunnerPaths,
 }
 
 /// A request at a runner.
@@ -126,7 +131,7 @@
     /// Hosts that are cut off from all runners.
     cut_from_runners: BTreeMap<usize, RunnerCut>,
     /// Connections that cut hosts wait for, by the end of their timeout.
-    connecting: Vec<(u64, usize, RequestId)>,
+    connecting: Vec<Connecting>,
     /// Suspects in the store.
     suspects: BTreeMap<Suspect, SuspectRecord>,
     /// One of this many steps brings a sound request.
@@ -154,7 +159,8 @@
     let names: Vec<_> = (0..HOSTS).map(|host| support::host(&format!("h{host}")).name).collect();
     coordinator.set_registered_hosts(at(now_ms), &names);
     coordinator.local_host_joined(at(now_ms), id.clone());
-    Node { id, coordinator, client: CoordinatorClient::default() }
+    let (client, paths) = (CoordinatorClient::default(), RunnerPaths::default());
+    Node { id, coordinator, client, paths }
 }
 
 impl Fleet {
@@ -203,6 +209,7 @@
     pub(crate) fn step(&mut self) {
         self.now_ms += STEP_MS;
         self.update_runners();
+        self.probe_runners();
         self.inject_faults();
         if self.rng.random_range(0..self.steps_per_request) == 0 {
             self.send_sound();
@@ -343,18 +350,25 @@
         runner: &RunnerName,
         out: &mut Vec<ClientAction>,
     ) {
-        if let Some(cut) = self.cut_from_runners.get(&host) {
-            match cut.hangs {
-                true => self.connecting.push((self.now_ms + CONNECT_MS, host, id)),
-                false => self.nodes[host].client.requeue(id, RetryReason::ConnectRefused, out),
+        match self.find_way(host, id, runner) {
+            Way::Reaches => {}
+            Way::Hangs => return,
+            Way::Fails => {
+                self.nodes[host].client.requeue(id, RetryReason::ConnectRefused, out);
+                return;
             }
-            return;
-        }
-        let found = self.runners.get(runner);
-        if found.is_none_or(|runner| runner.crashed_ms.is_some()) {
-            self.nodes[host].client.requeue(id, RetryReason::ConnectRefused, out);
-            return;
         }
+        self.run(host, id, runner, out);
+    }
+
+    /// Lets a runner that has been reached run or reject a request.
+    fn run(
+        &mut self,
+        host: usize,
+        id: RequestId,
+        runner: &RunnerName,
+        out: &mut Vec<ClientAction>,
+    ) {
         if let Some(reason) = self.reject(id) {
             self.nodes[host].client.requeue(id, reason, out);
             return;
--- a/crates/core/tests/fleet/runner_fleet/hosts.rs
+++ b/crates/core/tests/fleet/runner_fleet/hosts.rs
@@ -4,7 +4,6 @@
 
 use comfreyway_core::{
     fleet::{LimitReport, RecordSource, RunnerChange, SuspectRecord},
-    outcome::RetryReason,
     request::DispatchEnd,
 };
 use rand::RngExt;
@@ -61,12 +60,7 @@
     fn cut_hosts_from_runners(&mut self) {
         let now_ms = self.now_ms;
         self.cut_from_runners.retain(|_, cut| now_ms < cut.until_ms);
-        let due = self.connecting.extract_if(.., |(due_ms, ..)| *due_ms <= now_ms);
-        for (_, host, id) in due.collect::<Vec<_>>() {
-            let mut actions = Vec::new();
-            self.nodes[host].client.requeue(id, RetryReason::ConnectTimeout, &mut actions);
-            self.execute(host, actions, Vec::new());
-        }
+        self.end_connecting();
         if self.rng.random_range(0..200) != 0 || self.cut_from_runners.len() >= HOSTS / 2 {
             return;
         }
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -119,6 +119,13 @@
     /// A request waits for a runner for a long time. Fields: id, class, workspace,
     /// upstream, waited_ms.
     RequestWaiting = "CF0510", Info, "request waits for a runner";
+    /// A request was sent through another host. Fields: id, runner, through, outcome.
+    RequestForwarded = "CF0515", Info, "request sent through another host";
+    /// A runner refused a connection of this host or did not accept it in time. Fields:
+    /// runner, address, reason.
+    RunnerUnreachable = "CF0516", Info, "runner can't be reached from this host";
+    /// Fields: address.
+    RunnerReachable = "CF0517", Info, "runner can be reached from this host again";
     /// A fleet configuration took effect on this host. Fields: version,
     /// revision.
     FleetConfigInForce = "CF0511", Info, "fleet configuration in force";
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     events::{Event, log_event},
-    fleet::feed::FeedUpdate,
+    fleet::{feed::FeedUpdate, forward::ForwardHost},
 };
 
 use super::{FirstFeed, FleetControl};
@@ -261,6 +261,8 @@
         let names = self.members.keys().chain([&self.me.id.name]);
         self.coordinator.set_registered_hosts(self.now(), names);
         self.host_state.set_hosts(self.coordinator.share_basis().known);
+        let others = self.members.values().filter(|member| member.id.name != self.me.id.name);
+        self.host_state.set_forward_hosts(others.filter_map(ForwardHost::new).collect());
         self.update_own_entry();
         self.choose_coordinator();
     }
--- a/crates/node/src/fleet/host_state.rs
+++ b/crates/node/src/fleet/host_state.rs
@@ -9,7 +9,7 @@
 
 use crate::control::Clock;
 
-use super::response_memory::ResponseMemory;
+use super::{forward::ForwardHost, response_memory::ResponseMemory};
 
 /// State that the control thread writes and the traffic threads read.
 #[derive(Debug)]
@@ -23,6 +23,7 @@
     in_progress: AtomicUsize,
     hosts: AtomicUsize,
     limited_runners: AtomicBool,
+    forward_hosts: RwLock<Arc<[ForwardHost]>>,
     pub(super) response_memory: Arc<ResponseMemory>,
 }
 
@@ -37,6 +38,7 @@
             in_progress: AtomicUsize::new(0),
             hosts: AtomicUsize::new(1),
             limited_runners: AtomicBool::new(false),
+            forward_hosts: RwLock::new(Arc::from([])),
             response_memory: Arc::default(),
         }
     }
@@ -50,6 +52,16 @@
         self.hosts.store(hosts, Ordering::Relaxed);
     }
 
+    /// Returns the other hosts that forward requests.
+    pub(super) fn forward_hosts(&self) -> Arc<[ForwardHost]> {
+        self.forward_hosts.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    pub(super) fn set_forward_hosts(&self, hosts: Vec<ForwardHost>) {
+        *self.forward_hosts.write().unwrap_or_else(std::sync::PoisonError::into_inner) =
+            hosts.into();
+    }
+
     /// Returns true if a runner is known to have a rate limit.
     pub(super) fn has_limited_runners(&self) -> bool {
         self.limited_runners.load(Ordering::Relaxed)
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //!   the platform. Nothing else in this package knows them.
 //! - `proxy` handles traffic: it reads requests, waits for a decision, sends the
 //!   request to a runner and forwards the response.
+//! - `forward` sends requests through another host if this one can't reach a runner.
 //! - `control` holds the scheduling state ([`comfreyway_core::fleet`]).
 //! - `feed` watches the store. The coordinator forwards the changes to its client
 //!   hosts (`mirror`), so that few hosts call the store. `registration` maintains
@@ -14,6 +15,7 @@
 mod control;
 mod counted_store;
 mod feed;
+mod forward;
 mod health;
 mod host_state;
 mod mirror;
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -24,7 +24,12 @@
 };
 use crate::upstream::{JsonScan, is_json, media_type};
 
-use super::{admitted::AdmittedRequest, framing::Framing};
+use super::{
+    admitted::AdmittedRequest,
+    framing::Framing,
+    handler::ProxyState,
+    send::{ReceivedResponse, ResponseRoute},
+};
 
 /// Time to read the short body of a refusal.
 const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
@@ -44,9 +49,12 @@
     Unknown(UnknownReason),
 }
 
-/// What a runner says about itself in a response.
+/// What a runner says about itself in a response, and the way of the request.
 #[derive(Debug, Default)]
 pub(super) struct RunnerStatements {
+    /// True if the request went through another host, which may have failed in place of
+    /// the runner.
+    pub(super) is_forwarded: bool,
     pub(super) notice: Option<RunnerNotice>,
     /// Its rate limit. None if there was no response, or the limit can't be read.
     pub(super) limit: Option<LimitReport>,
@@ -64,6 +72,7 @@
     pub(super) framing: Framing,
     body: Incoming,
     pub(super) sent_at: Instant,
+    route: ResponseRoute,
     connection: RunnerConnection,
     keep_alive: Option<Duration>,
     /// Idle connections that may be kept to the runner.
@@ -72,13 +81,13 @@
 
 /// Sends a request and checks that the response belongs to it.
 pub(super) async fn attempt(
-    connections: &RunnerConnections,
+    proxy: &ProxyState,
     request: &AdmittedRequest,
     runner: &RunnerEntry,
     after: Option<u64>,
 ) -> (Attempt, RunnerStatements) {
+    let connections = &proxy.connections;
     let sent_at = Instant::now();
-    let req = request.request_to(runner, after);
     log_event!(
         Event::RequestDispatched,
         id = request.caller_id.as_str(),
@@ -94,19 +103,18 @@
         parts:% = List(&request.placement.parts),
         digest:% = Optional(request.placement.digest)
     );
-    let sending = connections.send(&runner.key, runner.address, req);
-    let (res, connection) = match timeout_at(request.deadline, sending).await {
+    let mut is_forwarded = false;
+    let sending = proxy.send(request, runner, after, &mut is_forwarded);
+    let received = timeout_at(request.deadline, sending).await;
+    let none = RunnerStatements { is_forwarded, ..RunnerStatements::default() };
+    let ReceivedResponse { res, connection, route } = match received {
         Ok(Ok(received)) => received,
-        Ok(Err(SendFailure::NotSent(reason))) => {
-            return (Attempt::NotRun(reason), RunnerStatements::default());
-        }
+        Ok(Err(SendFailure::NotSent(reason))) => return (Attempt::NotRun(reason), none),
         Ok(Err(SendFailure::Unknown(cause))) => {
             log_unusable_response(request, runner, &cause, sent_at);
-            return (Attempt::Unknown(UnknownReason::UpstreamBroke), RunnerStatements::default());
-        }
-        Err(_) => {
-            return (Attempt::Unknown(UnknownReason::UpstreamTimeout), RunnerStatements::default());
+            return (Attempt::Unknown(UnknownReason::UpstreamBroke), none);
         }
+        Err(_) => return (Attempt::Unknown(UnknownReason::UpstreamTimeout), none),
     };
     // Any response on this connection is the runner's, even one to an earlier
     // request.
@@ -114,6 +122,7 @@
         notice: runner_notice(request, runner, &res),
         limit: limit_report(request, runner, &res, sent_at),
         load: unusual_load(request, runner, &res),
+        is_forwarded,
     };
     if !echoes_request_id(request, &res) {
         log_unusable_response(request, runner, "the response belongs to another request", sent_at);
@@ -126,8 +135,12 @@
     let max_idle_connections = upstream
         .map_or(0, |upstream| upstream.max_idle_connections(runner.slots, request.known_hosts));
     let key = runner.key.clone();
-    let framing = Framing::new(&headers, &body);
+    let framing = match route {
+        ResponseRoute::Forwarded { is_unframed: true } => Framing::Connection,
+        _ => Framing::new(&headers, &body),
+    };
     let response = RunnerResponse {
+        route,
         runner: key,
         version: runner.version.clone(),
         status,
@@ -236,7 +249,7 @@
 
     /// Keeps the connection for reuse, after the end of the body.
     pub(super) fn keep_connection(self, connections: &RunnerConnections) {
-        if self.framing == Framing::Connection {
+        if self.framing == Framing::Connection || self.route != ResponseRoute::Direct {
             return;
         }
         connections.release(
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -68,7 +68,8 @@
                 return DispatchResult::NotRun(NotRunReason::TimeLimit, TIME_LIMIT_RETRY_AFTER);
             }
         };
-        let (attempt, statements) = attempt(&proxy.connections, request, &runner, after).await;
+        let (attempt, statements) = attempt(proxy, request, &runner, after).await;
+        handle.set_forwarded(statements.is_forwarded);
         if let Some(notice) = statements.notice {
             handle.runner_notice(notice);
         }
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -1,10 +1,17 @@
 //! Admission of one request.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
-    fleet::{FleetConfig, RequestContent, RequestDigest, Route, StreamBinding, Workspace},
+    fleet::{
+        FleetConfig, RequestContent, RequestDigest, Route, RunnerPaths, StreamBinding, Workspace,
+    },
     ids::{HostId, RequestId, RunnerName},
     outcome::NotRunReason,
 };
@@ -60,6 +67,7 @@
     pub(super) format: PlatformFormat,
     pub(super) host_state: Arc<HostState>,
     pub(super) connections: RunnerConnections,
+    pub(super) paths: Rc<RefCell<RunnerPaths>>,
     pub(super) limits: ProxyLimits,
     pub(super) metrics: FleetMetrics,
     control: UnboundedSender<WorkerMessage>,
@@ -187,6 +195,7 @@
             format,
             host_state,
             connections,
+            paths: Rc::default(),
             limits,
             metrics,
             control,
@@ -197,6 +206,11 @@
         Self { shared: Rc::new(shared) }
     }
 
+    /// What this thread knows of its paths to runners.
+    pub(in crate::fleet) fn paths(&self) -> Rc<RefCell<RunnerPaths>> {
+        self.paths.clone()
+    }
+
     /// Serves one request.
     pub(super) async fn handle(self, req: Request<Incoming>) -> Response<ResponseBody> {
         let id = req.headers().get(header(self.format.headers.request_id)).cloned();
--- a/crates/node/src/fleet/proxy/mod.rs
+++ b/crates/node/src/fleet/proxy/mod.rs
@@ -1,7 +1,7 @@
 //! Reverse proxy between callers and runners.
 //!
 //! `serve` accepts connections, `handler` admits a request, `exchange` sends it
-//! to a runner, and `relay` forwards a stream event by event. A request's
+//! to a runner (`attempt`, `send`), and `relay` forwards a stream event by event. A request's
 //! memory is freed with its future: when the caller disconnects, the server
 //! drops the future, and with it the connection to the runner.
 //!
@@ -17,6 +17,7 @@
 mod placement;
 mod relay;
 mod response;
+mod send;
 mod serve;
 
 pub(super) use self::{
--- /dev/null
+++ b/crates/node/src/fleet/proxy/send.rs
@@ -0,0 +1,165 @@
+//! Sends one request to a runner, itself or through another host.
+
+use comfreyway_core::{
+    fleet::{RunnerEntry, RunnerPath},
+    ids::HostId,
+    outcome::RetryReason,
+};
+use hyper::{Response, body::Incoming};
+
+use crate::{
+    events::{Event, log_event},
+    fleet::{
+        forward::{ForwardFailure, send_through},
+        runner_connections::{
+            CONNECT_TIMEOUT, RunnerConnection, SendFailure, SentRequest, connect,
+        },
+    },
+};
+
+use super::{admitted::AdmittedRequest, handler::ProxyState};
+
+/// A response that has begun, and the way that it takes.
+pub(super) struct ReceivedResponse {
+    pub(super) res: Response<Incoming>,
+    pub(super) connection: RunnerConnection,
+    pub(super) route: ResponseRoute,
+}
+
+/// The way of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ResponseRoute {
+    /// From the runner.
+    Direct,
+    /// Through another host.
+    Forwarded {
+        /// True if the runner's response ends with its connection.
+        is_unframed: bool,
+    },
+}
+
+impl ProxyState {
+    /// Sends a request to a runner and waits for the response head. `is_forwarded` is set
+    /// once bytes of the request may have gone to another host.
+    pub(super) async fn send(
+        &self,
+        request: &AdmittedRequest,
+        runner: &RunnerEntry,
+        after: Option<u64>,
+        is_forwarded: &mut bool,
+    ) -> Result<ReceivedResponse, SendFailure> {
+        let (upstream, address) = (&runner.upstream, runner.address);
+        let now = || self.host_state.clock.now();
+        let path = self.paths.borrow_mut().path(now(), upstream, address);
+        let mut reason = RetryReason::ConnectTimeout;
+        if let RunnerPath::Direct { max_idle } = path {
+            let req = request.request_to(runner, after);
+            match self.connections.send(&runner.key, address, req, max_idle).await {
+                Ok(SentRequest { res, connection, is_new }) => {
+                    match is_new {
+                        true => self.runner_connected(runner),
+                        false => self.paths.borrow_mut().responded(now(), upstream),
+                    }
+                    return Ok(ReceivedResponse { res, connection, route: ResponseRoute::Direct });
+                }
+                Err(SendFailure::NotSent(cause)) => reason = cause,
+                Err(failure) => return Err(failure),
+            }
+            if self.paths.borrow_mut().connect_failed(now(), upstream, address) {
+                log_event!(
+                    Event::RunnerUnreachable,
+                    runner:% = runner.key.name,
+                    address:% = address,
+                    reason = reason.as_str()
+                );
+            }
+            let path = self.paths.borrow_mut().path(now(), upstream, address);
+            if path != RunnerPath::ThroughHost {
+                return Err(SendFailure::NotSent(reason));
+            }
+        }
+        self.send_forwarded(request, runner, after, is_forwarded, reason).await
+    }
+
+    /// Sends a request through other hosts, one after the other until one of them reaches
+    /// the runner.
+    async fn send_forwarded(
+        &self,
+        request: &AdmittedRequest,
+        runner: &RunnerEntry,
+        after: Option<u64>,
+        is_forwarded: &mut bool,
+        reason: RetryReason,
+    ) -> Result<ReceivedResponse, SendFailure> {
+        let hosts = self.host_state.forward_hosts();
+        let ids: Vec<_> = hosts.iter().map(|host| host.id.clone()).collect();
+        let mut tried: Vec<HostId> = Vec::new();
+        loop {
+            let now = self.host_state.clock.now();
+            let next = self.paths.borrow_mut().next_host(now, &ids, &tried).cloned();
+            let Some(host) = next.and_then(|id| hosts.iter().find(|host| host.id == id)) else {
+                return Err(SendFailure::NotSent(reason));
+            };
+            *is_forwarded = true;
+            let sending = send_through(host, runner, request.request_to(runner, after));
+            let result = sending.await;
+            let outcome = match &result {
+                Ok(_) => "response",
+                Err(ForwardFailure::Unreachable) => "unreachable",
+                Err(ForwardFailure::NotSent(cause)) => cause,
+                Err(ForwardFailure::Unknown(_)) => "unknown",
+            };
+            log_event!(
+                Event::RequestForwarded,
+                id = request.caller_id.as_str(),
+                runner:% = runner.key.name,
+                through:% = host.id,
+                outcome = outcome
+            );
+            match result {
+                Ok((res, connection, is_unframed)) => {
+                    self.paths.borrow_mut().host_forwarded(&host.id);
+                    let route = ResponseRoute::Forwarded { is_unframed };
+                    return Ok(ReceivedResponse { res, connection, route });
+                }
+                Err(ForwardFailure::Unreachable) => {
+                    *is_forwarded = false;
+                    self.paths.borrow_mut().no_path(now, runner.address);
+                    return Err(SendFailure::NotSent(reason));
+                }
+                Err(ForwardFailure::NotSent(_)) => {
+                    *is_forwarded = false;
+                    self.paths.borrow_mut().host_failed(now, &host.id);
+                    tried.push(host.id.clone());
+                }
+                Err(ForwardFailure::Unknown(cause)) => {
+                    self.paths.borrow_mut().host_failed(now, &host.id);
+                    return Err(SendFailure::Unknown(cause));
+                }
+            }
+        }
+    }
+
+    /// Attempts connections to the runners that can't be reached, when they are due.
+    pub(super) fn probe_runners(self: &std::rc::Rc<Self>) {
+        let due = self.paths.borrow_mut().due_probes(self.host_state.clock.now());
+        for (upstream, address) in due {
+            let proxy = self.clone();
+            actix_rt::spawn(async move {
+                if connect(address, CONNECT_TIMEOUT).await.is_ok() {
+                    let now = proxy.host_state.clock.now();
+                    if proxy.paths.borrow_mut().connected(now, &upstream, address) {
+                        log_event!(Event::RunnerReachable, address:% = address);
+                    }
+                }
+            });
+        }
+    }
+
+    fn runner_connected(&self, runner: &RunnerEntry) {
+        let now = self.host_state.clock.now();
+        if self.paths.borrow_mut().connected(now, &runner.upstream, runner.address) {
+            log_event!(Event::RunnerReachable, address:% = runner.address);
+        }
+    }
+}
--- a/crates/node/src/fleet/proxy/serve.rs
+++ b/crates/node/src/fleet/proxy/serve.rs
@@ -16,7 +16,7 @@
 /// Wait after a failed accept, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_WAIT: Duration = Duration::from_millis(50);
 
-/// Interval between closing expired connections to runners.
+/// Interval of closing expired connections to runners, and of checks for due probes.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Idle timeout of callers' connections before the configuration is known.
@@ -44,6 +44,7 @@
         loop {
             sleep(SWEEP_INTERVAL).await;
             sweeper.connections.sweep();
+            sweeper.shared.probe_runners();
         }
     });
     loop {
--- a/crates/node/src/fleet/request_handle.rs
+++ b/crates/node/src/fleet/request_handle.rs
@@ -62,6 +62,8 @@
     decisions: UnboundedReceiver<RequestDecision>,
     stage: Stage,
     runner: Option<RunnerName>,
+    /// True if the last attempt went through another host.
+    is_forwarded: bool,
     caller_id: String,
     submitted: Instant,
     metrics: FleetMetrics,
@@ -83,6 +85,7 @@
             decisions,
             stage: Stage::Waiting,
             runner: None,
+            is_forwarded: false,
             caller_id: caller_id.to_owned(),
             submitted: Instant::now(),
             metrics,
@@ -122,8 +125,18 @@
         self.notify(WorkerMessage::FirstToken(self.id));
     }
 
-    /// Reports that the request ended at its runner.
+    /// Records whether the last attempt went through another host.
+    pub(super) fn set_forwarded(&mut self, is_forwarded: bool) {
+        self.is_forwarded = is_forwarded;
+    }
+
+    /// Reports that the request ended at its runner. A failure behind another host is no
+    /// evidence against the runner.
     pub(super) fn ended(&mut self, end: DispatchEnd) {
+        let end = match end {
+            DispatchEnd::Failed if self.is_forwarded => DispatchEnd::Cancelled,
+            end => end,
+        };
         if std::mem::replace(&mut self.stage, Stage::Closed) == Stage::Sent {
             self.notify(WorkerMessage::Ended(self.id, end));
         }
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -1,6 +1,11 @@
 //! Starts and stops a host that serves a fleet.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use actix::Actor;
 use actix_rt::Arbiter;
@@ -29,6 +34,7 @@
 use super::{
     control::{BeginStop, EventReceivers, EventSenders, FleetControl},
     counted_store::CountedStore,
+    forward::{ForwardServer, ForwardSlots},
     health::Health,
     host_state::HostState,
     platform_format::PlatformFormat,
@@ -99,6 +105,7 @@
         address: settings.listen.peers,
         token: rand::random(),
         millicores: (settings.cores * 1_000.0) as u32,
+        forward: settings.listen.forward,
     };
     let fleet_metrics = {
         let host_state = host_state.clone();
@@ -140,6 +147,9 @@
     let process = rand::random();
     let (closing_tx, closing) = watch::channel(false);
     listeners.callers.set_nonblocking(true)?;
+    if let Some(listener) = &listeners.forward {
+        listener.set_nonblocking(true)?;
+    }
     for number in 0..settings.workers {
         let worker = Worker {
             format: platform.format,
@@ -149,6 +159,8 @@
             control: workers_tx.clone(),
             host: me.id.clone(),
             ids: RequestIds { process, thread: number as u16 },
+            forward: listeners.forward.as_ref().map(TcpListener::try_clone).transpose()?,
+            token: me.token,
         };
         worker.start(listeners.callers.try_clone()?, closing.clone());
     }
@@ -187,13 +199,24 @@
     control: UnboundedSender<WorkerMessage>,
     host: HostId,
     ids: RequestIds,
+    /// Listens for requests of other hosts.
+    forward: Option<TcpListener>,
+    /// This host's own token.
+    token: u64,
 }
 
 impl Worker {
-    fn start(self, listener: std::net::TcpListener, closing: watch::Receiver<bool>) {
+    fn start(self, listener: TcpListener, closing: watch::Receiver<bool>) {
         Arbiter::new().spawn_fn(move || {
-            let Self { format, host_state, limits, metrics, control, host, ids } = self;
-            let proxy = Proxy::new(format, host_state, limits, metrics, control, host, ids);
+            let Self { format, host_state, limits, metrics, control, host, ids, forward, token } =
+                self;
+            let proxy =
+                Proxy::new(format, host_state.clone(), limits, metrics.clone(), control, host, ids);
+            if let Some(listener) = forward {
+                let (paths, slots) = (proxy.paths(), ForwardSlots::default());
+                let server = ForwardServer { token, host_state, paths, slots, metrics };
+                actix_rt::spawn(server.serve(listener));
+            }
             actix_rt::spawn(serve(listener, proxy, closing));
         });
     }
--- a/crates/node/src/fleet/runner_connections.rs
+++ b/crates/node/src/fleet/runner_connections.rs
@@ -21,7 +21,7 @@
 
 /// Connect timeout. Data centres of a region are a few milliseconds apart, and
 /// one lost packet costs a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Idle timeout if the runner sends no keep-alive timeout. Common servers close
 /// idle connections after five seconds.
@@ -49,11 +49,35 @@
     pub(super) progress: ReadProgress,
 }
 
+impl RunnerConnection {
+    /// Sends a request and waits for the response head. An error holds the request if
+    /// nothing of it was written.
+    pub(super) async fn try_send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, (String, Option<Request<Full<Bytes>>>)> {
+        self.progress.advance();
+        self.sender.try_send_request(req).await.map_err(|mut e| {
+            let unsent = e.take_message();
+            (e.into_error().to_string(), unsent)
+        })
+    }
+}
+
 struct IdleConnection {
     connection: RunnerConnection,
+    since: Instant,
     until: Instant,
 }
 
+/// A request whose response has begun.
+pub(super) struct SentRequest {
+    pub(super) res: Response<Incoming>,
+    pub(super) connection: RunnerConnection,
+    /// True if the connection was opened for it.
+    pub(super) is_new: bool,
+}
+
 /// Reason for a missing response head.
 #[derive(Debug)]
 pub(super) enum SendFailure {
@@ -70,31 +94,28 @@
 }
 
 impl RunnerConnections {
-    /// Sends a request to a runner and waits for the response head.
+    /// Sends a request to a runner and waits for the response head. Uses no connection
+    /// that has been idle for longer than `max_idle`.
     pub(super) async fn send(
         &self,
         runner: &RunnerKey,
         address: SocketAddr,
         mut req: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, RunnerConnection), SendFailure> {
-        while let Some(mut connection) = self.take_idle(runner) {
-            connection.progress.advance();
-            match connection.sender.try_send_request(req).await {
-                Ok(res) => return Ok((res, connection)),
-                Err(mut e) => match e.take_message() {
-                    // The connection was closed before anything was written.
-                    Some(unsent) => req = unsent,
-                    None => return Err(SendFailure::Unknown(e.into_error().to_string())),
-                },
+        max_idle: Option<Duration>,
+    ) -> Result<SentRequest, SendFailure> {
+        while let Some(mut connection) = self.take_idle(runner, max_idle) {
+            match connection.try_send(req).await {
+                Ok(res) => return Ok(SentRequest { res, connection, is_new: false }),
+                // The connection was closed before anything was written.
+                Err((_, Some(unsent))) => req = unsent,
+                Err((cause, None)) => return Err(SendFailure::Unknown(cause)),
             }
         }
-        let mut connection = connect(address).await?;
-        match connection.sender.try_send_request(req).await {
-            Ok(res) => Ok((res, connection)),
-            Err(mut e) => Err(match e.take_message() {
-                Some(_) => SendFailure::NotSent(RetryReason::ConnectRefused),
-                None => SendFailure::Unknown(e.into_error().to_string()),
-            }),
+        let mut connection = connect(address, CONNECT_TIMEOUT).await?;
+        match connection.try_send(req).await {
+            Ok(res) => Ok(SentRequest { res, connection, is_new: true }),
+            Err((_, Some(_))) => Err(SendFailure::NotSent(RetryReason::ConnectRefused)),
+            Err((cause, None)) => Err(SendFailure::Unknown(cause)),
         }
     }
 
@@ -117,7 +138,8 @@
         let mut idle = self.idle.borrow_mut();
         let idle = idle.entry(runner.clone()).or_default();
         if idle.len() < max_idle.min(MAX_IDLE_CONNECTIONS) {
-            idle.push(IdleConnection { connection, until: Instant::now() + idle_timeout });
+            let since = Instant::now();
+            idle.push(IdleConnection { connection, since, until: since + idle_timeout });
         }
     }
 
@@ -130,12 +152,17 @@
         });
     }
 
-    fn take_idle(&self, runner: &RunnerKey) -> Option<RunnerConnection> {
+    fn take_idle(
+        &self,
+        runner: &RunnerKey,
+        max_idle: Option<Duration>,
+    ) -> Option<RunnerConnection> {
         let mut idle = self.idle.borrow_mut();
         let idle = idle.get_mut(runner)?;
         let now = Instant::now();
-        while let Some(IdleConnection { connection, until }) = idle.pop() {
-            if until > now && connection.sender.is_ready() {
+        while let Some(IdleConnection { connection, since, until }) = idle.pop() {
+            let is_recent = max_idle.is_none_or(|max| now - since < max);
+            if is_recent && until > now && connection.sender.is_ready() {
                 return Some(connection);
             }
         }
@@ -143,11 +170,15 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<RunnerConnection, SendFailure> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+/// Opens a connection. Nothing is sent yet.
+pub(super) async fn connect(
+    address: SocketAddr,
+    max_time: Duration,
+) -> Result<RunnerConnection, SendFailure> {
+    let stream = match timeout(max_time, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => {
-            log::debug!("can't connect to runner at {address}: {e}");
+            log::debug!("can't connect to {address}: {e}");
             return Err(SendFailure::NotSent(RetryReason::ConnectRefused));
         }
         Err(_) => return Err(SendFailure::NotSent(RetryReason::ConnectTimeout)),
@@ -160,7 +191,7 @@
         handshake.map_err(|_| SendFailure::NotSent(RetryReason::ConnectRefused))?;
     actix_rt::spawn(async move {
         if let Err(e) = connection.await {
-            log::debug!("connection to runner at {address} ended: {e}");
+            log::debug!("connection to {address} ended: {e}");
         }
     });
     Ok(RunnerConnection { sender, progress })
--- a/crates/node/src/metrics/fleet.rs
+++ b/crates/node/src/metrics/fleet.rs
@@ -57,6 +57,7 @@
     parts_quarantined: Counter<u64>,
     requests_quarantined: Counter<u64>,
     rollouts: Counter<u64>,
+    forwarded: Counter<u64>,
     waiting: Gauge<u64>,
     at_runners: Gauge<u64>,
     slots: Gauge<u64>,
@@ -119,6 +120,10 @@
                 "comfreyway_rollouts",
                 "Rollouts that ended, by their final state, as this host saw them",
             ),
+            forwarded: counter(
+                "comfreyway_forwarded",
+                "Requests of other hosts that were sent to runners, or not, by outcome",
+            ),
             waiting: gauge(
                 "comfreyway_upstream_waiting",
                 "Requests queued at this coordinator, by upstream",
@@ -139,6 +144,9 @@
         for state in ["completed", "rolled-back"] {
             metrics.rollouts.add(0, &[KeyValue::new("state", state)]);
         }
+        for outcome in ["response", "unreachable", "cut-off", "busy", "unknown"] {
+            metrics.forwarded.add(0, &[KeyValue::new("outcome", outcome)]);
+        }
         for kind in ["leaving", "ended", "rest"] {
             metrics.runner_notices.add(0, &[KeyValue::new("kind", kind)]);
         }
@@ -212,6 +220,11 @@
         self.rollouts.add(1, &[KeyValue::new("state", state)]);
     }
 
+    /// Counts a request that another host sent through this one.
+    pub fn forwarded(&self, outcome: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a stream that ended before its end marker.
     pub fn stream_cut(&self, reason: &'static str) {
         self.streams_cut.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/node/src/run/listeners.rs
+++ b/crates/node/src/run/listeners.rs
@@ -11,6 +11,8 @@
     pub(crate) callers: TcpListener,
     pub(crate) operators: TcpListener,
     pub(crate) peers: TcpListener,
+    /// None if the host forwards no requests of others.
+    pub(crate) forward: Option<TcpListener>,
 }
 
 impl Listeners {
@@ -20,6 +22,7 @@
             callers: bind(listen.callers)?,
             operators: bind(listen.operators)?,
             peers: bind(listen.peers)?,
+            forward: listen.forward.map(bind).transpose()?,
         })
     }
 }
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -50,6 +50,13 @@
     spec("listen", "callers", Some("127.0.0.1:8080"), ADDRESS, "Address for callers."),
     spec("listen", "peers", Some("127.0.0.1:8081"), ADDRESS, "Address for other daemons."),
     spec("listen", "operators", Some("127.0.0.1:8082"), ADDRESS, "Address for operators."),
+    spec(
+        "listen",
+        "forward",
+        Some(""),
+        "IP address and port; empty for none",
+        "Address for requests of hosts of a fleet that can't reach runners themselves.",
+    ),
     spec(
         "security",
         "secret-file",
--- a/crates/node/src/settings/process.rs
+++ b/crates/node/src/settings/process.rs
@@ -16,6 +16,8 @@
     pub peers: SocketAddr,
     /// Address for operators.
     pub operators: SocketAddr,
+    /// Address for requests that other hosts of a fleet send to runners through this one.
+    pub forward: Option<SocketAddr>,
 }
 
 /// Settings of one process.
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -44,6 +44,7 @@
             callers: source.value("listen", "callers")?,
             peers: source.value("listen", "peers")?,
             operators: source.value("listen", "operators")?,
+            forward: source.optional("listen", "forward")?,
         },
         secret: source.secret()?,
         platform: source.platform()?,
--- a/crates/testkit/src/daemon/settings.rs
+++ b/crates/testkit/src/daemon/settings.rs
@@ -30,6 +30,8 @@
     pub peers: SocketAddr,
     /// Address for operators.
     pub operators: SocketAddr,
+    /// Address for requests that other daemons send through this one.
+    pub forward: SocketAddr,
     workers: usize,
     platform: PlatformSettings,
     known_peers: Vec<(String, SocketAddr)>,
@@ -81,6 +83,7 @@
             callers: unused_address()?,
             peers: unused_address()?,
             operators: unused_address()?,
+            forward: unused_address()?,
             workers: 2,
             platform,
             known_peers: Vec::new(),
@@ -135,6 +138,7 @@
         writeln!(out, "callers = {}", self.callers)?;
         writeln!(out, "peers = {}", self.peers)?;
         writeln!(out, "operators = {}", self.operators)?;
+        writeln!(out, "forward = {}", self.forward)?;
         writeln!(out, "[platform]")?;
         self.write_platform(out)?;
         writeln!(out, "[limits]")?;
