Hold the retry budget while coordinators change

Causes, all of one class: the charge was bound to a message's shape, not to what had happened. - A rejected request that waited and changed its coordinator was submitted as a first one: it added to the budget in place of taking from it. Hosts now count the rejections of each request and say when another coordinator had it. - Each coordinator began with its share of the slack, and the bucket of a host that did not coordinate filled up by time.

A test of the budget alone now calls sent() for what it takes; its bound is unchanged.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -97,6 +97,8 @@
             cost: 1.0,
             time_limit: Duration::from_secs(7_200),
             prior_attempts: 0,
+            rejections: 0,
+            resubmitted: false,
             avoid: None,
             stream: None,
         };
--- a/crates/core/src/fleet/budget.rs
+++ b/crates/core/src/fleet/budget.rs
@@ -1,7 +1,8 @@
 //! Budget for sending a request to a second runner.
 //!
 //! When a fault makes many requests fail at once, the budget keeps the retries
-//! from adding much load.
+//! from adding much load. A retry is an arrival at a runner beyond the request's first
+//! one, whether that runner ran it or not.
 
 use crate::time::MonoTime;
 
@@ -18,41 +19,97 @@
     pub window_s: f64,
 }
 
-/// Fraction of the slack that is used. The rest covers a coordinator that takes
-/// over with a fresh budget within the same window.
+/// Fraction of the slack that a full bucket holds, and that is refilled in a window. Any
+/// window has at most twice as many retries beyond the ratio. The rest covers coordinators
+/// whose shares overlap for a moment.
 const USED_SLACK_FRACTION: f64 = 0.4;
 
 /// Retries left for one upstream, as a token bucket.
+///
+/// A retry takes its token when it begins to wait. Until it is sent, the token keeps its
+/// place in the bucket, so that retries that have waited don't add up with those that the
+/// bucket allows meanwhile.
+///
+/// # Examples
+///
+/// ```
+/// use comfreyway_core::{
+///     fleet::{RetryBudget, RetryBudgetLimits, Share},
+///     time::MonoTime,
+/// };
+///
+/// let limits = RetryBudgetLimits { ratio: 0.2, slack: 10.0, window_s: 10.0 };
+/// let (start, later) = (MonoTime::ZERO, MonoTime::from_millis(60_000));
+/// let all = Share::new(1, 1);
+/// let mut budget = RetryBudget::new(start, limits);
+/// assert!(!budget.take(start, all));
+/// assert_eq!((0..10).filter(|_| budget.take(later, all)).count(), 4);
+/// let much_later = MonoTime::from_millis(600_000);
+/// assert!(!budget.take(much_later, all), "none of the four was sent");
+/// budget.sent();
+/// assert!(budget.take(MonoTime::from_millis(603_000), all));
+/// ```
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     limits: RetryBudgetLimits,
     available: f64,
+    /// Tokens of retries that have not been sent.
+    waiting: f64,
     updated_at: MonoTime,
 }
 
 impl RetryBudget {
-    /// Creates a budget with its slack unspent.
+    /// Creates an empty budget. The coordinator before may have used its whole slack a
+    /// moment ago.
     #[must_use]
-    pub fn new(now: MonoTime, limits: RetryBudgetLimits, share: Share) -> Self {
-        Self { limits, available: share.of(limits.slack * USED_SLACK_FRACTION), updated_at: now }
+    pub fn new(now: MonoTime, limits: RetryBudgetLimits) -> Self {
+        Self { limits, available: 0.0, waiting: 0.0, updated_at: now }
+    }
+
+    /// Creates a budget with its slack unspent, for a host that shares it with no other.
+    #[must_use]
+    pub fn with_unused_slack(now: MonoTime, limits: RetryBudgetLimits) -> Self {
+        Self { available: limits.slack * USED_SLACK_FRACTION, ..Self::new(now, limits) }
     }
 
     /// Adds the retries that the first arrival of a request allows.
     pub fn deposit(&mut self, share: Share) {
-        self.available = (self.available + self.limits.ratio)
-            .min(share.of(self.limits.slack * USED_SLACK_FRACTION));
+        self.add(self.limits.ratio, share);
     }
 
-    /// Takes one retry, or returns false if none is left.
+    /// Takes one retry, which waits until it is sent or released. Returns false if none is
+    /// left.
     pub fn take(&mut self, now: MonoTime, share: Share) -> bool {
-        let cap = share.of(self.limits.slack * USED_SLACK_FRACTION);
-        let refill = now.since(self.updated_at).as_secs_f64() / self.limits.window_s * cap;
+        let slack = share.of(self.limits.slack * USED_SLACK_FRACTION);
+        let refill = now.since(self.updated_at).as_secs_f64() / self.limits.window_s * slack;
         self.updated_at = now;
-        self.available = (self.available + refill).min(cap);
+        self.add(refill, share);
         if self.available < 1.0 {
             return false;
         }
         self.available -= 1.0;
+        self.waiting += 1.0;
         true
     }
+
+    /// Records that a retry was sent to a runner.
+    pub fn sent(&mut self) {
+        self.waiting = (self.waiting - 1.0).max(0.0);
+    }
+
+    /// Records that a retry that was sent has not reached its runner and waits again.
+    pub fn wait_again(&mut self) {
+        self.waiting += 1.0;
+    }
+
+    /// Gives back a retry that waited and won't be sent.
+    pub fn release(&mut self, share: Share) {
+        self.sent();
+        self.add(1.0, share);
+    }
+
+    fn add(&mut self, tokens: f64, share: Share) {
+        let cap = share.of(self.limits.slack * USED_SLACK_FRACTION) - self.waiting;
+        self.available = (self.available + tokens).min(cap.max(0.0));
+    }
 }
--- a/crates/core/src/fleet/client.rs
+++ b/crates/core/src/fleet/client.rs
@@ -73,7 +73,8 @@
             return;
         }
         let former = std::mem::replace(&mut self.coordinator, coordinator.clone());
-        for (id, open) in &self.open {
+        for (id, open) in &mut self.open {
+            open.req.resubmitted = true;
             // The former coordinator may still be up and must not grant.
             out.push(ClientAction::Send(former.clone(), RequestUpdate::Withdraw(*id)));
             out.push(ClientAction::Send(coordinator.clone(), open.to_update(now)));
@@ -101,6 +102,7 @@
     pub fn requeue(&mut self, id: RequestId, reason: RetryReason, out: &mut Vec<ClientAction>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         open.stage = Stage::Waiting;
+        open.req.rejections += u32::from(reason.has_arrived());
         out.push(ClientAction::Send(self.coordinator.clone(), RequestUpdate::Requeue(id, reason)));
     }
 
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -31,14 +31,15 @@
 pub(super) use self::trials::QUARANTINE_RETRY_AFTER;
 
 use self::{
-    requests::HostRequest,
+    requests::{HostRequest, Retry},
     streams::{TakeUp, stream_memory},
 };
 
 #[derive(Clone, Debug)]
 struct UpstreamState {
     scheduler: UpstreamScheduler,
-    budget: RetryBudget,
+    /// None until its first use since this host began to coordinate.
+    budget: Option<RetryBudget>,
     runners: BTreeMap<RunnerName, KnownRunner>,
     history: VersionHistory,
 }
@@ -212,6 +213,10 @@
     }
 
     fn add_client(&mut self, now: MonoTime, host: HostId) {
+        if self.clients.is_empty() {
+            // Meanwhile another coordinator may have used all of them.
+            self.upstreams.values_mut().for_each(|state| state.budget = None);
+        }
         if !self.clients.contains(&host) {
             self.hosts.session_opened(now, &host.name);
             self.clients.insert(host);
@@ -234,9 +239,17 @@
         if !self.clients.remove(host) {
             return;
         }
-        let removed = self.open.extract_if(.., |_, open| open.host == *host);
-        for (_, open) in removed.filter(|(_, open)| open.reserved) {
-            self.quotas.release(now, &open.workspace, open.cost);
+        let share = self.basis.budget_share();
+        for (_, open) in self.open.extract_if(.., |_, open| open.host == *host) {
+            if open.reserved {
+                self.quotas.release(now, &open.workspace, open.cost);
+            }
+            if let Some(state) = self.upstreams.get_mut(&open.upstream)
+                && let Some(budget) = state.budget.as_mut()
+                && open.retry == Retry::Waiting
+            {
+                budget.release(share);
+            }
         }
         self.take_ups.retain(|_, take_up| take_up.host != *host);
         self.quotas.host_left(now, host);
@@ -262,10 +275,11 @@
             RequestUpdate::Submit(req) => self.submit_bound(now, host, *req, out),
             RequestUpdate::Adopt(req, runner) => {
                 let suspects = req.suspects();
+                let retry = if req.is_retry() { Retry::Sent } else { Retry::No };
                 let PlacementRequest { record, upstream, cost, time_limit, stream, .. } = *req;
                 let (id, time_left) = (record.id, time_limit.saturating_sub(record.age));
                 self.record_open(host, &upstream, &record, cost, true);
-                let scheduler = &mut self.upstream_state(now, &upstream).scheduler;
+                let scheduler = &mut self.upstream_state(&upstream).scheduler;
                 scheduler.adopt(now, record, time_left, runner.clone());
                 if let Some(stream) = stream.as_ref().filter(|stream| !stream.begins) {
                     scheduler.bind_to_version(id, stream.version.clone());
@@ -274,6 +288,7 @@
                     open.stream = stream;
                     open.suspects = suspects;
                     open.dispatch = Some((runner, MonoTime::ZERO));
+                    open.retry = retry;
                 }
                 self.join_trials(id);
             }
@@ -354,13 +369,21 @@
         config.and_then(|config| config.workspace(workspace)).map(|w| w.quota).unwrap_or_default()
     }
 
+    /// Returns the retry budget of an upstream.
+    fn budget(&mut self, now: MonoTime, upstream: &UpstreamName) -> &mut RetryBudget {
+        let (limits, is_alone) = (self.retry_limits, self.basis.known <= 1);
+        self.upstream_state(upstream).budget.get_or_insert_with(|| match is_alone {
+            true => RetryBudget::with_unused_slack(now, limits),
+            false => RetryBudget::new(now, limits),
+        })
+    }
+
     fn upstream_names(&self) -> Vec<UpstreamName> {
         self.upstreams.keys().cloned().collect()
     }
 
-    fn upstream_state(&mut self, now: MonoTime, upstream: &UpstreamName) -> &mut UpstreamState {
+    fn upstream_state(&mut self, upstream: &UpstreamName) -> &mut UpstreamState {
         let engine = self.config.as_ref().is_some_and(|config| is_engine(config, upstream));
-        let (retry_limits, share) = (self.retry_limits, self.basis.budget_share());
         let config = self.config.as_deref();
         let prompt_memory = config.and_then(|config| prompt_memory(config, upstream));
         let memory = config.map(stream_memory).unwrap_or_default();
@@ -368,7 +391,7 @@
             scheduler: UpstreamScheduler::new(engine)
                 .with_weights(config.map(FleetConfig::weights).unwrap_or_default())
                 .with_prompt_memory(prompt_memory),
-            budget: RetryBudget::new(now, retry_limits, share),
+            budget: None,
             runners: BTreeMap::new(),
             history: VersionHistory::new(memory),
         })
--- a/crates/core/src/fleet/coordinator/decisions.rs
+++ b/crates/core/src/fleet/coordinator/decisions.rs
@@ -6,7 +6,7 @@
     time::MonoTime,
 };
 
-use super::Coordinator;
+use super::{Coordinator, requests::Retry};
 
 impl Coordinator {
     /// Runs a step of an upstream's scheduler and forwards its decisions.
@@ -48,6 +48,13 @@
         let open = self.open.get_mut(&id)?;
         open.granted = true;
         open.dispatch = Some((runner.clone(), now));
+        if open.retry == Retry::Waiting {
+            open.retry = Retry::Sent;
+            let state = self.upstreams.get_mut(upstream);
+            if let Some(budget) = state.and_then(|state| state.budget.as_mut()) {
+                budget.sent();
+            }
+        }
         if std::mem::take(&mut open.reserved) {
             self.quotas.release(now, &open.workspace, open.cost);
         }
--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -43,6 +43,18 @@
     pub(super) begun_at: Option<MonoTime>,
     /// True while it waits until another request has tried one of its suspects.
     pub(super) held: bool,
+    pub(super) retry: Retry,
+}
+
+/// Whether the next or present arrival of a request is a retry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Retry {
+    /// It is the first.
+    No,
+    /// It has a token of the budget and waits for a runner.
+    Waiting,
+    /// It was granted a runner.
+    Sent,
 }
 
 impl HostRequest {
@@ -68,12 +80,14 @@
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
         let suspects = req.suspects();
+        let is_retry = req.is_retry();
         let PlacementRequest {
             record,
             upstream,
             cost,
             time_limit,
             prior_attempts,
+            resubmitted,
             avoid,
             stream,
             ..
@@ -90,25 +104,31 @@
                 return;
             }
         };
-        if prior_attempts > 0 {
-            if !self.upstream_state(now, &upstream).budget.take(now, share) {
-                let reason = NotRunReason::TurnedAway;
-                out.push((host.clone(), PlacementReply::Refuse(id, reason, BUDGET_RETRY_AFTER)));
-                return;
-            }
-        } else {
+        if is_retry && !self.budget(now, &upstream).take(now, share) {
+            let reason = NotRunReason::TurnedAway;
+            out.push((host.clone(), PlacementReply::Refuse(id, reason, BUDGET_RETRY_AFTER)));
+            return;
+        }
+        if prior_attempts == 0 {
             let quota = self.quota(&record.workspace);
             if let Err(wait) = self.quotas.take(now, &record.workspace, quota, cost) {
+                if is_retry {
+                    self.budget(now, &upstream).release(share);
+                }
                 out.push((host.clone(), PlacementReply::Refuse(id, NotRunReason::OverQuota, wait)));
                 return;
             }
-            self.upstream_state(now, &upstream).budget.deposit(share);
+        }
+        // The first coordinator of a request counts it.
+        if !is_retry && !resubmitted {
+            self.budget(now, &upstream).deposit(share);
         }
         self.record_open(host, &upstream, &record, cost, false);
         if let Some(open) = self.open.get_mut(&id) {
             open.stream = stream;
             open.suspects = suspects;
             open.held = admission == Admission::Hold;
+            open.retry = if is_retry { Retry::Waiting } else { Retry::No };
             if prior_attempts == 0 {
                 open.reserved = true;
                 open.charged = Some(now);
@@ -152,8 +172,7 @@
             return;
         }
         // Only an attempt that arrived at a runner counts as a retry.
-        let arrived = reason == RetryReason::TurnedAway;
-        if arrived && !self.upstream_state(now, &upstream).budget.take(now, share) {
+        if reason.has_arrived() && !self.budget(now, &upstream).take(now, share) {
             self.remove_open(now, id);
             let not_run = NotRunReason::TurnedAway;
             out.push((host.clone(), PlacementReply::Refuse(id, not_run, BUDGET_RETRY_AFTER)));
@@ -162,6 +181,14 @@
             });
             return;
         }
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let was_retry = open.retry == Retry::Sent;
+        if reason.has_arrived() || was_retry {
+            open.retry = Retry::Waiting;
+        }
+        if was_retry && !reason.has_arrived() {
+            self.budget(now, &upstream).wait_again();
+        }
         let is_held = self.hold_for_trial(id);
         self.step(now, &upstream, out, |scheduler, decisions| match is_held {
             true => scheduler.requeue_held(now, id, failure, decisions),
@@ -192,6 +219,7 @@
             dispatch: None,
             begun_at: None,
             held: false,
+            retry: Retry::No,
         };
         self.open.insert(record.id, open);
     }
@@ -202,6 +230,10 @@
         if open.reserved {
             self.quotas.release(now, &open.workspace, open.cost);
         }
+        if open.retry == Retry::Waiting {
+            let share = self.basis.budget_share();
+            self.budget(now, &open.upstream).release(share);
+        }
         if let Some(charged) = open.charged.filter(|_| !open.granted) {
             self.quotas.refund(now, &open.workspace, open.cost, charged);
         }
--- a/crates/core/src/fleet/coordinator/rollouts.rs
+++ b/crates/core/src/fleet/coordinator/rollouts.rs
@@ -37,7 +37,7 @@
         progress: &RolloutProgress,
     ) {
         let Some(limits) = self.rollout_limits else { return };
-        let scheduler = &mut self.upstream_state(now, upstream).scheduler;
+        let scheduler = &mut self.upstream_state(upstream).scheduler;
         if scheduler.rollout().map(Rollout::order) == order.as_ref() {
             return;
         }
--- a/crates/core/src/fleet/coordinator/runners.rs
+++ b/crates/core/src/fleet/coordinator/runners.rs
@@ -24,7 +24,7 @@
             let name = entry.key.name.clone();
             let share = self.basis.slot_share();
             self.record_ended_runs(change);
-            let state = self.upstream_state(now, &entry.upstream);
+            let state = self.upstream_state(&entry.upstream);
             if let RunnerChange::Removed(_) = change {
                 state.runners.remove(&name);
                 state.history.runner_removed(now, &name);
--- a/crates/core/src/fleet/coordinator/streams.rs
+++ b/crates/core/src/fleet/coordinator/streams.rs
@@ -126,7 +126,7 @@
         version: Option<RunnerVersion>,
         gone_for: Duration,
     ) {
-        self.upstream_state(now, upstream).history.version_reported(now, version, gone_for);
+        self.upstream_state(upstream).history.version_reported(now, version, gone_for);
     }
 
     /// Returns the versions of each upstream's runners.
@@ -205,7 +205,7 @@
             }
         };
         if let Some(version) = &version {
-            if !self.upstream_state(now, &req.upstream).scheduler.serves_version(version) {
+            if !self.upstream_state(&req.upstream).scheduler.serves_version(version) {
                 let reason = NotRunReason::VersionGone;
                 out.push((host.clone(), PlacementReply::Refuse(id, reason, GONE_RETRY_AFTER)));
                 return;
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -33,6 +33,13 @@
     /// Number of runners it was sent to before.
     #[serde(rename = "n")]
     pub prior_attempts: u32,
+    /// Number of its arrivals at runners that did not run it; zero from hosts of earlier
+    /// versions.
+    #[serde(rename = "a", default, skip_serializing_if = "is_zero")]
+    pub rejections: u32,
+    /// True if another coordinator had it before.
+    #[serde(rename = "m", default, skip_serializing_if = "std::ops::Not::not")]
+    pub resubmitted: bool,
     /// The runner it was sent to last; others are preferred.
     #[serde(rename = "v")]
     pub avoid: Option<RunnerName>,
@@ -47,7 +54,17 @@
     pub digest: Option<RequestDigest>,
 }
 
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
 impl PlacementRequest {
+    /// Returns true if the request has arrived at a runner before.
+    #[must_use]
+    pub fn is_retry(&self) -> bool {
+        self.prior_attempts > 0 || self.rejections > 0
+    }
+
     /// Returns what the request may crash its runner with.
     #[must_use]
     pub fn suspects(&self) -> Vec<Suspect> {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -150,6 +150,26 @@
         RunnerResting = "runner-resting",
         /// The runner declared that it did not execute the request.
         TurnedAway = "turned-away",
+        /// Another runner than the one addressed received the request, and did not
+        /// execute it.
+        Misdirected = "misdirected",
+    }
+}
+
+impl RetryReason {
+    /// Returns true if the request has arrived at a runner, which did not execute it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use comfreyway_core::outcome::RetryReason;
+    ///
+    /// assert!(RetryReason::TurnedAway.has_arrived());
+    /// assert!(!RetryReason::ConnectRefused.has_arrived());
+    /// ```
+    #[must_use]
+    pub fn has_arrived(self) -> bool {
+        matches!(self, Self::TurnedAway | Self::Misdirected)
     }
 }
 
--- a/crates/core/src/pool/progress.rs
+++ b/crates/core/src/pool/progress.rs
@@ -107,7 +107,9 @@
             | RetryReason::TurnedAway => {
                 self.pause_runner(now, active.runner);
             }
-            RetryReason::RunnerLeaving => self.set_leaving(now, active.runner),
+            RetryReason::Misdirected | RetryReason::RunnerLeaving => {
+                self.set_leaving(now, active.runner)
+            }
             RetryReason::GrantExpired | RetryReason::OwnerChanged | RetryReason::StaleEpoch => {}
         }
         self.requeue(now, active.request, reason, out);
--- a/crates/core/tests/fleet/quotas.rs
+++ b/crates/core/tests/fleet/quotas.rs
@@ -212,17 +212,43 @@
 fn retries_stay_within_the_budget_when_all_requests_fail() {
     let limits = RetryBudgetLimits { ratio: 0.2, slack: 56.0, window_s: 10.0 };
     let whole = Share::new(8, 8);
-    let mut budget = RetryBudget::new(at(0), limits, whole);
+    let mut budget = RetryBudget::with_unused_slack(at(0), limits);
     let (mut sent, mut retries) = (0.0, 0.0);
     for ms in (0..10_000).step_by(20) {
         budget.deposit(whole);
         sent += 1.0;
-        retries += f64::from(u8::from(budget.take(at(ms), whole)));
+        if budget.take(at(ms), whole) {
+            budget.sent();
+            retries += 1.0;
+        }
     }
     let allowed = limits.ratio * sent + limits.slack;
     assert!(retries > limits.ratio * sent * 0.5 && retries <= allowed, "{retries} of {allowed}");
 }
 
+/// Retries that wait for a free runner take up the budget until they are sent.
+#[test]
+fn retries_that_wait_are_not_refilled() {
+    let limits = RetryBudgetLimits { ratio: 0.2, slack: 56.0, window_s: 10.0 };
+    let whole = Share::new(8, 8);
+    let mut budget = RetryBudget::with_unused_slack(at(0), limits);
+    let take_all = |budget: &mut RetryBudget, ms| {
+        budget.deposit(whole);
+        (0..100).filter(|_| budget.take(at(ms), whole)).count()
+    };
+    let waiting: usize = (0..20_000).step_by(20).map(|ms| take_all(&mut budget, ms)).sum();
+    (0..waiting).for_each(|_| budget.sent());
+    let (mut sent, mut retries) = (0.0, waiting);
+    for ms in (20_000..30_000).step_by(20) {
+        sent += 1.0;
+        let taken = take_all(&mut budget, ms);
+        (0..taken).for_each(|_| budget.sent());
+        retries += taken;
+    }
+    let allowed = limits.ratio * sent + limits.slack;
+    assert!(retries as f64 <= allowed, "{retries} of {allowed}");
+}
+
 /// Requests that waited behind a burst are sent at a time when the bucket would
 /// otherwise be full again.
 #[test]
--- a/crates/core/tests/fleet/retry_budget.rs
+++ b/crates/core/tests/fleet/retry_budget.rs
@@ -28,7 +28,7 @@
 fn requests_that_runners_reject_stay_within_the_retry_budget(
     #[case] coordinator_ms: Option<u64>,
     #[case] faults: Faults,
-    #[values(RetryReason::TurnedAway)] reason: RetryReason,
+    #[values(RetryReason::TurnedAway, RetryReason::Misdirected)] reason: RetryReason,
     #[values(0.5, 0.9)] share: f64,
 ) {
     let (excess, retries) = play(Rejections { share, reason, coordinator_ms }, faults);
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -56,6 +56,8 @@
         cost,
         time_limit: Duration::from_secs(12),
         prior_attempts: 0,
+        rejections: 0,
+        resubmitted: false,
         avoid: None,
         stream: None,
     }
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -295,7 +295,9 @@
 
     pub(super) fn send_to_coordinator(&mut self, host: &HostId, message: ToCoordinator) {
         let session = self.coordinator_session.as_ref().filter(|session| session.host == *host);
-        let Some(tx) = session.and_then(|session| session.tx.as_ref()) else { return };
+        let Some(session) = session else { return };
+        let Some(tx) = session.tx.as_ref() else { return };
+        let message = message.for_protocol(session.protocol);
         if tx.try_send(message).is_err() {
             log_event!(Event::SessionQueueFull, host:% = host);
             self.coordinator_session = None;
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -156,7 +156,7 @@
     if other_runner || response.headers.contains_key(request.header_names.not_executed) {
         response.discard(connections).await;
         let reason = match other_runner {
-            true => RetryReason::RunnerLeaving,
+            true => RetryReason::Misdirected,
             false => RetryReason::TurnedAway,
         };
         return (Attempt::NotRun(reason), statements);
--- a/crates/node/src/fleet/proxy/placement.rs
+++ b/crates/node/src/fleet/proxy/placement.rs
@@ -85,6 +85,8 @@
         cost,
         time_limit,
         prior_attempts: 0,
+        rejections: 0,
+        resubmitted: false,
         avoid: None,
         stream,
         parts: input.parts.iter().map(|sized| sized.part).collect(),
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -9,6 +9,7 @@
         RunnerNotice, StreamRecord, SuspectRecord,
     },
     ids::{HostId, RunnerName},
+    outcome::RetryReason,
 };
 use futures_util::{SinkExt, StreamExt};
 use quick_error::quick_error;
@@ -56,8 +57,11 @@
 /// Protocol from which on a host understands `Load`.
 pub(super) const PROTOCOL_LOADS: u8 = 5;
 
+/// Protocol from which on a host understands `RetryReason::Misdirected`.
+pub(super) const PROTOCOL_MISDIRECTED: u8 = 6;
+
 /// The protocol of this build.
-pub(super) const PROTOCOL: u8 = PROTOCOL_LOADS;
+pub(super) const PROTOCOL: u8 = PROTOCOL_MISDIRECTED;
 
 /// A message from a client host to its coordinator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -92,6 +96,21 @@
     Load(RunnerName, RunnerLoad),
 }
 
+impl ToCoordinator {
+    /// Returns the message as a host of this protocol understands it.
+    #[must_use]
+    pub(super) fn for_protocol(self, protocol: u8) -> Self {
+        match self {
+            Self::Update(RequestUpdate::Requeue(id, RetryReason::Misdirected))
+                if protocol < PROTOCOL_MISDIRECTED =>
+            {
+                Self::Update(RequestUpdate::Requeue(id, RetryReason::RunnerLeaving))
+            }
+            other => other,
+        }
+    }
+}
+
 /// The rate limit of a run; none if it names no limit any more.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RunnerLimit {
--- a/crates/node/src/fleet/wire/tests.rs
+++ b/crates/node/src/fleet/wire/tests.rs
@@ -34,6 +34,16 @@
     assert_eq!(recode::<_, FormerMessage>(&grant(RunnerVersion::new("v1"))), former);
 }
 
+/// Hosts of earlier versions would end the session.
+#[test]
+fn hosts_that_do_not_know_misdirected_requests_are_sent_another_reason() {
+    let requeue = |reason| ToCoordinator::Update(RequestUpdate::Requeue(RequestId::new(5), reason));
+    let message = requeue(RetryReason::Misdirected);
+    let former = message.clone().for_protocol(PROTOCOL_LOADS);
+    assert_eq!(former, requeue(RetryReason::RunnerLeaving));
+    assert_eq!(message.clone().for_protocol(PROTOCOL), message);
+}
+
 #[test]
 fn limits_are_sent_to_both_sides() {
     let key = RunnerKey { name: RunnerName::new("e1").unwrap(), started_ms: None };
--- a/crates/testkit/src/capacity/coordination.rs
+++ b/crates/testkit/src/capacity/coordination.rs
@@ -276,6 +276,8 @@
             cost: 2_100.0,
             time_limit: Duration::from_secs(8),
             prior_attempts: 0,
+            rejections: 0,
+            resubmitted: false,
             avoid: None,
             stream: None,
         })
