Send no request twice on the same connection

On real processes requests that may not be repeated ran twice (TWICE), and some that callers were told had not run did run (REFUSED), in like numbers on three deployments.

Cause: a second copy of a rejection was taken for the response to the next attempt. All attempts of a request bear its caller's id, and the connection was kept after a rejection, so the next attempt to that runner used it. The request ran there, and the copy made the host requeue it, or tell its caller that it had not run. The same after a failure that is retried.

Change: a connection is closed after a rejection, a 421 and a failure that is retried. It is kept only after a response that ends its request. An id for each attempt was weighed: the caller's has to reach the runner unchanged.

Ruled out by a test over real sockets, which passed before: a reset or a close while a request is being written, after 1 byte to the whole body, is never reported as not run (broken_requests).

That this is what the users saw is suspected: they kept no logs.

--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -14,7 +14,7 @@
     body::{Frame, Incoming},
     header::{CONTENT_ENCODING, CONTENT_TYPE, HeaderName, RETRY_AFTER},
 };
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::events::{Event, List, Optional, log_event};
 use crate::fleet::{
@@ -31,9 +31,6 @@
     send::{ReceivedResponse, ResponseRoute},
 };
 
-/// Time to read the short body of a refusal.
-const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Maximum time for which a runner is left alone at its own request.
 const MAX_REST: Duration = Duration::from_secs(3_600);
 
@@ -86,7 +83,6 @@
     runner: &RunnerEntry,
     after: Option<u64>,
 ) -> (Attempt, RunnerStatements) {
-    let connections = &proxy.connections;
     let sent_at = Instant::now();
     log_event!(
         Event::RequestDispatched,
@@ -154,7 +150,9 @@
     };
     let other_runner = status == StatusCode::MISDIRECTED_REQUEST;
     if other_runner || response.headers.contains_key(request.header_names.not_executed) {
-        response.discard(connections).await;
+        // Another copy of the response may follow. Its id is that of the next attempt too, so
+        // the connection is closed.
+        drop(response);
         let reason = match other_runner {
             true => RetryReason::Misdirected,
             false => RetryReason::TurnedAway,
@@ -247,7 +245,8 @@
         UnknownReason::UpstreamBroke
     }
 
-    /// Keeps the connection for reuse, after the end of the body.
+    /// Keeps the connection for reuse, after the end of the body. The request must not be
+    /// sent again: its next attempt would take another copy of the response for its own.
     pub(super) fn keep_connection(self, connections: &RunnerConnections) {
         if self.framing == Framing::Connection || self.route != ResponseRoute::Direct {
             return;
@@ -259,22 +258,6 @@
             self.max_idle_connections,
         );
     }
-
-    /// Reads the rest of a response that nobody needs, to reuse the connection.
-    async fn discard(mut self, connections: &RunnerConnections) {
-        let rest = timeout(REFUSAL_BODY_TIMEOUT, async {
-            loop {
-                match self.frame().await {
-                    None => return true,
-                    Some(Ok(_)) => {}
-                    Some(Err(_)) => return false,
-                }
-            }
-        });
-        if rest.await.unwrap_or(false) {
-            self.keep_connection(connections);
-        }
-    }
 }
 
 fn log_unusable_response(
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -167,7 +167,6 @@
                             response.keep_connection(&proxy.connections);
                             return res;
                         }
-                        response.keep_connection(&proxy.connections);
                         UnknownReason::UpstreamBroke
                     }
                     Err(reason) => reason,
--- a/crates/node/src/fleet/runner_connections.rs
+++ b/crates/node/src/fleet/runner_connections.rs
@@ -1,8 +1,8 @@
 //! Connections to runners.
 //!
-//! A connection carries one request at a time. It is reused only after a
-//! complete response; anything unexpected closes it, so that late bytes never
-//! reach the next request.
+//! A connection carries one request at a time, and no request twice. It is reused only
+//! after a complete response that ends its request; anything else closes it, so that
+//! late bytes and second copies never reach the next attempt.
 
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
 
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Serving a fleet through the platform's store, with real daemons.
 
 mod beginnings;
+mod broken_requests;
 mod configuration;
 mod crashing_fleet;
 mod crashing_prompts;
