Wait for ports that are in use when a daemon starts

Cause: a daemon bound its ports once and ended if one was in use. On a real machine any connection may have one of them: fixed ports can lie in the kernel's range of outgoing ports, and a closed connection keeps its port for a minute. So may a process of before that has not ended yet.

Change: the daemon waits, says so (CF0106), holds none of its ports meanwhile, and is not ready before it has all. Its own outgoing connections, except those to the store, allow their local port to be bound: without that the kernel refuses it while one is open and for a minute after.

Tests in occupied_ports: with a listener or a connection on one of the ports the daemon had ended within 0.6 s; it serves once the port is free. That this is what the users saw is suspected: they kept no logs.

--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -94,7 +94,7 @@
     fleet: &FleetSettings,
     platform: FleetPlatform,
 ) -> Result<(), RunError> {
-    let listeners = Listeners::bind(&settings.listen)?;
+    let listeners = Listeners::bind(&settings.listen).await?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hang_up = signal(SignalKind::hangup())?;
--- a/crates/node/src/fleet/runner_connections.rs
+++ b/crates/node/src/fleet/runner_connections.rs
@@ -17,6 +17,8 @@
     time::{Instant, timeout},
 };
 
+use crate::tcp;
+
 use super::runner_stream::{ReadProgress, RunnerStream};
 
 /// Connect timeout. Data centres of a region are a few milliseconds apart, and
@@ -185,7 +187,7 @@
     address: SocketAddr,
     max_time: Duration,
 ) -> Result<RunnerConnection, SendFailure> {
-    let stream = match timeout(max_time, TcpStream::connect(address)).await {
+    let stream = match timeout(max_time, tcp::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => {
             log::debug!("can't connect to {address}: {e}");
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -20,6 +20,8 @@
     tungstenite::{self, Message, protocol::WebSocketConfig},
 };
 
+use crate::tcp;
+
 use super::{
     mirror::{ChangeSet, MirroredItem, SyncEnd},
     runner_connections::set_socket_options,
@@ -257,7 +259,7 @@
         address: SocketAddr,
         token: u64,
     ) -> Result<Self, SessionError> {
-        let stream = TcpStream::connect(address).await?;
+        let stream = tcp::connect(address).await?;
         set_socket_options(&stream);
         let url = format!("ws://{address}/fleet");
         let (socket, _) = client_async_with_config(url, stream, Some(websocket_config())).await?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,5 +30,6 @@
 mod results;
 pub mod run;
 pub mod settings;
+mod tcp;
 pub mod trace;
 mod upstream;
--- a/crates/node/src/peers/socket.rs
+++ b/crates/node/src/peers/socket.rs
@@ -19,7 +19,7 @@
     },
 };
 
-use crate::settings::Secret;
+use crate::{settings::Secret, tcp};
 
 use super::error::SessionError;
 
@@ -49,7 +49,7 @@
     let value = HeaderValue::from_str(secret.expose()).map_err(|e| invalid(e.to_string()))?;
     req.headers_mut().insert(headers::SECRET, value);
     let open = async {
-        let stream = TcpStream::connect(address).await?;
+        let stream = tcp::connect(address).await?;
         stream.set_nodelay(true)?;
         let (socket, _) = client_async_with_config(req, stream, Some(websocket_config())).await?;
         Ok(socket)
--- a/crates/node/src/results/remote.rs
+++ b/crates/node/src/results/remote.rs
@@ -19,7 +19,7 @@
     tungstenite::{Message, client::IntoClientRequest},
 };
 
-use crate::settings::Secret;
+use crate::{settings::Secret, tcp};
 
 use super::{RecordedHead, RecordedItem};
 
@@ -85,7 +85,7 @@
         let value = secret.expose().parse().ok()?;
         req.headers_mut().insert(headers::SECRET, value);
     }
-    let stream = TcpStream::connect(holder).await.ok()?;
+    let stream = tcp::connect(holder).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let (socket, _) = client_async(req, stream).await.ok()?;
     Some(RemoteReader { socket })
--- a/crates/node/src/run/daemon.rs
+++ b/crates/node/src/run/daemon.rs
@@ -38,7 +38,7 @@
 }
 
 async fn run_on_system(settings: Settings, platform: FleetPlatform) -> Result<(), RunError> {
-    let listeners = Listeners::bind(&settings.listen)?;
+    let listeners = Listeners::bind(&settings.listen).await?;
     let mut signals = StopSignals::new()?;
     let metrics = Arc::new(Metrics::new()?);
     let host = HostId { name: settings.name.clone(), incarnation: incarnation_now() };
--- a/crates/node/src/run/listeners.rs
+++ b/crates/node/src/run/listeners.rs
@@ -1,11 +1,26 @@
 //! Listening sockets of a daemon.
 
-use std::net::{SocketAddr, TcpListener};
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    time::Duration,
+};
 
-use crate::settings::ListenAddresses;
+use tokio::time::sleep;
+
+use crate::{
+    events::{Event, log_event},
+    settings::ListenAddresses,
+};
 
 use super::RunError;
 
+/// Interval of attempts to bind a port that is in use.
+const BIND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Attempts to bind a port between two log lines.
+const ATTEMPTS_PER_LINE: u32 = 100;
+
 /// Listening sockets of a daemon, bound before anything else starts.
 pub(crate) struct Listeners {
     pub(crate) callers: TcpListener,
@@ -16,8 +31,31 @@
 }
 
 impl Listeners {
-    /// Binds all addresses.
-    pub(crate) fn bind(listen: &ListenAddresses) -> Result<Self, RunError> {
+    /// Binds all addresses, and waits while one is in use: the process of before may not
+    /// have ended yet, and a connection of any process of the machine may have a port until
+    /// it closes. None is bound meanwhile, so that callers get no connection that is not
+    /// served.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be bound for another reason.
+    pub(crate) async fn bind(listen: &ListenAddresses) -> Result<Self, RunError> {
+        let mut attempts = 0_u32;
+        loop {
+            match Self::try_bind(listen) {
+                Err(RunError::Listen(address, e)) if e.kind() == io::ErrorKind::AddrInUse => {
+                    if attempts.is_multiple_of(ATTEMPTS_PER_LINE) {
+                        log_event!(Event::AddressInUse, address:% = address);
+                    }
+                }
+                bound => return bound,
+            }
+            attempts = attempts.wrapping_add(1);
+            sleep(BIND_INTERVAL).await;
+        }
+    }
+
+    fn try_bind(listen: &ListenAddresses) -> Result<Self, RunError> {
         Ok(Self {
             callers: bind(listen.callers)?,
             operators: bind(listen.operators)?,
--- a/tests/testsuite/fleet/occupied_ports.rs
+++ b/tests/testsuite/fleet/occupied_ports.rs
@@ -5,13 +5,16 @@
     time::Duration,
 };
 
-use comfreyway_testkit::{daemon::DaemonSettings, fleet_runner::RunnerMode};
+use comfreyway_testkit::{
+    daemon::{DaemonSettings, eventually},
+    fleet_runner::RunnerMode,
+};
 use rstest::rstest;
 use socket2::{Domain, Socket, Type};
 
 use crate::support::Daemon;
 
-use super::harness::{FleetHarness, call};
+use super::harness::{FleetHarness, call, runner_entry};
 
 /// Time in which a host that gives up has ended.
 const START_TIME: Duration = Duration::from_millis(600);
@@ -20,6 +23,7 @@
 #[case::callers(|settings: &DaemonSettings| settings.callers)]
 #[case::peers(|settings: &DaemonSettings| settings.peers)]
 #[case::operators(|settings: &DaemonSettings| settings.operators)]
+#[case::forward(|settings: &DaemonSettings| settings.forward)]
 #[actix_rt::test]
 async fn a_host_whose_port_is_taken_when_it_starts_serves_once_the_port_is_free(
     #[case] port: fn(&DaemonSettings) -> SocketAddr,
@@ -54,3 +58,24 @@
     host.ready().await.unwrap();
     assert_eq!(call(&host, "id-1", "/lookup/").await.status, 200);
 }
+
+#[actix_rt::test]
+async fn a_connection_of_a_host_to_a_runner_keeps_its_port_from_no_listener() {
+    let fleet = FleetHarness::new();
+    let runner = TcpListener::bind("127.0.0.1:0").unwrap();
+    let entry = runner_entry(runner.local_addr().unwrap(), "survey", "ready");
+    fleet.store.put("servers/r1", entry.to_string().as_bytes());
+    let host = fleet.start_host("h1").await;
+    let accepting = std::thread::spawn(move || runner.accept().unwrap());
+    let calling = call(&host, "id-1", "/lookup/count/");
+    let accepted = async {
+        let accepted = || async { accepting.is_finished().then_some(()) };
+        eventually(accepted).await.expect("the host did not connect to the runner");
+        let (stream, port) = accepting.join().unwrap();
+        let bound = TcpListener::bind(port);
+        drop(stream);
+        bound
+    };
+    let (_, bound) = futures_util::join!(calling, accepted);
+    assert!(bound.is_ok(), "{bound:?}");
+}
