--- a/tests/testsuite/fleet/harness.rs
+++ b/tests/testsuite/fleet/harness.rs
@@ -174,7 +174,13 @@
 /// Sends a `/lookup/` request to a host that may be stopping or killed. Returns
 /// `None` if the connection is closed without a response.
 pub(super) async fn try_call(host: &Daemon, id: &str) -> Option<Response> {
-    send(host, id, "/lookup/", &[(KEY, DESK_KEY)], "").await
+    send(host.settings().callers, id, "/lookup/", &[(KEY, DESK_KEY)], "").await
+}
+
+/// Sends a request to the host at this address, which may be down. Returns `None` if there
+/// is no response.
+pub(super) async fn try_call_at(host: SocketAddr, id: &str, path: &str) -> Option<Response> {
+    send(host, id, path, &[(KEY, DESK_KEY)], "").await
 }
 
 /// Sends a request and returns all bytes of the response. The HTTP client of the
@@ -200,18 +206,18 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> Response {
-    send(host, id, path, headers, body).await.expect("the host sent no response")
+    send(host.settings().callers, id, path, headers, body).await.expect("the host sent no response")
 }
 
 async fn send(
-    host: &Daemon,
+    host: SocketAddr,
     id: &str,
     path: &str,
     headers: &[(&str, &str)],
     body: &str,
 ) -> Option<Response> {
     let client = Client::builder().disable_timeout().no_default_headers().finish();
-    let url = format!("http://{}{path}", host.settings().callers);
+    let url = format!("http://{host}{path}");
     let mut req = client.post(url).no_decompress();
     req = req.insert_header(("host", "desk.example")).insert_header((ID, id));
     for (name, value) in headers {
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod repeated_responses;
 mod requests;
 mod responses;
+mod restart_soak;
 mod rollback;
 mod rollouts;
 mod runner_notices;
