Ask other hosts for each upstream by itself

Cause: whether a host reaches runners was known for all upstreams together, and one host's word was enough. Now a host speaks for a runner only if another runner of that upstream has responded to it within a second, two hosts have to say so, and who forwards is remembered by upstream. Tests: core fleet runner_paths; they can't be built on the code before.

--- a/crates/core/src/fleet/runner_paths.rs
+++ b/crates/core/src/fleet/runner_paths.rs
@@ -31,6 +31,9 @@
 /// Time for which no host is asked for a runner that another one can't reach either.
 const NO_PATH_TIME: Duration = Duration::from_millis(2_000);
 
+/// Time for which a response shows that the runners of an upstream can be reached.
+const RECENT_RESPONSE: Duration = Duration::from_millis(1_000);
+
 /// Hosts that are asked for one attempt.
 const MAX_HOSTS_TRIED: usize = 8;
 
@@ -84,10 +87,11 @@
     upstreams: BTreeMap<UpstreamName, BTreeSet<SocketAddr>>,
     /// When a runner of the upstream last accepted a connection or responded.
     responded_at: BTreeMap<UpstreamName, MonoTime>,
-    /// Hosts that could not forward a request, and until when they are not used.
-    paused_hosts: BTreeMap<HostId, MonoTime>,
-    /// The host that forwarded the last request.
-    last_host: Option<HostId>,
+    /// Hosts that could not forward a request to an upstream, and until when they are not
+    /// used for it.
+    paused_hosts: BTreeMap<(UpstreamName, HostId), MonoTime>,
+    /// The host that forwarded the last request to an upstream.
+    last_hosts: BTreeMap<UpstreamName, HostId>,
     requests: usize,
 }
 
@@ -111,7 +115,7 @@
         if self.unreachable.contains_key(&runner) {
             return RunnerPath::ThroughHost;
         }
-        if self.is_cut_off() || self.is_cut_off_from(upstream) {
+        if self.is_cut_off_from(upstream) {
             // Probed like the others, so that the host notices if it is not cut off.
             self.connect_failed(now, upstream, runner);
             if let Some(known) = self.unreachable.get_mut(&runner) {
@@ -129,9 +133,23 @@
         self.unreachable.contains_key(&runner)
     }
 
-    /// Returns true if several runners of the upstream are unreachable, and none has
-    /// responded since the first of them failed.
-    fn is_cut_off_from(&self, upstream: &UpstreamName) -> bool {
+    /// Returns true if this host seems to reach no runner of the upstream: several are
+    /// unreachable and none has responded since the first of them failed, or the same holds
+    /// for all upstreams together.
+    #[must_use]
+    pub fn is_cut_off_from(&self, upstream: &UpstreamName) -> bool {
+        self.is_cut_off() || self.has_lost(upstream)
+    }
+
+    /// Returns true if a runner of the upstream has responded a moment ago.
+    #[must_use]
+    pub fn reaches(&self, now: MonoTime, upstream: &UpstreamName) -> bool {
+        let responded_at = self.responded_at.get(upstream);
+        responded_at.is_some_and(|at| now.since(*at) < RECENT_RESPONSE)
+            && !self.is_cut_off_from(upstream)
+    }
+
+    fn has_lost(&self, upstream: &UpstreamName) -> bool {
         let Some(runners) = self.upstreams.get(upstream) else { return false };
         let failed = runners.iter().filter_map(|runner| self.unreachable.get(runner));
         let first = failed.clone().map(|known| known.since).min();
@@ -139,10 +157,7 @@
         failed.count() >= MIN_UNREACHABLE && responded_at < first
     }
 
-    /// Returns true if several runners are unreachable, and none of any upstream has
-    /// responded since the first of them failed.
-    #[must_use]
-    pub fn is_cut_off(&self) -> bool {
+    fn is_cut_off(&self) -> bool {
         let first = self.unreachable.values().map(|known| known.since).min();
         let responded_at = self.responded_at.values().max().copied();
         self.unreachable.len() >= MIN_UNREACHABLE && responded_at < first
@@ -222,10 +237,12 @@
     }
 
     /// Returns the host that a request should be sent through, of those in `hosts` that
-    /// have not been `tried` for it. Prefers the host that forwarded the last request.
+    /// have not been `tried` for it. Prefers the host that forwarded the last request to
+    /// the upstream.
     pub fn next_host<'a>(
         &mut self,
         now: MonoTime,
+        upstream: &UpstreamName,
         hosts: &'a [HostId],
         tried: &[HostId],
     ) -> Option<&'a HostId> {
@@ -233,33 +250,34 @@
         if tried.len() >= MAX_HOSTS_TRIED {
             return None;
         }
-        let is_usable =
-            |host: &&HostId| !tried.contains(host) && !self.paused_hosts.contains_key(host);
-        let last =
-            hosts.iter().filter(is_usable).find(|host| Some(*host) == self.last_host.as_ref());
-        self.requests = self.requests.wrapping_add(1);
+        let paused = self.paused_hosts.keys().filter(|(of, _)| of == upstream);
+        let paused: BTreeSet<_> = paused.map(|(_, host)| host).collect();
+        let is_usable = |host: &&HostId| !tried.contains(host) && !paused.contains(host);
+        let last_host = self.last_hosts.get(upstream);
+        let last = hosts.iter().filter(is_usable).find(|host| Some(*host) == last_host);
         let usable: Vec<_> = hosts.iter().filter(is_usable).collect();
+        self.requests = self.requests.wrapping_add(1);
         last.or_else(|| usable.get(self.requests % usable.len().max(1)).copied())
     }
 
-    /// Records that a host forwarded a request.
-    pub fn host_forwarded(&mut self, host: &HostId) {
-        if self.last_host.as_ref() != Some(host) {
-            self.last_host = Some(host.clone());
+    /// Records that a host forwarded a request to a runner of the upstream.
+    pub fn host_forwarded(&mut self, upstream: &UpstreamName, host: &HostId) {
+        if self.last_hosts.get(upstream) != Some(host) {
+            self.last_hosts.insert(upstream.clone(), host.clone());
         }
     }
 
-    /// Records that a host forwards no requests now: it is down, cut off too, busy or
-    /// stopping.
-    pub fn host_failed(&mut self, now: MonoTime, host: &HostId) {
-        self.paused_hosts.insert(host.clone(), now + HOST_PAUSE);
-        if self.last_host.as_ref() == Some(host) {
-            self.last_host = None;
+    /// Records that a host forwards no requests to the upstream now: it is down, cut off
+    /// too, busy or stopping.
+    pub fn host_failed(&mut self, now: MonoTime, upstream: &UpstreamName, host: &HostId) {
+        self.paused_hosts.insert((upstream.clone(), host.clone()), now + HOST_PAUSE);
+        if self.last_hosts.get(upstream) == Some(host) {
+            self.last_hosts.remove(upstream);
         }
     }
 
-    /// Records that a host that reaches other runners can't connect to this one: it has
-    /// probably ended.
+    /// Records that several hosts that reach other runners of the upstream can't connect to
+    /// this one: it has probably ended.
     pub fn no_path(&mut self, now: MonoTime, runner: SocketAddr) {
         if let Some(known) = self.unreachable.get_mut(&runner) {
             known.no_path_until = now + NO_PATH_TIME;
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -21,6 +21,7 @@
 mod returns;
 mod rollouts;
 mod runner_fleet;
+mod runner_paths;
 mod scheduler;
 mod shares;
 mod streams;
--- a/crates/core/tests/fleet/runner_fleet/paths.rs
+++ b/crates/core/tests/fleet/runner_fleet/paths.rs
@@ -70,23 +70,31 @@
 
     /// Asks other hosts; none if no host forwards requests.
     fn find_way_through_host(&mut self, host: usize, runner: &RunnerName) -> Option<Way> {
-        let (_, address) = self.address_of(runner)?;
+        let (upstream, address) = self.address_of(runner)?;
+        let mut unreachable = 0;
         let others = (0..self.nodes.len()).filter(|other| *other != host);
         let ids: Vec<HostId> = others.map(|other| self.nodes[other].id.clone()).collect();
         let mut tried = Vec::new();
         let now = at(self.now_ms);
-        while let Some(next) = self.nodes[host].paths.next_host(now, &ids, &tried).cloned() {
+        while let Some(next) =
+            self.nodes[host].paths.next_host(now, &upstream, &ids, &tried).cloned()
+        {
             let other = self.nodes.iter().position(|node| node.id == next).unwrap();
-            let is_cut_off = self.nodes[other].paths.is_cut_off();
+            let is_cut_off = self.nodes[other].paths.is_cut_off_from(&upstream);
             if !self.cut_from_runners.contains_key(&other) && !is_cut_off {
                 if self.is_up(runner) {
-                    self.nodes[host].paths.host_forwarded(&next);
+                    self.nodes[host].paths.host_forwarded(&upstream, &next);
                     return Some(Way::Reaches);
                 }
-                self.nodes[host].paths.no_path(now, address);
-                return Some(Way::Fails);
+                unreachable += 1;
+                if unreachable == 2 {
+                    self.nodes[host].paths.no_path(now, address);
+                    return Some(Way::Fails);
+                }
+                tried.push(next);
+                continue;
             }
-            self.nodes[host].paths.host_failed(now, &next);
+            self.nodes[host].paths.host_failed(now, &upstream, &next);
             tried.push(next);
         }
         None
--- a/crates/node/src/fleet/forward/hop.rs
+++ b/crates/node/src/fleet/forward/hop.rs
@@ -32,9 +32,9 @@
 pub(in crate::fleet) enum Outcome {
     /// The runner's response follows.
     Response,
-    /// Not sent: the other host can't connect to the runner.
+    /// Not sent: the other host can't connect to the runner, but to others of the upstream.
     Unreachable,
-    /// Not sent: the other host reaches no runner itself.
+    /// Not sent: the other host may reach no runner of the upstream itself.
     CutOff,
     /// Not sent: the other host takes no such request now.
     Busy,
--- a/crates/node/src/fleet/forward/server.rs
+++ b/crates/node/src/fleet/forward/server.rs
@@ -179,15 +179,19 @@
     }
 
     /// Fails if this host knows that it can't connect to a runner.
-    fn check_path(&self, runner: SocketAddr) -> Result<(), Outcome> {
-        let paths = self.paths.borrow();
-        if paths.is_cut_off() {
-            return Err(Outcome::CutOff);
-        }
-        if paths.is_unreachable(runner) {
-            return Err(Outcome::Unreachable);
-        }
-        Ok(())
+    fn check_path(&self, upstream: &UpstreamName, runner: SocketAddr) -> Result<(), Outcome> {
+        let is_lost = {
+            let paths = self.paths.borrow();
+            paths.is_cut_off_from(upstream) || paths.is_unreachable(runner)
+        };
+        if is_lost { Err(self.lost_path(upstream)) } else { Ok(()) }
+    }
+
+    /// Returns what a failed connection says of the runner: nothing, if this host reaches no
+    /// other one of the upstream.
+    fn lost_path(&self, upstream: &UpstreamName) -> Outcome {
+        let reaches = self.paths.borrow().reaches(self.host_state.clock.now(), upstream);
+        if reaches { Outcome::Unreachable } else { Outcome::CutOff }
     }
 
     /// Sends a request to the runner.
@@ -206,7 +210,7 @@
         }
         let slot = self.slots.take().ok_or(Outcome::Busy)?;
         let in_progress = self.host_state.start_request();
-        self.check_path(runner)?;
+        self.check_path(upstream, runner)?;
         let max = self.host_state.config().map_or(MAX_BODY_BYTES, |c| c.limits.max_body_bytes);
         let body = timeout(READ_TIMEOUT, read_body(body, max)).await;
         // The whole request is here before its first byte goes to the runner.
@@ -222,8 +226,7 @@
                         reason = failure.as_str()
                     );
                 }
-                self.check_path(runner)?;
-                return Err(Outcome::Unreachable);
+                return Err(self.lost_path(upstream));
             }
         };
         self.paths.borrow_mut().connected(now(), upstream, runner);
--- a/crates/node/src/fleet/forward/tests.rs
+++ b/crates/node/src/fleet/forward/tests.rs
@@ -155,6 +155,12 @@
 async fn a_request_counts_as_not_sent_only_if_the_other_host_says_so() {
     let other = start_host();
     let result = send(&other.host, unused_address()).await;
+    assert!(matches!(result, Err(ForwardFailure::NotSent("cut-off"))));
+    // It reaches another runner of the upstream.
+    let upstream = "survey".parse().unwrap();
+    let connected_at = other.state.clock.now();
+    other.server.paths.borrow_mut().connected(connected_at, &upstream, unused_address());
+    let result = send(&other.host, unused_address()).await;
     assert!(matches!(result, Err(ForwardFailure::Unreachable)));
     let result = send(&forward_host(unused_address()), unused_address()).await;
     assert!(matches!(result, Err(ForwardFailure::NotSent(_))));
--- a/crates/node/src/fleet/proxy/send.rs
+++ b/crates/node/src/fleet/proxy/send.rs
@@ -21,6 +21,12 @@
 
 use super::{admitted::AdmittedRequest, handler::ProxyState};
 
+/// Time after which no other host is asked for the same attempt.
+const MAX_SEARCH_TIME: Duration = Duration::from_millis(1_000);
+
+/// Hosts that reach others but not this runner, from which on it has probably ended.
+const MIN_HOSTS_UNREACHABLE: usize = 2;
+
 /// A response that has begun, and the way that it takes.
 pub(super) struct ReceivedResponse {
     pub(super) res: Response<Incoming>,
@@ -103,10 +109,14 @@
     ) -> Result<Option<ReceivedResponse>, SendFailure> {
         let hosts = self.host_state.forward_hosts();
         let ids: Vec<_> = hosts.iter().map(|host| host.id.clone()).collect();
+        let upstream = &runner.upstream;
+        let started = self.host_state.clock.now();
         let mut tried: Vec<HostId> = Vec::new();
+        let mut unreachable = 0;
         loop {
             let now = self.host_state.clock.now();
-            let next = self.paths.borrow_mut().next_host(now, &ids, &tried).cloned();
+            let next = self.paths.borrow_mut().next_host(now, upstream, &ids, &tried).cloned();
+            let next = next.filter(|_| now.since(started) < MAX_SEARCH_TIME);
             let Some(host) = next.and_then(|id| hosts.iter().find(|host| host.id == id)) else {
                 return Ok(None);
             };
@@ -128,22 +138,26 @@
             );
             match result {
                 Ok((res, connection, is_unframed)) => {
-                    self.paths.borrow_mut().host_forwarded(&host.id);
+                    self.paths.borrow_mut().host_forwarded(upstream, &host.id);
                     let route = ResponseRoute::Forwarded { is_unframed };
                     return Ok(Some(ReceivedResponse { res, connection, route }));
                 }
                 Err(ForwardFailure::Unreachable) => {
                     *is_forwarded = false;
-                    self.paths.borrow_mut().no_path(now, runner.address);
-                    return Err(SendFailure::NotSent(RetryReason::ConnectRefused));
+                    unreachable += 1;
+                    if unreachable == MIN_HOSTS_UNREACHABLE {
+                        self.paths.borrow_mut().no_path(now, runner.address);
+                        return Err(SendFailure::NotSent(RetryReason::ConnectRefused));
+                    }
+                    tried.push(host.id.clone());
                 }
                 Err(ForwardFailure::NotSent(_)) => {
                     *is_forwarded = false;
-                    self.paths.borrow_mut().host_failed(now, &host.id);
+                    self.paths.borrow_mut().host_failed(now, upstream, &host.id);
                     tried.push(host.id.clone());
                 }
                 Err(ForwardFailure::Unknown(cause)) => {
-                    self.paths.borrow_mut().host_failed(now, &host.id);
+                    self.paths.borrow_mut().host_failed(now, upstream, &host.id);
                     return Err(SendFailure::Unknown(cause));
                 }
             }
