Give endless streams in small chunks the time that a busy machine needs

a_stream_without_end_resumes_on_another_runner, chunked_event, failed once in the whole suite beside a build. Its log shows the cause: the time limit of 8 s is reached before an event has the largest size, 210,000 chunks of five bytes, which a debug build reads in 4 s alone. The class has 60 s now; bytes, limits and the check are the same.

--- a/crates/testkit/src/raw_runner.rs
+++ b/crates/testkit/src/raw_runner.rs
@@ -19,6 +19,9 @@
 const SIGNATURE: &str = "x-comfreyway-runner-signature";
 const CONTENT_LENGTH: &str = "content-length";
 
+/// Least number of repeated bytes that are written at once.
+const ENDLESS_BLOCK_BYTES: usize = 4 << 10;
+
 /// What a runner writes after the head of its response.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RawResponse {
@@ -128,8 +131,10 @@
         response.head
     )?;
     stream.write_all(&response.body)?;
-    while !response.endless.is_empty() && !shared.stopped.load(Ordering::Relaxed) {
-        stream.write_all(&response.endless)?;
+    let block =
+        response.endless.repeat(ENDLESS_BLOCK_BYTES.div_ceil(response.endless.len().max(1)));
+    while !block.is_empty() && !shared.stopped.load(Ordering::Relaxed) {
+        stream.write_all(&block)?;
     }
     Ok(())
 }
--- a/tests/testsuite/fleet/endless_responses.rs
+++ b/tests/testsuite/fleet/endless_responses.rs
@@ -3,10 +3,11 @@
 use comfreyway_testkit::{fleet_runner::RunnerMode, raw_runner::RawResponse};
 use futures_util::future::join_all;
 use rstest::rstest;
+use serde_json::{Value, json};
 
 use crate::support::Daemon;
 
-use super::harness::{FleetHarness, call, events};
+use super::harness::{FleetHarness, call, configuration, events};
 
 /// Memory that a host may use, from the users' target.
 const MAX_HOST_MEMORY_KB: u64 = 128 << 10;
@@ -27,6 +28,18 @@
     RawResponse { status: Some(103), ..response("", "", endless) }
 }
 
+/// Time limit in which a busy machine reads an event of the largest size in chunks of a few
+/// bytes.
+const TIME_LIMIT_MS: u64 = 60_000;
+
+fn patient_configuration() -> Value {
+    let mut configuration = configuration(2);
+    for route in configuration["routes"].as_array_mut().unwrap() {
+        route["timeoutMs"] = json!(TIME_LIMIT_MS);
+    }
+    configuration
+}
+
 #[rstest]
 #[case::unframed_event(response("", "id: 1\ndata: e1\n\nid: 2\ndata: ", b"x"))]
 #[case::event_of_many_lines(response("", "id: 1\ndata: e1\n\n", b"data: x\n"))]
@@ -40,6 +53,7 @@
 #[actix_rt::test]
 async fn a_stream_without_end_resumes_on_another_runner(#[case] endless: RawResponse) {
     let fleet = FleetHarness::new();
+    fleet.put_configuration(patient_configuration());
     let first = fleet.start_raw_runner("dala", "e1", endless);
     let host = fleet.start_host("h1").await;
     let _fleet = fleet.with_runner("dala", "e2", RunnerMode::Stream(4));
