Log the use of the retry budget

CF0556 shows what a coordinator has allowed, refused, keeps for waiting retries and has left, each second with retries; it counts from the time when the host began to coordinate, which CF0538 shows.

--- a/crates/core/src/fleet/budget.rs
+++ b/crates/core/src/fleet/budget.rs
@@ -4,6 +4,8 @@
 //! from adding much load. A retry is an arrival at a runner beyond the request's first
 //! one, whether that runner ran it or not.
 
+use std::fmt;
+
 use crate::time::MonoTime;
 
 use super::Share;
@@ -56,6 +58,9 @@
     /// Tokens of retries that have not been sent.
     waiting: f64,
     updated_at: MonoTime,
+    /// Retries that were taken, and those that were refused, since its creation.
+    taken: u64,
+    refused: u64,
 }
 
 impl RetryBudget {
@@ -63,7 +68,7 @@
     /// moment ago.
     #[must_use]
     pub fn new(now: MonoTime, limits: RetryBudgetLimits) -> Self {
-        Self { limits, available: 0.0, waiting: 0.0, updated_at: now }
+        Self { limits, available: 0.0, waiting: 0.0, updated_at: now, taken: 0, refused: 0 }
     }
 
     /// Creates a budget with its slack unspent, for a host that shares it with no other.
@@ -85,10 +90,12 @@
         self.updated_at = now;
         self.add(refill, share);
         if self.available < 1.0 {
+            self.refused += 1;
             return false;
         }
         self.available -= 1.0;
         self.waiting += 1.0;
+        self.taken += 1;
         true
     }
 
@@ -108,8 +115,21 @@
         self.add(1.0, share);
     }
 
+    /// Returns the number of retries that were asked for.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        self.taken + self.refused
+    }
+
     fn add(&mut self, tokens: f64, share: Share) {
         let cap = share.of(self.limits.slack * USED_SLACK_FRACTION) - self.waiting;
         self.available = (self.available + tokens).min(cap.max(0.0));
     }
 }
+
+impl fmt::Display for RetryBudget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { available, waiting, taken, refused, .. } = self;
+        write!(f, "{taken} taken, {refused} refused, {waiting:.0} wait, {available:.1} left")
+    }
+}
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -358,6 +358,12 @@
         self.upstreams.iter().map(|(name, state)| (name, &state.scheduler))
     }
 
+    /// Returns the retry budgets of the upstreams that have used theirs since this host
+    /// began to coordinate.
+    pub fn retry_budgets(&self) -> impl Iterator<Item = (&UpstreamName, &RetryBudget)> {
+        self.upstreams.iter().filter_map(|(name, state)| Some((name, state.budget.as_ref()?)))
+    }
+
     /// Returns the scheduler of one upstream.
     #[must_use]
     pub fn scheduler(&self, upstream: &UpstreamName) -> Option<&UpstreamScheduler> {
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -225,6 +225,9 @@
     /// Load of an upstream, written once a second by its coordinator. Fields:
     /// upstream, load.
     LoadStatus = "CF0551", Info, "load of an upstream";
+    /// Use of an upstream's retry budget, written by its coordinator in each second with
+    /// retries. Fields: upstream, retries.
+    RetryStatus = "CF0556", Info, "retries of an upstream";
     /// The log queue was full. Fields: lines.
     LinesDropped = "CF0601", Warn, "log lines dropped";
     /// A connection could not be accepted. Fields: port, cause.
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -168,6 +168,8 @@
     /// Statuses of rollouts that were read by themselves.
     rollout_tx: UnboundedSender<ReadStatus>,
     logged_share: ShareBasis,
+    /// Retries that were asked for by the last log line on each upstream's budget.
+    logged_retries: BTreeMap<UpstreamName, u64>,
     first_feed: FirstFeed,
     /// True while the store has an older configuration than the one in force.
     stored_config_is_older: bool,
@@ -230,6 +232,7 @@
             was_mixed: None,
             rollout_items: AllRolloutItems::new(),
             logged_share: ShareBasis::default(),
+            logged_retries: BTreeMap::new(),
             first_feed: FirstFeed::Started,
             stored_config_is_older: false,
             feed: None,
@@ -287,6 +290,12 @@
             for (upstream, scheduler) in control.coordinator.schedulers() {
                 log_event!(Event::LoadStatus, upstream:% = upstream, load:% = scheduler);
             }
+            for (upstream, budget) in control.coordinator.retry_budgets() {
+                let logged = control.logged_retries.insert(upstream.clone(), budget.requests());
+                if logged.unwrap_or_default() != budget.requests() {
+                    log_event!(Event::RetryStatus, upstream:% = upstream, retries:% = budget);
+                }
+            }
         });
     }
 }
