Wait for addresses that a machine does not have yet

The same class as ports that are in use: a machine that has just started may get its addresses after its daemon starts, which ended then. It waits and says why (CF0106). Test a_host_waits_for_an_address_that_its_machine_does_not_have_yet; before, the daemon ended at once, as occupied_ports showed for ports.

--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -53,8 +53,9 @@
     StopAborted = "CF0104", Warn, "planned stop aborted requests in progress";
     /// The settings file changed while the process was running.
     SettingsChanged = "CF0105", Info, "settings changed; they take effect at the next start";
-    /// An address of the settings is in use; the process waits for it. Fields: address.
-    AddressInUse = "CF0106", Warn, "address in use, waiting until it is free";
+    /// An address of the settings is in use or the machine does not have it; the process
+    /// waits for it. Fields: address, cause.
+    AddressUnavailable = "CF0106", Warn, "address can't be bound yet, waiting for it";
     /// A request was refused. Fields: id, reason.
     RequestNotRun = "CF0201", Debug, "request not run";
     /// The outcome of a request is unknown. Fields: id, reason.
--- a/crates/node/src/run/listeners.rs
+++ b/crates/node/src/run/listeners.rs
@@ -15,10 +15,10 @@
 
 use super::RunError;
 
-/// Interval of attempts to bind a port that is in use.
+/// Interval of attempts to bind the addresses.
 const BIND_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Attempts to bind a port between two log lines.
+/// Attempts between two log lines.
 const ATTEMPTS_PER_LINE: u32 = 100;
 
 /// Listening sockets of a daemon, bound before anything else starts.
@@ -31,9 +31,9 @@
 }
 
 impl Listeners {
-    /// Binds all addresses, and waits while one is in use: the process of before may not
-    /// have ended yet, and a connection of any process of the machine may have a port until
-    /// it closes. None is bound meanwhile, so that callers get no connection that is not
+    /// Binds all addresses, and waits while one can't be had: the process of before may not
+    /// have ended yet, a connection of any process of the machine may have a port until it
+    /// closes, and a machine that starts may not have its addresses yet. None is bound meanwhile, so that callers get no connection that is not
     /// served.
     ///
     /// # Errors
@@ -43,9 +43,9 @@
         let mut attempts = 0_u32;
         loop {
             match Self::try_bind(listen) {
-                Err(RunError::Listen(address, e)) if e.kind() == io::ErrorKind::AddrInUse => {
+                Err(RunError::Listen(address, e)) if may_pass(&e) => {
                     if attempts.is_multiple_of(ATTEMPTS_PER_LINE) {
-                        log_event!(Event::AddressInUse, address:% = address);
+                        log_event!(Event::AddressUnavailable, address:% = address, cause:% = e);
                     }
                 }
                 bound => return bound,
@@ -65,6 +65,11 @@
     }
 }
 
+/// Returns true if an address may be free later.
+fn may_pass(e: &io::Error) -> bool {
+    matches!(e.kind(), io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable)
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
     TcpListener::bind(address).map_err(|e| RunError::Listen(address, e))
 }
--- a/tests/testsuite/fleet/occupied_ports.rs
+++ b/tests/testsuite/fleet/occupied_ports.rs
@@ -59,6 +59,19 @@
     assert_eq!(call(&host, "id-1", "/lookup/").await.status, 200);
 }
 
+/// A machine that has just started may get its addresses later.
+#[actix_rt::test]
+async fn a_host_waits_for_an_address_that_its_machine_does_not_have_yet() {
+    let fleet = FleetHarness::new();
+    let mut settings = fleet.settings("h1");
+    // Reserved for documentation, so no machine has it.
+    settings.peers.set_ip([192, 0, 2, 1].into());
+    let mut host = Daemon::start(settings);
+    let waits = || async { host.log().contains("CF0106").then_some(()) };
+    eventually(waits).await.expect("the host does not wait");
+    assert!(!host.has_exited() && !host.is_ready().await);
+}
+
 #[actix_rt::test]
 async fn a_connection_of_a_host_to_a_runner_keeps_its_port_from_no_listener() {
     let fleet = FleetHarness::new();
