--- a/crates/node/src/fleet/forward/server.rs
+++ b/crates/node/src/fleet/forward/server.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     convert::Infallible,
     net::SocketAddr,
+    pin::Pin,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -11,7 +12,7 @@
 
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{fleet::RunnerPaths, ids::UpstreamName};
-use futures_util::stream;
+use futures_util::{Stream, stream};
 use http_body_util::{BodyExt, Either, Empty, Full, StreamBody};
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -90,8 +91,7 @@
     pub(in crate::fleet) metrics: FleetMetrics,
 }
 
-type FrameStream =
-    std::pin::Pin<Box<dyn futures_util::Stream<Item = Result<Frame<Bytes>, hyper::Error>>>>;
+type FrameStream = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, hyper::Error>>>>;
 type ForwardBody = Either<Empty<Bytes>, StreamBody<FrameStream>>;
 
 /// What is kept until the response has been forwarded.
--- a/crates/node/src/fleet/proxy/send.rs
+++ b/crates/node/src/fleet/proxy/send.rs
@@ -1,6 +1,6 @@
 //! Sends one request to a runner, itself or through another host.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use comfreyway_core::{
     fleet::{RunnerEntry, RunnerPath},
@@ -121,8 +121,7 @@
                 return Ok(None);
             };
             *is_forwarded = true;
-            let sending = send_through(host, runner, request.request_to(runner, after));
-            let result = sending.await;
+            let result = send_through(host, runner, request.request_to(runner, after)).await;
             let outcome = match &result {
                 Ok(_) => "response",
                 Err(ForwardFailure::Unreachable) => "unreachable",
@@ -165,7 +164,7 @@
     }
 
     /// Attempts connections to the runners that can't be reached, when they are due.
-    pub(super) fn probe_runners(self: &std::rc::Rc<Self>) {
+    pub(super) fn probe_runners(self: &Rc<Self>) {
         let due = self.paths.borrow_mut().due_probes(self.host_state.clock.now());
         for (upstream, address) in due {
             let proxy = self.clone();
