Keep a daemon that waits for its ports when a reload signal comes

A daemon installed its handlers after it had bound its ports, so a SIGHUP that came before ended it, and since it waits for ports that time can be long. The platform sends SIGHUP when settings change, also at a start. The handler comes first now; a stop signal still ends a daemon that waits.

--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -94,10 +94,11 @@
     fleet: &FleetSettings,
     platform: FleetPlatform,
 ) -> Result<(), RunError> {
+    // Without a handler a reload signal ends the process, which may wait for its addresses.
+    let hang_up = signal(SignalKind::hangup())?;
     let listeners = Listeners::bind(&settings.listen).await?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let hang_up = signal(SignalKind::hangup())?;
     let metrics = Arc::new(Metrics::new()?);
     let host_state = Arc::new(HostState::new(Clock::new()));
     let me = Member {
--- a/tests/testsuite/fleet/occupied_ports.rs
+++ b/tests/testsuite/fleet/occupied_ports.rs
@@ -6,7 +6,7 @@
 };
 
 use comfreyway_testkit::{
-    daemon::{DaemonSettings, eventually},
+    daemon::{DaemonSettings, Signal, eventually},
     fleet_runner::RunnerMode,
 };
 use rstest::rstest;
@@ -59,6 +59,20 @@
     assert_eq!(call(&host, "id-1", "/lookup/").await.status, 200);
 }
 
+#[actix_rt::test]
+async fn a_host_that_waits_for_its_port_is_not_ended_by_a_reload_signal() {
+    let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
+    let settings = fleet.settings("h1");
+    let former = TcpListener::bind(settings.callers).unwrap();
+    let mut host = Daemon::start(settings);
+    let waits = || async { host.log().contains("CF0106").then_some(()) };
+    eventually(waits).await.expect("the host does not wait");
+    host.signal(Signal::Hangup).unwrap();
+    drop(former);
+    host.ready().await.unwrap();
+    assert_eq!(call(&host, "id-1", "/lookup/").await.status, 200);
+}
+
 /// A machine that has just started may get its addresses later.
 #[actix_rt::test]
 async fn a_host_waits_for_an_address_that_its_machine_does_not_have_yet() {
