Let the callers of a test of prompts send bodies of their own

prompts_with_a_part_that_crashes_runners_stop_reaching_them failed once, in the whole suite beside a build: 0 of 128 sound requests served, all refused as request-quarantined. Its log shows the cause: all callers, sound and crashing, sent the same body, so the host took them for one request, and quarantined it where three crashes came before the first complete response. The test means prompts of which no two are alike, as its comment says; they have bodies of their own now, and only the part is common. Its bounds are unchanged.

--- a/tests/testsuite/fleet/crashing_prompts.rs
+++ b/tests/testsuite/fleet/crashing_prompts.rs
@@ -47,7 +47,7 @@
         let parts = format!("a1:60,b{}:300,{second}:200,{number:x}:90", number % 2);
         let (id, sent_at) = (format!("{name}-{number}"), Instant::now());
         let headers = [(KEY, DESK_KEY), (PARTS, &*parts)];
-        let response = call_with(&host, &id, "/report/", &headers, "question").await;
+        let response = call_with(&host, &id, "/report/", &headers, &id).await;
         let served = response.status == 200 && response.body == Some(events(EVENTS));
         if let Some(calls) = &calls {
             calls.borrow_mut().push(SoundCall { sent_at, served });
