--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -160,13 +160,19 @@
 pub fn start(dir: &str, names: &[&str], store: &Store) -> io::Result<Vec<Host>> {
     let hosts = names.iter().map(|name| Host::start(dir, name, store));
     let hosts = hosts.collect::<io::Result<Vec<_>>>()?;
-    for host in &hosts {
+    wait_ready(&hosts)?;
+    Ok(hosts)
+}
+
+/// Waits until hosts are ready and have agreed on a coordinator.
+pub fn wait_ready(hosts: &[Host]) -> io::Result<()> {
+    for host in hosts {
         if !host.wait_ready(Duration::from_secs(15)) {
             return Err(io::Error::other(format!("{} did not become ready", host.name)));
         }
     }
     std::thread::sleep(Duration::from_secs(2));
-    Ok(hosts)
+    Ok(())
 }
 
 /// One route of the configuration.
@@ -216,11 +222,34 @@
     )
 }
 
+/// A second key of the tenant, which the operator takes away.
+pub mod revoked {
+    pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
+
+    /// Adds the key to a configuration.
+    pub fn configuration_with_key(configuration: &str) -> String {
+        let key = super::KEY;
+        configuration.replace(&format!(r#""{key}""#), &format!(r#""{key}","{KEY}""#))
+    }
+}
+
 /// Returns the head of a client's request.
 pub fn request_head(method: &str, path: &str, id: &str, deadline_ms: u32, more: &str) -> String {
+    request_head_with_key(method, path, id, deadline_ms, KEY, more)
+}
+
+/// Returns the head of a request with this key.
+pub fn request_head_with_key(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u32,
+    key: &str,
+    more: &str,
+) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Comfreyway-Request-Id: {id}\r\n\
-         X-Comfreyway-Request-Deadline-Ms: {deadline_ms}\r\nX-Api-Key: {KEY}\r\n{more}"
+         X-Comfreyway-Request-Deadline-Ms: {deadline_ms}\r\nX-Api-Key: {key}\r\n{more}"
     )
 }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,8 @@
 //! `DIR/record.txt`. The environment variable TROUBLE=0 leaves out its disruption. Exits
 //! with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod declared_length;
+mod drill;
 mod fleet;
 mod http;
 mod json;
@@ -36,6 +38,8 @@
     let case = Case { record: Arc::new(record), trouble, dir: dir.to_string_lossy().into_owned() };
     case.record.line(&format!("case {name}, disruption: {}", if trouble { "yes" } else { "no" }));
     let result = match name {
+        "declared-length" => declared_length::play(&case),
+        "drill" => drill::play(&case),
         "reborn" => reborn::play(&case),
         "slow-reader" => slow_reader::play(&case),
         _ => Err(io::Error::other("no such case")),
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -1,4 +1,5 @@
-//! Stand-in of the platform's store, as PROTOCOL.md describes it. It has no faults.
+//! Stand-in of the platform's store, as PROTOCOL.md describes it. Its only fault is the drill
+//! of NEWS.md: it is away for a moment and comes back from an older copy.
 
 use std::{
     collections::BTreeMap,
@@ -24,14 +25,16 @@
     lease: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lease {
     ttl: Duration,
     ends: Instant,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
+    era: u64,
+    is_away: bool,
     revision: u64,
     items: BTreeMap<String, Item>,
     log: Vec<(u64, String, Option<Item>)>,
@@ -64,6 +67,9 @@
     }
 }
 
+/// A copy of the store.
+pub struct Copy(State);
+
 /// A running store.
 #[derive(Clone)]
 pub struct Store {
@@ -73,7 +79,7 @@
 
 impl Store {
     pub fn start() -> io::Result<Self> {
-        let state = State { revision: 100, ..State::default() };
+        let state = State { revision: 100, era: 1, ..State::default() };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let of_server = shared.clone();
         let address = serve(move |req, stream| handle(&of_server, req, stream))?;
@@ -101,6 +107,28 @@
         self.shared.1.notify_all();
     }
 
+    /// Copies the store.
+    pub fn copy(&self) -> Copy {
+        Copy(self.shared.0.lock().unwrap().clone())
+    }
+
+    /// Goes away: every call fails without an effect.
+    pub fn go_away(&self) {
+        self.shared.0.lock().unwrap().is_away = true;
+        self.shared.1.notify_all();
+    }
+
+    /// Comes back from a copy. Its leases run from now on.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.shared.0.lock().unwrap();
+        let era = state.era + 1;
+        *state = State { era, is_away: false, ..copy.0 };
+        for lease in state.leases.values_mut() {
+            lease.ends = Instant::now() + lease.ttl;
+        }
+        self.shared.1.notify_all();
+    }
+
     /// Removes a key.
     pub fn delete(&self, key: &str) {
         let mut state = self.shared.0.lock().unwrap();
@@ -127,8 +155,9 @@
     )
 }
 
-fn reply(stream: &mut TcpStream, status: &str, body: &str) -> io::Result<bool> {
-    let headers = [("content-type", "application/json"), ("store-era", "1")];
+fn reply(stream: &mut TcpStream, status: &str, era: u64, body: &str) -> io::Result<bool> {
+    let era = era.to_string();
+    let headers = [("content-type", "application/json"), ("store-era", era.as_str())];
     respond(stream, status, &headers, body.as_bytes())
 }
 
@@ -140,6 +169,10 @@
     let (lock, changed) = shared;
     let path = req.path();
     let mut state = lock.lock().unwrap();
+    if state.is_away {
+        return Ok(false);
+    }
+    let era = state.era;
     let (status, body) = match (req.method.as_str(), path) {
         ("GET", "/kv-key") => {
             let key = req.query("key");
@@ -164,6 +197,12 @@
             let wait = Duration::from_millis(req.query("waitMs").parse().unwrap_or(0));
             let until = Instant::now() + wait;
             loop {
+                if state.is_away || state.era != era {
+                    return Ok(false);
+                }
+                if after > state.revision {
+                    break ("410 Gone", "{}".to_owned());
+                }
                 let new = state
                     .log
                     .iter()
@@ -240,5 +279,5 @@
         _ => ("404 Not Found", "{}".to_owned()),
     };
     drop(state);
-    reply(stream, status, &body)
+    reply(stream, status, era, &body)
 }
