--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod reborn;
 mod slow_reader;
 mod store;
+mod waiting;
 
 use std::{env, fs, io, path::Path, process, sync::Arc};
 
@@ -42,6 +43,7 @@
         "drill" => drill::play(&case),
         "reborn" => reborn::play(&case),
         "slow-reader" => slow_reader::play(&case),
+        "waiting" => waiting::play(&case),
         _ => Err(io::Error::other("no such case")),
     };
     case.record.line(match &result {
