--- a/review/standin/waiting.rs
+++ b/review/standin/waiting.rs
@@ -25,9 +25,9 @@
 
 /// Requests that wait, and when they are sent: the platform takes a machine out after two
 /// misses, and asks once a second.
-const WAITING: usize = 60;
+const WAITING: usize = 100;
 const SENT_AFTER: Duration = Duration::from_millis(300);
-const SEND_STEP: Duration = Duration::from_millis(25);
+const SEND_STEP: Duration = Duration::from_millis(14);
 const GRACE: Duration = Duration::from_secs(8);
 /// Bound `lossSlackMs`.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
@@ -116,28 +116,41 @@
     }
     thread::sleep(Duration::from_millis(500));
 
-    let stopped_at = Instant::now();
-    if case.trouble {
-        hosts[0].signal(SIGTERM);
-        record.line(&format!("SIGTERM to {}", hosts[0].name));
-    }
-    thread::sleep(SENT_AFTER);
-    let mut waiting = Vec::new();
-    for number in 0..WAITING {
-        let (host, id) = (hosts[0].callers, format!("9c41d07be2a3{number:04x}"));
-        waiting.push(thread::spawn(move || ask(host, id)));
-        thread::sleep(SEND_STEP);
-    }
-    record.line(&format!("{WAITING} requests sent to {}", hosts[0].name));
-    while case.trouble && !hosts[0].has_exited() && stopped_at.elapsed() < GRACE {
-        thread::sleep(Duration::from_millis(5));
+    // Two of the machines are stopped in turn.
+    let mut rounds = Vec::new();
+    for host in [0, 2] {
+        let host = &hosts[host];
+        let stopped_at = Instant::now();
+        if case.trouble {
+            host.signal(SIGTERM);
+            record.line(&format!("SIGTERM to {}", host.name));
+        }
+        thread::sleep(SENT_AFTER);
+        record.line(&format!("{WAITING} requests are sent to {}", host.name));
+        let mut clients = Vec::new();
+        for number in 0..WAITING {
+            let (address, id) =
+                (host.callers, format!("9c41d07be2a3{:04x}", rounds.len() * WAITING + number));
+            clients.push(thread::spawn(move || ask(address, id)));
+            thread::sleep(SEND_STEP);
+        }
+        rounds.push((stopped_at, clients));
     }
-    if case.trouble {
-        let after = stopped_at.elapsed().as_secs_f64();
-        record.line(&format!("the process of {} ended {after:.3} s after SIGTERM", hosts[0].name));
+    for (number, host) in [0, 2].into_iter().enumerate() {
+        let host = &mut hosts[host];
+        let stopped_at = rounds[number].0;
+        while case.trouble && !host.has_exited() && stopped_at.elapsed() < GRACE {
+            thread::sleep(Duration::from_millis(5));
+        }
+        if case.trouble {
+            let after = stopped_at.elapsed().as_secs_f64();
+            record.line(&format!("the process of {} ended {after:.3} s after SIGTERM", host.name));
+        }
     }
     let mut lost = 0;
-    for client in waiting {
+    for (stopped_at, client) in
+        rounds.into_iter().flat_map(|(at, clients)| clients.into_iter().map(move |c| (at, c)))
+    {
         let Answer { id, status, sent_at, ended_at } =
             client.join().map_err(|_| io::Error::other("a client failed"))??;
         let after = ended_at.duration_since(sent_at);
@@ -156,6 +169,7 @@
         let status = answer.status.unwrap_or_else(|| "no answer".to_owned());
         record.line(&format!("request {} at another machine: {status}", answer.id));
     }
-    record.line(&format!("{lost} of {WAITING} requests were read and ended without an answer"));
+    record
+        .line(&format!("{lost} of {} requests were read and ended without an answer", 2 * WAITING));
     Ok(if lost > 0 { Verdict::Broken } else { Verdict::Held })
 }
