--- a/review/standin/drill.rs
+++ b/review/standin/drill.rs
@@ -1,4 +1,5 @@
-//! After a drill of the store, the host that schedules is killed and starts again.
+//! A drill of the store, after a key was taken away. Then the host that schedules is killed
+//! and starts again, or the operator writes again what it wrote.
 
 use std::{
     io::{self, Read, Write},
@@ -33,9 +34,20 @@
 const KILL_AFTER: Duration = Duration::from_millis(1_000);
 const RESTART_AFTER: Duration = Duration::from_millis(300);
 const REWRITE_AFTER: Duration = Duration::from_millis(2_500);
-const END_AFTER: Duration = Duration::from_millis(4_000);
+/// Time between two versions of the configuration, whenever they are written.
+const VERSION_STEP: Duration = Duration::from_millis(1_000);
+const END_AFTER: Duration = Duration::from_millis(1_500);
 const ASK_STEP: Duration = Duration::from_millis(100);
 
+/// What happens besides the drill.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Story {
+    /// The host that schedules is killed. The operator writes its newest version again.
+    Killed,
+    /// The operator writes the two versions that were lost again, in their order.
+    Rewritten,
+}
+
 fn start_runner(runs: Arc<Mutex<Vec<String>>>, record: Arc<Record>) -> io::Result<SocketAddr> {
     serve(move |req: &Request, stream: &mut TcpStream| {
         let id = req.header("x-comfreyway-request-id").unwrap_or_default().to_owned();
@@ -99,7 +111,7 @@
     }
 }
 
-pub fn play(case: &Case) -> io::Result<Verdict> {
+pub fn play(case: &Case, story: Story) -> io::Result<Verdict> {
     let record = case.record.clone();
     let store = Store::start()?;
     let routes = [Route {
@@ -132,9 +144,22 @@
     }
     let copy = store.copy();
     thread::sleep(Duration::from_millis(500));
-    store.put("op/config", &configuration(9, &routes));
+    // Another change, which leaves the key.
+    let put_8 = || {
+        let text = configuration(8, &routes);
+        store.put("op/config", &revoked::configuration_with_key(&text));
+        record.line("the operator writes version 8, which is acknowledged");
+    };
+    let put_9 = || {
+        store.put("op/config", &configuration(9, &routes));
+        record.line("the operator writes version 9, which is acknowledged: it has a key no more");
+    };
+    if story == Story::Rewritten {
+        put_8();
+        thread::sleep(VERSION_STEP);
+    }
+    put_9();
     let revoked_at = Instant::now();
-    record.line("version 9 is acknowledged: it takes a key away");
     thread::sleep(DRILL_AFTER);
     let mut asker = Asker { record: &record, revoked_at, sent: Vec::new() };
     asker.ask_all(&hosts);
@@ -144,11 +169,11 @@
         record.line("drill: the store is away");
         thread::sleep(AWAY);
         store.come_back(copy);
-        record.line("drill: the store is back, from a copy that lacks version 9");
+        record.line("drill: the store is back, from a copy that has version 7");
     }
     let back_at = Instant::now();
     asker.ask_until(back_at + KILL_AFTER, &hosts);
-    if case.trouble {
+    if case.trouble && story == Story::Killed {
         hosts[0].kill();
         record.line(&format!("the process of {} is killed", hosts[0].name));
         thread::sleep(RESTART_AFTER);
@@ -157,10 +182,13 @@
     }
     asker.ask_until(back_at + REWRITE_AFTER, &hosts);
     if case.trouble {
-        store.put("op/config", &configuration(9, &routes));
-        record.line("the operator has written version 9 again");
+        if story == Story::Rewritten {
+            put_8();
+            asker.ask_until(Instant::now() + VERSION_STEP, &hosts);
+        }
+        put_9();
     }
-    asker.ask_until(back_at + END_AFTER, &hosts);
+    asker.ask_until(Instant::now() + END_AFTER, &hosts);
 
     let runs = runs.lock().unwrap();
     let late = asker.sent.iter().filter(|(_, sent_at)| *sent_at > revoked_at + REVOKE);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -40,7 +40,8 @@
     case.record.line(&format!("case {name}, disruption: {}", if trouble { "yes" } else { "no" }));
     let result = match name {
         "declared-length" => declared_length::play(&case),
-        "drill" => drill::play(&case),
+        "drill-killed" => drill::play(&case, drill::Story::Killed),
+        "drill-rewritten" => drill::play(&case, drill::Story::Rewritten),
         "reborn" => reborn::play(&case),
         "slow-reader" => slow_reader::play(&case),
         "waiting" => waiting::play(&case),
