--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod reborn;
+mod shorter_limit;
 mod slow_reader;
 mod store;
 mod waiting;
@@ -43,6 +44,7 @@
         "drill-killed" => drill::play(&case, drill::Story::Killed),
         "drill-rewritten" => drill::play(&case, drill::Story::Rewritten),
         "reborn" => reborn::play(&case),
+        "shorter-limit" => shorter_limit::play(&case),
         "slow-reader" => slow_reader::play(&case),
         "waiting" => waiting::play(&case),
         _ => Err(io::Error::other("no such case")),
