--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -16,7 +16,6 @@
 const DAEMON: &str = "target/release/comfreywayd";
 
 pub const SIGTERM: i32 = 15;
-pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
 
 unsafe extern "C" {
@@ -140,10 +139,6 @@
     pub fn has_exited(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
-
-    pub fn log_text(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Host {
--- a/review/standin/shorter_limit.rs
+++ b/review/standin/shorter_limit.rs
@@ -28,6 +28,8 @@
 const STEP: Duration = Duration::from_millis(100);
 const CLIENTS: usize = 16;
 const DEADLINE_MS: u32 = 15_000;
+/// What is left of it, at least, when a stream is taken up.
+const LEFT_MS: u32 = 8_000;
 /// Time-out of the route in the new configuration.
 const SHORTER_MS: u32 = 2_000;
 
@@ -82,14 +84,19 @@
 }
 
 /// Reads one try's answer. Returns its status, its text, and whether it is complete.
-fn try_once(host: SocketAddr, id: &str, more: &str) -> io::Result<(String, String, bool)> {
+fn try_once(
+    host: SocketAddr,
+    id: &str,
+    deadline_ms: u32,
+    more: &str,
+) -> io::Result<(String, String, bool)> {
     let mut stream = TcpStream::connect(host)?;
-    stream.set_read_timeout(Some(Duration::from_millis(u64::from(DEADLINE_MS))))?;
+    stream.set_read_timeout(Some(Duration::from_millis(u64::from(deadline_ms))))?;
     let more = format!(
         "{more}X-Comfreyway-Model: m\r\nX-Comfreyway-Token-Usage: 100,300\r\n\
          X-Comfreyway-Prompt-Prefix: 5c1e07a2:60,91bd3f06:40\r\nContent-Length: 4\r\n\r\nbody"
     );
-    stream.write_all(request_head("POST", "/report/2f", id, DEADLINE_MS, &more).as_bytes())?;
+    stream.write_all(request_head("POST", "/report/2f", id, deadline_ms, &more).as_bytes())?;
     let (mut bytes, mut buf) = (Vec::new(), [0; 4 << 10]);
     while !bytes.ends_with(b"\r\n0\r\n\r\n") {
         match stream.read(&mut buf) {
@@ -106,7 +113,7 @@
 /// Reads a stream. If it breaks off, takes it up again once at the next host.
 fn read_stream(hosts: [SocketAddr; 2], client: usize, record: &Record) -> io::Result<String> {
     let first = format!("9c41d07be2a3{client:04x}");
-    let (_, mut text, is_whole) = try_once(hosts[0], &first, "")?;
+    let (_, mut text, is_whole) = try_once(hosts[0], &first, DEADLINE_MS, "")?;
     let last = text.rmatch_indices("\nid: ").find_map(|(at, _)| {
         let event = &text[at..];
         // Only a whole event counts.
@@ -115,7 +122,7 @@
     if let Some(last) = last.filter(|_| !is_whole) {
         let second = format!("9c41d07be2a4{client:04x}");
         let more = format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n");
-        let (status, rest, is_whole) = try_once(hosts[1], &second, &more)?;
+        let (status, rest, is_whole) = try_once(hosts[1], &second, LEFT_MS, &more)?;
         record.line(&format!(
             "{first} broke off after event {last}; taken up as {second}: {status}, complete: {is_whole}"
         ));
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -136,12 +136,6 @@
         state.delete(key);
         self.shared.1.notify_all();
     }
-
-    /// Returns the number of keys with this prefix.
-    pub fn count(&self, prefix: &str) -> usize {
-        let state = self.shared.0.lock().unwrap();
-        state.items.keys().filter(|key| key.starts_with(prefix)).count()
-    }
 }
 
 fn item_text(key: &str, item: &Item) -> String {
