--- a/crates/core/src/fleet/client.rs
+++ b/crates/core/src/fleet/client.rs
@@ -124,6 +124,7 @@
             upstream: req.upstream.clone(),
             version: stream.version.clone(),
             age: Duration::ZERO,
+            retention: stream.retention,
         })
     }
 
--- a/crates/core/src/fleet/coordinator.rs
+++ b/crates/core/src/fleet/coordinator.rs
@@ -15,7 +15,8 @@
 use super::{
     FleetConfig, FleetHosts, PlacementReply, PlacementRequest, Quarantine, Quota, QuotaTolerance,
     Quotas, RequestUpdate, RetryBudget, RetryBudgetLimits, RolloutLimits, RunnerKey, RunnerLimits,
-    ShareBasis, StreamRecord, StreamVersions, Suspect, UpstreamScheduler, VersionHistory,
+    ShareBasis, StreamRecord, StreamRetention, StreamVersions, Suspect, UpstreamScheduler,
+    VersionHistory,
 };
 
 mod decisions;
@@ -32,7 +33,7 @@
 
 use self::{
     requests::{HostRequest, Retry},
-    streams::{TakeUp, stream_memory},
+    streams::{TakeUp, configured_retention},
 };
 
 #[derive(Clone, Debug)]
@@ -75,6 +76,8 @@
     streams: StreamVersions,
     /// Versions of the streams that the store has. Other hosts read them there.
     stored_streams: StreamVersions,
+    /// For how long streams and versions are remembered.
+    retention: StreamRetention,
     /// Streams recorded while several versions serve, for the hosts that keep copies.
     new_streams: Vec<StreamRecord>,
     /// Requests that wait until the version of their stream is known.
@@ -110,6 +113,7 @@
             basis: ShareBasis { clients: 0, known: 1, absent: 0 },
             streams: StreamVersions::default(),
             stored_streams: StreamVersions::default(),
+            retention: StreamRetention::default(),
             new_streams: Vec::new(),
             take_ups: BTreeMap::new(),
             verified_at: MonoTime::ZERO,
@@ -130,16 +134,14 @@
         self
     }
 
-    /// Applies a configuration.
-    pub fn set_config(&mut self, config: Arc<FleetConfig>) {
+    /// Applies a configuration. What began under the former one keeps its retention.
+    pub fn set_config(&mut self, now: MonoTime, config: Arc<FleetConfig>) {
         for (name, state) in &mut self.upstreams {
             state.scheduler.set_engine(is_engine(&config, name));
             state.scheduler.set_weights(config.weights());
             state.scheduler.set_prompt_memory(prompt_memory(&config, name));
-            state.history.set_memory(stream_memory(&config));
         }
-        self.streams.set_memory(stream_memory(&config));
-        self.stored_streams.set_memory(stream_memory(&config));
+        self.retention.set_configured(now, configured_retention(&config));
         self.config = Some(config);
     }
 
@@ -279,6 +281,9 @@
                 let PlacementRequest { record, upstream, cost, time_limit, stream, .. } = *req;
                 let (id, time_left) = (record.id, time_limit.saturating_sub(record.age));
                 self.record_open(host, &upstream, &record, cost, true);
+                if let Some(stream) = &stream {
+                    self.retention.request_submitted(now, stream.retention);
+                }
                 let scheduler = &mut self.upstream_state(&upstream).scheduler;
                 scheduler.adopt(now, record, time_left, runner.clone());
                 if let Some(stream) = stream.as_ref().filter(|stream| !stream.begins) {
@@ -392,14 +397,13 @@
         let engine = self.config.as_ref().is_some_and(|config| is_engine(config, upstream));
         let config = self.config.as_deref();
         let prompt_memory = config.and_then(|config| prompt_memory(config, upstream));
-        let memory = config.map(stream_memory).unwrap_or_default();
         self.upstreams.entry(upstream.clone()).or_insert_with(|| UpstreamState {
             scheduler: UpstreamScheduler::new(engine)
                 .with_weights(config.map(FleetConfig::weights).unwrap_or_default())
                 .with_prompt_memory(prompt_memory),
             budget: None,
             runners: BTreeMap::new(),
-            history: VersionHistory::new(memory),
+            history: VersionHistory::default(),
         })
     }
 
--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -66,6 +66,7 @@
             upstream: self.upstream.clone(),
             version: stream.version.clone(),
             age: Duration::ZERO,
+            retention: stream.retention,
         })
     }
 }
--- a/crates/core/src/fleet/coordinator/runners.rs
+++ b/crates/core/src/fleet/coordinator/runners.rs
@@ -19,6 +19,7 @@
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
         let mut upstreams = BTreeSet::new();
+        let keep_until = self.retention.keep_until(now);
         for change in changes {
             let entry = change.entry();
             let name = entry.key.name.clone();
@@ -27,7 +28,7 @@
             let state = self.upstream_state(&entry.upstream);
             if let RunnerChange::Removed(_) = change {
                 state.runners.remove(&name);
-                state.history.runner_removed(now, &name);
+                state.history.runner_removed(now, &name, keep_until);
                 state.scheduler.remove_runner(&name);
             } else {
                 let known = KnownRunner {
@@ -42,7 +43,8 @@
                 if started_again {
                     state.scheduler.forget_prompts(&name);
                 }
-                state.history.runner_present(now, &name, entry.version.clone());
+                let version = entry.version.clone();
+                state.history.runner_present(now, &name, version, keep_until);
                 state.scheduler.set_runner(name.clone(), slots, entry.leaving);
                 state.scheduler.set_version(&name, entry.version.clone());
                 if self.limits.of(&entry.key).is_some() {
--- a/crates/core/src/fleet/coordinator/streams.rs
+++ b/crates/core/src/fleet/coordinator/streams.rs
@@ -10,7 +10,7 @@
 use crate::{
     fleet::{
         FleetConfig, PlacementReply, PlacementRequest, RetryPolicy, RunnerVersion, StreamRecord,
-        VersionHistory,
+        VersionHistory, stream_retention,
     },
     ids::{HostId, RequestId, UpstreamName},
     outcome::NotRunReason,
@@ -34,9 +34,6 @@
 /// after a second or two.
 const GONE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Number of time limits after which a caller no longer takes up a stream.
-const STREAM_MEMORY_LIMITS: u32 = 2;
-
 /// A request that waits until the version of its stream is known.
 #[derive(Clone, Debug)]
 pub(super) struct TakeUp {
@@ -95,15 +92,22 @@
         I: IntoIterator<Item = StreamRecord>,
     {
         for record in records {
+            let record = self.with_retention(now, record);
             self.stored_streams.record(now, record);
         }
         self.submit_take_ups(now, out);
     }
 
-    /// Returns the time after its last use for which a stream may be taken up again.
+    /// Returns the retention that the store's record should have.
     #[must_use]
-    pub fn stream_memory(&self) -> Duration {
-        self.config.as_deref().map(stream_memory).unwrap_or_default()
+    pub fn retention_to_record(&self, now: MonoTime) -> Duration {
+        self.retention.to_record(now)
+    }
+
+    /// Applies the retention of the store's record, which covers streams of other hosts and
+    /// of configurations that this host has not seen.
+    pub fn set_recorded_retention(&mut self, now: MonoTime, retention: Duration) {
+        self.retention.set_recorded(now, retention);
     }
 
     /// Returns the recent streams of which the version is known.
@@ -117,16 +121,23 @@
         std::mem::take(&mut self.new_streams)
     }
 
-    /// Records a version of an upstream that other hosts have seen, and how long ago
-    /// its last runner was removed.
+    /// Records a version of an upstream that other hosts have seen, how long ago its last
+    /// runner was removed, and for how long its streams may still be taken up; if that is not
+    /// given, this host's own retention counts.
     pub fn version_reported(
         &mut self,
         now: MonoTime,
         upstream: &UpstreamName,
         version: Option<RunnerVersion>,
         gone_for: Duration,
+        time_left: Option<Duration>,
     ) {
-        self.upstream_state(upstream).history.version_reported(now, version, gone_for);
+        let keep_until = match time_left {
+            Some(time_left) => now + time_left,
+            None => self.retention.keep_until(now) - gone_for,
+        };
+        let history = &mut self.upstream_state(upstream).history;
+        history.version_reported(now, version, gone_for, keep_until);
     }
 
     /// Returns the versions of each upstream's runners.
@@ -134,11 +145,16 @@
         self.upstreams.iter().map(|(name, state)| (name, &state.history))
     }
 
-    /// Forgets streams and versions that no request can refer to any more.
-    pub fn expire_versions(&mut self, now: MonoTime) {
+    /// Forgets streams and versions that no request can refer to any more, and returns the
+    /// versions.
+    pub fn expire_versions(&mut self, now: MonoTime) -> Vec<(UpstreamName, Option<RunnerVersion>)> {
         self.streams.expire(now);
         self.stored_streams.expire(now);
-        self.upstreams.values_mut().for_each(|state| state.history.expire(now));
+        let upstreams = self.upstreams.iter_mut();
+        let expired = upstreams.flat_map(|(name, state)| {
+            state.history.expire(now).map(move |version| (name.clone(), version))
+        });
+        expired.collect()
     }
 
     /// Submits a request at the version that its stream requires, or lets it wait until
@@ -150,6 +166,12 @@
         req: PlacementRequest,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
+        if let Some(stream) = &req.stream {
+            let (id, retention) = (stream.id, stream.retention);
+            self.retention.request_submitted(now, retention);
+            self.streams.used(id, now, retention);
+            self.stored_streams.used(id, now, retention);
+        }
         match self.required_version(now, now, &req) {
             Required::Unknown(_) => {
                 let take_up = TakeUp { host: host.clone(), arrived_at: now, req };
@@ -245,16 +267,25 @@
     pub(super) fn record_stream(&mut self, now: MonoTime, record: StreamRecord) {
         let state = self.upstreams.get(&record.upstream);
         let is_mixed = state.is_some_and(|state| state.history.is_mixed(now));
+        let record = self.with_retention(now, record);
         let is_new = self.streams.record(now, record.clone());
         if is_mixed && is_new {
             self.new_streams.push(record);
         }
     }
+    /// Sets the retention of a record that names none.
+    fn with_retention(&self, now: MonoTime, record: StreamRecord) -> StreamRecord {
+        if record.retention > Duration::ZERO {
+            return record;
+        }
+        let used_at = now - record.age;
+        StreamRecord { retention: self.retention.keep_until(used_at).since(used_at), ..record }
+    }
 }
 
-/// Returns the time after its last use for which a stream may be taken up again.
-pub(super) fn stream_memory(config: &FleetConfig) -> Duration {
+/// Returns the retention of streams that are admitted by a configuration.
+pub(super) fn configured_retention(config: &FleetConfig) -> Duration {
     let resumable = config.routes().filter(|route| route.retry == RetryPolicy::Resumable);
     let longest = resumable.map(|route| route.time_limit).max().unwrap_or_default();
-    longest * STREAM_MEMORY_LIMITS
+    stream_retention(longest, None)
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -47,6 +47,7 @@
 mod sessions;
 mod share;
 mod stream;
+mod stream_retention;
 mod stream_versions;
 mod suspect;
 mod version_history;
@@ -78,7 +79,8 @@
     sessions::{HostSessions, OpenOutcome},
     share::{Share, ShareBasis},
     stream::{StreamBinding, StreamId, StreamRecord},
+    stream_retention::{StreamRetention, stream_retention},
     stream_versions::StreamVersions,
     suspect::{InvalidSuspect, Suspect},
-    version_history::VersionHistory,
+    version_history::{GoneVersion, VersionHistory},
 };
--- a/crates/core/src/fleet/stream.rs
+++ b/crates/core/src/fleet/stream.rs
@@ -57,19 +57,30 @@
     /// known yet.
     #[serde(rename = "v", default)]
     pub version: Option<RunnerVersion>,
+    /// Time for which the stream may be taken up again after this request; zero from hosts
+    /// of earlier versions.
+    #[serde(rename = "r", default)]
+    pub retention: Duration,
 }
 
 impl StreamBinding {
     /// Creates the binding of a request that begins a stream.
     #[must_use]
     pub fn begins(id: StreamId) -> Self {
-        Self { id, begins: true, version: None }
+        Self { id, begins: true, version: None, retention: Duration::ZERO }
     }
 
     /// Creates the binding of a request that goes on with a stream.
     #[must_use]
     pub fn continues(id: StreamId, version: Option<RunnerVersion>) -> Self {
-        Self { id, begins: false, version }
+        Self { id, begins: false, version, retention: Duration::ZERO }
+    }
+
+    /// Sets the time for which the stream may be taken up again after the request.
+    #[must_use]
+    pub fn with_retention(mut self, retention: Duration) -> Self {
+        self.retention = retention;
+        self
     }
 }
 
@@ -88,4 +99,8 @@
     /// Time since the stream was last used.
     #[serde(rename = "a")]
     pub age: Duration,
+    /// Time after its last use for which it may be taken up again; zero from hosts of
+    /// earlier versions.
+    #[serde(rename = "r", default)]
+    pub retention: Duration,
 }
--- a/crates/core/src/fleet/stream_versions.rs
+++ b/crates/core/src/fleet/stream_versions.rs
@@ -14,10 +14,11 @@
     upstream: UpstreamName,
     version: Option<RunnerVersion>,
     used_at: MonoTime,
+    keep_until: MonoTime,
 }
 
 /// Remembers for each stream the version that began it, for as long as its caller may
-/// take it up again.
+/// take it up again. No change of the configuration shortens that.
 ///
 /// # Examples
 ///
@@ -31,48 +32,52 @@
 ///
 /// let id = StreamId::new(&"desk".parse().unwrap(), "69c5");
 /// let (upstream, version) = ("dala".parse().unwrap(), RunnerVersion::new("v1"));
-/// let record = StreamRecord { id, upstream, version: version.clone(), age: Duration::ZERO };
+/// let retention = Duration::from_secs(10);
+/// let age = Duration::ZERO;
+/// let record = StreamRecord { id, upstream, version: version.clone(), age, retention };
+/// let at = MonoTime::from_millis;
 /// let mut streams = StreamVersions::default();
-/// streams.set_memory(Duration::from_secs(10));
-/// assert!(streams.record(MonoTime::from_millis(1_000), record.clone()));
+/// assert!(streams.record(at(1_000), record.clone()));
 /// // The version of a stream never changes.
 /// let other = StreamRecord { version: RunnerVersion::new("v2"), ..record };
-/// assert!(!streams.record(MonoTime::from_millis(9_000), other));
+/// assert!(!streams.record(at(9_000), other));
+/// streams.expire(at(19_000));
 /// assert_eq!(streams.get(id).unwrap().1, version.as_ref());
-/// streams.expire(MonoTime::from_millis(20_000));
+/// streams.expire(at(19_001));
 /// assert!(streams.get(id).is_none());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct StreamVersions {
-    memory: Duration,
     known: BTreeMap<StreamId, Known>,
-    by_use: BTreeSet<(MonoTime, StreamId)>,
+    by_expiry: BTreeSet<(MonoTime, StreamId)>,
 }
 
 impl StreamVersions {
-    /// Sets for how long a stream is remembered after it was last used.
-    pub fn set_memory(&mut self, memory: Duration) {
-        self.memory = memory;
-    }
-
-    /// Records the version of a stream, or that the stream was used again. Returns true
-    /// if it was not known.
+    /// Records the version of a stream, or that the stream was used again. Returns true if
+    /// it was not known.
     pub fn record(&mut self, now: MonoTime, record: StreamRecord) -> bool {
-        let StreamRecord { id, upstream, version, age } = record;
+        let StreamRecord { id, upstream, version, age, retention } = record;
         let used_at = now - age;
-        match self.known.get_mut(&id) {
-            Some(known) if known.used_at >= used_at => false,
-            Some(known) => {
-                self.by_use.remove(&(known.used_at, id));
-                known.used_at = used_at;
-                self.by_use.insert((used_at, id));
-                false
-            }
-            None => {
-                self.known.insert(id, Known { upstream, version, used_at });
-                self.by_use.insert((used_at, id));
-                true
-            }
+        if self.known.contains_key(&id) {
+            self.used(id, used_at, retention);
+            return false;
+        }
+        let keep_until = used_at + retention;
+        self.known.insert(id, Known { upstream, version, used_at, keep_until });
+        self.by_expiry.insert((keep_until, id));
+        true
+    }
+
+    /// Records that a stream was used again, if it is known. It is then remembered for
+    /// `retention` at least.
+    pub fn used(&mut self, id: StreamId, used_at: MonoTime, retention: Duration) {
+        let Some(known) = self.known.get_mut(&id) else { return };
+        let keep_until = used_at + retention;
+        known.used_at = known.used_at.max(used_at);
+        if keep_until > known.keep_until {
+            self.by_expiry.remove(&(known.keep_until, id));
+            self.by_expiry.insert((keep_until, id));
+            known.keep_until = keep_until;
         }
     }
 
@@ -89,16 +94,17 @@
             upstream: known.upstream.clone(),
             version: known.version.clone(),
             age: now.since(known.used_at),
+            retention: known.keep_until.since(known.used_at),
         })
     }
 
-    /// Forgets the streams that were last used too long ago.
+    /// Forgets the streams that no caller takes up any more.
     pub fn expire(&mut self, now: MonoTime) {
-        while let Some((used_at, id)) = self.by_use.first().copied() {
-            if now.since(used_at) <= self.memory {
+        while let Some((keep_until, id)) = self.by_expiry.first().copied() {
+            if now <= keep_until {
                 return;
             }
-            self.by_use.pop_first();
+            self.by_expiry.pop_first();
             self.known.remove(&id);
         }
     }
--- a/crates/core/src/fleet/version_history.rs
+++ b/crates/core/src/fleet/version_history.rs
@@ -12,8 +12,6 @@
 /// # Examples
 ///
 /// ```
-/// use std::time::Duration;
-///
 /// use comfreyway_core::{
 ///     fleet::{RunnerVersion, VersionHistory},
 ///     time::MonoTime,
@@ -22,89 +20,100 @@
 /// let (a, b) = ("a".parse().unwrap(), "b".parse().unwrap());
 /// let (v1, v2) = (RunnerVersion::new("v1"), RunnerVersion::new("v2"));
 /// let at = MonoTime::from_millis;
-/// let mut history = VersionHistory::new(Duration::from_secs(10));
-/// history.runner_present(at(0), &a, v1.clone());
+/// let mut history = VersionHistory::default();
+/// history.runner_present(at(0), &a, v1.clone(), at(0));
 /// assert_eq!(history.sole_version(at(0)), v1.as_ref());
-/// history.runner_present(at(1), &b, v2.clone());
-/// history.runner_removed(at(2), &a);
-/// assert_eq!(history.sole_version(at(3)), None);
-/// assert_eq!(history.sole_version(at(10_003)), v2.as_ref());
+/// history.runner_present(at(1), &b, v2.clone(), at(1));
+/// history.runner_removed(at(2), &a, at(10_000));
+/// assert_eq!(history.sole_version(at(10_000)), None);
+/// assert_eq!(history.sole_version(at(10_001)), v2.as_ref());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
-    memory: Duration,
     present: BTreeMap<RunnerName, Option<RunnerVersion>>,
     /// Number of runners of each version.
     runners: BTreeMap<Option<RunnerVersion>, usize>,
-    /// Versions that no runner has any more, and when the last one was seen.
-    gone: BTreeMap<Option<RunnerVersion>, MonoTime>,
+    /// Versions that no runner has any more.
+    gone: BTreeMap<Option<RunnerVersion>, Gone>,
 }
 
-impl VersionHistory {
-    /// Creates an empty history. A version is remembered for `memory` after its last
-    /// runner.
-    #[must_use]
-    pub fn new(memory: Duration) -> Self {
-        Self { memory, ..Self::default() }
-    }
+#[derive(Clone, Copy, Debug)]
+struct Gone {
+    at: MonoTime,
+    keep_until: MonoTime,
+}
 
-    /// Sets for how long a version is remembered after its last runner.
-    pub fn set_memory(&mut self, memory: Duration) {
-        self.memory = memory;
-    }
+/// A version whose last runner was removed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GoneVersion {
+    /// Time since the last runner was removed.
+    pub gone_for: Duration,
+    /// Time for which its streams may still be taken up.
+    pub time_left: Duration,
+}
 
-    /// Records a runner and its version.
+impl VersionHistory {
+    /// Records a runner and its version. If it had another one before, the streams of that
+    /// one are remembered until `keep_until`.
     pub fn runner_present(
         &mut self,
         now: MonoTime,
         name: &RunnerName,
         version: Option<RunnerVersion>,
+        keep_until: MonoTime,
     ) {
         if self.present.get(name) == Some(&version) {
             return;
         }
-        self.runner_removed(now, name);
+        self.runner_removed(now, name, keep_until);
         self.gone.remove(&version);
         *self.runners.entry(version.clone()).or_default() += 1;
         self.present.insert(name.clone(), version);
     }
 
-    /// Records that a runner no longer exists.
-    pub fn runner_removed(&mut self, now: MonoTime, name: &RunnerName) {
+    /// Records that a runner no longer exists. The streams of its version are remembered
+    /// until `keep_until`.
+    pub fn runner_removed(&mut self, now: MonoTime, name: &RunnerName, keep_until: MonoTime) {
         let Some(version) = self.present.remove(name) else { return };
         let Some(left) = self.runners.get_mut(&version) else { return };
         *left -= 1;
         if *left == 0 {
             self.runners.remove(&version);
-            self.gone.insert(version, now);
+            self.gone.insert(version, Gone { at: now, keep_until });
         }
     }
 
-    /// Records a version that other hosts have seen, and how long ago its last runner
-    /// was removed.
+    /// Records a version that other hosts have seen, how long ago its last runner was
+    /// removed, and until when its streams are remembered.
     pub fn version_reported(
         &mut self,
         now: MonoTime,
         version: Option<RunnerVersion>,
         gone_for: Duration,
+        keep_until: MonoTime,
     ) {
-        if gone_for > self.memory || self.runners.contains_key(&version) {
+        if keep_until < now || self.runners.contains_key(&version) {
             return;
         }
-        let gone_at = self.gone.entry(version).or_insert(MonoTime::ZERO);
-        *gone_at = (now - gone_for).max(*gone_at);
+        let at = now - gone_for;
+        let gone = self.gone.entry(version).or_insert(Gone { at, keep_until });
+        gone.at = gone.at.max(at);
+        gone.keep_until = gone.keep_until.max(keep_until);
     }
 
-    /// Returns the versions that may have begun a stream, with the time since the last
-    /// runner was removed for those that have none.
+    /// Returns the versions that may have begun a stream, and since when those without
+    /// runners have none.
     pub fn versions(
         &self,
         now: MonoTime,
-    ) -> impl Iterator<Item = (Option<&RunnerVersion>, Option<Duration>)> {
+    ) -> impl Iterator<Item = (Option<&RunnerVersion>, Option<GoneVersion>)> {
         let present = self.runners.keys().map(|version| (version.as_ref(), None));
-        let gone = self.gone.iter().map(move |(version, at)| (version.as_ref(), now.since(*at)));
-        let gone = gone.filter(|(_, gone_for)| *gone_for <= self.memory);
-        present.chain(gone.map(|(version, gone_for)| (version, Some(gone_for))))
+        let gone = self.gone.iter().filter(move |(_, gone)| now <= gone.keep_until);
+        let gone = gone.map(move |(version, Gone { at, keep_until })| {
+            let (gone_for, time_left) = (now.since(*at), keep_until.since(now));
+            (version.as_ref(), Some(GoneVersion { gone_for, time_left }))
+        });
+        present.chain(gone)
     }
 
     /// Returns the only version that may have begun a stream, if there is just one and
@@ -122,8 +131,9 @@
         self.versions(now).nth(1).is_some()
     }
 
-    /// Forgets versions whose streams can't be taken up any more.
-    pub fn expire(&mut self, now: MonoTime) {
-        self.gone.retain(|_, at| now.since(*at) <= self.memory);
+    /// Forgets versions whose streams can't be taken up any more, and returns these.
+    pub fn expire(&mut self, now: MonoTime) -> impl Iterator<Item = Option<RunnerVersion>> {
+        let expired = self.gone.extract_if(.., move |_, gone| now > gone.keep_until);
+        expired.map(|(version, _)| version)
     }
 }
--- a/crates/core/tests/fleet/coordinator.rs
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -39,7 +39,7 @@
 
 fn coordinator() -> Coordinator {
     let mut coordinator = Coordinator::new(RETRIES, QuotaTolerance::default());
-    coordinator.set_config(config(0.0));
+    coordinator.set_config(at(0), config(0.0));
     coordinator.local_host_joined(at(0), host("h1"));
     coordinator.apply_runner_changes(
         at(0),
@@ -90,7 +90,7 @@
 #[test]
 fn request_over_quota_is_refused_without_being_charged() {
     let mut coordinator = coordinator();
-    coordinator.set_config(config(1.0));
+    coordinator.set_config(at(0), config(1.0));
     assert!(matches!(submit(&mut coordinator, 1, 900.0)[..], [(_, PlacementReply::Grant(..))]));
     let refused = submit(&mut coordinator, 2, 900.0);
     let over = NotRunReason::OverQuota;
@@ -183,7 +183,7 @@
 fn full_coordinator() -> Coordinator {
     let limits = RetryBudgetLimits { ratio: 0.0, slack: 0.0, window_s: 10.0 };
     let mut coordinator = Coordinator::new(limits, QuotaTolerance::default());
-    coordinator.set_config(config(0.0));
+    coordinator.set_config(at(0), config(0.0));
     coordinator.local_host_joined(at(0), host("h1"));
     let runners = ["a", "b"].map(|name| RunnerChange::Usable(entry(name, 1, false)));
     coordinator.apply_runner_changes(at(0), &runners, &mut Vec::new());
@@ -234,7 +234,7 @@
 fn withdrawn_retry_refunds_no_quota() {
     let tolerance = QuotaTolerance { window_s: 8.0, ..QuotaTolerance::default() };
     let mut coordinator = Coordinator::new(RETRIES, tolerance);
-    coordinator.set_config(config(1.0));
+    coordinator.set_config(at(0), config(1.0));
     coordinator.local_host_joined(at(0), host("h1"));
     let runner = RunnerChange::Usable(entry("a", 1, false));
     coordinator.apply_runner_changes(at(0), &[runner], &mut Vec::new());
--- a/crates/core/tests/fleet/quota_changes/fleet.rs
+++ b/crates/core/tests/fleet/quota_changes/fleet.rs
@@ -102,7 +102,7 @@
     fn new(now_ms: u64, me: usize, members: BTreeSet<usize>) -> Self {
         let memory = Duration::from_millis(MAX_STALENESS_MS + COORDINATOR_SILENCE_MS);
         let mut coordinator = Coordinator::new(RETRIES, TOLERANCE).with_host_memory(memory);
-        coordinator.set_config(config());
+        coordinator.set_config(at(0), config());
         set_members(&mut coordinator, now_ms, me, &members);
         coordinator.local_host_joined(at(now_ms), host_id(me));
         let mut runner = entry("a", 1, false);
--- a/crates/core/tests/fleet/releases/fleet.rs
+++ b/crates/core/tests/fleet/releases/fleet.rs
@@ -20,10 +20,11 @@
 
 pub(super) const HOSTS: usize = 6;
 pub(super) const STEP_MS: u64 = 20;
-/// Longest time after which a caller takes a stream up again.
-const MAX_TAKE_UP_MS: u64 = 6_000;
-/// Time limit of the route; streams are remembered for twice as long.
-const TIME_LIMIT: Duration = Duration::from_secs(6);
+/// Longest time after which a caller takes a stream up again, if it says so.
+const CALLER_WAIT_MS: u64 = 6_000;
+/// Time limits of the route. A caller that states no other wait comes back within it.
+const TIME_LIMIT_MS: u64 = 6_000;
+const SHORT_TIME_LIMIT_MS: u64 = 500;
 /// Time between two verifications of a view.
 const VERIFY_INTERVAL_MS: u64 = 200;
 /// Time from a kill to the next start.
@@ -31,6 +32,29 @@
 /// Number of client hosts with copies of a coordinator's records.
 const COPIES: usize = 2;
 
+/// Whether callers say how long they wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum CallerWaits {
+    Stated,
+    Unstated,
+}
+
+/// The store's record of versions.
+#[derive(Default)]
+struct Record {
+    retention: Duration,
+    /// For each version without runners when the last one was removed, and until when it is
+    /// kept.
+    versions: BTreeMap<Option<RunnerVersion>, Option<(u64, u64)>>,
+}
+
+/// A stream that has begun.
+struct Stream {
+    version: RunnerVersion,
+    /// Longest time after which its caller takes it up.
+    max_wait_ms: u64,
+}
+
 /// What the callers saw.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Counts {
@@ -70,6 +94,7 @@
     /// Its view of the runners, and the number of changes that it has read.
     runners: BTreeMap<RunnerName, RunnerEntry>,
     read: usize,
+    time_limit_ms: u64,
     cut_from_store: bool,
     cut_from_hosts: bool,
     /// Until then it reads no changes.
@@ -80,6 +105,7 @@
 struct Open {
     host: usize,
     stream: u64,
+    max_wait_ms: u64,
     /// True if it goes on with the stream.
     takes_up: bool,
 }
@@ -91,11 +117,12 @@
     starts_at_ms: Vec<u64>,
     changes: Vec<Change>,
     runners: BTreeMap<RunnerName, RunnerEntry>,
-    /// Versions in the store's record, and when the last runner was removed.
-    record: BTreeMap<Option<RunnerVersion>, Option<u64>>,
+    /// In the configuration that the store has.
+    time_limit_ms: u64,
+    waits: CallerWaits,
+    record: Record,
     open: BTreeMap<RequestId, Open>,
-    /// The version of each stream that has begun.
-    streams: BTreeMap<u64, RunnerVersion>,
+    streams: BTreeMap<u64, Stream>,
     /// Streams that broke off, and when their callers take them up.
     broken: Vec<(u64, u64)>,
     /// Updates that arrive in the next step.
@@ -104,7 +131,8 @@
     pub(super) counts: Counts,
 }
 
-fn config() -> Arc<FleetConfig> {
+fn config(time_limit_ms: u64) -> Arc<FleetConfig> {
+    let time_limit = Duration::from_millis(time_limit_ms);
     let limits = CallerLimits {
         max_head_bytes: 1,
         max_body_bytes: 1,
@@ -124,8 +152,8 @@
         upstreams: vec![("dala".parse().unwrap(), 1)],
         retry: RetryPolicy::Resumable,
         streaming: true,
-        time_limit: TIME_LIMIT,
-        target: Target::Whole(TIME_LIMIT),
+        time_limit,
+        target: Target::Whole(time_limit),
         tier: Tier(1),
         max_attempts: 2,
         public: true,
@@ -136,14 +164,16 @@
 }
 
 impl Fleet {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(waits: CallerWaits) -> Self {
         let mut fleet = Self {
             now_ms: 1_000,
             nodes: (0..HOSTS).map(|_| None).collect(),
             starts_at_ms: vec![0; HOSTS],
             changes: Vec::new(),
             runners: BTreeMap::new(),
-            record: BTreeMap::new(),
+            time_limit_ms: TIME_LIMIT_MS,
+            waits,
+            record: Record::default(),
             open: BTreeMap::new(),
             streams: BTreeMap::new(),
             broken: Vec::new(),
@@ -179,6 +209,11 @@
         self.changes.push(Change::Delete(entry));
     }
 
+    /// Changes the time limit in the configuration.
+    pub(super) fn set_short_time_limit(&mut self, is_short: bool) {
+        self.time_limit_ms = if is_short { SHORT_TIME_LIMIT_MS } else { TIME_LIMIT_MS };
+    }
+
     /// Kills a host; its callers take their streams up elsewhere.
     pub(super) fn kill(&mut self, host: usize) {
         if self.nodes[host].take().is_none() {
--- a/crates/core/tests/fleet/releases/fleet/callers.rs
+++ b/crates/core/tests/fleet/releases/fleet/callers.rs
@@ -1,11 +1,11 @@
 //! Callers' requests, on their way through clients, coordinators and runners.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use comfreyway_core::{
     fleet::{
         ClientAction, PlacementReply, PlacementRequest, RunnerEntry, RunnerVersion, StreamBinding,
-        StreamId,
+        StreamId, stream_retention,
     },
     ids::{HostId, RequestId, RunnerName},
     outcome::RetryReason,
@@ -15,7 +15,7 @@
 
 use crate::support::{at, placement_request};
 
-use super::{Fleet, HOSTS, MAX_TAKE_UP_MS, Open, TIME_LIMIT};
+use super::{CALLER_WAIT_MS, CallerWaits, Fleet, HOSTS, Open, Stream};
 
 impl Fleet {
     pub(super) fn begin(&mut self, rng: &mut StdRng) {
@@ -35,7 +35,7 @@
         for (_, stream) in due {
             let host = rng.random_range(0..HOSTS);
             let Some(node) = &self.nodes[host] else { continue };
-            let version = &self.streams[&stream];
+            let version = &self.streams[&stream].version;
             let serves = |entry: &RunnerEntry| entry.version.as_ref() == Some(version);
             if !node.cut_from_store && self.runners.values().any(serves) {
                 self.counts.taken_up += 1;
@@ -43,10 +43,10 @@
             self.submit(host, stream, true);
         }
         // Whether a stream breaks off is drawn as it begins.
-        let begun: Vec<_> = self.streams.keys().rev().take(4).copied().collect();
-        for stream in begun {
+        let begun = self.streams.iter().rev().take(4);
+        for (stream, Stream { max_wait_ms, .. }) in begun {
             if rng.random_range(0..8) == 0 {
-                self.broken.push((now_ms + rng.random_range(0..MAX_TAKE_UP_MS), stream));
+                self.broken.push((now_ms + rng.random_range(0..*max_wait_ms), *stream));
             }
         }
     }
@@ -60,11 +60,18 @@
             false => StreamBinding::begins(stream_id),
         };
         let mut req: PlacementRequest = placement_request(u128::from(self.numbers), 0.0);
-        req.stream = Some(binding);
-        req.time_limit = TIME_LIMIT;
         let Some(node) = &mut self.nodes[host] else { return };
+        let wait_ms = (self.waits == CallerWaits::Stated).then_some(CALLER_WAIT_MS);
+        let max_wait_ms = wait_ms.unwrap_or(node.time_limit_ms);
+        // It has no configuration yet.
+        if node.time_limit_ms == 0 {
+            return;
+        }
+        req.time_limit = Duration::from_millis(node.time_limit_ms);
+        let retention = stream_retention(req.time_limit, wait_ms.map(Duration::from_millis));
+        req.stream = Some(binding.with_retention(retention));
         req.record.entry = node.id.clone();
-        self.open.insert(id, Open { host, stream, takes_up });
+        self.open.insert(id, Open { host, stream, max_wait_ms, takes_up });
         let mut actions = Vec::new();
         node.client.submit(at(self.now_ms), req, &mut actions);
         self.execute(host, actions, Vec::new());
@@ -157,10 +164,11 @@
         let (Some(open), Some(version)) = (self.open.remove(&id), version) else { return actions };
         if !open.takes_up {
             self.counts.began += 1;
-            self.streams.insert(open.stream, version);
+            let max_wait_ms = open.max_wait_ms;
+            self.streams.insert(open.stream, Stream { version, max_wait_ms });
             return actions;
         }
-        let began = &self.streams[&open.stream];
+        let began = &self.streams[&open.stream].version;
         if *began == version {
             self.counts.went_on += 1;
         } else {
--- a/crates/core/tests/fleet/releases/fleet/hosts.rs
+++ b/crates/core/tests/fleet/releases/fleet/hosts.rs
@@ -17,7 +17,6 @@
         let id = HostId { incarnation: self.now_ms, ..support::host(&format!("h{host}")) };
         let retries = RetryBudgetLimits { ratio: 1.0, slack: 1_000.0, window_s: 10.0 };
         let mut coordinator = Coordinator::new(retries, QuotaTolerance::default());
-        coordinator.set_config(config());
         coordinator.local_host_joined(at(self.now_ms), id.clone());
         self.nodes[host] = Some(Node {
             id,
@@ -26,6 +25,7 @@
             uses: None,
             runners: BTreeMap::new(),
             read: usize::MAX,
+            time_limit_ms: 0,
             cut_from_store: false,
             cut_from_hosts: false,
             views_paused_until_ms: 0,
@@ -39,14 +39,22 @@
         if node.cut_from_store || self.now_ms < node.views_paused_until_ms {
             return;
         }
+        if node.time_limit_ms != self.time_limit_ms {
+            node.time_limit_ms = self.time_limit_ms;
+            node.coordinator.set_config(now, config(self.time_limit_ms));
+        }
+        node.coordinator.set_recorded_retention(now, self.record.retention);
         let mut changes = Vec::new();
         if node.read == usize::MAX {
             node.read = self.changes.len();
-            for (version, gone_ms) in &self.record {
-                let gone_for = gone_ms.map_or(0, |gone_ms| self.now_ms - gone_ms);
-                let gone_for = Duration::from_millis(gone_for);
-                let upstream = "dala".parse().unwrap();
-                node.coordinator.version_reported(now, &upstream, version.clone(), gone_for);
+            for (version, gone) in &self.record.versions {
+                let since =
+                    |ms: u64, earlier_ms| Duration::from_millis(ms.saturating_sub(earlier_ms));
+                let gone_for = gone.map_or(Duration::ZERO, |(at_ms, _)| since(self.now_ms, at_ms));
+                let time_left = gone.map(|(_, until_ms)| since(until_ms, self.now_ms));
+                let (upstream, version) = ("dala".parse().unwrap(), version.clone());
+                let coordinator = &mut node.coordinator;
+                coordinator.version_reported(now, &upstream, version, gone_for, time_left);
             }
             changes.extend(self.runners.values().cloned().map(RunnerChange::Usable));
         }
@@ -145,13 +153,17 @@
             if node.uses.is_some() || node.cut_from_store {
                 continue;
             }
+            self.record.retention = node.coordinator.retention_to_record(at(now_ms));
             for (_, history) in node.coordinator.version_histories() {
                 if !history.is_mixed(at(now_ms)) {
                     continue;
                 }
                 for (version, gone) in history.versions(at(now_ms)) {
-                    let gone_ms = gone.map(|gone| now_ms - gone.as_millis() as u64);
-                    self.record.insert(version.cloned(), gone_ms);
+                    let gone = gone.map(|gone| {
+                        let ms = |duration: Duration| duration.as_millis() as u64;
+                        (now_ms - ms(gone.gone_for), now_ms + ms(gone.time_left))
+                    });
+                    self.record.versions.insert(version.cloned(), gone);
                 }
             }
         }
--- a/crates/core/tests/fleet/streams.rs
+++ b/crates/core/tests/fleet/streams.rs
@@ -1,15 +1,16 @@
 //! Requests that go on with a stream, at the version that began it.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use comfreyway_core::{
     fleet::{
-        ClientAction, Coordinator, CoordinatorClient, PlacementReply, PlacementRequest,
-        QuotaTolerance, RequestUpdate, RetryBudgetLimits, RunnerChange, RunnerEntry, RunnerVersion,
-        StreamBinding, StreamId, StreamRecord,
+        CallerLimits, ClientAction, Coordinator, CoordinatorClient, FleetConfig, PlacementReply,
+        PlacementRequest, QuotaTolerance, RequestUpdate, RetryBudgetLimits, RetryPolicy, Route,
+        RunnerChange, RunnerEntry, RunnerVersion, StreamBinding, StreamId, StreamRecord,
     },
-    ids::HostId,
+    ids::{HostId, Tier},
     outcome::{NotRunReason, RetryReason},
+    request::Target,
 };
 use rstest::rstest;
 
@@ -53,7 +54,8 @@
 
 fn learn(coordinator: &mut Coordinator, ms: u64, version: &str) -> Replies {
     let (upstream, version) = ("dala".parse().unwrap(), RunnerVersion::new(version));
-    let record = StreamRecord { id: stream(), upstream, version, age: Duration::ZERO };
+    let (age, retention) = (Duration::ZERO, Duration::from_secs(30));
+    let record = StreamRecord { id: stream(), upstream, version, age, retention };
     let mut out = Replies::new();
     coordinator.learn_streams(at(ms), [record], &mut out);
     out
@@ -168,3 +170,100 @@
     let is_dispatched = out.iter().any(|action| matches!(action, ClientAction::Dispatch(..)));
     assert_eq!((is_refused, is_dispatched), (goes_on, !goes_on));
 }
+
+fn config(time_limit: Option<u64>) -> Arc<FleetConfig> {
+    let limits = CallerLimits {
+        max_head_bytes: 1,
+        max_body_bytes: 1,
+        read_timeout: Duration::from_secs(1),
+        idle_timeout: Duration::from_secs(1),
+    };
+    let config = FleetConfig::new(1, 1, limits);
+    let Some(time_limit) = time_limit.map(Duration::from_secs) else { return Arc::new(config) };
+    Arc::new(config.with_route(Route {
+        class: "report".parse().unwrap(),
+        host: "desk.example".to_owned(),
+        prefix: "/report/".to_owned(),
+        upstreams: vec![("dala".parse().unwrap(), 1)],
+        retry: RetryPolicy::Resumable,
+        streaming: true,
+        time_limit,
+        target: Target::Whole(time_limit),
+        tier: Tier(1),
+        max_attempts: 2,
+        public: true,
+        shares_prompts: false,
+    }))
+}
+
+fn begin(number: u128, retention: u64) -> RequestUpdate {
+    let binding = StreamBinding::begins(stream());
+    let binding = binding.with_retention(Duration::from_secs(retention));
+    RequestUpdate::Submit(Box::new(request(number, binding)))
+}
+
+fn remove(coordinator: &mut Coordinator, ms: u64, name: &str, version: &str) {
+    let removed = RunnerChange::Removed(runner(name, version).entry().clone());
+    coordinator.apply_runner_changes(at(ms), &[removed], &mut Replies::new());
+}
+
+/// Takes the stream up with a verified view. Returns the reason of a refusal, after the
+/// longest wait for another host's record.
+fn take_up_verified(coordinator: &mut Coordinator, ms: u64) -> Option<NotRunReason> {
+    coordinator.expire_versions(at(ms));
+    let mut out = update(coordinator, ms, take_up(9));
+    coordinator.set_verified(at(ms + 1), at(ms), &mut out);
+    coordinator.tick(at(ms + 600), &mut out);
+    refused_as(&out)
+}
+
+/// The limit falls from 15 s to 2 s, or its route goes away. Four seconds later the stream's
+/// record and its version were forgotten.
+#[rstest]
+#[case::known_here(true, Some(2), 29_900, Some(NotRunReason::VersionGone))]
+#[case::known_elsewhere(false, Some(2), 29_900, Some(NotRunReason::VersionUnknown))]
+#[case::without_its_route(false, None, 29_900, Some(NotRunReason::VersionUnknown))]
+#[case::after_the_former_limit(false, Some(2), 34_100, None)]
+fn a_shorter_time_limit_does_not_apply_to_streams_that_have_begun(
+    #[case] is_known: bool,
+    #[case] time_limit: Option<u64>,
+    #[case] taken_up_ms: u64,
+    #[case] expected: Option<NotRunReason>,
+) {
+    let mut coordinator = coordinator(&["v1", "v2"]);
+    coordinator.set_config(at(0), config(Some(15)));
+    if is_known {
+        update(&mut coordinator, 0, begin(1, 30));
+        update(&mut coordinator, 0, RequestUpdate::FirstToken(id(1)));
+    }
+    coordinator.set_config(at(4_000), config(time_limit));
+    remove(&mut coordinator, 5_000, "a", "v1");
+    assert_eq!(take_up_verified(&mut coordinator, taken_up_ms), expected);
+}
+
+/// A caller waits for 15 s at a route of 2 s. Another host began the stream; this one knows
+/// the wait from its own requests or from the store's record.
+#[rstest]
+#[case::from_a_request(true)]
+#[case::from_the_record(false)]
+fn versions_are_remembered_for_as_long_as_callers_wait(#[case] from_request: bool) {
+    let mut coordinator = coordinator(&["v1", "v2"]);
+    coordinator.set_config(at(0), config(Some(2)));
+    match from_request {
+        true => drop(update(&mut coordinator, 1_000, begin(1, 30))),
+        false => coordinator.set_recorded_retention(at(1_000), Duration::from_secs(30)),
+    }
+    remove(&mut coordinator, 2_000, "a", "v1");
+    let refused = take_up_verified(&mut coordinator, 25_000);
+    assert_eq!(refused, Some(NotRunReason::VersionUnknown));
+}
+
+/// The record of a host that saw longer limits is kept until it has expired.
+#[test]
+fn recorded_retention_is_lowered_after_it_has_expired() {
+    let mut coordinator = coordinator(&["v1"]);
+    coordinator.set_recorded_retention(at(0), Duration::from_secs(30));
+    coordinator.set_config(at(0), config(Some(2)));
+    assert_eq!(coordinator.retention_to_record(at(30_000)), Duration::from_secs(30));
+    assert_eq!(coordinator.retention_to_record(at(30_001)), Duration::from_secs(4));
+}
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -183,6 +183,9 @@
     /// The store's record of the versions that serve side by side could not be
     /// written. Fields: cause.
     VersionRecordNotWritten = "CF0547", Info, "record of versions can't be written";
+    /// Streams of a version that no runner has any more can't be taken up again: all have
+    /// expired. Fields: upstream, version.
+    VersionExpired = "CF0557", Info, "version that has left is no longer remembered";
     /// Requests with a part of a prompt are tried one at a time: runners broke off their
     /// responses to it one after the other. Fields: part, runners.
     PromptPartSuspected = "CF0548", Info, "prompt part may crash runners";
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -204,7 +204,7 @@
                 let config = Arc::new(config);
                 self.config_readable = true;
                 self.host_state.set_config(config.clone());
-                self.coordinator.set_config(config.clone());
+                self.coordinator.set_config(self.now(), config.clone());
                 // Logged last: a reader of the line may rely on the
                 // configuration being in force.
                 log_event!(
--- a/crates/node/src/fleet/control/stream_items.rs
+++ b/crates/node/src/fleet/control/stream_items.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     events::{Event, log_event},
-    fleet::wall_clock::unix_ms,
+    fleet::wall_clock::{as_ms, unix_ms},
 };
 
 use super::FleetControl;
@@ -46,12 +46,18 @@
 struct StreamItem {
     /// In milliseconds since the Unix epoch.
     written_ms: u64,
+    /// Time for which the streams may be taken up again, in milliseconds; zero from hosts of
+    /// earlier versions.
+    #[serde(default)]
+    retention_ms: u64,
     upstreams: BTreeMap<UpstreamName, BTreeMap<RunnerVersion, Vec<StreamId>>>,
 }
 
 impl StreamItem {
     fn new(records: &[StreamRecord]) -> Self {
         let mut item = Self { written_ms: unix_ms(), ..Self::default() };
+        let retention = records.iter().map(|record| record.retention).max();
+        item.retention_ms = as_ms(retention.unwrap_or_default());
         for record in records {
             let Some(version) = record.version.clone() else { continue };
             let versions = item.upstreams.entry(record.upstream.clone()).or_default();
@@ -62,25 +68,39 @@
 
     fn into_records(self) -> impl Iterator<Item = StreamRecord> {
         let age = Duration::from_millis(unix_ms().saturating_sub(self.written_ms));
+        let retention = Duration::from_millis(self.retention_ms);
         self.upstreams.into_iter().flat_map(move |(upstream, versions)| {
             versions.into_iter().flat_map(move |(version, ids)| {
                 let upstream = upstream.clone();
                 ids.into_iter().map(move |id| {
                     let (upstream, version) = (upstream.clone(), Some(version.clone()));
-                    StreamRecord { id, upstream, version, age }
+                    StreamRecord { id, upstream, version, age, retention }
                 })
             })
         })
     }
 }
 
+/// The present lease of new items.
+#[derive(Clone, Copy, Debug)]
+struct SharedLease {
+    id: LeaseId,
+    ends_at: MonoTime,
+}
+
+impl SharedLease {
+    /// Returns true if an item under it outlives streams of this retention.
+    fn covers(self, now: MonoTime, retention: Duration) -> bool {
+        self.ends_at >= now + retention
+    }
+}
+
 /// Streams that the store does not have yet.
 #[derive(Clone, Debug, Default)]
 pub(super) struct UnstoredStreams {
     records: Rc<RefCell<Vec<StreamRecord>>>,
     is_writing: Rc<Cell<bool>>,
-    /// The present lease, and when it was granted.
-    lease: Rc<Cell<Option<(LeaseId, MonoTime)>>>,
+    lease: Rc<Cell<Option<SharedLease>>>,
     written: Option<MonoTime>,
     items: u64,
 }
@@ -156,15 +176,19 @@
         let me = &self.me.id;
         let prefix = self.format.keys.streams;
         let key = format!("{prefix}{}-{}-{}", me.name, me.incarnation, unstored.items);
-        let memory = self.coordinator.stream_memory();
-        let shared = memory.mul_f64(LEASE_FRACTION);
-        let lease = unstored.lease.get().filter(|(_, at)| now.since(*at) < shared);
-        let ttl = (memory + shared).max(MIN_LEASE);
+        let retention = batch.iter().map(|record| record.retention).max().unwrap_or_default();
+        let shared = retention.mul_f64(LEASE_FRACTION);
+        // A lease that was granted for streams of a shorter retention ends too early.
+        let lease = unstored.lease.get().filter(|lease| lease.covers(now, retention));
+        let ttl = (retention + shared).max(MIN_LEASE);
         let (unstored, store) = (unstored.clone(), self.store.clone());
         unstored.is_writing.set(true);
         actix_rt::spawn(async move {
-            match write(&*store, &key, value, lease.map(|(id, _)| id), ttl).await {
-                Ok(id) => unstored.lease.set(lease.or(Some((id, now)))),
+            match write(&*store, &key, value, lease.map(|lease| lease.id), ttl).await {
+                Ok(id) => {
+                    let granted = SharedLease { id, ends_at: now + ttl };
+                    unstored.lease.set(lease.or(Some(granted)));
+                }
                 Err(e) => {
                     log_event!(Event::VersionRecordNotWritten, cause:% = e);
                     unstored.lease.set(None);
--- a/crates/node/src/fleet/control/stream_versions.rs
+++ b/crates/node/src/fleet/control/stream_versions.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    events::{Event, log_event},
+    events::{Event, Optional, log_event},
     fleet::wire::{PROTOCOL_STREAMS, ToCoordinator, ToHost},
 };
 
@@ -66,7 +66,13 @@
     /// versions serve: all to a host that has no copy yet, then what is new.
     pub(super) fn copy_streams(&mut self) {
         let now = self.now();
-        self.coordinator.expire_versions(now);
+        for (upstream, version) in self.coordinator.expire_versions(now) {
+            log_event!(
+                Event::VersionExpired,
+                upstream:% = upstream,
+                version:% = Optional(version.as_ref())
+            );
+        }
         let new = self.coordinator.take_new_streams();
         let is_mixed = self.coordinator.version_histories().any(|(_, h)| h.is_mixed(now));
         let is_client = self.coordinator_client.coordinator().is_some();
--- a/crates/node/src/fleet/control/version_record.rs
+++ b/crates/node/src/fleet/control/version_record.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     events::{Event, log_event},
-    fleet::wall_clock::unix_ms,
+    fleet::wall_clock::{as_ms, unix_ms},
 };
 
 use super::FleetControl;
@@ -35,6 +35,10 @@
 /// Versions of each upstream that may have begun a stream.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub(super) struct VersionRecord {
+    /// Time for which streams may be taken up again, in milliseconds; zero from hosts of
+    /// earlier versions.
+    #[serde(default)]
+    retention_ms: u64,
     upstreams: BTreeMap<UpstreamName, Vec<RecordedVersion>>,
 }
 
@@ -45,6 +49,10 @@
     version: Option<RunnerVersion>,
     /// When its last runner was removed, in milliseconds since the Unix epoch.
     gone_ms: Option<u64>,
+    /// Until when its streams may be taken up, in milliseconds since the Unix epoch; none if
+    /// it serves, and from hosts of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    keep_until_ms: Option<u64>,
 }
 
 impl VersionRecord {
@@ -79,13 +87,21 @@
             }
         };
         let (now, unix_ms) = (self.now(), unix_ms());
+        // The versions without a time of their own are kept for this long.
+        let retention = Duration::from_millis(record.retention_ms);
+        self.coordinator.set_recorded_retention(now, retention);
         for (upstream, versions) in &record.upstreams {
-            for RecordedVersion { version, gone_ms } in versions {
+            for RecordedVersion { version, gone_ms, keep_until_ms } in versions {
                 let gone_for = gone_ms.map_or(Duration::ZERO, |gone_ms| {
                     let gone_for = Duration::from_millis(unix_ms.saturating_sub(gone_ms));
                     gone_for.saturating_sub(CLOCK_TOLERANCE)
                 });
-                self.coordinator.version_reported(now, upstream, version.clone(), gone_for);
+                let time_left = keep_until_ms.map(|keep_until_ms| {
+                    let time_left = Duration::from_millis(keep_until_ms.saturating_sub(unix_ms));
+                    time_left + CLOCK_TOLERANCE
+                });
+                let version = version.clone();
+                self.coordinator.version_reported(now, upstream, version, gone_for, time_left);
             }
         }
         self.version_record = record;
@@ -98,7 +114,8 @@
             return;
         }
         let record = self.current_versions(now);
-        if record.states() == self.version_record.states() {
+        let former = &self.version_record;
+        if record.states() == former.states() && record.retention_ms == former.retention_ms {
             return;
         }
         // While all hosts start, each coordinates itself for a moment and sees the same.
@@ -106,8 +123,9 @@
         if !record.is_mixed() && 2 * basis.clients <= basis.known {
             return;
         }
-        let adds_version = !record.versions().is_subset(&self.version_record.versions());
-        let interval = if adds_version { MIN_ADDITION_INTERVAL } else { MIN_WRITE_INTERVAL };
+        let adds_version = !record.versions().is_subset(&former.versions());
+        let is_urgent = adds_version || record.retention_ms > former.retention_ms;
+        let interval = if is_urgent { MIN_ADDITION_INTERVAL } else { MIN_WRITE_INTERVAL };
         if self.version_record_written.is_some_and(|at| now.since(at) < interval) {
             return;
         }
@@ -131,14 +149,16 @@
         let unix_ms = unix_ms();
         let histories = self.coordinator.version_histories();
         let upstreams = histories.map(|(upstream, history)| {
-            let versions = history.versions(now).map(|(version, gone_for)| RecordedVersion {
+            let versions = history.versions(now).map(|(version, gone)| RecordedVersion {
                 version: version.cloned(),
-                gone_ms: gone_for.map(|gone| unix_ms.saturating_sub(gone.as_millis() as u64)),
+                gone_ms: gone.map(|gone| unix_ms.saturating_sub(as_ms(gone.gone_for))),
+                keep_until_ms: gone.map(|gone| unix_ms.saturating_add(as_ms(gone.time_left))),
             });
             (upstream.clone(), versions.collect())
         });
         // Without a runner there is nothing to record.
         let upstreams = upstreams.filter(|(_, versions): &(_, Vec<_>)| !versions.is_empty());
-        VersionRecord { upstreams: upstreams.collect() }
+        let retention_ms = as_ms(self.coordinator.retention_to_record(now));
+        VersionRecord { retention_ms, upstreams: upstreams.collect() }
     }
 }
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -274,9 +274,10 @@
         let route = route.ok_or_else(|| reject(NotRunReason::UnknownRoute.into()))?;
         let workspace =
             self.workspace(&config, &route, text(header_names.api_key)).map_err(reject)?;
-        let timeout = text(header_names.deadline_ms).and_then(|value| value.trim().parse().ok());
-        let timeout = timeout.map_or(route.time_limit, Duration::from_millis);
-        let deadline = arrived + timeout.min(route.time_limit);
+        let caller_wait =
+            text(header_names.deadline_ms).and_then(|value| value.trim().parse().ok());
+        let caller_wait = caller_wait.map(Duration::from_millis);
+        let deadline = arrived + caller_wait.unwrap_or(route.time_limit).min(route.time_limit);
         let max = config.limits.max_body_bytes;
         let read_until = deadline.min(arrived + config.limits.read_timeout);
         let body = read_body(&mut body, max, read_until).await.map_err(reject)?;
@@ -310,6 +311,7 @@
             length_hint: text(header_names.length_hint).and_then(|hint| hint.trim().parse().ok()),
             began_as: resumes.as_deref().filter(|_| takes_up).unwrap_or(&caller_id),
             takes_up,
+            caller_wait,
             body_bytes: body.len(),
             digest,
         });
--- a/crates/node/src/fleet/proxy/placement.rs
+++ b/crates/node/src/fleet/proxy/placement.rs
@@ -5,7 +5,7 @@
 use comfreyway_core::{
     fleet::{
         FleetConfig, PlacementRequest, RequestDigest, RetryPolicy, Route, SizedPart, StreamBinding,
-        StreamId, Workspace,
+        StreamId, Workspace, stream_retention,
     },
     ids::{HostId, RequestId, WorkspaceName},
     request::{BlockHash, RequestRecord},
@@ -34,6 +34,8 @@
     pub(super) began_as: &'a str,
     /// True if the request goes on with a stream.
     pub(super) takes_up: bool,
+    /// Time that the caller said it would wait.
+    pub(super) caller_wait: Option<Duration>,
     pub(super) body_bytes: usize,
     pub(super) digest: RequestDigest,
 }
@@ -45,10 +47,11 @@
     let name = name.or_else(|| WorkspaceName::new(PUBLIC_WORKSPACE).ok())?;
     let stream = (route.retry == RetryPolicy::Resumable).then(|| {
         let stream = StreamId::new(&name, input.began_as);
-        match input.takes_up {
+        let binding = match input.takes_up {
             true => StreamBinding::continues(stream, None),
             false => StreamBinding::begins(stream),
-        }
+        };
+        binding.with_retention(stream_retention(route.time_limit, input.caller_wait))
     });
     // A stream stays at its upstream.
     let pick = stream.as_ref().map_or(id.value() as u64, |stream| stream.id.hash());
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -221,7 +221,8 @@
             return Some(stream);
         }
         let version = self.version.clone().filter(|_| self.events.can_resume())?;
-        Some(StreamBinding::continues(stream.id, Some(version)))
+        let rest = StreamBinding::continues(stream.id, Some(version));
+        Some(rest.with_retention(stream.retention))
     }
 
     /// Resumes a broken stream at another runner, if that is allowed.
