Answer every request before a planned stop ends

Right before the stop limit the process ends and closes their connections: no 503, though none of them has run.

Cause: the stop waited for requests in progress and decided nothing about those that were left. The end of the process took whatever there was: requests that wait, that run, that are being read, and responses in the process's buffers, as a request counted as done once the HTTP library had the last bytes.

Ruled out: a loss by the hand-over of the coordination, which a lone host doesn't have.

Change: StopSchedule (core) names the phases. With a quarter of the limit left requests that wait are refused as not run (stopping), also those whose bodies are being read; 0.7 s before the limit those that run are answered as unknown (stop-limit); no retry begins after the first of these. A request is in progress until its response has been written to its socket, for callers and for hosts that forward. Unchanged: streams are cut at the limit; the embedded design refuses what waits as its stop begins.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -46,6 +46,7 @@
 mod scheduler;
 mod sessions;
 mod share;
+mod stop_schedule;
 mod stream;
 mod stream_retention;
 mod stream_versions;
@@ -78,6 +79,7 @@
     scheduler::{Decision, DispatchFailure, RunnerState, UpstreamScheduler},
     sessions::{HostSessions, OpenOutcome},
     share::{Share, ShareBasis},
+    stop_schedule::{StopPhase, StopSchedule},
     stream::{StreamBinding, StreamId, StreamRecord},
     stream_retention::{StreamRetention, stream_retention},
     stream_versions::StreamVersions,
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -24,6 +24,7 @@
 mod runner_paths;
 mod scheduler;
 mod shares;
+mod stop_schedule;
 mod streams;
 mod support;
 mod uneven_runners;
--- a/crates/node/src/fleet/forward/server.rs
+++ b/crates/node/src/fleet/forward/server.rs
@@ -30,8 +30,9 @@
 use crate::{
     events::{Event, log_event},
     fleet::{
-        host_state::{HostState, InProgress},
+        host_state::HostState,
         runner_connections::{RunnerConnection, connect, set_socket_options},
+        unsent::Unsent,
     },
     metrics::FleetMetrics,
 };
@@ -99,7 +100,6 @@
     body: Incoming,
     connection: RunnerConnection,
     _slot: ForwardSlot,
-    _in_progress: InProgress,
 }
 
 impl ForwardServer {
@@ -127,10 +127,16 @@
 
     async fn serve_connection(self, stream: TcpStream) {
         set_socket_options(&stream);
+        let unsent = Unsent::default();
+        let stream = unsent.stream(stream);
         let head_bytes = self.host_state.config().map_or(0, |config| config.limits.max_head_bytes);
         let service = service_fn(move |req: Request<Incoming>| {
-            let server = self.clone();
-            async move { Ok::<_, Infallible>(server.forward(req).await) }
+            let (server, unsent) = (self.clone(), unsent.clone());
+            async move {
+                let in_progress = server.host_state.start_request();
+                let res = server.forward(req).await;
+                Ok::<_, Infallible>(res.map(|body| unsent.track(body, in_progress)))
+            }
         });
         let connection = http1::Builder::new()
             .keep_alive(false)
@@ -209,7 +215,6 @@
             return Err(Outcome::Busy);
         }
         let slot = self.slots.take().ok_or(Outcome::Busy)?;
-        let in_progress = self.host_state.start_request();
         self.check_path(upstream, runner)?;
         let max = self.host_state.config().map_or(MAX_BODY_BYTES, |c| c.limits.max_body_bytes);
         let body = timeout(READ_TIMEOUT, read_body(body, max)).await;
@@ -235,7 +240,7 @@
         headers.remove(TRANSFER_ENCODING);
         let req = to_request(std::mem::take(headers), body);
         match connection.try_send(req).await {
-            Ok(res) => Ok(response(res, connection, slot, in_progress)),
+            Ok(res) => Ok(response(res, connection, slot)),
             Err((_, Some(_))) => Err(Outcome::Unreachable),
             Err((cause, None)) => {
                 log::debug!("no response to a forwarded request from {runner}: {cause}");
@@ -250,7 +255,6 @@
     res: Response<Incoming>,
     connection: RunnerConnection,
     slot: ForwardSlot,
-    in_progress: InProgress,
 ) -> Response<ForwardBody> {
     let (mut head, body) = res.into_parts();
     hop::clear(&mut head.headers);
@@ -263,7 +267,7 @@
     if !has_length {
         head.headers.remove(CONTENT_LENGTH);
     }
-    let forwarding = Forwarding { body, connection, _slot: slot, _in_progress: in_progress };
+    let forwarding = Forwarding { body, connection, _slot: slot };
     let frames = stream::unfold(forwarding, |mut forwarding| async move {
         forwarding.connection.progress.advance();
         let frame = forwarding.body.frame().await?;
--- a/crates/node/src/fleet/forward/tests.rs
+++ b/crates/node/src/fleet/forward/tests.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use comfreyway_core::{
-    fleet::{RunnerEntry, RunnerKey},
+    fleet::{RunnerEntry, RunnerKey, StopPhase},
     ids::HostId,
 };
 use http_body_util::{BodyExt, Full};
@@ -216,7 +216,7 @@
     let result = send(&other.host, address).await;
     assert!(matches!(result, Err(ForwardFailure::NotSent("cut-off"))));
     let stopping = start_host();
-    stopping.state.set_stopping();
+    stopping.state.set_stop_phase(StopPhase::Draining);
     let result = send(&stopping.host, address).await;
     assert!(matches!(result, Err(ForwardFailure::NotSent("busy"))));
     assert_eq!(requests.try_iter().count(), 0);
--- a/crates/node/src/fleet/host_state.rs
+++ b/crates/node/src/fleet/host_state.rs
@@ -5,7 +5,11 @@
     atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
 
-use comfreyway_core::{fleet::FleetConfig, time::MonoTime};
+use comfreyway_core::{
+    fleet::{FleetConfig, StopPhase},
+    time::MonoTime,
+};
+use tokio::sync::watch;
 
 use crate::control::Clock;
 
@@ -18,8 +22,7 @@
     config: RwLock<Option<Arc<FleetConfig>>>,
     /// In microseconds; zero if never verified.
     verified_us: AtomicU64,
-    stopping: AtomicBool,
-    refusing: AtomicBool,
+    stop_phase: watch::Sender<StopPhase>,
     in_progress: AtomicUsize,
     hosts: AtomicUsize,
     limited_runners: AtomicBool,
@@ -33,8 +36,7 @@
             clock,
             config: RwLock::default(),
             verified_us: AtomicU64::new(0),
-            stopping: AtomicBool::new(false),
-            refusing: AtomicBool::new(false),
+            stop_phase: watch::Sender::new(StopPhase::Serving),
             in_progress: AtomicUsize::new(0),
             hosts: AtomicUsize::new(1),
             limited_runners: AtomicBool::new(false),
@@ -90,21 +92,31 @@
         MonoTime::from_micros(self.verified_us.load(Ordering::Relaxed))
     }
 
-    pub(super) fn set_stopping(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    /// Enters a phase of a planned stop. Earlier phases are ignored.
+    pub(super) fn set_stop_phase(&self, phase: StopPhase) {
+        self.stop_phase.send_if_modified(|current| {
+            let is_later = phase > *current;
+            *current = phase.max(*current);
+            is_later
+        });
     }
 
-    pub(super) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+    pub(super) fn stop_phase(&self) -> StopPhase {
+        *self.stop_phase.borrow()
     }
 
-    /// Refuses new requests from now on.
-    pub(super) fn set_refusing(&self) {
-        self.refusing.store(true, Ordering::Relaxed);
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stop_phase() > StopPhase::Serving
     }
 
-    pub(super) fn is_refusing(&self) -> bool {
-        self.refusing.load(Ordering::Relaxed)
+    /// Waits until a planned stop has reached this phase.
+    pub(super) async fn stop_phase_reached(&self, phase: StopPhase) {
+        let mut phases = self.stop_phase.subscribe();
+        // The value isn't kept borrowed, which would block the next phase. The sender lives
+        // as long as this state.
+        if phases.wait_for(|current| *current >= phase).await.is_err() {
+            std::future::pending::<()>().await;
+        }
     }
 
     pub(super) fn in_progress(&self) -> usize {
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 mod runner_connections;
 mod runner_stream;
 mod sessions;
+mod unsent;
 mod wall_clock;
 pub mod wire;
 
--- a/crates/node/src/fleet/proxy/admitted.rs
+++ b/crates/node/src/fleet/proxy/admitted.rs
@@ -17,10 +17,7 @@
 };
 use tokio::time::Instant;
 
-use crate::fleet::{
-    host_state::InProgress,
-    platform_format::{HeaderNames, header},
-};
+use crate::fleet::platform_format::{HeaderNames, header};
 
 /// Time that a response takes on its way back to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
@@ -52,8 +49,6 @@
     pub(super) arrived: Instant,
     /// Deadline of the final response.
     pub(super) deadline: Instant,
-    /// Counts the request as in progress until it is dropped.
-    pub(super) _in_progress: InProgress,
 }
 
 impl AdmittedRequest {
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use comfreyway_core::{
+    fleet::StopPhase,
     outcome::{NotRunReason, UnknownReason},
     request::{DispatchEnd, Usage},
 };
@@ -21,7 +22,7 @@
     admitted::{AdmittedRequest, end_to_end},
     attempt::{Attempt, RunnerResponse, attempt},
     framing::Framing,
-    handler::{Proxy, ProxyState},
+    handler::{Proxy, ProxyState, STOPPING_RETRY_AFTER},
     relay::relay,
     response::{ResponseBody, buffered, not_run, unknown},
 };
@@ -48,7 +49,8 @@
 }
 
 /// Dispatches a request until a runner responds or the request fails. `after`
-/// is the event after which a stream resumes.
+/// is the event after which a stream resumes. A host that stops gives up requests that wait,
+/// which another host can still serve, then those that run.
 pub(super) async fn dispatch(
     proxy: &ProxyState,
     request: &AdmittedRequest,
@@ -56,7 +58,14 @@
     after: Option<u64>,
 ) -> DispatchResult {
     loop {
-        let runner = match timeout_at(request.deadline, next_decision(request, handle)).await {
+        let decision = tokio::select! {
+            biased;
+            () = proxy.host_state.stop_phase_reached(StopPhase::Dispatched) => {
+                return DispatchResult::NotRun(NotRunReason::Stopping, STOPPING_RETRY_AFTER);
+            }
+            decision = timeout_at(request.deadline, next_decision(request, handle)) => decision,
+        };
+        let runner = match decision {
             Ok(Some(RequestDecision::Dispatch(runner))) => runner,
             Ok(Some(RequestDecision::Refuse(reason, retry_after))) => {
                 return DispatchResult::NotRun(reason, retry_after);
@@ -68,7 +77,12 @@
                 return DispatchResult::NotRun(NotRunReason::TimeLimit, TIME_LIMIT_RETRY_AFTER);
             }
         };
-        let (attempt, statements) = attempt(proxy, request, &runner, after).await;
+        let (attempt, statements) = tokio::select! {
+            attempted = attempt(proxy, request, &runner, after) => attempted,
+            () = proxy.host_state.stop_phase_reached(StopPhase::Aborting) => {
+                return DispatchResult::Unknown(UnknownReason::StopLimit);
+            }
+        };
         handle.set_forwarded(statements.is_forwarded);
         if let Some(notice) = statements.notice {
             handle.runner_notice(notice);
@@ -145,10 +159,17 @@
                     return relay(proxy, request, handle, response, sent + 1);
                 }
                 let held = proxy.host_state.response_memory.reserve(MAX_RESPONSE_BYTES);
-                match response.read_whole(&request.caller_id, request.deadline, held).await {
+                let read = tokio::select! {
+                    read = response.read_whole(&request.caller_id, request.deadline, held) => read,
+                    () = proxy.host_state.stop_phase_reached(StopPhase::Aborting) => {
+                        Err(UnknownReason::StopLimit)
+                    }
+                };
+                match read {
                     Ok(body) => {
                         let status = response.status;
-                        let retry = status.is_server_error() && may_retry(&request, sent + 1);
+                        let retry =
+                            status.is_server_error() && may_retry(proxy, &request, sent + 1);
                         handle.ended(completed(&response));
                         if !retry {
                             record_answered(
@@ -174,8 +195,11 @@
             }
         };
         sent += 1;
-        handle.ended(DispatchEnd::Failed);
-        if !may_retry(&request, sent) {
+        handle.ended(match reason {
+            UnknownReason::StopLimit => DispatchEnd::Cancelled,
+            _ => DispatchEnd::Failed,
+        });
+        if !may_retry(proxy, &request, sent) {
             return unknown_outcome(proxy, &request, &handle, sent, reason);
         }
         log_event!(
@@ -257,9 +281,11 @@
 }
 
 /// Returns true if the request may go to another runner after `sent` ones.
-pub(super) fn may_retry(request: &AdmittedRequest, sent: u32) -> bool {
+pub(super) fn may_retry(proxy: &ProxyState, request: &AdmittedRequest, sent: u32) -> bool {
     let left = request.deadline.saturating_duration_since(Instant::now());
-    request.is_idempotent() && sent < request.route.max_attempts && left > MIN_TIME_LEFT
+    let dispatches = proxy.host_state.stop_phase() < StopPhase::Dispatched;
+    let is_allowed = request.is_idempotent() && sent < request.route.max_attempts;
+    is_allowed && left > MIN_TIME_LEFT && dispatches
 }
 
 fn completed(response: &RunnerResponse) -> DispatchEnd {
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -10,7 +10,8 @@
 use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
     fleet::{
-        FleetConfig, RequestContent, RequestDigest, Route, RunnerPaths, StreamBinding, Workspace,
+        FleetConfig, RequestContent, RequestDigest, Route, RunnerPaths, StopPhase, StreamBinding,
+        Workspace,
     },
     ids::{HostId, RequestId, RunnerName},
     outcome::NotRunReason,
@@ -29,7 +30,7 @@
 
 use crate::events::{Event, log_event};
 use crate::fleet::{
-    host_state::{HostState, InProgress},
+    host_state::HostState,
     platform_format::{PlatformFormat, header},
     request_handle::{RequestHandle, WorkerMessage},
     runner_connections::RunnerConnections,
@@ -49,7 +50,7 @@
 
 /// Time after which a caller may try again when the host stops; another host
 /// accepts the request at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+pub(super) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Value of the header for the last event that asks for all events.
 const NO_EVENT: &str = "0";
@@ -173,6 +174,12 @@
 /// Refusal of a request before it is submitted.
 struct Rejection(NotRunReason, Option<Duration>);
 
+impl Rejection {
+    fn stopping() -> Self {
+        Self(NotRunReason::Stopping, Some(STOPPING_RETRY_AFTER))
+    }
+}
+
 impl From<NotRunReason> for Rejection {
     fn from(reason: NotRunReason) -> Self {
         Self(reason, None)
@@ -214,7 +221,7 @@
     /// Serves one request.
     pub(super) async fn handle(self, req: Request<Incoming>) -> Response<ResponseBody> {
         let id = req.headers().get(header(self.format.headers.request_id)).cloned();
-        let mut res = match self.admit(req, self.host_state.start_request()).await {
+        let mut res = match self.admit(req).await {
             Ok(request) => exchange(&self, request).await,
             Err((Rejection(reason, retry_after), unread)) => {
                 self.record_rejection(id.as_ref(), reason);
@@ -246,19 +253,15 @@
 
     /// Checks and reads a request. The second value of an error is true if the
     /// body was not read to its end.
-    async fn admit(
-        &self,
-        req: Request<Incoming>,
-        in_progress: InProgress,
-    ) -> Result<AdmittedRequest, (Rejection, bool)> {
+    async fn admit(&self, req: Request<Incoming>) -> Result<AdmittedRequest, (Rejection, bool)> {
         let arrived = Instant::now();
         let (head, mut body) = req.into_parts();
         let unread = !body.is_end_stream();
         let reject = |reason: Rejection| (reason, unread);
-        if self.host_state.is_refusing() {
+        if self.host_state.stop_phase() >= StopPhase::Refusing {
             // The time left until the stop limit may be too short for a
             // response.
-            return Err(reject(Rejection(NotRunReason::Stopping, Some(STOPPING_RETRY_AFTER))));
+            return Err(reject(Rejection::stopping()));
         }
         let config = self.host_state.config().ok_or_else(|| {
             reject(Rejection(NotRunReason::NotReady, Some(NOT_READY_RETRY_AFTER)))
@@ -280,7 +283,12 @@
         let deadline = arrived + caller_wait.unwrap_or(route.time_limit).min(route.time_limit);
         let max = config.limits.max_body_bytes;
         let read_until = deadline.min(arrived + config.limits.read_timeout);
-        let body = read_body(&mut body, max, read_until).await.map_err(reject)?;
+        let body = tokio::select! {
+            read = read_body(&mut body, max, read_until) => read.map_err(reject)?,
+            () = self.host_state.stop_phase_reached(StopPhase::Dispatched) => {
+                return Err(reject(Rejection::stopping()));
+            }
+        };
         let usage =
             text(header_names.token_usage).and_then(|value| (self.format.read_usage)(value));
         let parts = text(header_names.prompt_parts).map(self.format.read_parts);
@@ -334,7 +342,6 @@
             known_hosts: self.host_state.hosts(),
             arrived,
             deadline,
-            _in_progress: in_progress,
         })
     }
 
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -231,7 +231,7 @@
         self.handle.ended(DispatchEnd::Failed);
         let stream = self.binding_of_rest();
         loop {
-            if stream.is_none() || !may_retry(&self.request, self.sent) {
+            if stream.is_none() || !may_retry(&self.proxy, &self.request, self.sent) {
                 return Err(RelayError::Broken);
             }
             let avoid = self.handle.runner().cloned();
--- a/crates/node/src/fleet/proxy/serve.rs
+++ b/crates/node/src/fleet/proxy/serve.rs
@@ -2,13 +2,14 @@
 
 use std::{convert::Infallible, net::TcpListener, pin::pin, time::Duration};
 
+use comfreyway_core::fleet::StopPhase;
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpStream, sync::watch, time::sleep};
+use tokio::{net::TcpStream, time::sleep};
 
 use crate::{
     events::{Event, log_event},
-    fleet::runner_connections::set_socket_options,
+    fleet::{runner_connections::set_socket_options, unsent::Unsent},
 };
 
 use super::handler::Proxy;
@@ -25,13 +26,8 @@
 /// Minimum buffer for the head of a request; `hyper` panics on a smaller one.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 
-/// Serves callers until the process ends. `closing` turns true when idle
-/// connections shall be closed.
-pub(in crate::fleet) async fn serve(
-    listener: TcpListener,
-    proxy: Proxy,
-    closing: watch::Receiver<bool>,
-) {
+/// Serves callers until the process ends.
+pub(in crate::fleet) async fn serve(listener: TcpListener, proxy: Proxy) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(e) => {
@@ -50,7 +46,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                actix_rt::spawn(serve_connection(stream, proxy.clone(), closing.clone()));
+                actix_rt::spawn(serve_connection(stream, proxy.clone()));
             }
             Err(e) => {
                 log_event!(Event::AcceptFailed, port = "callers", cause:% = e);
@@ -60,19 +56,26 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, proxy: Proxy, mut closing: watch::Receiver<bool>) {
+async fn serve_connection(stream: TcpStream, proxy: Proxy) {
     set_socket_options(&stream);
+    let host_state = proxy.host_state.clone();
+    let unsent = Unsent::default();
+    let stream = unsent.stream(stream);
     let limits = proxy.host_state.config().map(|config| config.limits);
     let head_bytes =
         limits.map_or(MIN_HEAD_BYTES, |limits| limits.max_head_bytes.max(MIN_HEAD_BYTES));
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let service = service_fn(move |req: Request<Incoming>| {
-        let proxy = proxy.clone();
-        async move { Ok::<_, Infallible>(proxy.handle(req).await) }
+        let (proxy, unsent) = (proxy.clone(), unsent.clone());
+        async move {
+            let in_progress = proxy.host_state.start_request();
+            let res = proxy.handle(req).await;
+            Ok::<_, Infallible>(res.map(|body| unsent.track(body, in_progress)))
+        }
     });
     // A connection that is accepted while the host stops gets one response,
     // which states that nothing was run.
-    let last = *closing.borrow();
+    let last = host_state.stop_phase() >= StopPhase::Refusing;
     let connection = http1::Builder::new()
         .keep_alive(!last)
         .timer(TokioTimer::new())
@@ -82,7 +85,7 @@
     let mut connection = pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = wait_until_true(&mut closing), if !last => {
+        () = host_state.stop_phase_reached(StopPhase::Refusing), if !last => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -91,13 +94,3 @@
         log::debug!("connection of a caller ended: {e}");
     }
 }
-
-/// Waits until the value is true. The value is not kept borrowed, which would
-/// block its sender.
-async fn wait_until_true(closing: &mut watch::Receiver<bool>) {
-    if closing.wait_for(|closing| *closing).await.is_err() {
-        // The sender is dropped only when the process ends, which closes all
-        // connections.
-        std::future::pending::<()>().await;
-    }
-}
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -10,7 +10,7 @@
 use actix::Actor;
 use actix_rt::Arbiter;
 use comfreyway_core::{
-    fleet::{Coordinator, Member},
+    fleet::{Coordinator, Member, StopPhase, StopSchedule},
     ids::HostId,
 };
 use comfreyway_platform::{HostList, KeyValue, Store};
@@ -44,19 +44,12 @@
     sessions::{COORDINATOR_TIMEOUT, accept},
 };
 
-/// Time between the stop signal and the closing of idle connections. The load
-/// balancer polls once a second and needs two failed checks.
-const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(2_400);
-
-/// Time before the stop limit at which the process ends even with requests in
-/// progress.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
-
 /// Interval of checks for requests in progress while draining.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time for the last responses to leave the process's buffers.
-const FLUSH_TIME: Duration = Duration::from_millis(60);
+/// Time without a request after which a drained host ends. A request may be on its way
+/// while idle connections are closed.
+const SETTLE_TIME: Duration = Duration::from_millis(60);
 
 /// Time for the store to remove this host's entry.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -146,7 +139,6 @@
     let registration =
         actix_rt::spawn(keep_registered(store, key, me.clone(), fleet.host_lease, stop_rx));
     let process = rand::random();
-    let (closing_tx, closing) = watch::channel(false);
     listeners.callers.set_nonblocking(true)?;
     if let Some(listener) = &listeners.forward {
         listener.set_nonblocking(true)?;
@@ -163,7 +155,7 @@
             forward: listeners.forward.as_ref().map(TcpListener::try_clone).transpose()?,
             token: me.token,
         };
-        worker.start(listeners.callers.try_clone()?, closing.clone());
+        worker.start(listeners.callers.try_clone()?);
     }
     log_event!(
         Event::Started,
@@ -179,11 +171,11 @@
         _ = interrupt.recv() => {}
     }
     log_event!(Event::Stopping, in_progress = host_state.in_progress());
-    host_state.set_stopping();
+    host_state.set_stop_phase(StopPhase::Draining);
     control.do_send(BeginStop);
     // The registration task holds the receiver until it gets this value.
     let _ = stop_tx.send(true);
-    drain(&host_state, &closing_tx, settings.limits.stop_timeout).await;
+    drain(&host_state, settings.limits.stop_timeout).await;
     if timeout(DEREGISTER_TIMEOUT, registration).await.is_err() {
         log::info!("timed out removing this host's entry from the store; it will expire");
     }
@@ -207,7 +199,7 @@
 }
 
 impl Worker {
-    fn start(self, listener: TcpListener, closing: watch::Receiver<bool>) {
+    fn start(self, listener: TcpListener) {
         Arbiter::new().spawn_fn(move || {
             let Self { format, host_state, limits, metrics, control, host, ids, forward, token } =
                 self;
@@ -218,35 +210,31 @@
                 let server = ForwardServer { token, host_state, paths, slots, metrics };
                 actix_rt::spawn(server.serve(listener));
             }
-            actix_rt::spawn(serve(listener, proxy, closing));
+            actix_rt::spawn(serve(listener, proxy));
         });
     }
 }
 
-/// Waits until no request is in progress or the stop limit is near. Once the
-/// load balancer sends no new callers, closes idle connections and refuses new
-/// requests.
-async fn drain(host_state: &HostState, closing: &watch::Sender<bool>, limit: Option<Duration>) {
+/// Goes through the phases of a planned stop until all responses have been written, or until
+/// the stop limit is near.
+async fn drain(host_state: &HostState, limit: Option<Duration>) {
     let started = Instant::now();
-    let limit = limit.map(|limit| limit.saturating_sub(STOP_MARGIN));
+    let schedule = StopSchedule::new(limit);
+    let mut idle_since = None;
     loop {
-        let elapsed = started.elapsed();
-        if elapsed >= BALANCER_DRAIN_TIME {
-            if !host_state.is_refusing() {
-                host_state.set_refusing();
-                closing.send_replace(true);
-            }
-            if host_state.in_progress() == 0 {
-                break;
-            }
-        }
-        if limit.is_some_and(|limit| elapsed >= limit) {
+        let phase = schedule.phase(started.elapsed());
+        if phase == StopPhase::Ended {
             log_event!(Event::StopAborted, in_progress = host_state.in_progress());
-            break;
+            return;
+        }
+        host_state.set_stop_phase(phase);
+        let is_idle = phase >= StopPhase::Refusing && host_state.in_progress() == 0;
+        idle_since = is_idle.then(|| idle_since.unwrap_or_else(Instant::now));
+        if idle_since.is_some_and(|since| since.elapsed() >= SETTLE_TIME) {
+            return;
         }
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    sleep(FLUSH_TIME).await;
 }
 
 /// Logs reload signals and keeps serving: settings are read only at the start.
