Keep the recorded retention while a former one is remembered

Callers would see streams of two versions (rule ORDER) after two failures: the time limit falls, another host begins to coordinate, then all hosts restart.

Cause: the store's record was lowered by a coordinator that had not seen the requests of its predecessor, or long after the record had been written, though streams of the former limit could still be taken up. Hosts that start know the former limit from the record alone.

Change: the record keeps its retention until what the coordinator remembers by a longer one has expired, and a host that takes over waits for as long as the record says.

Result: recorded_retention_outlives_the_streams_of_a_former_limit fails on the code before (4 s in place of 30 s) and passes now.

--- a/crates/core/src/fleet/stream_retention.rs
+++ b/crates/core/src/fleet/stream_retention.rs
@@ -104,11 +104,16 @@
         self.recorded = LastUsed { retention, at: now };
     }
 
-    /// Returns the retention that the store's record should have. A longer one, which another
-    /// host may need, stays until it has expired.
+    /// Returns the retention that the store's record should have. A longer one stays until it
+    /// has expired, and until all that this host remembers by a longer one has: hosts that
+    /// start know it from there alone.
     #[must_use]
     pub fn to_record(&self, now: MonoTime) -> Duration {
-        self.own(now).max(self.recorded.current(now))
+        let own = self.own(now);
+        match self.floor > now + own {
+            true => own.max(self.recorded.retention),
+            false => own.max(self.recorded.current(now)),
+        }
     }
 
     /// Returns the time until which something that is used at `used_at` is remembered.
--- a/crates/core/tests/fleet/streams.rs
+++ b/crates/core/tests/fleet/streams.rs
@@ -267,3 +267,15 @@
     assert_eq!(coordinator.retention_to_record(at(30_000)), Duration::from_secs(30));
     assert_eq!(coordinator.retention_to_record(at(30_001)), Duration::from_secs(4));
 }
+
+/// The limit falls long after the record was written. A host that starts then knows the former
+/// limit from the record alone.
+#[test]
+fn recorded_retention_outlives_the_streams_of_a_former_limit() {
+    let mut coordinator = coordinator(&["v1"]);
+    coordinator.set_config(at(0), config(Some(15)));
+    coordinator.set_recorded_retention(at(0), Duration::from_secs(30));
+    coordinator.set_config(at(100_000), config(Some(2)));
+    assert_eq!(coordinator.retention_to_record(at(125_999)), Duration::from_secs(30));
+    assert_eq!(coordinator.retention_to_record(at(126_000)), Duration::from_secs(4));
+}
--- a/crates/node/src/fleet/control/version_record.rs
+++ b/crates/node/src/fleet/control/version_record.rs
@@ -110,7 +110,14 @@
     /// Writes the record if other versions serve than it says.
     pub(super) fn update_version_record(&mut self) {
         let now = self.now();
-        if self.coordinator_client.coordinator().is_some() || self.mirror.revision().0 == 0 {
+        if self.coordinator_client.coordinator().is_some() {
+            // Another host keeps the record. If this one takes over, it does not know which
+            // streams that was for.
+            let retention = Duration::from_millis(self.version_record.retention_ms);
+            self.coordinator.set_recorded_retention(now, retention);
+            return;
+        }
+        if self.mirror.revision().0 == 0 {
             return;
         }
         let record = self.current_versions(now);
