Share the configuration of the stream tests, and name what remains

The tests of streams and the plays of releases built the same route and limits; both take them from the support module now.

--- a/crates/core/tests/fleet/releases/fleet.rs
+++ b/crates/core/tests/fleet/releases/fleet.rs
@@ -8,15 +8,14 @@
 
 use comfreyway_core::{
     fleet::{
-        CallerLimits, ClientAction, Coordinator, CoordinatorClient, FleetConfig, RetryPolicy,
-        Route, RunnerEntry, RunnerVersion, UpstreamConfig,
+        ClientAction, Coordinator, CoordinatorClient, FleetConfig, RunnerEntry, RunnerVersion,
+        UpstreamConfig,
     },
-    ids::{HostId, RequestId, RunnerName, Tier},
-    request::Target,
+    ids::{HostId, RequestId, RunnerName},
 };
 use rand::rngs::StdRng;
 
-use crate::support::entry;
+use crate::support::{empty_config, entry, resumable_route};
 
 pub(super) const HOSTS: usize = 6;
 pub(super) const STEP_MS: u64 = 20;
@@ -132,35 +131,14 @@
 }
 
 fn config(time_limit_ms: u64) -> Arc<FleetConfig> {
-    let time_limit = Duration::from_millis(time_limit_ms);
-    let limits = CallerLimits {
-        max_head_bytes: 1,
-        max_body_bytes: 1,
-        read_timeout: Duration::from_secs(1),
-        idle_timeout: Duration::from_secs(1),
-    };
     let upstream = UpstreamConfig {
         engine: true,
         max_connections: 10,
         tokens_per_event: 3,
         prompt_memory: None,
     };
-    let route = Route {
-        class: "report".parse().unwrap(),
-        host: "desk.example".to_owned(),
-        prefix: "/report/".to_owned(),
-        upstreams: vec![("dala".parse().unwrap(), 1)],
-        retry: RetryPolicy::Resumable,
-        streaming: true,
-        time_limit,
-        target: Target::Whole(time_limit),
-        tier: Tier(1),
-        max_attempts: 2,
-        public: true,
-        shares_prompts: false,
-    };
-    let config = FleetConfig::new(1, 1, limits).with_upstream("dala".parse().unwrap(), upstream);
-    Arc::new(config.with_route(route))
+    let config = empty_config().with_upstream("dala".parse().unwrap(), upstream);
+    Arc::new(config.with_route(resumable_route(Duration::from_millis(time_limit_ms))))
 }
 
 impl Fleet {
--- a/crates/core/tests/fleet/streams.rs
+++ b/crates/core/tests/fleet/streams.rs
@@ -4,17 +4,16 @@
 
 use comfreyway_core::{
     fleet::{
-        CallerLimits, ClientAction, Coordinator, CoordinatorClient, FleetConfig, PlacementReply,
-        PlacementRequest, QuotaTolerance, RequestUpdate, RetryBudgetLimits, RetryPolicy, Route,
-        RunnerChange, RunnerEntry, RunnerVersion, StreamBinding, StreamId, StreamRecord,
+        ClientAction, Coordinator, CoordinatorClient, FleetConfig, PlacementReply,
+        PlacementRequest, QuotaTolerance, RequestUpdate, RetryBudgetLimits, RunnerChange,
+        RunnerEntry, RunnerVersion, StreamBinding, StreamId, StreamRecord,
     },
-    ids::{HostId, Tier},
+    ids::HostId,
     outcome::{NotRunReason, RetryReason},
-    request::Target,
 };
 use rstest::rstest;
 
-use crate::support::{at, entry, host, id, name, placement_request};
+use crate::support::{at, empty_config, entry, host, id, name, placement_request, resumable_route};
 
 type Replies = Vec<(HostId, PlacementReply)>;
 
@@ -172,28 +171,8 @@
 }
 
 fn config(time_limit: Option<u64>) -> Arc<FleetConfig> {
-    let limits = CallerLimits {
-        max_head_bytes: 1,
-        max_body_bytes: 1,
-        read_timeout: Duration::from_secs(1),
-        idle_timeout: Duration::from_secs(1),
-    };
-    let config = FleetConfig::new(1, 1, limits);
-    let Some(time_limit) = time_limit.map(Duration::from_secs) else { return Arc::new(config) };
-    Arc::new(config.with_route(Route {
-        class: "report".parse().unwrap(),
-        host: "desk.example".to_owned(),
-        prefix: "/report/".to_owned(),
-        upstreams: vec![("dala".parse().unwrap(), 1)],
-        retry: RetryPolicy::Resumable,
-        streaming: true,
-        time_limit,
-        target: Target::Whole(time_limit),
-        tier: Tier(1),
-        max_attempts: 2,
-        public: true,
-        shares_prompts: false,
-    }))
+    let routes = time_limit.map(|limit| resumable_route(Duration::from_secs(limit)));
+    Arc::new(routes.into_iter().fold(empty_config(), FleetConfig::with_route))
 }
 
 fn begin(number: u128, retention: u64) -> RequestUpdate {
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use comfreyway_core::{
-    fleet::{PlacementRequest, RunnerEntry, RunnerKey, RunnerVersion},
+    fleet::{
+        CallerLimits, FleetConfig, PlacementRequest, RetryPolicy, Route, RunnerEntry, RunnerKey,
+        RunnerVersion,
+    },
     ids::{HostId, RequestId, RunnerName, Tier},
     request::{RequestRecord, Target},
     time::MonoTime,
@@ -74,3 +77,32 @@
         version: RunnerVersion::new("v1"),
     }
 }
+
+/// A configuration without routes.
+pub(crate) fn empty_config() -> FleetConfig {
+    let limits = CallerLimits {
+        max_head_bytes: 1,
+        max_body_bytes: 1,
+        read_timeout: Duration::from_secs(1),
+        idle_timeout: Duration::from_secs(1),
+    };
+    FleetConfig::new(1, 1, limits)
+}
+
+/// A route to `dala` whose streams may be taken up again.
+pub(crate) fn resumable_route(time_limit: Duration) -> Route {
+    Route {
+        class: "report".parse().unwrap(),
+        host: "desk.example".to_owned(),
+        prefix: "/report/".to_owned(),
+        upstreams: vec![("dala".parse().unwrap(), 1)],
+        retry: RetryPolicy::Resumable,
+        streaming: true,
+        time_limit,
+        target: Target::Whole(time_limit),
+        tier: Tier(1),
+        max_attempts: 2,
+        public: true,
+        shares_prompts: false,
+    }
+}
