Show that crowds of unfinished bodies exceed a machine's memory

Callers that send large bodies at once and stop just short of their end make a host hold the sum of the bodies: one body is bounded, their sum is not. The tests send such crowds to a real daemon with the body limit of all deployments, and check that it lives, that its memory, bytes received and not read included, and its descriptors stay within the smallest machine (160 MB, 4,100), and that an ordinary request is answered while the crowd's connections are open. They are a test binary of their own and run one at a time, so that no other test runs beside them.

--- /dev/null
+++ b/tests/crowds/host.rs
@@ -0,0 +1,133 @@
+//! One host under a crowd, and the checks on it.
+
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    time::Duration,
+};
+
+use actix_rt::time::{sleep, timeout};
+use comfreyway_testkit::{
+    daemon::MAX_WAIT,
+    fleet_runner::{FleetRunner, RunnerMode},
+    measure::{FootprintSampler, in_transit_bytes},
+};
+use serde_json::{Value, json};
+use tokio::sync::{Mutex, MutexGuard};
+
+use crate::{
+    harness::{FleetHarness, call, configuration},
+    support::Daemon,
+};
+
+/// Memory of the smallest machine in bytes.
+const MEMORY_BOUND_BYTES: u64 = 160_000_000;
+/// Descriptors of the smallest machine.
+const DESCRIPTORS_BOUND: usize = 4_100;
+
+/// Size of the largest legal body in bytes.
+pub(crate) const MAX_BODY_BYTES: usize = 4 << 20;
+/// Longer than any test, so that no connection ends by a time limit.
+const TIME_LIMIT_MS: u64 = 600_000;
+
+/// Tries of the ordinary request.
+const TRIES: u32 = 20;
+/// Time between two tries if the host names none.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time between two looks at what the host has not read.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Looks after which the checks begin.
+const SETTLE_POLLS: u32 = 600;
+/// Equal looks after which the host reads no more.
+const UNCHANGED_POLLS: u32 = 20;
+
+/// Held by the test that runs.
+static RUNNING: Mutex<()> = Mutex::const_new(());
+
+/// A host with one runner, sampled from its start.
+pub(crate) struct CrowdedHost {
+    fleet: FleetHarness,
+    daemon: Daemon,
+    callers: SocketAddrV4,
+    sampler: FootprintSampler,
+    _running: MutexGuard<'static, ()>,
+}
+
+impl CrowdedHost {
+    /// Waits for the other tests and starts a host.
+    pub(crate) async fn start() -> Self {
+        let running = RUNNING.lock().await;
+        let fleet = FleetHarness::new();
+        fleet.put_configuration(patient_configuration());
+        let fleet = fleet.with_runner("survey", "survey-1", RunnerMode::Whole);
+        let daemon = fleet.start_host("a").await;
+        let SocketAddr::V4(callers) = daemon.settings().callers else {
+            panic!("the callers' address is not of IPv4")
+        };
+        let sampler = FootprintSampler::start(daemon.pid(), callers);
+        Self { fleet, daemon, callers, sampler, _running: running }
+    }
+
+    /// Address for callers.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        self.callers.into()
+    }
+
+    pub(crate) fn runner(&self) -> &FleetRunner {
+        &self.fleet.runners[0]
+    }
+
+    /// Waits until the host has read what was sent, or reads no more.
+    pub(crate) async fn settled(&self) {
+        let (mut last, mut unchanged) = (u64::MAX, 0);
+        for _ in 0..SETTLE_POLLS {
+            let left = in_transit_bytes(self.callers).unwrap();
+            unchanged = if left == last { unchanged + 1 } else { 0 };
+            if unchanged == UNCHANGED_POLLS {
+                return;
+            }
+            last = left;
+            sleep(SETTLE_INTERVAL).await;
+        }
+    }
+
+    /// Sends an ordinary request, again while the host asks for it.
+    pub(crate) async fn assert_serves(&self) {
+        let mut last = None;
+        for number in 0..TRIES {
+            let id = format!("ordinary-{number}");
+            let response = timeout(MAX_WAIT, call(&self.daemon, &id, "/lookup/")).await;
+            let response = response.expect("an ordinary request was not answered");
+            if response.status == 200 {
+                return;
+            }
+            assert!(matches!(response.status, 429 | 503), "{response:?}");
+            let after = response.headers.get("retry-after").and_then(|value| value.parse().ok());
+            sleep(after.map_or(DEFAULT_RETRY_AFTER, Duration::from_secs_f64).min(MAX_WAIT)).await;
+            last = Some(response);
+        }
+        panic!("an ordinary request was refused {TRIES} times: {last:?}");
+    }
+
+    /// Checks that the host lives and stayed within the smallest machine.
+    pub(crate) fn assert_within_bounds(mut self) {
+        assert!(!self.daemon.has_exited(), "the host has exited");
+        let peak = self.sampler.stop().unwrap();
+        eprintln!("{peak:?}");
+        assert!(peak.memory_bytes <= MEMORY_BOUND_BYTES, "too much memory: {peak:?}");
+        assert!(peak.descriptors <= DESCRIPTORS_BOUND, "too many descriptors: {peak:?}");
+    }
+}
+
+/// Returns the configuration of the tests with the body limit of all deployments and time
+/// limits that no test reaches.
+fn patient_configuration() -> Value {
+    let mut config = configuration(1);
+    config["limits"]["maxBodyBytes"] = json!(MAX_BODY_BYTES);
+    config["limits"]["headerTimeoutMs"] = json!(TIME_LIMIT_MS);
+    config["limits"]["idleTimeoutMs"] = json!(TIME_LIMIT_MS);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeoutMs"] = json!(TIME_LIMIT_MS);
+    }
+    config
+}
