Play late, cut and odd responses against requests that must not run twice

A stand-in of a runner whose bytes a test writes itself, also at the moment it has read the first byte of a request. Late copies of a rejection, a 421, a 500 and a 200, at that moment and while the connection lies idle; statuses that promise, without the statement of the runner; an interim response with the statement; a head that is cut; the previous request's id; a reset right after a whole answer. Each for an unsafe route and a stream that can't resume, with the runs counted by id.

--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -24,5 +24,6 @@
 mod runners;
 mod slow_callers;
 mod soak;
+mod stray_responses;
 mod truncated_responses;
 mod versions;
