Play callers that leave early, pipeline, or frame requests in odd ways

Bodies that are cut, with a length and in chunks; a request inside a body under lengths that contradict each other; three requests in one write whose caller leaves; a body and a next request after a refusal with Expect; bodies that arrive while a planned stop refuses their requests.

--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod occupied_ports;
 mod planned_stop;
 mod rate_limits;
+mod raw_callers;
 mod repeated_responses;
 mod requests;
 mod responses;
