Take no response whose head is made of two

What callers saw: requests that must run once ran twice (TWICE), or were told 503 or 421 and had run (REFUSED); and lines of another response in their own.

Cause: a connection to a runner is used again after a whole response. If the runner then sends a part of an earlier response, late and cut, and it ends inside a header value or the reason of the status line, the parser joins it with the response that follows: the next status line becomes the rest of the value, and the id that is checked is the right one, since the real response brings it. The host read "503, not executed" or 421 for a request that ran.

Evidence: with the runner's part sent as the next request's first byte arrives, a_part_of_a_late_rejection_does_not_make_a_request_run_again_or_count_as_not_run failed in all four cases (requeued as turned-away, run by a second runner), and no_line_of_another_response_is_forwarded failed, on the code before.

Ruled out by tests that passed before: whole late copies, on an idle connection and at the first byte; statuses without the runner's statement; interim responses; cut heads; the id of the request before; resets after a whole answer.

Change: whatever is joined, the status line of the response that follows stands inside a value or the reason, or the head can't be parsed. Such a head, and one with several ids, is no usable response: the request may have run, and the connection is closed.

--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -28,6 +28,7 @@
     admitted::AdmittedRequest,
     framing::Framing,
     handler::ProxyState,
+    response_head::foreign_head,
     send::{ReceivedResponse, ResponseRoute},
 };
 
@@ -120,8 +121,10 @@
         load: unusual_load(request, runner, &res),
         is_forwarded,
     };
-    if !echoes_request_id(request, &res) {
-        log_unusable_response(request, runner, "the response belongs to another request", sent_at);
+    if let Some(cause) =
+        foreign_head(&res, &header(request.header_names.request_id), &request.caller_id)
+    {
+        log_unusable_response(request, runner, cause, sent_at);
         return (Attempt::Unknown(UnknownReason::UpstreamBroke), statements);
     }
     let (head, body) = res.into_parts();
@@ -275,11 +278,6 @@
     );
 }
 
-fn echoes_request_id(request: &AdmittedRequest, res: &Response<Incoming>) -> bool {
-    let echoed = res.headers().get(header(request.header_names.request_id));
-    echoed.is_some_and(|id| id.as_bytes() == request.caller_id.as_bytes())
-}
-
 /// Returns what a runner says about itself in a response.
 fn runner_notice(
     request: &AdmittedRequest,
--- a/crates/node/src/fleet/proxy/mod.rs
+++ b/crates/node/src/fleet/proxy/mod.rs
@@ -17,6 +17,7 @@
 mod placement;
 mod relay;
 mod response;
+mod response_head;
 mod send;
 mod serve;
 
--- a/tests/testsuite/fleet/stray_responses.rs
+++ b/tests/testsuite/fleet/stray_responses.rs
@@ -124,6 +124,36 @@
     check(path, script, first_byte).await;
 }
 
+/// The head of the response ends the part, and its id fits.
+#[rstest]
+#[case::in_a_value(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\nretry-after: ")
+})]
+#[case::in_the_status_line(|e: &mut Exchange<'_>| stray(e, "HTTP/1.1 421 "))]
+#[actix_rt::test]
+async fn a_part_of_a_late_rejection_does_not_make_a_request_run_again_or_count_as_not_run(
+    #[values("/lookup/count/", "/tags/")] path: &str,
+    #[case] first_byte: Script,
+) {
+    check(path, answer, first_byte).await;
+}
+
+#[actix_rt::test]
+async fn no_line_of_another_response_is_forwarded() {
+    let part: Script = |e| stray(e, "HTTP/1.1 200 -\r\nx-stray: 1\r\nx-more: ");
+    let runner = ScriptedRunner::start(answer, part).unwrap();
+    let fleet = FleetHarness::new();
+    let entry = runner_entry(runner.address(), "survey", "ready");
+    fleet.store.put("servers/r1", entry.to_string().as_bytes());
+    let host = fleet.start_host("h1").await;
+    for number in 0..REQUESTS {
+        let id = format!("id-{number}");
+        let response = call_with(&host, &id, "/lookup/count/", &[(KEY, DESK_KEY)], "").await;
+        assert!(!response.headers.contains_key("x-stray"), "{id}: {response:?}");
+    }
+    assert!(runner.runs().len() > 1);
+}
+
 #[rstest]
 #[case::request_timeout(|e: &mut Exchange<'_>| run(e, 408, ""))]
 #[case::too_many(|e: &mut Exchange<'_>| run(e, 429, ""))]
