Bound what callers can make a host hold, and let stalled ones give way

What was seen: in a trial with clients that the operators don't control a process ran out of memory and ended. Here, 100 connections that send all but the end of a body of legal size and stay open take a host to 400 to 448 MB, bodies that are just sent far over the limit to 458 MB; the smallest machine has 160 MB.

Cause: one body was bounded, the sum of bodies was not, nor were connections. The class: a limit for each, where the resource is shared. A body was held at up to twice its size by the doubling of its buffer, and the process was told neither its memory nor its descriptors. Bodies from other hosts had the same reader.

Ruled out: that small chunks keep the buffers they came in (64 bytes a chunk holds no more than a length does: frames are copied), and that refused bodies stay (30 MB when announced).

Change: one account for all that callers make a host hold, half of the memory in the settings: connections with their receive buffers, bodies by the size of their buffers, responses that are held back. If room is wanted, bodies without progress give way, the longest without first; large ones that still advance keep what they have, unless a small body, a connection or a response wants room. What was read completely never gives way. Settings memory and descriptors, told by the platform's template; reason memory-limit; CF0518; two gauges. The limit of a connection's receive buffer keeps what isn't read small.

The crowds and bounds are unchanged; the tests tell the host its machine by the new settings.

--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -128,6 +128,10 @@
             };
             (text.to_owned(), leaving_or_removed_runners(timeline, end))
         }
+        "memory-limit" => {
+            let text = "callers held all the memory of the host that they may, see CF0518";
+            (text.to_owned(), Vec::new())
+        }
         "prompt-quarantined" => {
             let text = "its prompt has a part under which runners crashed one after the other";
             (text.to_owned(), failed_dispatches(timeline))
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 //! - [`RunnerLimits`] holds the rate limits that runners name.
 //! - [`RunnerPaths`] decides whether a host sends to a runner itself or through another
 //!   host.
+//! - [`CallerMemory`] bounds what callers can make a host hold, and decides who gives way.
 //! - [`FleetHosts`] counts the hosts among which quotas and runners are shared.
 //! - [`Coordinator`] schedules the requests of its client hosts, and enforces the
 //!   quotas and the retry budget. It is built for the combined load of these
@@ -26,6 +27,7 @@
 //! request twice.
 
 mod budget;
+mod caller_memory;
 mod client;
 mod config;
 mod coordinator;
@@ -55,6 +57,7 @@
 
 pub use self::{
     budget::{RetryBudget, RetryBudgetLimits},
+    caller_memory::{CallerId, CallerMemory, CallerMemoryError, CallerMemoryLimits, WorkspaceKey},
     client::{ClientAction, CoordinatorClient},
     config::{CallerLimits, FleetConfig, Quota, RetryPolicy, Route, UpstreamConfig, Workspace},
     coordinator::Coordinator,
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -98,6 +98,8 @@
         /// The request goes on with a stream, and no runner has the software
         /// version that began it.
         VersionGone = "version-gone",
+        /// The host has no memory left for requests of this size.
+        MemoryLimit = "memory-limit",
         /// The prompt has a part under which runners crashed one after the other.
         PromptQuarantined = "prompt-quarantined",
         /// Runners crashed one after the other as they ran this request.
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod beginnings;
+mod caller_memory;
 mod client;
 mod coordinator;
 mod crash_evidence;
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -129,6 +129,9 @@
     RunnerUnreachable = "CF0516", Info, "runner can't be reached from this host";
     /// Fields: address.
     RunnerReachable = "CF0517", Info, "runner can be reached from this host again";
+    /// Callers hold all the memory or connections that they may. Those without progress gave
+    /// way, others were refused. Fields: evicted, refused, connections, held_bytes.
+    CallersGaveWay = "CF0518", Warn, "callers gave way or were refused, for want of memory";
     /// A fleet configuration took effect on this host. Fields: version,
     /// revision.
     FleetConfigInForce = "CF0511", Info, "fleet configuration in force";
--- a/crates/node/src/fleet/forward/server.rs
+++ b/crates/node/src/fleet/forward/server.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use comfreyway_core::{fleet::RunnerPaths, ids::UpstreamName};
 use futures_util::{Stream, stream};
 use http_body_util::{BodyExt, Either, Empty, Full, StreamBody};
@@ -30,6 +30,7 @@
 use crate::{
     events::{Event, log_event},
     fleet::{
+        body::read_body,
         host_state::HostState,
         runner_connections::{RunnerConnection, connect, set_socket_options},
         unsent::Unsent,
@@ -205,7 +206,7 @@
         &self,
         headers: &mut HeaderMap,
         (upstream, runner): (&UpstreamName, SocketAddr),
-        body: Incoming,
+        mut body: Incoming,
         to_request: F,
     ) -> Result<Response<ForwardBody>, Outcome>
     where
@@ -217,9 +218,10 @@
         let slot = self.slots.take().ok_or(Outcome::Busy)?;
         self.check_path(upstream, runner)?;
         let max = self.host_state.config().map_or(MAX_BODY_BYTES, |c| c.limits.max_body_bytes);
-        let body = timeout(READ_TIMEOUT, read_body(body, max)).await;
+        let caller = self.host_state.caller_memory.forward();
+        let body = timeout(READ_TIMEOUT, read_body(&mut body, max, &caller)).await;
         // The whole request is here before its first byte goes to the runner.
-        let body = body.ok().flatten().ok_or(Outcome::Busy)?;
+        let body = body.map_err(|_| Outcome::Busy)?.map_err(|_| Outcome::Busy)?;
         let now = || self.host_state.clock.now();
         let mut connection = match connect(runner, CONNECT_TIMEOUT).await {
             Ok(connection) => connection,
@@ -281,17 +283,3 @@
     *res.status_mut() = status;
     res
 }
-
-/// Reads a body of at most `max` bytes; none if it is longer or broken.
-async fn read_body(mut body: Incoming, max: usize) -> Option<Bytes> {
-    let mut read = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.ok()?.into_data() {
-            read.extend_from_slice(&data);
-        }
-        if read.len() > max {
-            return None;
-        }
-    }
-    Some(read.freeze())
-}
--- a/crates/node/src/fleet/forward/tests.rs
+++ b/crates/node/src/fleet/forward/tests.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use comfreyway_core::{
-    fleet::{RunnerEntry, RunnerKey, StopPhase},
+    fleet::{CallerMemoryLimits, RunnerEntry, RunnerKey, StopPhase},
     ids::HostId,
 };
 use http_body_util::{BodyExt, Full};
@@ -69,7 +69,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.set_nonblocking(true).unwrap();
     let address = listener.local_addr().unwrap();
-    let state = Arc::new(HostState::new(Clock::new()));
+    let limits = CallerMemoryLimits::of_process(160 << 20, 4_096);
+    let state = Arc::new(HostState::new(Clock::new(), limits));
     let server = ForwardServer {
         token: TOKEN,
         host_state: state.clone(),
--- a/crates/node/src/fleet/host_state.rs
+++ b/crates/node/src/fleet/host_state.rs
@@ -1,19 +1,25 @@
 //! State of the host that the traffic threads read.
 
-use std::sync::{
-    Arc, RwLock,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+use std::{
+    rc::Rc,
+    sync::{
+        Arc, RwLock,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
 };
 
 use comfreyway_core::{
-    fleet::{FleetConfig, StopPhase},
+    fleet::{CallerMemoryLimits, FleetConfig, StopPhase},
     time::MonoTime,
 };
 use tokio::sync::watch;
 
 use crate::control::Clock;
 
-use super::{forward::ForwardHost, response_memory::ResponseMemory};
+use super::{
+    caller_memory::{Caller, SharedCallerMemory},
+    forward::ForwardHost,
+};
 
 /// State that the control thread writes and the traffic threads read.
 #[derive(Debug)]
@@ -27,11 +33,11 @@
     hosts: AtomicUsize,
     limited_runners: AtomicBool,
     forward_hosts: RwLock<Arc<[ForwardHost]>>,
-    pub(super) response_memory: Arc<ResponseMemory>,
+    pub(super) caller_memory: Arc<SharedCallerMemory>,
 }
 
 impl HostState {
-    pub(super) fn new(clock: Clock) -> Self {
+    pub(super) fn new(clock: Clock, limits: CallerMemoryLimits) -> Self {
         Self {
             clock,
             config: RwLock::default(),
@@ -41,7 +47,7 @@
             hosts: AtomicUsize::new(1),
             limited_runners: AtomicBool::new(false),
             forward_hosts: RwLock::new(Arc::from([])),
-            response_memory: Arc::default(),
+            caller_memory: Arc::new(SharedCallerMemory::new(clock, limits)),
         }
     }
 
@@ -126,16 +132,31 @@
     /// Counts a request as in progress until the result is dropped.
     pub(super) fn start_request(self: &Arc<Self>) -> InProgress {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
-        InProgress(self.clone())
+        InProgress { host_state: self.clone(), caller: None }
     }
 }
 
 /// Counts a request as in progress while it exists.
 #[derive(Debug)]
-pub(super) struct InProgress(Arc<HostState>);
+pub(super) struct InProgress {
+    host_state: Arc<HostState>,
+    caller: Option<Rc<Caller>>,
+}
+
+impl InProgress {
+    /// Counts the request as this caller's as well.
+    pub(super) fn of_caller(mut self, caller: Rc<Caller>) -> Self {
+        caller.begin_request();
+        self.caller = Some(caller);
+        self
+    }
+}
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+        self.host_state.in_progress.fetch_sub(1, Ordering::Relaxed);
+        if let Some(caller) = &self.caller {
+            caller.end_request();
+        }
     }
 }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -5,6 +5,8 @@
 //! - `proxy` handles traffic: it reads requests, waits for a decision, sends the
 //!   request to a runner and forwards the response.
 //! - `forward` sends requests through another host if this one can't reach a runner.
+//! - `caller_memory` holds the account of all that callers make this host hold; bodies
+//!   (`body`) and responses (`response_memory`) take from it.
 //! - `control` holds the scheduling state ([`comfreyway_core::fleet`]).
 //! - `feed` watches the store. The coordinator forwards the changes to its client
 //!   hosts (`mirror`), so that few hosts call the store. `registration` maintains
@@ -12,6 +14,8 @@
 //! - `sessions` maintains the connections between hosts; [`wire`] holds the
 //!   messages.
 
+mod body;
+mod caller_memory;
 mod control;
 mod counted_store;
 mod feed;
--- a/crates/node/src/fleet/proxy/admitted.rs
+++ b/crates/node/src/fleet/proxy/admitted.rs
@@ -1,6 +1,6 @@
 //! An admitted request, and the requests to runners that are made from it.
 
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use comfreyway_core::{
@@ -17,7 +17,10 @@
 };
 use tokio::time::Instant;
 
-use crate::fleet::platform_format::{HeaderNames, header};
+use crate::fleet::{
+    caller_memory::Caller,
+    platform_format::{HeaderNames, header},
+};
 
 /// Time that a response takes on its way back to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
@@ -39,6 +42,8 @@
     /// Headers for a runner, without those that differ for each attempt.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Whom the body and the response are held for.
+    pub(super) caller: Rc<Caller>,
     pub(super) config: Arc<FleetConfig>,
     pub(super) route: Route,
     pub(super) workspace: Option<WorkspaceName>,
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -14,7 +14,7 @@
 use crate::events::{Event, Optional, log_event};
 use crate::fleet::{
     request_handle::{RequestDecision, RequestHandle},
-    response_memory::MAX_RESPONSE_BYTES,
+    response_memory::{HeldBytes, MAX_RESPONSE_BYTES},
 };
 use crate::metrics::{RequestLabels, RequestTimes};
 
@@ -158,7 +158,7 @@
                 if is_success && request.route.streaming && response.is_event_stream() {
                     return relay(proxy, request, handle, response, sent + 1);
                 }
-                let held = proxy.host_state.response_memory.reserve(MAX_RESPONSE_BYTES);
+                let held = HeldBytes::new(request.caller.clone(), MAX_RESPONSE_BYTES);
                 let read = tokio::select! {
                     read = response.read_whole(&request.caller_id, request.deadline, held) => read,
                     () = proxy.host_state.stop_phase_reached(StopPhase::Aborting) => {
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -2,22 +2,21 @@
 
 use std::{
     cell::{Cell, RefCell},
+    hash::{DefaultHasher, Hash, Hasher},
     rc::Rc,
     sync::Arc,
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
 use comfreyway_core::{
     fleet::{
         FleetConfig, RequestContent, RequestDigest, Route, RunnerPaths, StopPhase, StreamBinding,
-        Workspace,
+        Workspace, WorkspaceKey,
     },
     ids::{HostId, RequestId, RunnerName},
     outcome::NotRunReason,
 };
 use comfreyway_platform::Revision;
-use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Request, Response, Uri,
     body::{Body, Incoming},
@@ -30,6 +29,8 @@
 
 use crate::events::{Event, log_event};
 use crate::fleet::{
+    body::{BodyError, read_body},
+    caller_memory::Caller,
     host_state::HostState,
     platform_format::{PlatformFormat, header},
     request_handle::{RequestHandle, WorkerMessage},
@@ -52,6 +53,10 @@
 /// accepts the request at once.
 pub(super) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Time after which a caller may try again at a host without memory for its request:
+/// callers that make no progress give way by then.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Value of the header for the last event that asks for all events.
 const NO_EVENT: &str = "0";
 
@@ -180,6 +185,16 @@
     }
 }
 
+impl From<BodyError> for Rejection {
+    fn from(e: BodyError) -> Self {
+        match e {
+            BodyError::TooLarge => NotRunReason::TooLarge.into(),
+            BodyError::Broken => NotRunReason::BadRequest.into(),
+            BodyError::Memory(_) => Self(NotRunReason::MemoryLimit, Some(MEMORY_RETRY_AFTER)),
+        }
+    }
+}
+
 impl From<NotRunReason> for Rejection {
     fn from(reason: NotRunReason) -> Self {
         Self(reason, None)
@@ -219,9 +234,13 @@
     }
 
     /// Serves one request.
-    pub(super) async fn handle(self, req: Request<Incoming>) -> Response<ResponseBody> {
+    pub(super) async fn handle(
+        self,
+        req: Request<Incoming>,
+        caller: Rc<Caller>,
+    ) -> Response<ResponseBody> {
         let id = req.headers().get(header(self.format.headers.request_id)).cloned();
-        let mut res = match self.admit(req).await {
+        let mut res = match self.admit(req, caller.clone()).await {
             Ok(request) => exchange(&self, request).await,
             Err((Rejection(reason, retry_after), unread)) => {
                 self.record_rejection(id.as_ref(), reason);
@@ -253,7 +272,11 @@
 
     /// Checks and reads a request. The second value of an error is true if the
     /// body was not read to its end.
-    async fn admit(&self, req: Request<Incoming>) -> Result<AdmittedRequest, (Rejection, bool)> {
+    async fn admit(
+        &self,
+        req: Request<Incoming>,
+        caller: Rc<Caller>,
+    ) -> Result<AdmittedRequest, (Rejection, bool)> {
         let arrived = Instant::now();
         let (head, mut body) = req.into_parts();
         let unread = !body.is_end_stream();
@@ -283,8 +306,12 @@
         let deadline = arrived + caller_wait.unwrap_or(route.time_limit).min(route.time_limit);
         let max = config.limits.max_body_bytes;
         let read_until = deadline.min(arrived + config.limits.read_timeout);
+        caller.begin_body(workspace.as_ref().map(workspace_key).unwrap_or_default());
         let body = tokio::select! {
-            read = read_body(&mut body, max, read_until) => read.map_err(reject)?,
+            read = timeout_at(read_until, read_body(&mut body, max, &caller)) => {
+                let read = read.map_err(|_| reject(NotRunReason::SlowBody.into()))?;
+                read.map_err(|e| reject(e.into()))?
+            }
             () = self.host_state.stop_phase_reached(StopPhase::Dispatched) => {
                 return Err(reject(Rejection::stopping()));
             }
@@ -335,6 +362,7 @@
             uri,
             headers,
             body,
+            caller,
             workspace: workspace.map(|w| w.name),
             config,
             route,
@@ -369,24 +397,8 @@
     Some(host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase())
 }
 
-async fn read_body(body: &mut Incoming, max: usize, deadline: Instant) -> Result<Bytes, Rejection> {
-    if body.size_hint().lower() > max as u64 {
-        return Err(NotRunReason::TooLarge.into());
-    }
-    let mut read = BytesMut::new();
-    loop {
-        match timeout_at(deadline, body.frame()).await {
-            Err(_) => return Err(NotRunReason::SlowBody.into()),
-            Ok(None) => return Ok(read.freeze()),
-            Ok(Some(Err(_))) => return Err(NotRunReason::BadRequest.into()),
-            Ok(Some(Ok(frame))) => {
-                if let Ok(data) = frame.into_data() {
-                    read.extend_from_slice(&data);
-                }
-            }
-        }
-        if read.len() > max {
-            return Err(NotRunReason::TooLarge.into());
-        }
-    }
+fn workspace_key(workspace: &Workspace) -> WorkspaceKey {
+    let mut hasher = DefaultHasher::new();
+    workspace.name.hash(&mut hasher);
+    WorkspaceKey(hasher.finish())
 }
--- a/crates/node/src/fleet/proxy/relay.rs
+++ b/crates/node/src/fleet/proxy/relay.rs
@@ -75,13 +75,14 @@
     let status = response.status;
     let headers = response_headers(&response.headers);
     let version = response.version.clone();
+    let held = HeldBytes::new(request.caller.clone(), MAX_EVENT_BYTES);
     let relay = StreamRelay {
         proxy: proxy.shared.clone(),
         request,
         handle,
         response: Some(response),
         events: EventBuffer::default(),
-        held: proxy.host_state.response_memory.reserve(MAX_EVENT_BYTES),
+        held,
         sent,
         first_event: None,
         version,
--- a/crates/node/src/fleet/proxy/serve.rs
+++ b/crates/node/src/fleet/proxy/serve.rs
@@ -1,15 +1,19 @@
 //! Connections of callers.
 
-use std::{convert::Infallible, net::TcpListener, pin::pin, time::Duration};
+use std::{convert::Infallible, net::TcpListener, pin::pin, rc::Rc, time::Duration};
 
-use comfreyway_core::fleet::StopPhase;
+use comfreyway_core::fleet::{CallerMemoryLimits, StopPhase};
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpStream, time::sleep};
+use socket2::SockRef;
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
 use crate::{
     events::{Event, log_event},
-    fleet::{runner_connections::set_socket_options, unsent::Unsent},
+    fleet::{caller_memory::Caller, runner_connections::set_socket_options, unsent::Unsent},
 };
 
 use super::handler::Proxy;
@@ -26,6 +30,9 @@
 /// Minimum buffer for the head of a request; `hyper` panics on a smaller one.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 
+/// Time for a caller that has to give way to receive the response to its request.
+const EVICTED_CLOSE_TIME: Duration = Duration::from_secs(1);
+
 /// Serves callers until the process ends.
 pub(in crate::fleet) async fn serve(listener: TcpListener, proxy: Proxy) {
     let listener = match tokio::net::TcpListener::from_std(listener) {
@@ -35,6 +42,11 @@
             return;
         }
     };
+    // Accepted connections inherit it. What the process does not read stays in this buffer.
+    let buffer = CallerMemoryLimits::RECEIVE_BUFFER_BYTES;
+    if let Err(e) = SockRef::from(&listener).set_recv_buffer_size(buffer) {
+        log::debug!("can't set the size of receive buffers: {e}");
+    }
     let sweeper = proxy.clone();
     actix_rt::spawn(async move {
         loop {
@@ -46,7 +58,10 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                actix_rt::spawn(serve_connection(stream, proxy.clone()));
+                // Without room the connection is closed: nothing of a request was read.
+                if let Some(caller) = proxy.host_state.caller_memory.connect() {
+                    actix_rt::spawn(serve_connection(stream, proxy.clone(), caller));
+                }
             }
             Err(e) => {
                 log_event!(Event::AcceptFailed, port = "callers", cause:% = e);
@@ -56,20 +71,21 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, proxy: Proxy) {
+async fn serve_connection(stream: TcpStream, proxy: Proxy, caller: Caller) {
     set_socket_options(&stream);
     let host_state = proxy.host_state.clone();
-    let unsent = Unsent::default();
+    let (unsent, caller) = (Unsent::default(), Rc::new(caller));
     let stream = unsent.stream(stream);
     let limits = proxy.host_state.config().map(|config| config.limits);
     let head_bytes =
         limits.map_or(MIN_HEAD_BYTES, |limits| limits.max_head_bytes.max(MIN_HEAD_BYTES));
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
+    let serving = caller.clone();
     let service = service_fn(move |req: Request<Incoming>| {
-        let (proxy, unsent) = (proxy.clone(), unsent.clone());
+        let (proxy, unsent, caller) = (proxy.clone(), unsent.clone(), serving.clone());
         async move {
-            let in_progress = proxy.host_state.start_request();
-            let res = proxy.handle(req).await;
+            let in_progress = proxy.host_state.start_request().of_caller(caller.clone());
+            let res = proxy.handle(req, caller).await;
             Ok::<_, Infallible>(res.map(|body| unsent.track(body, in_progress)))
         }
     });
@@ -89,6 +105,16 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = caller.evicted() => {
+            if !caller.has_request() {
+                return;
+            }
+            connection.as_mut().graceful_shutdown();
+            match timeout(EVICTED_CLOSE_TIME, connection).await {
+                Ok(ended) => ended,
+                Err(_) => return,
+            }
+        }
     };
     if let Err(e) = ended {
         log::debug!("connection of a caller ended: {e}");
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -93,7 +93,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let metrics = Arc::new(Metrics::new()?);
-    let host_state = Arc::new(HostState::new(Clock::new()));
+    let limits = settings.limits.caller_memory();
+    let host_state = Arc::new(HostState::new(Clock::new(), limits));
     let me = Member {
         id: HostId { name: settings.name.clone(), incarnation: incarnation_now() },
         address: settings.listen.peers,
@@ -105,6 +106,7 @@
         let host_state = host_state.clone();
         metrics.fleet(move || host_state.clock.now().since(host_state.verified_at()))
     };
+    host_state.caller_memory.observe(&metrics.meter());
     let store = (platform.connect)(fleet.store);
     let store: Rc<dyn Store> = Rc::new(CountedStore::new(store, fleet_metrics.clone()));
     let (workers_tx, workers) = unbounded_channel();
--- a/crates/node/src/fleet/unsent.rs
+++ b/crates/node/src/fleet/unsent.rs
@@ -13,10 +13,7 @@
 };
 
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::host_state::InProgress;
 
@@ -31,7 +28,7 @@
     }
 
     /// Returns a stream that notices when everything has been written.
-    pub(super) fn stream(&self, stream: TcpStream) -> TrackedStream {
+    pub(super) fn stream<S>(&self, stream: S) -> TrackedStream<S> {
         TrackedStream { stream, unsent: self.clone() }
     }
 }
@@ -75,12 +72,15 @@
 
 /// A connection whose HTTP library flushes it only once its own buffers are empty.
 #[derive(Debug)]
-pub(super) struct TrackedStream {
-    stream: TcpStream,
+pub(super) struct TrackedStream<S> {
+    stream: S,
     unsent: Unsent,
 }
 
-impl AsyncRead for TrackedStream {
+impl<S> AsyncRead for TrackedStream<S>
+where
+    S: AsyncRead + Unpin,
+{
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -90,7 +90,10 @@
     }
 }
 
-impl AsyncWrite for TrackedStream {
+impl<S> AsyncWrite for TrackedStream<S>
+where
+    S: AsyncWrite + Unpin,
+{
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/node/src/http/problem.rs
+++ b/crates/node/src/http/problem.rs
@@ -108,6 +108,7 @@
         | NotRunReason::TurnedAway
         | NotRunReason::VersionUnknown
         | NotRunReason::VersionGone
+        | NotRunReason::MemoryLimit
         | NotRunReason::PromptQuarantined
         | NotRunReason::RequestQuarantined => StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -92,6 +92,20 @@
         FILE,
         "Initial configuration (INI). Only allowed if kind is embedded.",
     ),
+    spec(
+        "limits",
+        "memory",
+        Some("160MiB"),
+        SIZE,
+        "Memory of this process. Callers of a fleet can make it hold at most half: buffers\nof connections, request bodies, and responses that are held back.",
+    ),
+    spec(
+        "limits",
+        "descriptors",
+        Some("4096"),
+        COUNT,
+        "Descriptors that this process may open. Callers of a fleet use at most half of\nthem, less 250.",
+    ),
     spec("limits", "body-bytes", Some("4MiB"), SIZE, "Largest accepted request body."),
     spec(
         "limits",
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -2,9 +2,15 @@
 
 use std::time::Duration;
 
+use comfreyway_core::fleet::CallerMemoryLimits;
+
 /// Limits of one process. Defaults and units are in [`KEYS`](super::KEYS).
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Limits {
+    /// Memory of the process, in bytes. Callers of a fleet may make it hold half.
+    pub memory_bytes: usize,
+    /// Descriptors that the process may open.
+    pub max_descriptors: usize,
     /// Largest accepted request body, in bytes.
     pub max_body_bytes: usize,
     /// Largest total size of a request's headers, in bytes.
@@ -27,3 +33,10 @@
     /// Time after which a planned stop aborts the remaining requests.
     pub stop_timeout: Option<Duration>,
 }
+
+impl Limits {
+    /// Returns what callers can make the process occupy.
+    pub(crate) fn caller_memory(&self) -> CallerMemoryLimits {
+        CallerMemoryLimits::of_process(self.memory_bytes, self.max_descriptors)
+    }
+}
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -172,6 +172,8 @@
     fn limits(&self) -> Result<Limits, SettingsError> {
         let size = |key| self.value::<Size>("limits", key).map(|size| size.0);
         Ok(Limits {
+            memory_bytes: size("memory")?,
+            max_descriptors: self.value::<Count>("limits", "descriptors")?.0,
             max_body_bytes: size("body-bytes")?,
             max_header_bytes: size("header-bytes")?,
             body_timeout: self.value("limits", "body-time")?,
--- a/tests/crowds/host.rs
+++ b/tests/crowds/host.rs
@@ -24,6 +24,19 @@
 /// Descriptors of the smallest machine.
 const DESCRIPTORS_BOUND: usize = 4_100;
 
+/// What a host may use, as its settings say.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    pub(crate) memory_bytes: u64,
+    pub(crate) descriptors: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_bytes: MEMORY_BOUND_BYTES, descriptors: DESCRIPTORS_BOUND }
+    }
+}
+
 /// Size of the largest legal body in bytes.
 pub(crate) const MAX_BODY_BYTES: usize = 4 << 20;
 /// Longer than any test, so that no connection ends by a time limit.
@@ -50,22 +63,32 @@
     daemon: Daemon,
     callers: SocketAddrV4,
     sampler: FootprintSampler,
+    limits: Limits,
     _running: MutexGuard<'static, ()>,
 }
 
 impl CrowdedHost {
     /// Waits for the other tests and starts a host.
     pub(crate) async fn start() -> Self {
+        Self::start_with(Limits::default()).await
+    }
+
+    /// Waits for the other tests and starts a host with these limits.
+    pub(crate) async fn start_with(limits: Limits) -> Self {
         let running = RUNNING.lock().await;
         let fleet = FleetHarness::new();
         fleet.put_configuration(patient_configuration());
         let fleet = fleet.with_runner("survey", "survey-1", RunnerMode::Whole);
-        let daemon = fleet.start_host("a").await;
+        let settings = fleet
+            .settings("a")
+            .with_limit("memory", &limits.memory_bytes.to_string())
+            .with_limit("descriptors", &limits.descriptors.to_string());
+        let daemon = Daemon::start_ready(settings).await;
         let SocketAddr::V4(callers) = daemon.settings().callers else {
             panic!("the callers' address is not of IPv4")
         };
         let sampler = FootprintSampler::start(daemon.pid(), callers);
-        Self { fleet, daemon, callers, sampler, _running: running }
+        Self { fleet, daemon, callers, sampler, limits, _running: running }
     }
 
     /// Address for callers.
@@ -114,8 +137,8 @@
         assert!(!self.daemon.has_exited(), "the host has exited");
         let peak = self.sampler.stop().unwrap();
         eprintln!("{peak:?}");
-        assert!(peak.memory_bytes <= MEMORY_BOUND_BYTES, "too much memory: {peak:?}");
-        assert!(peak.descriptors <= DESCRIPTORS_BOUND, "too many descriptors: {peak:?}");
+        assert!(peak.memory_bytes <= self.limits.memory_bytes, "too much memory: {peak:?}");
+        assert!(peak.descriptors <= self.limits.descriptors, "too many descriptors: {peak:?}");
     }
 }
 
