Let refusals reach callers that are still sending

What callers saw: no answer. A caller that sends a body which is refused unread (over the limit, an unknown key, no memory) got a broken connection as it sent on, and couldn't know whether its request had run.

Cause: the connection was closed right after the refusal. The kernel resets a connection that is closed with unread bytes, and the caller's next write fails.

Change: the host closes its sending side and discards what still comes for up to a second.

--- a/crates/node/src/fleet/caller_memory.rs
+++ b/crates/node/src/fleet/caller_memory.rs
@@ -101,8 +101,8 @@
     fn caller(self: &Arc<Self>, id: CallerId) -> Caller {
         let eviction = Arc::<Eviction>::default();
         self.lock().evictions.insert(id, eviction.clone());
-        let has_request = Cell::new(false);
-        Caller { memory: self.clone(), id, eviction, has_request }
+        let (has_request, is_unread) = (Cell::new(false), Cell::new(false));
+        Caller { memory: self.clone(), id, eviction, has_request, is_unread }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -156,6 +156,7 @@
     id: CallerId,
     eviction: Arc<Eviction>,
     has_request: Cell<bool>,
+    is_unread: Cell<bool>,
 }
 
 impl Caller {
@@ -189,6 +190,15 @@
         self.has_request.get()
     }
 
+    /// Records that the connection ends with a response to a request that wasn't read.
+    pub(super) fn set_unread(&self) {
+        self.is_unread.set(true);
+    }
+
+    pub(super) fn is_unread(&self) -> bool {
+        self.is_unread.get()
+    }
+
     /// Records that a body is being read.
     pub(super) fn begin_body(&self, workspace: WorkspaceKey) {
         let now = self.memory.clock.now();
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 mod forward;
 mod health;
 mod host_state;
+mod lingering_close;
 mod mirror;
 mod platform_format;
 mod proxy;
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -246,6 +246,7 @@
                 self.record_rejection(id.as_ref(), reason);
                 let mut res = not_run(None, reason, retry_after);
                 if unread {
+                    caller.set_unread();
                     close_after(&mut res);
                 }
                 res
--- a/crates/node/src/fleet/proxy/serve.rs
+++ b/crates/node/src/fleet/proxy/serve.rs
@@ -13,7 +13,12 @@
 
 use crate::{
     events::{Event, log_event},
-    fleet::{caller_memory::Caller, runner_connections::set_socket_options, unsent::Unsent},
+    fleet::{
+        caller_memory::Caller,
+        lingering_close::{SharedSocket, discard_input},
+        runner_connections::set_socket_options,
+        unsent::Unsent,
+    },
 };
 
 use super::handler::Proxy;
@@ -75,7 +80,8 @@
     set_socket_options(&stream);
     let host_state = proxy.host_state.clone();
     let (unsent, caller) = (Unsent::default(), Rc::new(caller));
-    let stream = unsent.stream(stream);
+    let socket = SharedSocket::new(stream);
+    let stream = unsent.stream(socket.clone());
     let limits = proxy.host_state.config().map(|config| config.limits);
     let head_bytes =
         limits.map_or(MIN_HEAD_BYTES, |limits| limits.max_head_bytes.max(MIN_HEAD_BYTES));
@@ -119,4 +125,7 @@
     if let Err(e) = ended {
         log::debug!("connection of a caller ended: {e}");
     }
+    if caller.is_unread() {
+        discard_input(socket, &caller).await;
+    }
 }
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod planned_stop;
 mod rate_limits;
 mod raw_callers;
+mod refused_bodies;
 mod repeated_responses;
 mod requests;
 mod responses;
