Account for responses until their callers have them

Cause: a response that isn't streamed was accounted for while it was read from the runner, and no longer while it waited for its caller. Callers that don't read could make a host hold any number of them: 100 callers with responses of 12 MiB took one to 750 MB.

Change: the bytes stay accounted for until the request has ended. A response that finds no room is given up with an unknown outcome (502), as one that is read is.

Result: responses_that_callers_do_not_read_exceed_no_memory fails on the code before (750 MB, bound 160 MB) and passes with 53 MB. With responses of 3 MiB the kernel's buffers take all, and nothing was to be seen (44 MB).

--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -202,7 +202,7 @@
         &mut self,
         caller_id: &str,
         deadline: Instant,
-        mut held: HeldBytes,
+        held: &mut HeldBytes,
     ) -> Result<Bytes, UnknownReason> {
         let mut whole = BytesMut::new();
         loop {
--- a/crates/node/src/fleet/proxy/exchange.rs
+++ b/crates/node/src/fleet/proxy/exchange.rs
@@ -158,9 +158,9 @@
                 if is_success && request.route.streaming && response.is_event_stream() {
                     return relay(proxy, request, handle, response, sent + 1);
                 }
-                let held = HeldBytes::new(request.caller.clone(), MAX_RESPONSE_BYTES);
+                let mut held = HeldBytes::new(request.caller.clone(), MAX_RESPONSE_BYTES);
                 let read = tokio::select! {
-                    read = response.read_whole(&request.caller_id, request.deadline, held) => read,
+                    read = response.read_whole(&request.caller_id, request.deadline, &mut held) => read,
                     () = proxy.host_state.stop_phase_reached(StopPhase::Aborting) => {
                         Err(UnknownReason::StopLimit)
                     }
@@ -186,6 +186,7 @@
                                 res.headers_mut().remove(request.header_names.signature);
                             }
                             response.keep_connection(&proxy.connections);
+                            held.keep();
                             return res;
                         }
                         UnknownReason::UpstreamBroke
--- a/crates/node/src/fleet/response_memory.rs
+++ b/crates/node/src/fleet/response_memory.rs
@@ -61,6 +61,14 @@
     }
 }
 
+impl HeldBytes {
+    /// Leaves the bytes accounted for until the request has ended: a complete response waits
+    /// for its caller.
+    pub(super) fn keep(mut self) {
+        self.accounted = 0;
+    }
+}
+
 impl Drop for HeldBytes {
     fn drop(&mut self) {
         if self.accounted > 0
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -161,3 +161,23 @@
     });
     join_all(clients).await.into_iter().map(Result::unwrap).collect()
 }
+
+/// Sends a request on each of `count` connections and reads nothing.
+pub(crate) async fn send_requests(
+    to: SocketAddr,
+    path: &'static str,
+    count: usize,
+) -> Vec<Option<TcpStream>> {
+    let clients = (0..count).map(|number| {
+        spawn(async move {
+            let mut stream = connect(to).await?;
+            let head = format!(
+                "POST {path} HTTP/1.1\r\nhost: desk.example\r\n{ID}: unread-{number}\r\n\
+                 {KEY}: {DESK_KEY}\r\ncontent-length: 0\r\n\r\n"
+            );
+            write_until(&mut stream, head.as_bytes(), Instant::now() + SENDING_TIME).await;
+            Some(stream)
+        })
+    });
+    join_all(clients).await.into_iter().map(Result::unwrap).collect()
+}
--- a/tests/crowds/host.rs
+++ b/tests/crowds/host.rs
@@ -96,6 +96,11 @@
         self.callers.into()
     }
 
+    /// Writes an entry to the store.
+    pub(crate) fn put(&self, key: &str, entry: &Value) {
+        self.fleet.store.put(key, entry.to_string().as_bytes());
+    }
+
     pub(crate) fn runner(&self) -> &FleetRunner {
         &self.fleet.runners[0]
     }
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -9,6 +9,7 @@
 mod crowd;
 mod heads;
 mod host;
+mod responses;
 
 #[path = "../testsuite/fleet/harness.rs"]
 #[allow(dead_code, reason = "shared with the testsuite")]
