Play frozen hosts between a caller and its runner

An attempt through another host may lie in that host's buffers while its process is frozen. Suspected: the first host, or the other one once it goes on, tells such a request as not run, or it is sent again. Ruled out as far as played: the deadline passes, the first host stops or is frozen itself, the other one goes on or is killed, before and while the runner works; and 60 requests past three hosts that are frozen and killed in turn. The request counts as sent each time. No logic is changed.

--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod crashing_requests;
 mod endless_responses;
 mod forwarding;
+mod frozen_hosts;
 pub(crate) mod harness;
 mod hosts;
 mod malformed_input;
