Spend the retry budget in the model of hosts and coordinators

Suspected: a refusal for lack of retry budget crosses the grant of another coordinator, and the request is dispatched after it was refused. Requeued requests of the model were never rejected by a runner, and the budget was never spent. No logic is changed.

--- a/crates/core/tests/fleet/model/world.rs
+++ b/crates/core/tests/fleet/model/world.rs
@@ -19,6 +19,8 @@
 
 const HOSTS: usize = 2;
 const MAX_REQUESTS: u128 = 3;
+/// So little that some requests are refused after a rejection.
+const RETRY_SLACK: f64 = 2.0;
 const MAX_SESSIONS: usize = 4;
 
 /// A message of a host on a session.
@@ -102,7 +104,7 @@
 impl Host {
     fn new(now: MonoTime, number: usize, incarnation: u64) -> Self {
         let id = HostId { incarnation, ..host(&format!("h{number}")) };
-        let retry = RetryBudgetLimits { ratio: 0.2, slack: 1_000.0, window_s: 10.0 };
+        let retry = RetryBudgetLimits { ratio: 0.2, slack: RETRY_SLACK, window_s: 10.0 };
         let mut coordinator = Coordinator::new(retry, QuotaTolerance::default());
         let names: Vec<_> = (0..HOSTS).map(|number| host(&format!("h{number}")).name).collect();
         coordinator.set_registered_hosts(now, &names);
@@ -222,7 +224,11 @@
             Step::Requeue(id) => {
                 let host = self.requests[&id].0;
                 self.requests.insert(id, (host, RequestState::Waiting));
-                let reason = RetryReason::ConnectRefused;
+                // Rejections spend the retry budget, which then refuses the request.
+                let reason = match self.now_ms.is_multiple_of(2) {
+                    true => RetryReason::TurnedAway,
+                    false => RetryReason::ConnectRefused,
+                };
                 self.hosts[host].client.requeue(id, reason, &mut actions);
                 self.carry_out(host, actions);
             }
