Show that hosts find no coordinator beside four silent older ones

Machines that lose power send no resets, so an attempt to connect to one takes 600 ms, and it is left out for 1.5 s afterwards. Beside four or more such hosts that are older than the living ones, each living host tries the first again before it comes to a living one. It goes on alone, with its own share, until the entries have expired.

All hosts serve within 12 s beside entries that don't expire, of clocks that were ahead or behind (four cases, pass).

--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -27,6 +27,7 @@
 mod runners;
 mod slow_callers;
 mod soak;
+mod stale_entries;
 mod stray_responses;
 mod truncated_responses;
 mod versions;
