Show that a runner is left before another one goes on

Suspected: a response that is given up keeps its connection open until the runner's next byte, so two runners work on one request. Ruled out for a response without signature, one of another request, and streams that break before, after and inside an event, by a runner that is silent afterwards: its connection ends while the next runner is still held back. No logic is changed.

--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Serving a fleet through the platform's store, with real daemons.
 
+mod abandoned_attempts;
 mod beginnings;
 mod broken_requests;
 mod configuration;
