Show that a clock that was set back keeps gone versions for that long

The record of versions says until when those without runners are remembered, by the clock of the host that wrote it. If that clock was an hour ahead and is set back, every host adds the hour: no part of the time is bounded by the time for which streams are kept. Meanwhile streams whose version nobody knows are refused (503, version-unknown).

Measured with streams that are kept for 2 s, and 5 s of tolerance: 8 s after the start such a stream goes on if the clock was right, and is refused if it had been an hour ahead (a_stream_is_taken_up_once_those_of_other_versions_have_expired, case two, fails).

--- a/tests/testsuite/fleet/versions.rs
+++ b/tests/testsuite/fleet/versions.rs
@@ -1,5 +1,6 @@
 //! Streams while runners of several software versions serve side by side.
 
+mod clocks;
 mod retention;
 
 use std::time::Duration;
