Play grants that cross the refusals of a host that stops

Suspected: a grant that is on its way when a quarter of the stop limit is left is used after its caller was refused, or a request that was rejected once is refused while its next attempt runs. Ruled out as far as played: four planned stops each of a host that coordinates and of a client host, 40 callers, three traffic threads, two runners that release their slots all the time and one that rejects. No logic is changed.

--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod crashing_fleet;
 mod crashing_prompts;
 mod crashing_requests;
+mod crossing_grants;
 mod endless_responses;
 mod forwarding;
 mod frozen_hosts;
