Keep the bodies of the embedded design in the account of callers

The same cause elsewhere: a daemon with the embedded platform, or with its classes in a store, reads bodies under limits of their own and without a common one. The crowd of unfinished bodies of 4 MiB takes it to 489 MB.

Change: the account of callers serves both designs; its buffers and their growth are one piece of code. Connections and recorded responses keep their own limits. The two gauges are registered with the others, so that the test of the metrics' page covers them: it failed since they came, which was missed.

Result: bodies_that_stop_short_exceed_no_memory_of_an_embedded_platform fails on the code before (489 MB, bound 160 MB) and passes with 106 MB; every_metric_is_on_the_page passes; the node package's tests and the 69 of the suite outside of fleets pass.

--- a/crates/core/src/fleet/caller_memory.rs
+++ b/crates/core/src/fleet/caller_memory.rs
@@ -127,9 +127,10 @@
         Ok(self.add(Caller::connection(now), bytes))
     }
 
-    /// Adds a request that another host forwards.
-    pub fn forward(&mut self, now: MonoTime) -> CallerId {
-        self.add(Caller::forwarded(now), 0)
+    /// Adds a request whose connection is not in the account, such as one that another host
+    /// forwards.
+    pub fn add_request(&mut self, now: MonoTime) -> CallerId {
+        self.add(Caller::request(now), 0)
     }
 
     fn add(&mut self, caller: Caller, bytes: usize) -> CallerId {
--- a/crates/core/src/fleet/caller_memory/caller.rs
+++ b/crates/core/src/fleet/caller_memory/caller.rs
@@ -2,7 +2,7 @@
 
 use crate::time::MonoTime;
 
-/// A caller's connection, or a request that another host forwards.
+/// A caller's connection, or a request by itself.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct CallerId(pub(super) usize);
 
@@ -32,7 +32,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Origin {
     Connection,
-    Forwarded,
+    Request,
 }
 
 /// One caller.
@@ -56,8 +56,8 @@
         Self::new(Origin::Connection, Stage::Idle { since: now })
     }
 
-    pub(super) fn forwarded(now: MonoTime) -> Self {
-        Self::new(Origin::Forwarded, Stage::Reading { progress_at: now })
+    pub(super) fn request(now: MonoTime) -> Self {
+        Self::new(Origin::Request, Stage::Reading { progress_at: now })
     }
 
     fn new(origin: Origin, stage: Stage) -> Self {
--- a/crates/node/src/fleet/caller_memory.rs
+++ b/crates/node/src/caller_memory.rs
@@ -1,11 +1,14 @@
-//! What callers make this host hold, shared by the traffic threads.
+//! What callers make this host hold, shared by the threads that serve them.
 //!
 //! The decisions are those of [`comfreyway_core::fleet::CallerMemory`]. Each caller's task
 //! waits for its eviction, and releases what it holds.
 
+mod body_buffer;
+
 use std::{
     cell::Cell,
     collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -15,19 +18,29 @@
 
 use comfreyway_core::{
     fleet::{CallerId, CallerMemory, CallerMemoryError, CallerMemoryLimits, WorkspaceKey},
+    ids::WorkspaceName,
     time::MonoTime,
 };
-use opentelemetry::metrics::Meter;
 use tokio::sync::Notify;
 
 use crate::{
     control::Clock,
     events::{Event, log_event},
+    metrics::CallerUsage,
 };
 
+pub(crate) use self::body_buffer::{BodyBuffer, BodyError};
+
 /// Minimum time between two log lines about callers that gave way.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Returns the key of a workspace in the account.
+pub(crate) fn workspace_key(name: &WorkspaceName) -> WorkspaceKey {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    WorkspaceKey(hasher.finish())
+}
+
 /// Tells a caller's task to give way.
 #[derive(Debug, Default)]
 struct Eviction {
@@ -52,49 +65,35 @@
 
 /// The account of all callers of a host.
 #[derive(Debug)]
-pub(super) struct SharedCallerMemory {
+pub(crate) struct SharedCallerMemory {
     clock: Clock,
     state: Mutex<State>,
 }
 
 impl SharedCallerMemory {
-    pub(super) fn new(clock: Clock, limits: CallerMemoryLimits) -> Self {
+    pub(crate) fn new(clock: Clock, limits: CallerMemoryLimits) -> Self {
         let memory = CallerMemory::new(limits);
         let state = State { memory, evictions: HashMap::new(), unlogged: Unlogged::default() };
         Self { clock, state: Mutex::new(state) }
     }
 
-    /// Adds the metrics of the account to a meter.
-    pub(super) fn observe(self: &Arc<Self>, meter: &Meter) {
-        let (bytes, connections) = (self.clone(), self.clone());
-        // The meter retains the observable instruments.
-        let _ = meter
-            .u64_observable_gauge("comfreyway_caller_memory")
-            .with_description("Memory held for callers: connections, bodies and responses")
-            .with_unit("By")
-            .with_callback(move |observer| {
-                observer.observe(bytes.lock().memory.used_bytes() as u64, &[]);
-            })
-            .build();
-        let _ = meter
-            .u64_observable_gauge("comfreyway_caller_connections")
-            .with_description("Connections of callers")
-            .with_callback(move |observer| {
-                observer.observe(connections.lock().memory.connections() as u64, &[]);
-            })
-            .build();
+    /// Returns what is held now.
+    pub(crate) fn usage(&self) -> CallerUsage {
+        let state = self.lock();
+        let (bytes, connections) = (state.memory.used_bytes(), state.memory.connections());
+        CallerUsage { bytes: bytes as u64, connections: connections as u64 }
     }
 
     /// Adds a connection; none if this host can't hold another one.
-    pub(super) fn connect(self: &Arc<Self>) -> Option<Caller> {
+    pub(crate) fn connect(self: &Arc<Self>) -> Option<Caller> {
         let id = self.decide(|memory, now, evicted| memory.connect(now, evicted)).ok()?;
         Some(self.caller(id))
     }
 
-    /// Adds a request that another host forwards.
-    pub(super) fn forward(self: &Arc<Self>) -> Caller {
+    /// Adds a request whose connection is not in the account.
+    pub(crate) fn request(self: &Arc<Self>) -> Caller {
         let now = self.clock.now();
-        let id = self.lock().memory.forward(now);
+        let id = self.lock().memory.add_request(now);
         self.caller(id)
     }
 
@@ -151,7 +150,7 @@
 
 /// One caller, which is removed from the account on drop.
 #[derive(Debug)]
-pub(super) struct Caller {
+pub(crate) struct Caller {
     memory: Arc<SharedCallerMemory>,
     id: CallerId,
     eviction: Arc<Eviction>,
@@ -161,7 +160,7 @@
 
 impl Caller {
     /// Waits until the caller has to give way.
-    pub(super) async fn evicted(&self) {
+    pub(crate) async fn evicted(&self) {
         let notified = self.eviction.notify.notified();
         if !self.is_evicted() {
             notified.await;
@@ -169,60 +168,60 @@
     }
 
     /// Returns true if the caller has to give way.
-    pub(super) fn is_evicted(&self) -> bool {
+    pub(crate) fn is_evicted(&self) -> bool {
         self.eviction.is_evicted.load(Ordering::Acquire)
     }
 
     /// Records that the head of a request was read.
-    pub(super) fn begin_request(&self) {
+    pub(crate) fn begin_request(&self) {
         self.has_request.set(true);
     }
 
     /// Records the end of a request.
-    pub(super) fn end_request(&self) {
+    pub(crate) fn end_request(&self) {
         self.has_request.set(false);
         let now = self.memory.clock.now();
         self.memory.lock().memory.end_request(self.id, now);
     }
 
     /// Returns true between the head of a request and the end of its response.
-    pub(super) fn has_request(&self) -> bool {
+    pub(crate) fn has_request(&self) -> bool {
         self.has_request.get()
     }
 
     /// Records that the connection ends with a response to a request that wasn't read.
-    pub(super) fn set_unread(&self) {
+    pub(crate) fn set_unread(&self) {
         self.is_unread.set(true);
     }
 
-    pub(super) fn is_unread(&self) -> bool {
+    pub(crate) fn is_unread(&self) -> bool {
         self.is_unread.get()
     }
 
     /// Records that a body is being read.
-    pub(super) fn begin_body(&self, workspace: WorkspaceKey) {
+    pub(crate) fn begin_body(&self, workspace: WorkspaceKey) {
         let now = self.memory.clock.now();
         self.memory.lock().memory.begin_body(self.id, workspace, now);
     }
 
     /// Records that more of the body was received.
-    pub(super) fn body_advanced(&self) {
+    pub(crate) fn body_advanced(&self) {
         let now = self.memory.clock.now();
         self.memory.lock().memory.body_advanced(self.id, now);
     }
 
     /// Records that the request was read completely.
-    pub(super) fn end_body(&self) -> Result<(), CallerMemoryError> {
+    pub(crate) fn end_body(&self) -> Result<(), CallerMemoryError> {
         self.memory.lock().memory.end_body(self.id)
     }
 
     /// Sets the bytes that are held of the request's body.
-    pub(super) fn hold_body(&self, bytes: usize) -> Result<(), CallerMemoryError> {
+    pub(crate) fn hold_body(&self, bytes: usize) -> Result<(), CallerMemoryError> {
         self.memory.decide(|memory, now, evicted| memory.hold_body(self.id, bytes, now, evicted))
     }
 
     /// Sets the bytes that are held back of the response.
-    pub(super) fn hold_response(&self, bytes: usize) -> Result<(), CallerMemoryError> {
+    pub(crate) fn hold_response(&self, bytes: usize) -> Result<(), CallerMemoryError> {
         self.memory
             .decide(|memory, now, evicted| memory.hold_response(self.id, bytes, now, evicted))
     }
--- a/crates/node/src/fleet/forward/server.rs
+++ b/crates/node/src/fleet/forward/server.rs
@@ -218,7 +218,7 @@
         let slot = self.slots.take().ok_or(Outcome::Busy)?;
         self.check_path(upstream, runner)?;
         let max = self.host_state.config().map_or(MAX_BODY_BYTES, |c| c.limits.max_body_bytes);
-        let caller = self.host_state.caller_memory.forward();
+        let caller = self.host_state.caller_memory.request();
         let body = timeout(READ_TIMEOUT, read_body(&mut body, max, &caller)).await;
         // The whole request is here before its first byte goes to the runner.
         let body = body.map_err(|_| Outcome::Busy)?.map_err(|_| Outcome::Busy)?;
--- a/crates/node/src/fleet/host_state.rs
+++ b/crates/node/src/fleet/host_state.rs
@@ -14,13 +14,13 @@
 };
 use tokio::sync::watch;
 
-use crate::control::Clock;
-
-use super::{
+use crate::{
     caller_memory::{Caller, SharedCallerMemory},
-    forward::ForwardHost,
+    control::Clock,
 };
 
+use super::forward::ForwardHost;
+
 /// State that the control thread writes and the traffic threads read.
 #[derive(Debug)]
 pub(super) struct HostState {
--- a/crates/node/src/fleet/lingering_close.rs
+++ b/crates/node/src/fleet/lingering_close.rs
@@ -19,7 +19,7 @@
     time::timeout,
 };
 
-use super::caller_memory::Caller;
+use crate::caller_memory::Caller;
 
 /// Time for a caller to receive its response and to stop sending.
 const LINGER_TIME: Duration = Duration::from_secs(1);
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -5,8 +5,8 @@
 //! - `proxy` handles traffic: it reads requests, waits for a decision, sends the
 //!   request to a runner and forwards the response.
 //! - `forward` sends requests through another host if this one can't reach a runner.
-//! - `caller_memory` holds the account of all that callers make this host hold; bodies
-//!   (`body`) and responses (`response_memory`) take from it.
+//! - `body` reads requests, and `response_memory` holds responses back, within the account of
+//!   all that callers make this host hold.
 //! - `control` holds the scheduling state ([`comfreyway_core::fleet`]).
 //! - `feed` watches the store. The coordinator forwards the changes to its client
 //!   hosts (`mirror`), so that few hosts call the store. `registration` maintains
@@ -15,7 +15,6 @@
 //!   messages.
 
 mod body;
-mod caller_memory;
 mod control;
 mod counted_store;
 mod feed;
--- a/crates/node/src/fleet/proxy/admitted.rs
+++ b/crates/node/src/fleet/proxy/admitted.rs
@@ -17,9 +17,9 @@
 };
 use tokio::time::Instant;
 
-use crate::fleet::{
+use crate::{
     caller_memory::Caller,
-    platform_format::{HeaderNames, header},
+    fleet::platform_format::{HeaderNames, header},
 };
 
 /// Time that a response takes on its way back to the caller.
--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    hash::{DefaultHasher, Hash, Hasher},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -11,7 +10,7 @@
 use comfreyway_core::{
     fleet::{
         FleetConfig, RequestContent, RequestDigest, Route, RunnerPaths, StopPhase, StreamBinding,
-        Workspace, WorkspaceKey,
+        Workspace,
     },
     ids::{HostId, RequestId, RunnerName},
     outcome::NotRunReason,
@@ -27,10 +26,10 @@
     time::{Instant, timeout_at},
 };
 
+use crate::caller_memory::{BodyError, Caller, workspace_key};
 use crate::events::{Event, log_event};
 use crate::fleet::{
-    body::{BodyError, read_body},
-    caller_memory::Caller,
+    body::read_body,
     host_state::HostState,
     platform_format::{PlatformFormat, header},
     request_handle::{RequestHandle, WorkerMessage},
@@ -307,7 +306,7 @@
         let deadline = arrived + caller_wait.unwrap_or(route.time_limit).min(route.time_limit);
         let max = config.limits.max_body_bytes;
         let read_until = deadline.min(arrived + config.limits.read_timeout);
-        caller.begin_body(workspace.as_ref().map(workspace_key).unwrap_or_default());
+        caller.begin_body(workspace.as_ref().map(|w| workspace_key(&w.name)).unwrap_or_default());
         let body = tokio::select! {
             read = timeout_at(read_until, read_body(&mut body, max, &caller)) => {
                 let read = read.map_err(|_| reject(NotRunReason::SlowBody.into()))?;
@@ -397,9 +396,3 @@
     let host = headers.get(HOST).and_then(|value| value.to_str().ok()).or_else(|| uri.host())?;
     Some(host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase())
 }
-
-fn workspace_key(workspace: &Workspace) -> WorkspaceKey {
-    let mut hasher = DefaultHasher::new();
-    workspace.name.hash(&mut hasher);
-    WorkspaceKey(hasher.finish())
-}
--- a/crates/node/src/fleet/proxy/serve.rs
+++ b/crates/node/src/fleet/proxy/serve.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
+    caller_memory::Caller,
     events::{Event, log_event},
     fleet::{
-        caller_memory::Caller,
         lingering_close::{SharedSocket, discard_input},
         runner_connections::set_socket_options,
         unsent::Unsent,
--- a/crates/node/src/fleet/response_memory.rs
+++ b/crates/node/src/fleet/response_memory.rs
@@ -4,7 +4,7 @@
 
 use quick_error::quick_error;
 
-use super::caller_memory::Caller;
+use crate::caller_memory::Caller;
 
 /// Bytes that each response may hold back at any time.
 const UNSHARED_BYTES: usize = 64 << 10;
--- a/crates/node/src/fleet/run.rs
+++ b/crates/node/src/fleet/run.rs
@@ -106,7 +106,8 @@
         let host_state = host_state.clone();
         metrics.fleet(move || host_state.clock.now().since(host_state.verified_at()))
     };
-    host_state.caller_memory.observe(&metrics.meter());
+    let caller_memory = host_state.caller_memory.clone();
+    metrics.callers(move || caller_memory.usage());
     let store = (platform.connect)(fleet.store);
     let store: Rc<dyn Store> = Rc::new(CountedStore::new(store, fleet_metrics.clone()));
     let (workers_tx, workers) = unbounded_channel();
--- a/crates/node/src/http/handler.rs
+++ b/crates/node/src/http/handler.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 
 use crate::{
+    caller_memory::{Caller, workspace_key},
     control::{Decision, Submission},
     events::{Event, log_event},
     upstream::OutboundRequest,
@@ -51,7 +52,9 @@
 ) -> HttpResponse {
     let id = traffic.new_request_id();
     let in_progress = InProgress::new(&traffic);
-    match read_request(id, &req, &mut payload, &traffic).await {
+    // What is held for the caller is released when its request has ended.
+    let caller = traffic.caller_memory.request();
+    match read_request(id, &req, &mut payload, &traffic, &caller).await {
         Ok(received) => run(received, traffic, worker, in_progress).await,
         Err(refusal) => {
             if let Outcome::NotRun(reason) = refusal.outcome {
@@ -77,6 +80,7 @@
     req: &HttpRequest,
     payload: &mut Payload,
     traffic: &TrafficState,
+    caller: &Caller,
 ) -> Result<ValidatedRequest, Refusal> {
     if traffic.phase() != Phase::Serving {
         let refusal = Refusal::not_run(NotRunReason::Stopping, "this host is stopping");
@@ -84,7 +88,8 @@
     }
     let document = traffic.config.borrow().clone();
     let head = check_head(traffic, &document, req)?;
-    let body = read_body(req, payload, &traffic.limits).await?;
+    caller.begin_body(workspace_key(&head.workspace));
+    let body = read_body(req, payload, &traffic.limits, caller).await?;
     let admitted = admit(traffic, &document, req, head, &body)?;
     let outbound = outbound_request(id, req, body, admitted.is_engine);
     Ok(ValidatedRequest { admitted, outbound })
--- a/crates/node/src/http/traffic.rs
+++ b/crates/node/src/http/traffic.rs
@@ -15,7 +15,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    control::ControlHandle,
+    caller_memory::SharedCallerMemory,
+    control::{Clock, ControlHandle},
     metrics::TrafficMetrics,
     results::ResultStore,
     settings::{Limits, Secret, Settings},
@@ -33,6 +34,7 @@
 pub struct TrafficState {
     pub(crate) data_centre: DataCentreName,
     pub(crate) limits: Limits,
+    pub(crate) caller_memory: Arc<SharedCallerMemory>,
     pub(crate) config: watch::Receiver<Arc<Document>>,
     pub(crate) control: ControlHandle,
     pub(crate) metrics: TrafficMetrics,
@@ -56,6 +58,7 @@
         let limits = settings.limits.clone();
         Self {
             data_centre: settings.data_centre.clone(),
+            caller_memory: Arc::new(SharedCallerMemory::new(Clock::new(), limits.caller_memory())),
             results: ResultStore::new(limits.max_results_bytes, limits.result_ttl),
             limits,
             secret: settings.secret.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,9 +11,11 @@
 //!   of hosts and pools in the key-value service.
 //! - [`config`] holds the operators' configuration, [`settings`] the settings
 //!   of this host, [`cli`] the daemon's command line.
+//! - `caller_memory` is the account of what callers make this host hold.
 //! - [`metrics`], [`events`] and [`logging`] show what the daemon does. Logging
 //!   never blocks.
 
+mod caller_memory;
 pub mod cli;
 pub mod config;
 pub mod control;
--- a/crates/node/src/metrics/registry.rs
+++ b/crates/node/src/metrics/registry.rs
@@ -6,7 +6,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use super::{FleetMetrics, MetricsError, TrafficMetrics};
+use super::{CallerUsage, FleetMetrics, MetricsError, TrafficMetrics, callers::observe_callers};
 
 /// Name of the meter of all instruments.
 const METER_NAME: &str = "comfreyway";
@@ -66,6 +66,14 @@
         FleetMetrics::new(&self.meter(), self.traffic.clone(), staleness)
     }
 
+    /// Adds the metrics of what callers make this host hold. `usage` returns it.
+    pub fn callers<F>(&self, usage: F)
+    where
+        F: Fn() -> CallerUsage + Send + Sync + 'static,
+    {
+        observe_callers(&self.meter(), usage);
+    }
+
     /// Returns a meter to register further instruments.
     #[must_use]
     pub fn meter(&self) -> Meter {
--- a/crates/node/src/run/daemon.rs
+++ b/crates/node/src/run/daemon.rs
@@ -60,6 +60,8 @@
     actix_rt::spawn(serve_results(traffic.clone(), thread.result_connections));
     let stop = operator.stop_requests();
     log_started(&settings, &listeners);
+    let caller_memory = traffic.caller_memory.clone();
+    metrics.callers(move || caller_memory.usage());
     let operators = serve_operators(&listeners, traffic.clone(), metrics, operator)?;
     let callers = http::serve(&settings, traffic.clone(), listeners.callers)?;
     let (callers_handle, operators_handle) = (callers.handle(), operators.handle());
--- a/crates/node/src/settings/keys.rs
+++ b/crates/node/src/settings/keys.rs
@@ -97,7 +97,7 @@
         "memory",
         Some("160MiB"),
         SIZE,
-        "Memory of this process. Callers of a fleet can make it hold at most half: buffers\nof connections, request bodies, and responses that are held back.",
+        "Memory of this process. Callers can make it hold at most half: request bodies and,\nin a fleet, buffers of connections and responses that are held back.",
     ),
     spec(
         "limits",
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -7,7 +7,7 @@
 /// Limits of one process. Defaults and units are in [`KEYS`](super::KEYS).
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Limits {
-    /// Memory of the process, in bytes. Callers of a fleet may make it hold half.
+    /// Memory of the process, in bytes. Callers may make it hold half.
     pub memory_bytes: usize,
     /// Descriptors that the process may open.
     pub max_descriptors: usize,
--- a/crates/node/tests/metrics.rs
+++ b/crates/node/tests/metrics.rs
@@ -9,7 +9,7 @@
     ids::Tier,
     outcome::{NotRunReason, RetryReason, UnknownReason},
 };
-use comfreyway_node::metrics::{Metrics, RequestLabels, RequestTimes};
+use comfreyway_node::metrics::{CallerUsage, Metrics, RequestLabels, RequestTimes};
 
 const PAGE: &str = include_str!("../../../docs/operators/metrics.md");
 
@@ -22,6 +22,7 @@
     traffic.first_byte(Duration::from_millis(1));
     traffic.response_time(Duration::from_millis(1));
     traffic.control_queue(Duration::from_millis(1));
+    metrics.callers(CallerUsage::default);
     let fleet = metrics.fleet(|| Duration::from_millis(1));
     fleet.store_call("watch", "done");
     let upstream = "dala".parse().unwrap();
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -49,12 +49,17 @@
         self.announced_bytes.is_none()
     }
 
-    /// Returns the head of a request with this body.
-    pub(crate) fn head(&self, id: &str) -> String {
-        let framing = match self.announced_bytes {
+    /// Returns the line of the head that frames the body.
+    pub(crate) fn framing(&self) -> String {
+        match self.announced_bytes {
             Some(bytes) => format!("content-length: {bytes}"),
             None => "transfer-encoding: chunked".to_owned(),
-        };
+        }
+    }
+
+    /// Returns the head of a request with this body.
+    pub(crate) fn head(&self, id: &str) -> String {
+        let framing = self.framing();
         format!(
             "POST /lookup/ HTTP/1.1\r\nhost: desk.example\r\n{ID}: {id}\r\n{KEY}: {DESK_KEY}\r\n\
              {framing}\r\n\r\n"
@@ -125,12 +130,21 @@
 
 /// Sends the bodies of a crowd at once. The connections are open until the result is dropped.
 pub(crate) async fn send_bodies(to: SocketAddr, plan: BodyPlan) -> Vec<Option<TcpStream>> {
+    send_bodies_after(to, plan, |plan, number| plan.head(&format!("crowd-{number}"))).await
+}
+
+/// Sends the bodies of a crowd at once, each after its own head.
+pub(crate) async fn send_bodies_after(
+    to: SocketAddr,
+    plan: BodyPlan,
+    head: fn(&BodyPlan, usize) -> String,
+) -> Vec<Option<TcpStream>> {
     let pieces = plan.pieces();
     let clients = (0..CROWD).map(|number| {
         let pieces = pieces.clone();
         spawn(async move {
             let plan = if number % COMPLETE_EVERY == 0 { plan.complete() } else { plan };
-            let head = plan.head(&format!("crowd-{number}"));
+            let head = head(&plan, number);
             let mut stream = connect(to).await?;
             let until = Instant::now() + SENDING_TIME;
             if write_until(&mut stream, head.as_bytes(), until).await {
--- a/tests/crowds/host.rs
+++ b/tests/crowds/host.rs
@@ -20,7 +20,7 @@
 };
 
 /// Memory of the smallest machine in bytes.
-const MEMORY_BOUND_BYTES: u64 = 160_000_000;
+pub(crate) const MEMORY_BOUND_BYTES: u64 = 160_000_000;
 /// Descriptors of the smallest machine.
 const DESCRIPTORS_BOUND: usize = 4_100;
 
@@ -57,6 +57,11 @@
 /// Held by the test that runs.
 static RUNNING: Mutex<()> = Mutex::const_new(());
 
+/// Waits until no other test runs.
+pub(crate) async fn wait_for_other_tests() -> MutexGuard<'static, ()> {
+    RUNNING.lock().await
+}
+
 /// A host with one runner, sampled from its start.
 pub(crate) struct CrowdedHost {
     fleet: FleetHarness,
@@ -75,7 +80,7 @@
 
     /// Waits for the other tests and starts a host with these limits.
     pub(crate) async fn start_with(limits: Limits) -> Self {
-        let running = RUNNING.lock().await;
+        let running = wait_for_other_tests().await;
         let fleet = FleetHarness::new();
         fleet.put_configuration(patient_configuration());
         let fleet = fleet.with_runner("survey", "survey-1", RunnerMode::Whole);
@@ -107,16 +112,7 @@
 
     /// Waits until the host has read what was sent, or reads no more.
     pub(crate) async fn settled(&self) {
-        let (mut last, mut unchanged) = (u64::MAX, 0);
-        for _ in 0..SETTLE_POLLS {
-            let left = in_transit_bytes(self.callers).unwrap();
-            unchanged = if left == last { unchanged + 1 } else { 0 };
-            if unchanged == UNCHANGED_POLLS {
-                return;
-            }
-            last = left;
-            sleep(SETTLE_INTERVAL).await;
-        }
+        settled(self.callers).await;
     }
 
     /// Sends an ordinary request, again while the host asks for it.
@@ -147,6 +143,20 @@
     }
 }
 
+/// Waits until the host at this address has read what was sent, or reads no more.
+pub(crate) async fn settled(callers: SocketAddrV4) {
+    let (mut last, mut unchanged) = (u64::MAX, 0);
+    for _ in 0..SETTLE_POLLS {
+        let left = in_transit_bytes(callers).unwrap();
+        unchanged = if left == last { unchanged + 1 } else { 0 };
+        if unchanged == UNCHANGED_POLLS {
+            return;
+        }
+        last = left;
+        sleep(SETTLE_INTERVAL).await;
+    }
+}
+
 /// Returns the configuration of the tests with the body limit of all deployments and time
 /// limits that no test reaches.
 fn patient_configuration() -> Value {
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -7,6 +7,7 @@
 mod bodies;
 mod calm;
 mod crowd;
+mod embedded;
 mod heads;
 mod host;
 mod responses;
