Add a runner that is a process of its own to the testkit

The suite's runners live in the test's process, so they can't be frozen or killed by signals, and the kernel never accepts and buffers for them.

--- a/crates/testkit/src/daemon/mod.rs
+++ b/crates/testkit/src/daemon/mod.rs
@@ -11,7 +11,7 @@
 mod temp_dir;
 mod wait;
 
-pub(crate) use self::address::unique_address;
+pub(crate) use self::{address::unique_address, signal::send};
 pub use self::{
     address::unused_address,
     process::DaemonProcess,
--- a/crates/testkit/src/daemon/signal.rs
+++ b/crates/testkit/src/daemon/signal.rs
@@ -31,7 +31,7 @@
 
 /// Sends a signal to a child process that has not been waited for. The process
 /// ID can't have been reused then.
-pub(super) fn send(pid: u32, signal: Signal) -> io::Result<()> {
+pub(crate) fn send(pid: u32, signal: Signal) -> io::Result<()> {
     let pid = libc::pid_t::try_from(pid).map_err(io::Error::other)?;
     #[allow(unsafe_code)]
     // SAFETY: `kill` takes two numbers and touches no memory of this process.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`fleet_runner`]: a runner of a fleet.
 //! - [`raw_runner`]: a runner that writes its responses byte by byte.
 //! - [`repeating_runner`]: a runner that sends a second copy of a response.
+//! - [`runner_process`]: a runner that is a process of its own.
 //! - [`scripted_runner`]: a runner whose bytes a test writes itself.
 //! - [`daemon`]: daemon processes.
 //! - [`proxy`]: a TCP proxy that injects faults on one link.
@@ -34,6 +35,7 @@
 pub mod raw_runner;
 pub mod repeating_runner;
 pub mod run_log;
+pub mod runner_process;
 pub mod scripted_runner;
 pub mod server;
 pub mod service;
