--- a/crates/testkit/src/proxy/link.rs
+++ b/crates/testkit/src/proxy/link.rs
@@ -34,9 +34,36 @@
         let down = Pump::new(Direction::Down, &shared, &rules_apply, now);
         tokio::try_join!(up.run(from_caller, to_target), down.run(from_target, to_caller)).err()
     };
-    drop(target);
-    if let Some(Stop::HalfOpen) = stop {
-        hold(caller, rules).await;
+    match stop {
+        Some(Stop::HalfOpen) => {
+            drop(target);
+            hold(caller, rules).await;
+        }
+        Some(Stop::Silent) => {
+            let silence = now.silences + 1;
+            tokio::join!(
+                hold_silent(caller, rules.clone(), silence),
+                hold_silent(target, rules, silence)
+            );
+        }
+        _ => {}
+    }
+}
+
+/// Keeps one side of a connection open without reading or sending. Once the connections of
+/// its silence are to be reset, bytes that have come or come later reset it.
+async fn hold_silent(stream: TcpStream, mut rules: watch::Receiver<Rules>, silence: u64) {
+    let cuts = rules.borrow().cuts;
+    let mut resets = rules.clone();
+    let used = async {
+        // Fails only if the proxy has ended.
+        let _ = resets.wait_for(|rules| rules.resets >= silence).await;
+        let _ = stream.peek(&mut [0]).await;
+    };
+    // The kernel resets a connection that is closed with unread bytes.
+    tokio::select! {
+        () = used => {}
+        _ = rules.wait_for(|rules| rules.cuts != cuts || rules.stopped) => {}
     }
 }
 
--- a/crates/testkit/src/proxy/mod.rs
+++ b/crates/testkit/src/proxy/mod.rs
@@ -138,6 +138,18 @@
         self.update_rules(|rules| rules.half_open = true);
     }
 
+    /// Keeps all open connections on both sides and carries nothing on them any more, not
+    /// even their end, as if a machine on the way had lost power. New connections work.
+    pub fn silence(&self) {
+        self.update_rules(|rules| rules.silences += 1);
+    }
+
+    /// Resets each side of the connections silenced so far once its peer has sent bytes
+    /// since, or sends some, as the machine does that has power again.
+    pub fn reset_silenced(&self) {
+        self.update_rules(|rules| rules.resets = rules.silences);
+    }
+
     /// Closes all open connections on both sides.
     pub fn cut_all(&self) {
         self.update_rules(|rules| rules.cuts += 1);
--- a/crates/testkit/src/proxy/pump.rs
+++ b/crates/testkit/src/proxy/pump.rs
@@ -36,6 +36,8 @@
     Cut,
     /// The target's side is to be closed and the caller's kept.
     HalfOpen,
+    /// Both sides are to be kept open without traffic.
+    Silent,
 }
 
 impl From<io::Error> for Stop {
@@ -52,6 +54,7 @@
     rules_apply: &'a AtomicBool,
     version: u64,
     cuts: u64,
+    silences: u64,
     bytes_since_change: u64,
     delayed: VecDeque<(Instant, Bytes)>,
 }
@@ -67,7 +70,7 @@
         accepted: Rules,
     ) -> Self {
         let mut rules = shared.rules.subscribe();
-        let Rules { version, cuts, .. } = accepted;
+        let Rules { version, cuts, silences, .. } = accepted;
         if rules.borrow_and_update().version != version {
             rules.mark_changed();
         }
@@ -79,6 +82,7 @@
             rules_apply,
             version,
             cuts,
+            silences,
             bytes_since_change: 0,
             delayed,
         }
@@ -130,6 +134,9 @@
         if rules.cuts != self.cuts || rules.stopped {
             return Err(Stop::Cut);
         }
+        if rules.silences != self.silences {
+            return Err(Stop::Silent);
+        }
         if rules.version != self.version {
             self.version = rules.version;
             self.bytes_since_change = 0;
--- a/crates/testkit/src/proxy/rules.rs
+++ b/crates/testkit/src/proxy/rules.rs
@@ -48,6 +48,10 @@
     /// True if the target's side of each connection is closed and the caller's
     /// side is kept open.
     pub(super) half_open: bool,
+    /// Increased to silence all connections.
+    pub(super) silences: u64,
+    /// Connections of this silence and those before it are reset once they are used.
+    pub(super) resets: u64,
     pub(super) stopped: bool,
 }
 
@@ -62,6 +66,8 @@
             version: 0,
             cuts: 0,
             half_open: false,
+            silences: 0,
+            resets: 0,
             stopped: false,
         }
     }
--- a/crates/testkit/tests/proxy.rs
+++ b/crates/testkit/tests/proxy.rs
@@ -159,3 +159,24 @@
     caller.write_all(b"kept").await.unwrap();
     assert_eq!(read(&mut served, 4).await, b"kept");
 }
+
+#[actix_rt::test]
+async fn silenced_connections_stay_open_until_they_are_used_after_the_reset() {
+    let (target, proxy) = fixture().await;
+    let (mut caller, served) = connected(&target, &proxy).await;
+    let (mut idle, _) = connected(&target, &proxy).await;
+    proxy.silence();
+    drop(served);
+    caller.write_all(b"lost").await.unwrap();
+    assert!(timeout(SILENCE, caller.read_u8()).await.is_err());
+    let (mut later, mut later_served) = connected(&target, &proxy).await;
+    later.write_all(b"kept").await.unwrap();
+    assert_eq!(read(&mut later_served, 4).await, b"kept");
+    proxy.reset_silenced();
+    assert_eq!(caller.read_u8().await.unwrap_err().kind(), ErrorKind::ConnectionReset);
+    assert!(timeout(SILENCE, idle.read_u8()).await.is_err());
+    idle.write_all(b"used").await.unwrap();
+    assert_eq!(idle.read_u8().await.unwrap_err().kind(), ErrorKind::ConnectionReset);
+    later.write_all(b"more").await.unwrap();
+    assert_eq!(read(&mut later_served, 4).await, b"more");
+}
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod rollback;
 mod rollouts;
 mod runner_notices;
+mod runner_processes;
 mod runners;
 mod slow_callers;
 mod soak;
