--- a/crates/testkit/examples/runner_process.rs
+++ b/crates/testkit/examples/runner_process.rs
@@ -142,6 +142,8 @@
 
 struct Runner {
     args: Args,
+    /// Every second fault of this process.
+    habit: Fault,
     log: File,
     running: AtomicUsize,
 }
@@ -178,7 +180,9 @@
                 continue;
             }
             let fault = rng.random_range(0..1_000) < self.args.faults_per_mille;
-            let fault = fault.then(|| FAULTS[rng.random_range(0..FAULTS.len())]);
+            let habitual = rng.random_bool(0.5);
+            let other = FAULTS[rng.random_range(0..FAULTS.len())];
+            let fault = fault.then_some(if habitual { self.habit } else { other });
             let rejection = response(503, &id, NOT_EXECUTED, "");
             if matches!(fault, Some(Fault::Reject | Fault::RejectTwice | Fault::RejectLate)) {
                 request.skip_body(&mut reader)?;
@@ -268,7 +272,8 @@
     let args = args().run();
     let listener = listen(args.address, args.backlog)?;
     let log = OpenOptions::new().append(true).create(true).open(&args.log)?;
-    let runner = Arc::new(Runner { args, log, running: AtomicUsize::new(0) });
+    let habit = FAULTS[StdRng::seed_from_u64(args.seed).random_range(0..FAULTS.len())];
+    let runner = Arc::new(Runner { args, habit, log, running: AtomicUsize::new(0) });
     for (connection, stream) in listener.incoming().enumerate() {
         let Ok(stream) = stream else { continue };
         let rng = StdRng::seed_from_u64(runner.args.seed << 20 | connection as u64);
