Play runners that are frozen while the kernel buffers for them

A runner that is stopped by a signal runs later what its kernel accepted and buffered, also with a full accept queue.

--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod endless_responses;
 mod forwarding;
 mod frozen_hosts;
+mod frozen_runners;
 mod half_open;
 pub(crate) mod harness;
 mod hosts;
