--- a/tests/testsuite/fleet/frozen_runners.rs
+++ b/tests/testsuite/fleet/frozen_runners.rs
@@ -10,6 +10,7 @@
 };
 use futures_util::future::join_all;
 use rstest::rstest;
+use serde_json::json;
 
 use super::harness::{DEADLINE, DESK_KEY, FleetHarness, ID, KEY, call_with, runner_entry};
 
@@ -34,12 +35,13 @@
     #[values(true, false)] has_more_connections: bool,
 ) {
     let fleet = FleetHarness::new();
-    let options = RunnerOptions { seed: 1, work_ms: 5, slots: 2, backlog, faults_per_mille: 0 };
+    let options = RunnerOptions { seed: 1, work_ms: 5, slots: CALLS, backlog, faults_per_mille: 0 };
     let start = |number: usize| RunnerProcess::start(&format!("r{number}"), options).unwrap();
     let runners: Vec<_> = (0..=others).map(start).collect();
     for runner in &runners {
-        let entry = runner_entry(runner.address(), "survey", "ready").to_string();
-        fleet.store.put(&format!("servers/{}", runner.name()), entry.as_bytes());
+        let mut entry = runner_entry(runner.address(), "survey", "ready");
+        entry["slots"] = json!(CALLS);
+        fleet.store.put(&format!("servers/{}", runner.name()), entry.to_string().as_bytes());
     }
     let host = fleet.start_host("h1").await;
     let call = async |id: String| {
--- a/tests/testsuite/fleet/runner_processes/machines.rs
+++ b/tests/testsuite/fleet/runner_processes/machines.rs
@@ -8,6 +8,7 @@
     runner_process::{RunnerOptions, RunnerProcess},
 };
 use rand::{RngExt, rngs::StdRng};
+use serde_json::json;
 
 use crate::{
     fleet::{
@@ -20,6 +21,9 @@
 /// Time between two looks at a process that was killed.
 const KILL_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Slots that a runner names in the store. Most have fewer and reject the rest.
+const NAMED_SLOTS: usize = 6;
+
 /// A runner and the link to it.
 pub(super) struct RunnerMachine {
     pub(super) process: RunnerProcess,
@@ -40,8 +44,9 @@
     pub(super) fn register(&self, fleet: &FleetHarness) {
         let own = self.process.address();
         let address = self.link.as_ref().map_or(own, FaultProxy::address);
-        let entry = runner_entry(address, "survey", "ready").to_string();
-        fleet.store.put(&format!("servers/{}", self.process.name()), entry.as_bytes());
+        let mut entry = runner_entry(address, "survey", "ready");
+        entry["slots"] = json!(NAMED_SLOTS);
+        fleet.store.put(&format!("servers/{}", self.process.name()), entry.to_string().as_bytes());
     }
 
     /// Starts it again, under a new name or under its own. Returns the former name if it is
