--- a/tests/testsuite/fleet/runner_processes.rs
+++ b/tests/testsuite/fleet/runner_processes.rs
@@ -11,14 +11,16 @@
 //! ```
 
 mod callers;
+mod check;
 mod machines;
 
-use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use actix_rt::time::{Instant, sleep, timeout};
 use comfreyway_testkit::{
     proxy::FaultProxy,
-    runner_process::{Beginning, RunnerOptions},
+    runner_process::RunnerOptions,
+    store::{StoreFaults, StoreOutage},
 };
 use futures_util::future::join_all;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -28,6 +30,7 @@
 
 use self::{
     callers::{Statuses, start_caller, wait_until_served},
+    check::check,
     machines::{HostMachine, RunnerMachine, draw_ms},
 };
 
@@ -45,9 +48,6 @@
 /// Time after the last response in which a request that was refused might still begin.
 const LATE_TIME: Duration = Duration::from_secs(5);
 
-/// Statuses that guarantee that the request has not run and never will.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
-
 /// Whether connections go through links, which may fall silent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Links {
@@ -205,7 +205,7 @@
         }
     }
 
-    /// All hosts lose power, and have it again after a while.
+    /// All hosts lose power, with the runners at times, and have it again after a while.
     async fn end_hosts(&mut self) {
         if self.links == Links::Silenced {
             self.links().for_each(FaultProxy::silence);
@@ -213,11 +213,19 @@
         self.hosts.iter_mut().for_each(HostMachine::kill);
         sleep(draw_ms(&mut self.rng, 0..800)).await;
         self.end_all_but_hosts();
+        if self.rng.random_bool(0.5) {
+            (0..RUNNERS).for_each(|runner| self.end_runner(runner));
+        }
+        let outages = [None, None, Some(StoreOutage::Cut), Some(StoreOutage::Silent)];
+        if let Some(outage) = outages[self.rng.random_range(0..outages.len())] {
+            self.fleet.store.set_faults(StoreFaults::new().with_outage(outage));
+        }
         let taken = self.hosts.iter().filter_map(|host| host.take_port(&mut self.rng));
         let taken: Vec<_> = taken.collect();
         self.hosts.iter_mut().for_each(HostMachine::start_again);
         sleep(draw_ms(&mut self.rng, 0..MAX_TAKEN_MS)).await;
         drop(taken);
+        self.fleet.store.set_faults(StoreFaults::new());
         self.links().for_each(FaultProxy::reset_silenced);
     }
 }
@@ -268,38 +276,6 @@
     check(seed, &soak, &statuses.borrow(), &late);
 }
 
-fn check(seed: u64, soak: &Soak, statuses: &BTreeMap<String, u16>, late: &[usize]) {
-    let mut beginnings = BTreeMap::<String, Vec<Beginning>>::new();
-    for (id, begun) in soak.runners.iter().flat_map(|runner| runner.process.beginnings()) {
-        beginnings.entry(id).or_default().extend(begun);
-    }
-    let mut counts = BTreeMap::<u16, usize>::new();
-    statuses.values().for_each(|status| *counts.entry(*status).or_default() += 1);
-    let status = |id: &String| statuses.get(id).copied().unwrap_or(0);
-    let twice = beginnings.iter().filter(|(_, begun)| begun.len() > 1);
-    let twice: Vec<_> = twice.map(|(id, _)| id).collect();
-    let refused = beginnings.keys().filter(|id| NOT_RUN_STATUSES.contains(&status(id)));
-    let refused: Vec<_> = refused.collect();
-    eprintln!(
-        "seed {seed}, {:?}: {} asked, {counts:?}, {} began, TWICE {}, REFUSED {}, RECOVER {}",
-        soak.links,
-        statuses.len(),
-        beginnings.len(),
-        twice.len(),
-        refused.len(),
-        late.len()
-    );
-    for id in twice.iter().chain(&refused) {
-        eprintln!("{id}: status {}, began {:?}", status(id), beginnings[*id]);
-        let lines = soak.hosts.iter().flat_map(|host| host.lines_of(id));
-        lines.for_each(|line| eprintln!("  {line}"));
-    }
-    assert!(twice.is_empty(), "seed {seed}: ran twice: {twice:?}");
-    assert!(refused.is_empty(), "seed {seed}: ran and was refused: {refused:?}");
-    assert!(late.is_empty(), "seed {seed}: not all hosts serve after rounds {late:?}");
-    assert!(counts.contains_key(&200), "seed {seed}: none served");
-}
-
 #[rstest]
 #[actix_rt::test]
 async fn no_request_runs_twice_or_after_a_refusal_at_frozen_and_killed_runners(
