--- a/tests/testsuite/fleet/runner_processes.rs
+++ b/tests/testsuite/fleet/runner_processes.rs
@@ -193,11 +193,6 @@
         }
     }
 
-    fn end_all_but_hosts(&mut self) {
-        self.ends.retain(|(_, end)| !matches!(end, End::StartHost(_)));
-        self.end_all();
-    }
-
     fn end_all(&mut self) {
         // A restart leaves an entry to remove.
         while let Some(last) = self.ends.iter().map(|(at, _)| *at).max() {
@@ -212,7 +207,8 @@
         }
         self.hosts.iter_mut().for_each(HostMachine::kill);
         sleep(draw_ms(&mut self.rng, 0..800)).await;
-        self.end_all_but_hosts();
+        self.ends.retain(|(_, end)| !matches!(end, End::StartHost(_) | End::Reset));
+        self.end_all();
         if self.rng.random_bool(0.5) {
             (0..RUNNERS).for_each(|runner| self.end_runner(runner));
         }
