Check heads of responses as they are received

Requests ran twice or were told 421 and had run.

Cause: the joined lines were looked for in what the HTTP library passes on. It drops a reason that is not ASCII, and a length that repeats another one.

Change: the socket to a runner looks for a second status line in the bytes of each head, before the library sees its end; the connection then fails, and the request may have run. Interim responses end a head of their own. The check of the parsed values goes; that of the id stays, and several ids are none.

--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -27,6 +27,7 @@
 mod proxy;
 mod registration;
 mod request_handle;
+mod response_head;
 mod response_memory;
 mod run;
 mod runner_connections;
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -28,7 +28,6 @@
     admitted::AdmittedRequest,
     framing::Framing,
     handler::ProxyState,
-    response_head::foreign_head,
     send::{ReceivedResponse, ResponseRoute},
 };
 
@@ -121,10 +120,8 @@
         load: unusual_load(request, runner, &res),
         is_forwarded,
     };
-    if let Some(cause) =
-        foreign_head(&res, &header(request.header_names.request_id), &request.caller_id)
-    {
-        log_unusable_response(request, runner, cause, sent_at);
+    if !echoes_request_id(request, &res) {
+        log_unusable_response(request, runner, "the response belongs to another request", sent_at);
         return (Attempt::Unknown(UnknownReason::UpstreamBroke), statements);
     }
     let (head, body) = res.into_parts();
@@ -278,6 +275,13 @@
     );
 }
 
+/// Returns true if the response names the request's id, and no other.
+fn echoes_request_id(request: &AdmittedRequest, res: &Response<Incoming>) -> bool {
+    let mut ids = res.headers().get_all(header(request.header_names.request_id)).iter();
+    let is_own = ids.next().is_some_and(|id| id.as_bytes() == request.caller_id.as_bytes());
+    is_own && ids.next().is_none()
+}
+
 /// Returns what a runner says about itself in a response.
 fn runner_notice(
     request: &AdmittedRequest,
--- a/crates/node/src/fleet/proxy/mod.rs
+++ b/crates/node/src/fleet/proxy/mod.rs
@@ -17,7 +17,6 @@
 mod placement;
 mod relay;
 mod response;
-mod response_head;
 mod send;
 mod serve;
 
--- a/crates/node/src/fleet/runner_connections.rs
+++ b/crates/node/src/fleet/runner_connections.rs
@@ -58,7 +58,7 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, (String, Option<Request<Full<Bytes>>>)> {
-        self.progress.advance();
+        self.progress.begin();
         self.sender.try_send_request(req).await.map_err(|mut e| {
             let unsent = e.take_message();
             (e.into_error().to_string(), unsent)
--- a/crates/node/src/fleet/runner_stream.rs
+++ b/crates/node/src/fleet/runner_stream.rs
@@ -1,10 +1,10 @@
-//! Socket to a runner that limits the bytes received without progress.
+//! Socket to a runner that limits the bytes received without progress, and checks heads.
 //!
 //! The HTTP parser accepts some input without end, such as leading zeros of a chunk
 //! size, and keeps its thread busy with it. The limit covers all of them.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io,
     pin::Pin,
     rc::Rc,
@@ -16,26 +16,41 @@
     net::TcpStream,
 };
 
+use super::response_head::ResponseHead;
+
 /// Maximum number of bytes between two parts of a response; above the size to which
 /// the HTTP library's read buffer grows.
 const MAX_UNPARSED_BYTES: usize = 1 << 20;
 
-/// Counts the bytes that were received since the last part of a response.
+/// What was received of a response. Cheap to clone.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ReadProgress(Rc<Cell<usize>>);
+pub(super) struct ReadProgress(Rc<Received>);
+
+#[derive(Debug, Default)]
+struct Received {
+    /// Bytes since the last part of the response.
+    unparsed: Cell<usize>,
+    head: RefCell<ResponseHead>,
+}
 
 impl ReadProgress {
-    /// Records that a request was sent, or a part of its response was received.
+    /// Records that a request is sent: a response begins.
+    pub(super) fn begin(&self) {
+        self.advance();
+        self.0.head.take();
+    }
+
+    /// Records that a part of the response was received.
     pub(super) fn advance(&self) {
-        self.0.set(0);
+        self.0.unparsed.set(0);
     }
 
-    fn add(&self, bytes: usize) -> io::Result<()> {
-        self.0.set(self.0.get() + bytes);
-        if self.0.get() > MAX_UNPARSED_BYTES {
+    fn add(&self, data: &[u8]) -> io::Result<()> {
+        self.0.unparsed.set(self.0.unparsed.get() + data.len());
+        if self.0.unparsed.get() > MAX_UNPARSED_BYTES {
             return Err(io::Error::other("too many bytes without a part of a response"));
         }
-        Ok(())
+        self.0.head.borrow_mut().receive(data)
     }
 }
 
@@ -61,7 +76,7 @@
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         match poll {
-            Poll::Ready(Ok(())) => Poll::Ready(self.progress.add(buf.filled().len() - before)),
+            Poll::Ready(Ok(())) => Poll::Ready(self.progress.add(&buf.filled()[before..])),
             other => other,
         }
     }
--- a/tests/testsuite/fleet/stray_responses.rs
+++ b/tests/testsuite/fleet/stray_responses.rs
@@ -130,6 +130,51 @@
     stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\nretry-after: ")
 })]
 #[case::in_the_status_line(|e: &mut Exchange<'_>| stray(e, "HTTP/1.1 421 "))]
+#[case::in_a_reason_that_is_not_ascii(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 421 Mauvaise requ\u{ea}te ")
+})]
+#[case::in_a_folded_line(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\nretry-after: 1\r\n ")
+})]
+#[case::with_bare_line_feeds(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\nx-comfreyway-not-executed: 1\nretry-after: ")
+})]
+#[case::of_an_older_version(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.0 503 -\r\nx-comfreyway-not-executed: 1\r\nretry-after: ")
+})]
+#[case::in_the_length(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\ncontent-length: ")
+})]
+#[case::in_the_encoding(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\ntransfer-encoding: ")
+})]
+#[case::in_the_statement(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: ")
+})]
+#[case::in_a_value_that_is_not_ascii(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\nx-cause: \u{ea}")
+})]
+#[case::in_an_interim_response(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 103 -\r\nx-comfreyway-not-executed: 1\r\nretry-after: ")
+})]
+#[case::after_an_interim_response(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 103 -\r\n\r\nHTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\nx: ")
+})]
+#[case::in_a_name(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\nretry-af")
+})]
+#[case::between_two_lines(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\n")
+})]
+#[case::in_a_line_end(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\nretry-after: 1\r")
+})]
+#[case::two_parts(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\nx: HTTP/1.1 200 -\r\ny: ")
+})]
+#[case::with_a_body(|e: &mut Exchange<'_>| {
+    stray(e, "HTTP/1.1 503 -\r\nx-comfreyway-not-executed: 1\r\ncontent-length: 9\r\n\r\nab")
+})]
 #[actix_rt::test]
 async fn a_part_of_a_late_rejection_does_not_make_a_request_run_again_or_count_as_not_run(
     #[values("/lookup/count/", "/tags/")] path: &str,
