Bound the time for which a recorded version is kept by the record itself

The record of versions says until when those without runners are remembered, by the clock of the host that wrote it. If that clock was ahead, or the reader's was set back, the reader added all of the difference, and refused streams of unknown version for so long (503, version-unknown).

The record also says when the last runner of the version was removed, by the same clock. What is between the two is the longest time for which such a stream may be taken up, whatever the clock shows, and a reader applies it after the removal, so that time is enough from then on. It now bounds the time left, which is computed as before otherwise. The bound needs no tolerance for clocks. A bound by the record's retention was ruled out: by reading, a host whose configuration was changed to a shorter limit before it wrote a record may write one that is too short.

--- a/crates/node/src/fleet/control/version_record.rs
+++ b/crates/node/src/fleet/control/version_record.rs
@@ -96,9 +96,11 @@
                     let gone_for = Duration::from_millis(unix_ms.saturating_sub(gone_ms));
                     gone_for.saturating_sub(CLOCK_TOLERANCE)
                 });
-                let time_left = keep_until_ms.map(|keep_until_ms| {
-                    let time_left = Duration::from_millis(keep_until_ms.saturating_sub(unix_ms));
-                    time_left + CLOCK_TOLERANCE
+                let time_left = gone_ms.zip(*keep_until_ms).map(|(gone_ms, keep_until_ms)| {
+                    let until = |ms| Duration::from_millis(keep_until_ms.saturating_sub(ms));
+                    // Both times are of one clock, so a wrong one does not change what is
+                    // between them, which is enough from any time after the first.
+                    until(gone_ms).min(until(unix_ms) + CLOCK_TOLERANCE)
                 });
                 let version = version.clone();
                 self.coordinator.version_reported(now, upstream, version, gone_for, time_left);
