Know a caller's eviction before another thread can decide on it

Found by review, by reading: a connection was added to the account under one lock and its eviction recorded under a second. With several traffic threads another one could evict it in between; its task then never learned of it, all its requests were refused, and what it held was never free again. Both happen under one lock now.

--- a/crates/node/src/caller_memory.rs
+++ b/crates/node/src/caller_memory.rs
@@ -86,22 +86,25 @@
 
     /// Adds a connection; none if this host can't hold another one.
     pub(crate) fn connect(self: &Arc<Self>) -> Option<Caller> {
-        let id = self.decide(|memory, now, evicted| memory.connect(now, evicted)).ok()?;
-        Some(self.caller(id))
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let id = state.decide(now, |memory, evicted| memory.connect(now, evicted)).ok()?;
+        Some(self.caller(&mut state, id))
     }
 
     /// Adds a request whose connection is not in the account.
     pub(crate) fn request(self: &Arc<Self>) -> Caller {
         let now = self.clock.now();
-        let id = self.lock().memory.add_request(now);
-        self.caller(id)
+        let mut state = self.lock();
+        let id = state.memory.add_request(now);
+        self.caller(&mut state, id)
     }
 
-    fn caller(self: &Arc<Self>, id: CallerId) -> Caller {
+    /// Returns the handle of a caller, before another thread can decide on it.
+    fn caller(self: &Arc<Self>, state: &mut State, id: CallerId) -> Caller {
         let eviction = Arc::<Eviction>::default();
-        self.lock().evictions.insert(id, eviction.clone());
-        let (has_request, is_unread) = (Cell::new(false), Cell::new(false));
-        Caller { memory: self.clone(), id, eviction, has_request, is_unread }
+        state.evictions.insert(id, eviction.clone());
+        Caller::new(self.clone(), id, eviction)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -114,23 +117,29 @@
         F: FnOnce(&mut CallerMemory, MonoTime, &mut Vec<CallerId>) -> Result<T, CallerMemoryError>,
     {
         let now = self.clock.now();
+        self.lock().decide(now, |memory, evicted| decide(memory, now, evicted))
+    }
+}
+
+impl State {
+    fn decide<F, T>(&mut self, now: MonoTime, decide: F) -> Result<T, CallerMemoryError>
+    where
+        F: FnOnce(&mut CallerMemory, &mut Vec<CallerId>) -> Result<T, CallerMemoryError>,
+    {
         let mut evicted = Vec::new();
-        let mut state = self.lock();
-        let result = decide(&mut state.memory, now, &mut evicted);
+        let result = decide(&mut self.memory, &mut evicted);
         for id in &evicted {
-            if let Some(eviction) = state.evictions.get(id) {
+            if let Some(eviction) = self.evictions.get(id) {
                 eviction.is_evicted.store(true, Ordering::Release);
                 eviction.notify.notify_waiters();
             }
         }
-        state.unlogged.evicted += evicted.len();
-        state.unlogged.refused += usize::from(result.is_err());
-        state.log(now);
+        self.unlogged.evicted += evicted.len();
+        self.unlogged.refused += usize::from(result.is_err());
+        self.log(now);
         result
     }
-}
 
-impl State {
     fn log(&mut self, now: MonoTime) {
         let Unlogged { evicted, refused, logged_at } = self.unlogged;
         let is_due = logged_at.is_none_or(|at| now.since(at) >= LOG_INTERVAL);
@@ -159,6 +168,11 @@
 }
 
 impl Caller {
+    fn new(memory: Arc<SharedCallerMemory>, id: CallerId, eviction: Arc<Eviction>) -> Self {
+        let (has_request, is_unread) = (Cell::new(false), Cell::new(false));
+        Self { memory, id, eviction, has_request, is_unread }
+    }
+
     /// Waits until the caller has to give way.
     pub(crate) async fn evicted(&self) {
         let notified = self.eviction.notify.notified();
