Let callers give way while a host stops

Found by review, by reading: once a host had begun to refuse, the task of a connection no longer noticed that its caller had to give way, and a head that was never completed held its place until the idle timeout. The task now waits for both until the connection has ended. planned_stop and slow_callers of the suite pass.

--- a/crates/node/src/fleet/proxy/serve.rs
+++ b/crates/node/src/fleet/proxy/serve.rs
@@ -105,20 +105,30 @@
         .max_buf_size(head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = host_state.stop_phase_reached(StopPhase::Refusing), if !last => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let stops = async {
+        match last {
+            true => std::future::pending().await,
+            false => host_state.stop_phase_reached(StopPhase::Refusing).await,
         }
-        () = caller.evicted() => {
-            if !caller.has_request() {
-                return;
+    };
+    let (mut stops, mut evicted) = (pin!(stops), pin!(caller.evicted()));
+    let mut is_stopping = false;
+    let ended = loop {
+        tokio::select! {
+            ended = connection.as_mut() => break ended,
+            () = stops.as_mut(), if !is_stopping => {
+                is_stopping = true;
+                connection.as_mut().graceful_shutdown();
             }
-            connection.as_mut().graceful_shutdown();
-            match timeout(EVICTED_CLOSE_TIME, connection).await {
-                Ok(ended) => ended,
-                Err(_) => return,
+            () = evicted.as_mut() => {
+                if !caller.has_request() {
+                    return;
+                }
+                connection.as_mut().graceful_shutdown();
+                match timeout(EVICTED_CLOSE_TIME, connection).await {
+                    Ok(ended) => break ended,
+                    Err(_) => return,
+                }
             }
         }
     };
