Let callers that stop reading give way to the next large response

Responses had no rule of who gives way.

Change: the complete response of a caller that has read less than 16 KiB of it in the last second gives way, the longest without progress first; its connection is closed after a second, which promises nothing. Responses may hold half of the callers' part, as bodies that are read make room for them.

--- a/crates/core/src/fleet/caller_memory.rs
+++ b/crates/core/src/fleet/caller_memory.rs
@@ -19,7 +19,8 @@
     limits::CallerMemoryLimits,
 };
 
-/// Time without progress after which a body that is being read counts as stalled.
+/// Time without progress after which a body that is being read, or a response that is being
+/// written, counts as stalled.
 const STALL_TIME: Duration = Duration::from_millis(1_000);
 
 /// Bytes of each response that may always be held back.
@@ -194,6 +195,22 @@
         Ok(())
     }
 
+    /// Records that the response is complete and is being written.
+    pub fn begin_delivery(&mut self, id: CallerId, now: MonoTime) {
+        if let Some(caller) = self.caller(id) {
+            caller.stage = Stage::Delivering { progress_at: now };
+        }
+    }
+
+    /// Records that more of the response was written, enough not to count as stalled.
+    pub fn delivery_advanced(&mut self, id: CallerId, now: MonoTime) {
+        if let Some(caller) = self.caller(id)
+            && let Stage::Delivering { progress_at } = &mut caller.stage
+        {
+            *progress_at = now;
+        }
+    }
+
     /// Records the end of a request, whose body and response are no longer held. The
     /// connection waits for the next one.
     pub fn end_request(&mut self, id: CallerId, now: MonoTime) {
@@ -258,10 +275,10 @@
         evicted: &mut Vec<CallerId>,
     ) -> Result<(), CallerMemoryError> {
         let before = self.caller(id).ok_or(CallerMemoryError::Evicted)?.response;
-        let shared = self.responses - shared_bytes(before) + shared_bytes(bytes);
         if shared_bytes(bytes) > shared_bytes(before) {
-            if shared > self.limits.max_responses() {
-                return Err(CallerMemoryError::Exhausted);
+            let more = shared_bytes(bytes) - shared_bytes(before);
+            while self.responses + more > self.limits.max_responses() {
+                self.evict_stalled_delivery(id, now, evicted)?;
             }
             self.make_room(bytes.saturating_sub(before), Some(id), now, evicted)?;
         }
@@ -269,10 +286,27 @@
             caller.response = bytes;
         }
         self.used = self.used - before + bytes;
-        self.responses = shared;
+        self.responses = self.responses - shared_bytes(before) + shared_bytes(bytes);
         Ok(())
     }
 
+    /// Evicts the caller that has not read its response for longest, if it has stalled.
+    fn evict_stalled_delivery(
+        &mut self,
+        asking: CallerId,
+        now: MonoTime,
+        evicted: &mut Vec<CallerId>,
+    ) -> Result<(), CallerMemoryError> {
+        let victim = self
+            .present()
+            .filter(|(id, caller)| *id != asking && shared_bytes(caller.response) > 0)
+            .filter_map(|(id, caller)| Some((caller.delivery_at()?, id)))
+            .filter(|(at, _)| now.since(*at) >= STALL_TIME)
+            .min();
+        let (_, id) = victim.ok_or(CallerMemoryError::Exhausted)?;
+        self.evict(id, evicted)
+    }
+
     /// Returns a caller that was not evicted.
     fn caller(&mut self, id: CallerId) -> Option<&mut Caller> {
         self.callers.get_mut(id.0)?.as_mut().filter(|caller| !caller.is_evicted)
--- a/crates/core/src/fleet/caller_memory/caller.rs
+++ b/crates/core/src/fleet/caller_memory/caller.rs
@@ -25,8 +25,10 @@
     Idle { since: MonoTime },
     /// Waits for the rest of a body.
     Reading { progress_at: MonoTime },
-    /// A request was read completely, and its response has not ended.
+    /// A request was read completely, and its response is not complete.
     Busy,
+    /// The complete response is being written.
+    Delivering { progress_at: MonoTime },
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -82,7 +84,7 @@
     pub(super) fn progress_at(&self) -> Option<MonoTime> {
         match self.stage {
             Stage::Reading { progress_at } => Some(progress_at),
-            Stage::Idle { .. } | Stage::Busy => None,
+            Stage::Idle { .. } | Stage::Busy | Stage::Delivering { .. } => None,
         }
     }
 
@@ -93,7 +95,15 @@
             Stage::Idle { since } | Stage::Reading { progress_at: since } => {
                 self.is_connection().then_some(since)
             }
-            Stage::Busy => None,
+            Stage::Busy | Stage::Delivering { .. } => None,
+        }
+    }
+
+    /// Returns when the response that is being written last advanced.
+    pub(super) fn delivery_at(&self) -> Option<MonoTime> {
+        match self.stage {
+            Stage::Delivering { progress_at } => Some(progress_at),
+            Stage::Idle { .. } | Stage::Reading { .. } | Stage::Busy => None,
         }
     }
 }
--- a/crates/core/src/fleet/caller_memory/limits.rs
+++ b/crates/core/src/fleet/caller_memory/limits.rs
@@ -73,7 +73,7 @@
 
     /// Maximum bytes of responses beyond what each may hold.
     pub(super) fn max_responses(&self) -> usize {
-        self.total_bytes / 4
+        self.total_bytes / 2
     }
 
     /// Maximum bytes of evicted callers that are not released yet.
--- a/crates/node/src/caller_memory.rs
+++ b/crates/node/src/caller_memory.rs
@@ -41,6 +41,9 @@
     WorkspaceKey(hasher.finish())
 }
 
+/// Bytes of a body or response after which it counts as having advanced.
+const PROGRESS_BYTES: usize = 16 << 10;
+
 /// Tells a caller's task to give way.
 #[derive(Debug, Default)]
 struct Eviction {
@@ -165,12 +168,15 @@
     eviction: Arc<Eviction>,
     has_request: Cell<bool>,
     is_unread: Cell<bool>,
+    /// Bytes of the complete response that were written since it last counted as having
+    /// advanced. None if no large response is being written.
+    delivered: Cell<Option<usize>>,
 }
 
 impl Caller {
     fn new(memory: Arc<SharedCallerMemory>, id: CallerId, eviction: Arc<Eviction>) -> Self {
         let (has_request, is_unread) = (Cell::new(false), Cell::new(false));
-        Self { memory, id, eviction, has_request, is_unread }
+        Self { memory, id, eviction, has_request, is_unread, delivered: Cell::new(None) }
     }
 
     /// Waits until the caller has to give way.
@@ -194,6 +200,7 @@
     /// Records the end of a request.
     pub(crate) fn end_request(&self) {
         self.has_request.set(false);
+        self.delivered.set(None);
         let now = self.memory.clock.now();
         self.memory.lock().memory.end_request(self.id, now);
     }
@@ -234,6 +241,26 @@
         self.memory.decide(|memory, now, evicted| memory.hold_body(self.id, bytes, now, evicted))
     }
 
+    /// Records that a large response is complete and is being written.
+    pub(crate) fn begin_delivery(&self) {
+        self.delivered.set(Some(0));
+        let now = self.memory.clock.now();
+        self.memory.lock().memory.begin_delivery(self.id, now);
+    }
+
+    /// Records that bytes were written to the caller's connection.
+    pub(crate) fn written(&self, bytes: usize) {
+        let Some(delivered) = self.delivered.get() else { return };
+        let delivered = delivered + bytes;
+        if delivered < PROGRESS_BYTES {
+            self.delivered.set(Some(delivered));
+            return;
+        }
+        self.delivered.set(Some(0));
+        let now = self.memory.clock.now();
+        self.memory.lock().memory.delivery_advanced(self.id, now);
+    }
+
     /// Sets the bytes that are held back of the response.
     pub(crate) fn hold_response(&self, bytes: usize) -> Result<(), CallerMemoryError> {
         self.memory
--- a/crates/node/src/caller_memory/body_buffer.rs
+++ b/crates/node/src/caller_memory/body_buffer.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use comfreyway_core::fleet::CallerMemoryError;
 
-use super::Caller;
+use super::{Caller, PROGRESS_BYTES};
 
 /// Minimum size of the buffer of a body.
 const MIN_BUFFER_BYTES: usize = 4 << 10;
@@ -11,9 +11,6 @@
 /// Unused bytes of a buffer that are given back once the body is complete.
 const MAX_UNUSED_BYTES: usize = 64 << 10;
 
-/// Bytes after which a body counts as having advanced.
-const PROGRESS_BYTES: usize = 16 << 10;
-
 /// Reason for not having read a body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum BodyError {
--- a/crates/node/src/fleet/lingering_close.rs
+++ b/crates/node/src/fleet/lingering_close.rs
@@ -27,33 +27,44 @@
 /// Bytes that are discarded at once.
 const DISCARD_BYTES: usize = 8 << 10;
 
-/// A socket that outlives the HTTP connection on it. Cheap to clone.
+/// A caller's socket, which outlives the HTTP connection on it. Cheap to clone.
 #[derive(Clone, Debug)]
-pub(super) struct SharedSocket(Rc<RefCell<TcpStream>>);
+pub(super) struct CallerSocket {
+    stream: Rc<RefCell<TcpStream>>,
+    caller: Rc<Caller>,
+}
+
+impl CallerSocket {
+    pub(super) fn new(stream: TcpStream, caller: Rc<Caller>) -> Self {
+        Self { stream: Rc::new(RefCell::new(stream)), caller }
+    }
 
-impl SharedSocket {
-    pub(super) fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(RefCell::new(stream)))
+    fn count_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.caller.written(*bytes);
+        }
+        written
     }
 }
 
-impl AsyncRead for SharedSocket {
+impl AsyncRead for CallerSocket {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_read(cx, buf)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
     }
 }
 
-impl AsyncWrite for SharedSocket {
+impl AsyncWrite for CallerSocket {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write(cx, buf)
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
+        self.count_written(written)
     }
 
     fn poll_write_vectored(
@@ -61,25 +72,27 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
+        self.count_written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.0.borrow().is_write_vectored()
+        self.stream.borrow().is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_flush(cx)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.borrow_mut()).poll_shutdown(cx)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
 
 /// Discards what a caller still sends after its last response, until it closes the
 /// connection, has to give way, or the time is up.
-pub(super) async fn discard_input(mut socket: SharedSocket, caller: &Caller) {
+pub(super) async fn discard_input(mut socket: CallerSocket) {
+    let caller = socket.caller.clone();
     if let Err(e) = socket.shutdown().await {
         log::debug!("can't close the sending side of a caller's connection: {e}");
         return;
--- a/crates/node/src/fleet/proxy/serve.rs
+++ b/crates/node/src/fleet/proxy/serve.rs
@@ -15,7 +15,7 @@
     caller_memory::Caller,
     events::{Event, log_event},
     fleet::{
-        lingering_close::{SharedSocket, discard_input},
+        lingering_close::{CallerSocket, discard_input},
         runner_connections::set_socket_options,
         unsent::Unsent,
     },
@@ -80,7 +80,7 @@
     set_socket_options(&stream);
     let host_state = proxy.host_state.clone();
     let (unsent, caller) = (Unsent::default(), Rc::new(caller));
-    let socket = SharedSocket::new(stream);
+    let socket = CallerSocket::new(stream, caller.clone());
     let stream = unsent.stream(socket.clone());
     let limits = proxy.host_state.config().map(|config| config.limits);
     let head_bytes =
@@ -136,6 +136,6 @@
         log::debug!("connection of a caller ended: {e}");
     }
     if caller.is_unread() {
-        discard_input(socket, &caller).await;
+        discard_input(socket).await;
     }
 }
--- a/crates/node/src/fleet/response_memory.rs
+++ b/crates/node/src/fleet/response_memory.rs
@@ -59,13 +59,13 @@
         }
         Ok(())
     }
-}
 
-impl HeldBytes {
     /// Leaves the bytes accounted for until the request has ended: a complete response waits
     /// for its caller.
     pub(super) fn keep(mut self) {
-        self.accounted = 0;
+        if std::mem::take(&mut self.accounted) > 0 {
+            self.caller.begin_delivery();
+        }
     }
 }
 
--- a/tests/testsuite/fleet/stray_responses.rs
+++ b/tests/testsuite/fleet/stray_responses.rs
@@ -199,6 +199,23 @@
     assert!(runner.runs().len() > 1);
 }
 
+#[actix_rt::test]
+async fn a_part_of_a_late_response_removes_no_runner() {
+    let part: Script = |e| stray(e, "HTTP/1.1 421 ");
+    let runner = ScriptedRunner::start(answer, part).unwrap();
+    let fleet = FleetHarness::new();
+    let entry = runner_entry(runner.address(), "survey", "ready");
+    fleet.store.put("servers/r1", entry.to_string().as_bytes());
+    let host = fleet.start_host("h1").await;
+    let mut told = Vec::new();
+    for number in 0..REQUESTS {
+        let id = format!("id-{number}");
+        let headers = [(KEY, DESK_KEY), (DEADLINE, WAIT_MS)];
+        told.push(call_with(&host, &id, "/lookup/count/", &headers, "").await.status);
+    }
+    assert!(!host.log().contains("event=CF0523"), "{told:?}");
+}
+
 #[rstest]
 #[case::request_timeout(|e: &mut Exchange<'_>| run(e, 408, ""))]
 #[case::too_many(|e: &mut Exchange<'_>| run(e, 429, ""))]
