Keep both ends of a silenced connection in its test

Cause: the test dropped the far end of the idle connection at once, so its end raced the silence that follows; if it came first, the proxy passed it on. The check is the same; the far end now stays open, as for a machine that fell silent.

--- a/crates/testkit/tests/proxy.rs
+++ b/crates/testkit/tests/proxy.rs
@@ -164,7 +164,7 @@
 async fn silenced_connections_stay_open_until_they_are_used_after_the_reset() {
     let (target, proxy) = fixture().await;
     let (mut caller, served) = connected(&target, &proxy).await;
-    let (mut idle, _) = connected(&target, &proxy).await;
+    let (mut idle, _idle_served) = connected(&target, &proxy).await;
     proxy.silence();
     drop(served);
     caller.write_all(b"lost").await.unwrap();
