Take back the search past silent hosts

Suspected, not traced: 295 hosts start at once, their coordinator is slow to answer, and counts as silent; each host then probes as many further hosts as were silent, which keeps those busy as well, so that hosts call the store themselves for longer.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -31,7 +31,6 @@
 mod client;
 mod config;
 mod coordinator;
-mod coordinator_search;
 mod directory;
 mod hosts;
 mod member;
@@ -62,7 +61,6 @@
     client::{ClientAction, CoordinatorClient},
     config::{CallerLimits, FleetConfig, Quota, RetryPolicy, Route, UpstreamConfig, Workspace},
     coordinator::Coordinator,
-    coordinator_search::CoordinatorSearch,
     directory::{RunnerChange, RunnerDirectory},
     hosts::FleetHosts,
     member::{Member, elect},
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -10,8 +10,7 @@
 use actix::{Actor, AsyncContext, Context, SpawnHandle, StreamHandler};
 use comfreyway_core::{
     fleet::{
-        Coordinator, CoordinatorClient, CoordinatorSearch, HostSessions, Member, RunnerDirectory,
-        ShareBasis, Suspect,
+        Coordinator, CoordinatorClient, HostSessions, Member, RunnerDirectory, ShareBasis, Suspect,
     },
     ids::{HostId, HostName, RequestId, UpstreamName},
     time::MonoTime,
@@ -141,7 +140,8 @@
     metrics: FleetMetrics,
     members: BTreeMap<HostName, Member>,
     own_entry: OwnEntry,
-    search: CoordinatorSearch,
+    /// Hosts that are not chosen as coordinator until the given time.
+    suspects: BTreeMap<HostId, MonoTime>,
     coordinator_session: Option<CoordinatorSession>,
     /// Sessions of the client hosts.
     clients: HostSessions<ClientSession>,
@@ -215,7 +215,7 @@
             metrics,
             members: BTreeMap::new(),
             own_entry: OwnEntry::Pending,
-            search: CoordinatorSearch::default(),
+            suspects: BTreeMap::new(),
             coordinator_session: None,
             clients: HostSessions::default(),
             decision_txs: HashMap::new(),
