--- a/crates/core/src/fleet/member.rs
+++ b/crates/core/src/fleet/member.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::HostId;
+use crate::ids::{HostId, HostName};
 
 /// A host's entry in the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -31,6 +31,11 @@
     fn cpu_class(&self) -> u32 {
         u32::BITS - self.millicores.leading_zeros()
     }
+
+    /// Returns the place in the election's order.
+    pub(super) fn rank(&self) -> (Reverse<u32>, u64, &HostName) {
+        (Reverse(self.cpu_class()), self.id.incarnation, &self.id.name)
+    }
 }
 
 /// Elects the coordinator: of the hosts with the most CPU, because one host
@@ -58,7 +63,5 @@
 where
     I: IntoIterator<Item = &'a Member>,
 {
-    members.into_iter().min_by_key(|member| {
-        (Reverse(member.cpu_class()), member.id.incarnation, member.id.name.clone())
-    })
+    members.into_iter().min_by(|a, b| a.rank().cmp(&b.rank()))
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 mod client;
 mod config;
 mod coordinator;
+mod coordinator_search;
 mod directory;
 mod hosts;
 mod member;
@@ -61,6 +62,7 @@
     client::{ClientAction, CoordinatorClient},
     config::{CallerLimits, FleetConfig, Quota, RetryPolicy, Route, UpstreamConfig, Workspace},
     coordinator::Coordinator,
+    coordinator_search::CoordinatorSearch,
     directory::{RunnerChange, RunnerDirectory},
     hosts::FleetHosts,
     member::{Member, elect},
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod caller_memory;
 mod client;
 mod coordinator;
+mod coordinator_search;
 mod crash_evidence;
 mod cut_off_hosts;
 mod directory;
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -10,7 +10,8 @@
 use actix::{Actor, AsyncContext, Context, SpawnHandle, StreamHandler};
 use comfreyway_core::{
     fleet::{
-        Coordinator, CoordinatorClient, HostSessions, Member, RunnerDirectory, ShareBasis, Suspect,
+        Coordinator, CoordinatorClient, CoordinatorSearch, HostSessions, Member, RunnerDirectory,
+        ShareBasis, Suspect,
     },
     ids::{HostId, HostName, RequestId, UpstreamName},
     time::MonoTime,
@@ -140,8 +141,7 @@
     metrics: FleetMetrics,
     members: BTreeMap<HostName, Member>,
     own_entry: OwnEntry,
-    /// Hosts that are not chosen as coordinator until the given time.
-    suspects: BTreeMap<HostId, MonoTime>,
+    search: CoordinatorSearch,
     coordinator_session: Option<CoordinatorSession>,
     /// Sessions of the client hosts.
     clients: HostSessions<ClientSession>,
@@ -215,7 +215,7 @@
             metrics,
             members: BTreeMap::new(),
             own_entry: OwnEntry::Pending,
-            suspects: BTreeMap::new(),
+            search: CoordinatorSearch::default(),
             coordinator_session: None,
             clients: HostSessions::default(),
             decision_txs: HashMap::new(),
--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -12,17 +12,13 @@
 use crate::{
     events::{Event, log_event},
     fleet::{
-        sessions::{SessionEvent, dial},
+        sessions::{SessionEnd, SessionEvent, dial, probe},
         wire::{Frame, PROTOCOL, ToCoordinator, ToHost},
     },
 };
 
 use super::{ClientSession, CoordinatorSession, FleetControl, StoreRelay};
 
-/// Time for which a host is not chosen as coordinator after its session failed,
-/// or after it declined before this host had switched to it.
-const SUSPECT_TIME: Duration = Duration::from_millis(1_500);
-
 /// Time for which a coordinator is not chosen again after it has stepped down.
 const STEP_DOWN_TIME: Duration = Duration::from_secs(10);
 
@@ -47,6 +43,7 @@
         self.report_streams(&host);
         self.report_suspects(&host);
         self.report_limits(&host);
+        self.search.coordinator_found();
         self.coordinator_client.set_coordinator(now, Some(host), &mut actions);
         self.execute(actions, Vec::new());
         self.coordinator.host_left(now, &self.me.id.clone(), &mut replies);
@@ -66,23 +63,25 @@
     /// election becomes a client of the other.
     pub(super) fn choose_coordinator(&mut self) {
         let now = self.now();
-        self.suspects.retain(|_, until| now < *until);
         let kept = self
             .coordinator_session
             .as_ref()
             .filter(|session| self.coordinator_client.coordinator() == Some(&session.host));
-        if kept.is_some_and(|session| !self.suspects.contains_key(&session.host)) {
+        if kept.is_some_and(|session| !self.search.is_left_out(now, &session.host)) {
             return;
         }
-        let elected = self.elect_coordinator(now).filter(|member| member.id != self.me.id);
+        let tried = self.next_attempt(now);
         let current = self.coordinator_session.as_ref().map(|session| &session.host);
-        if current == elected.as_ref().map(|member| &member.id) {
+        if current == tried.first().map(|member| &member.id) {
             return;
         }
         self.coordinator_session = None;
         self.use_own_coordinator();
-        if let Some(member) = elected {
-            self.open_session(&member);
+        if let Some((elected, probed)) = tried.split_first() {
+            self.open_session(elected);
+            for member in probed {
+                actix_rt::spawn(probe(member.clone(), self.session_tx.clone()));
+            }
         }
     }
 
@@ -238,18 +237,34 @@
                 // A host that this one has not switched to yet is a client of
                 // another host for now.
                 let was_coordinator = self.coordinator_client.coordinator() == Some(&host);
-                let suspect_time = if was_coordinator { STEP_DOWN_TIME } else { SUSPECT_TIME };
-                self.suspects.insert(host, now + suspect_time);
+                match was_coordinator {
+                    true => self.search.leave_out(host, now + STEP_DOWN_TIME),
+                    false => self.search.session_failed(now, host),
+                }
                 self.choose_coordinator();
             }
-            SessionEvent::CoordinatorDown(host) => {
+            SessionEvent::CoordinatorDown(host, end) => {
                 if self.coordinator_session.as_ref().is_some_and(|session| session.host == host) {
                     self.coordinator_session = None;
-                    self.suspects.insert(host, now + SUSPECT_TIME);
+                    match end {
+                        SessionEnd::Silence if !self.is_client() => {
+                            self.search.host_silent(now, host);
+                        }
+                        _ => self.search.session_failed(now, host),
+                    }
                     self.use_own_coordinator();
                     self.choose_coordinator();
                 }
             }
+            // One that ends late says nothing of a host that is connected by now.
+            SessionEvent::Probed(..) if self.is_client() || self.is_connected() => {}
+            SessionEvent::Probed(host, responds) => {
+                match responds {
+                    true => self.search.host_responded(&host),
+                    false => self.search.host_silent(now, host),
+                }
+                self.choose_coordinator();
+            }
         }
     }
 
--- a/crates/node/src/fleet/control/election.rs
+++ b/crates/node/src/fleet/control/election.rs
@@ -1,10 +1,6 @@
 //! Election of a coordinator among the hosts that this one knows.
 
-use comfreyway_core::{
-    fleet::{Member, elect},
-    ids::HostId,
-    time::MonoTime,
-};
+use comfreyway_core::{fleet::Member, time::MonoTime};
 
 use super::FleetControl;
 
@@ -20,16 +16,18 @@
 }
 
 impl FleetControl {
-    pub(super) fn elect_coordinator(&self, now: MonoTime) -> Option<Member> {
-        let suspected = |id: &HostId| self.suspects.get(id).is_some_and(|until| now < *until);
+    /// Returns the hosts to try as coordinator at once, the one to connect to first; none if
+    /// this host is elected.
+    pub(super) fn next_attempt(&mut self, now: MonoTime) -> Vec<Member> {
         let others = self.members.values().filter(|m| m.id.name != self.me.id.name);
         // A client of this host does not coordinate.
         let others = others.filter(|member| self.clients.get(&member.id).is_none());
-        let others = others.filter(|member| !suspected(&member.id));
-        let me = (!self.stopping && !suspected(&self.me.id)).then_some(&self.me);
         // The others don't know of a host without an entry and elect another one.
         let is_unknown = self.own_entry == OwnEntry::Lost && self.clients.is_empty();
-        elect(others.chain(me.filter(|_| !is_unknown))).or(me).cloned()
+        let is_eligible =
+            !self.stopping && !is_unknown && !self.search.is_left_out(now, &self.me.id);
+        let me = is_eligible.then_some(&self.me);
+        self.search.next_attempt(now, others, me).into_iter().cloned().collect()
     }
 
     /// Records whether the store has an entry of this process.
--- a/crates/node/src/fleet/control/store_relay.rs
+++ b/crates/node/src/fleet/control/store_relay.rs
@@ -84,7 +84,7 @@
         }
     }
 
-    fn is_connected(&self) -> bool {
+    pub(super) fn is_connected(&self) -> bool {
         self.coordinator_session.as_ref().is_some_and(|session| session.tx.is_some())
     }
 
@@ -112,7 +112,7 @@
         let few_clients = 2 * (self.clients.len() + 1) <= self.members.len();
         if stale && few_clients && self.coordinator_session.is_none() && !self.clients.is_empty() {
             log_event!(Event::CoordinatorStoreUnreachable, host:% = self.me.id);
-            self.suspects.insert(self.me.id.clone(), now + STALE_COORDINATOR_TIME);
+            self.search.leave_out(self.me.id.clone(), now + STALE_COORDINATOR_TIME);
             self.notify_not_coordinator();
             self.choose_coordinator();
         }
@@ -141,7 +141,7 @@
                 host:% = host,
                 proof_ms = staleness.as_millis() as u64
             );
-            self.suspects.insert(host.clone(), self.now() + STALE_COORDINATOR_TIME);
+            self.search.leave_out(host.clone(), self.now() + STALE_COORDINATOR_TIME);
             return;
         }
         let relay = session.relay;
--- a/crates/node/src/fleet/sessions.rs
+++ b/crates/node/src/fleet/sessions.rs
@@ -41,6 +41,12 @@
 /// Time to connect and send the hello.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time for a host to respond that may become the coordinator; shorter, so that it is known
+/// when an attempt to connect to another one ends.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+const _: () = assert!(PROBE_TIMEOUT.as_millis() < HANDSHAKE_TIMEOUT.as_millis());
+
 /// Maximum number of messages queued for one session.
 const MAX_QUEUED_MESSAGES: usize = 8_192;
 
@@ -62,7 +68,17 @@
     /// A message from the coordinator.
     FromCoordinator(HostId, ToHost),
     /// The coordinator can't be reached, or the session with it has ended.
-    CoordinatorDown(HostId),
+    CoordinatorDown(HostId, SessionEnd),
+    /// Whether a host that may become the coordinator responds.
+    Probed(HostId, bool),
+}
+
+/// How a session with the coordinator ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum SessionEnd {
+    /// The host did not respond in time.
+    Silence,
+    Other,
 }
 
 /// Accepts client hosts until the process ends. `token` is this host's own.
@@ -126,6 +142,23 @@
     }
 }
 
+/// Finds out whether a host responds. It is told nothing.
+pub(super) async fn probe(member: Member, events: UnboundedSender<SessionEvent>) {
+    let connecting = SessionSocket::open(member.address);
+    let responds = match timeout(PROBE_TIMEOUT, connecting).await {
+        Ok(Ok(_)) => true,
+        Err(_) => false,
+        // It refuses at once, and costs no time if it is tried.
+        Ok(Err(e)) => {
+            log::debug!("host {} refuses connections: {e}", member.id);
+            return;
+        }
+    };
+    if events.send(SessionEvent::Probed(member.id, responds)).is_err() {
+        log::debug!("the control actor has ended; the result of a probe is not reported");
+    }
+}
+
 /// Connects to a coordinator and runs the session until it ends.
 pub(super) async fn dial(
     local: HostId,
@@ -134,10 +167,14 @@
     events: UnboundedSender<SessionEvent>,
 ) {
     let host = coordinator.id.clone();
+    let mut end = SessionEnd::Other;
     if let Err(e) = run_coordinator_session(local, &coordinator, clock, &events).await {
         log_event!(Event::CoordinatorDisconnected, host:% = host, cause:% = e);
+        if matches!(e, SessionError::Timeout) {
+            end = SessionEnd::Silence;
+        }
     }
-    if events.send(SessionEvent::CoordinatorDown(host)).is_err() {
+    if events.send(SessionEvent::CoordinatorDown(host, end)).is_err() {
         log::debug!("the control actor has ended; the end of a session is not reported");
     }
 }
--- a/crates/node/src/fleet/wire.rs
+++ b/crates/node/src/fleet/wire.rs
@@ -259,13 +259,18 @@
         address: SocketAddr,
         token: u64,
     ) -> Result<Self, SessionError> {
+        let mut socket = Self::open(address).await?;
+        socket.send(Frame::new(&ToCoordinator::Hello(me, token, PROTOCOL))?).await?;
+        Ok(socket)
+    }
+
+    /// Opens a connection to the host at `address` without a hello.
+    pub(super) async fn open(address: SocketAddr) -> Result<Self, SessionError> {
         let stream = tcp::connect(address).await?;
         set_socket_options(&stream);
         let url = format!("ws://{address}/fleet");
         let (socket, _) = client_async_with_config(url, stream, Some(websocket_config())).await?;
-        let mut socket = Self(socket);
-        socket.send(Frame::new(&ToCoordinator::Hello(me, token, PROTOCOL))?).await?;
-        Ok(socket)
+        Ok(Self(socket))
     }
 
     /// Receives the next message.
--- a/tests/testsuite/fleet/stale_entries.rs
+++ b/tests/testsuite/fleet/stale_entries.rs
@@ -95,6 +95,7 @@
 #[rstest]
 #[case::three(3)]
 #[case::four(4)]
+#[case::twenty_four(24)]
 #[actix_rt::test]
 async fn hosts_find_a_common_coordinator_beside_older_ones_that_are_silent(#[case] silent: usize) {
     let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
