Queue resubmitted requests of upstreams without known runners

What callers saw: a request that waits while its host changes coordinators got no decision and no refusal, and was answered 503 time-limit when its time ended, if the new coordinator had not read a runner of its upstream yet.

Cause: a coordinator keeps its state of an upstream from the first runner or the first new request on. For a new request the deposit to the retry budget creates it; a request that another coordinator had before makes no deposit, so it was recorded as open and passed to no scheduler.

Ruled out: quotas, quarantine and take-ups of streams; none of them had decided.

Change: the state is created before the request is passed to its scheduler. The request waits there for runners like any other. Test: a_request_waits_for_runners_that_its_coordinator_does_not_know_yet; its resubmitted case failed before (0 requests waiting), and passes now.

--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -137,6 +137,8 @@
         }
         self.join_trials(id);
         let time_left = time_limit.saturating_sub(record.age);
+        // This coordinator may know no runner of it yet.
+        self.upstream_state(&upstream);
         self.step(now, &upstream, out, |scheduler, decisions| match admission {
             Admission::Start => {
                 scheduler.submit_at_version(now, record, time_left, avoid, version, decisions);
--- a/crates/core/tests/fleet/coordinator.rs
+++ b/crates/core/tests/fleet/coordinator.rs
@@ -254,3 +254,20 @@
         "the first four used the whole quota: {replies:?}"
     );
 }
+
+/// A new coordinator may be sent a request before it has read the runners of its upstream. One
+/// that another coordinator had before was dropped without an answer.
+#[rstest]
+fn a_request_waits_for_runners_that_its_coordinator_does_not_know_yet(
+    #[values(false, true)] resubmitted: bool,
+) {
+    let mut coordinator = Coordinator::new(RETRIES, QuotaTolerance::default());
+    coordinator.local_host_joined(at(0), host("h1"));
+    let mut req = placement_request(1, 1.0);
+    req.resubmitted = resubmitted;
+    let replies = handle_update(&mut coordinator, 0, RequestUpdate::Submit(Box::new(req)));
+    assert_eq!((replies, coordinator.waiting()), (Vec::new(), 1));
+    let (usable, mut out) = (RunnerChange::Usable(entry("a", 1, false)), Vec::new());
+    coordinator.apply_runner_changes(at(10), &[usable], &mut out);
+    assert_eq!(out, [(host("h1"), PlacementReply::Grant(id(1), name("a"), None))]);
+}
