--- a/crates/core/src/fleet/client.rs
+++ b/crates/core/src/fleet/client.rs
@@ -14,6 +14,12 @@
     Suspect, coordinator::QUARANTINE_RETRY_AFTER,
 };
 
+mod link;
+
+pub use self::link::EndedSession;
+
+use self::link::{Link, SessionId};
+
 /// Retry-after time of a request that goes on with a stream and was granted by a
 /// coordinator that does not look at versions.
 const UNBOUND_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -42,18 +48,87 @@
     stage: Stage,
 }
 
-/// Tracks the open requests of one host and reports them to its coordinator.
-#[derive(Clone, Debug, Default)]
-pub struct CoordinatorClient {
+/// Tracks the open requests of one host, and the coordinator that places them: the host's
+/// own, or that of another host to which it has a session. `S` is the sending side of a
+/// session.
+///
+/// The session is part of this state, so a host can't report its requests to a coordinator
+/// that it has no session with. Whatever ends a session goes through
+/// [`end_session`](Self::end_session), which submits the open requests again.
+///
+/// # Examples
+///
+/// ```
+/// use comfreyway_core::{fleet::CoordinatorClient, ids::HostId, time::MonoTime};
+///
+/// let (now, mut out) = (MonoTime::ZERO, Vec::new());
+/// let other = HostId { name: "h2".parse().unwrap(), incarnation: 1 };
+/// let mut client = CoordinatorClient::default();
+/// let session = client.dial(now, other.clone(), &mut out);
+/// assert!(client.session_opened(session, "queue"));
+/// // The other host has not responded yet.
+/// assert_eq!(client.coordinator(), None);
+/// assert!(client.use_session(now, &mut out));
+/// assert_eq!(client.coordinator(), Some(&other));
+/// client.session_failed();
+/// assert_eq!(client.session(), None);
+/// assert!(client.end_session(now, &mut out).is_some_and(|ended| ended.was_used));
+/// assert_eq!(client.coordinator(), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct CoordinatorClient<S = ()> {
     open: BTreeMap<RequestId, OpenRequest>,
-    coordinator: Option<HostId>,
+    link: Link<S>,
+    /// Number of sessions that were dialed.
+    sessions: u64,
+}
+
+impl<S> Default for CoordinatorClient<S> {
+    fn default() -> Self {
+        Self { open: BTreeMap::new(), link: Link::Own, sessions: 0 }
+    }
 }
 
-impl CoordinatorClient {
+impl<S> CoordinatorClient<S> {
     /// Returns the current coordinator; `None` is the host's own.
     #[must_use]
     pub fn coordinator(&self) -> Option<&HostId> {
-        self.coordinator.as_ref()
+        self.link.coordinator()
+    }
+
+    /// Returns the host to which a session is open or being opened.
+    #[must_use]
+    pub fn session_host(&self) -> Option<&HostId> {
+        self.link.id().map(|id| &id.host)
+    }
+
+    /// Returns true if this is the number of the current session.
+    #[must_use]
+    pub fn is_current(&self, session: u64) -> bool {
+        self.link.id().is_some_and(|id| id.number == session)
+    }
+
+    /// Returns the session, once it is open and until it fails.
+    #[must_use]
+    pub fn session(&self) -> Option<&S> {
+        match &self.link {
+            Link::Connected(_, session) | Link::Used(_, session) => Some(session),
+            Link::Own | Link::Dialed(_) | Link::Failed(..) => None,
+        }
+    }
+
+    /// Returns the session, mutably.
+    pub fn session_mut(&mut self) -> Option<&mut S> {
+        match &mut self.link {
+            Link::Connected(_, session) | Link::Used(_, session) => Some(session),
+            Link::Own | Link::Dialed(_) | Link::Failed(..) => None,
+        }
+    }
+
+    /// Returns true if the session takes no messages and has not been ended.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        matches!(self.link, Link::Failed(..))
     }
 
     /// Returns the number of requests that have neither ended nor been refused.
@@ -62,22 +137,81 @@
         self.open.len()
     }
 
-    /// Switches to another coordinator and reports every open request to it.
-    pub fn set_coordinator(
+    /// Ends the current session and begins to open one to this host. Returns its number.
+    pub fn dial(&mut self, now: MonoTime, host: HostId, out: &mut Vec<ClientAction>) -> u64 {
+        self.end_session(now, out);
+        self.sessions += 1;
+        self.link = Link::Dialed(SessionId { number: self.sessions, host });
+        self.sessions
+    }
+
+    /// Records that a dialed session is open. Returns false if it isn't the current one.
+    pub fn session_opened(&mut self, number: u64, session: S) -> bool {
+        match &self.link {
+            Link::Dialed(id) if id.number == number => {
+                self.link = Link::Connected(id.clone(), session);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Uses the coordinator to which a session is open, and reports every open request to
+    /// it. Returns false if there is no such session, or it is used already.
+    pub fn use_session(&mut self, now: MonoTime, out: &mut Vec<ClientAction>) -> bool {
+        match std::mem::replace(&mut self.link, Link::Own) {
+            Link::Connected(id, session) => {
+                let host = id.host.clone();
+                self.link = Link::Used(id, session);
+                self.report_requests(now, None, Some(&host), out);
+                true
+            }
+            other => {
+                self.link = other;
+                false
+            }
+        }
+    }
+
+    /// Records that the session takes no more messages. Requests that are reported before
+    /// the session is ended reach no coordinator.
+    pub fn session_failed(&mut self) {
+        self.link = match std::mem::replace(&mut self.link, Link::Own) {
+            Link::Used(id, _) => Link::Failed(id, true),
+            Link::Dialed(id) | Link::Connected(id, _) => Link::Failed(id, false),
+            link @ (Link::Own | Link::Failed(..)) => link,
+        };
+    }
+
+    /// Ends the session, if there is one: the host's own coordinator places its requests
+    /// again, also those that were reported on the session.
+    pub fn end_session(
         &mut self,
         now: MonoTime,
-        coordinator: Option<HostId>,
         out: &mut Vec<ClientAction>,
-    ) {
-        if self.coordinator == coordinator {
-            return;
+    ) -> Option<EndedSession> {
+        let was_used = self.coordinator().is_some();
+        let link = std::mem::replace(&mut self.link, Link::Own);
+        let host = link.id()?.host.clone();
+        if was_used {
+            self.report_requests(now, Some(&host), None, out);
         }
-        let former = std::mem::replace(&mut self.coordinator, coordinator.clone());
+        Some(EndedSession { host, was_used })
+    }
+
+    /// Reports every open request to another coordinator.
+    fn report_requests(
+        &mut self,
+        now: MonoTime,
+        former: Option<&HostId>,
+        coordinator: Option<&HostId>,
+        out: &mut Vec<ClientAction>,
+    ) {
         for (id, open) in &mut self.open {
             open.req.resubmitted = true;
             // The former coordinator may still be up and must not grant.
-            out.push(ClientAction::Send(former.clone(), RequestUpdate::Withdraw(*id)));
-            out.push(ClientAction::Send(coordinator.clone(), open.to_update(now)));
+            out.push(ClientAction::Send(former.cloned(), RequestUpdate::Withdraw(*id)));
+            out.push(ClientAction::Send(coordinator.cloned(), open.to_update(now)));
         }
     }
 
@@ -87,14 +221,14 @@
         let open = OpenRequest { req, submitted_at: now, stage: Stage::Waiting };
         let update = open.to_update(now);
         self.open.insert(id, open);
-        out.push(ClientAction::Send(self.coordinator.clone(), update));
+        out.push(ClientAction::Send(self.coordinator().cloned(), update));
     }
 
     /// Withdraws a request whose caller disconnected or whose time limit ended
     /// before its dispatch.
     pub fn withdraw(&mut self, id: RequestId, out: &mut Vec<ClientAction>) {
         if self.open.remove(&id).is_some() {
-            out.push(ClientAction::Send(self.coordinator.clone(), RequestUpdate::Withdraw(id)));
+            out.push(ClientAction::Send(self.coordinator().cloned(), RequestUpdate::Withdraw(id)));
         }
     }
 
@@ -103,7 +237,10 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         open.stage = Stage::Waiting;
         open.req.rejections += u32::from(reason.has_arrived());
-        out.push(ClientAction::Send(self.coordinator.clone(), RequestUpdate::Requeue(id, reason)));
+        out.push(ClientAction::Send(
+            self.coordinator().cloned(),
+            RequestUpdate::Requeue(id, reason),
+        ));
     }
 
     /// Records the version of the runner that a request was dispatched to.
@@ -155,14 +292,20 @@
     /// Reports that the first token or byte of the response arrived.
     pub fn first_token(&mut self, id: RequestId, out: &mut Vec<ClientAction>) {
         if self.open.contains_key(&id) {
-            out.push(ClientAction::Send(self.coordinator.clone(), RequestUpdate::FirstToken(id)));
+            out.push(ClientAction::Send(
+                self.coordinator().cloned(),
+                RequestUpdate::FirstToken(id),
+            ));
         }
     }
 
     /// Reports that a request ended at its runner.
     pub fn ended(&mut self, id: RequestId, end: DispatchEnd, out: &mut Vec<ClientAction>) {
         if self.open.remove(&id).is_some() {
-            out.push(ClientAction::Send(self.coordinator.clone(), RequestUpdate::Ended(id, end)));
+            out.push(ClientAction::Send(
+                self.coordinator().cloned(),
+                RequestUpdate::Ended(id, end),
+            ));
         }
     }
 
@@ -174,7 +317,7 @@
         reply: PlacementReply,
         out: &mut Vec<ClientAction>,
     ) {
-        if from != self.coordinator.as_ref() {
+        if from != self.coordinator() {
             return;
         }
         match reply {
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -59,7 +59,7 @@
 pub use self::{
     budget::{RetryBudget, RetryBudgetLimits},
     caller_memory::{CallerId, CallerMemory, CallerMemoryError, CallerMemoryLimits, WorkspaceKey},
-    client::{ClientAction, CoordinatorClient},
+    client::{ClientAction, CoordinatorClient, EndedSession},
     config::{CallerLimits, FleetConfig, Quota, RetryPolicy, Route, UpstreamConfig, Workspace},
     coordinator::Coordinator,
     coordinator_search::CoordinatorSearch,
--- a/crates/core/tests/fleet/client.rs
+++ b/crates/core/tests/fleet/client.rs
@@ -6,11 +6,11 @@
     outcome::RetryReason,
 };
 
-use crate::support::{at, host, id, name, placement_request};
+use crate::support::{at, host, id, name, placement_request, set_coordinator};
 
 #[test]
 fn second_grant_does_not_dispatch_again() {
-    let mut client = CoordinatorClient::default();
+    let mut client = CoordinatorClient::<()>::default();
     let mut out = Vec::new();
     client.submit(at(0), placement_request(1, 1.0), &mut out);
     out.clear();
@@ -21,11 +21,11 @@
 
 #[test]
 fn grant_of_a_former_coordinator_is_ignored() {
-    let mut client = CoordinatorClient::default();
+    let mut client = CoordinatorClient::<()>::default();
     let mut out = Vec::new();
-    client.set_coordinator(at(0), Some(host("h2")), &mut out);
+    set_coordinator(&mut client, at(0), Some(host("h2")), &mut out);
     client.submit(at(0), placement_request(1, 1.0), &mut out);
-    client.set_coordinator(at(10), None, &mut out);
+    set_coordinator(&mut client, at(10), None, &mut out);
     out.clear();
     client.handle_reply(Some(&host("h2")), PlacementReply::Grant(id(1), name("a"), None), &mut out);
     assert!(out.is_empty());
@@ -35,13 +35,13 @@
 
 #[test]
 fn new_coordinator_gets_waiting_and_dispatched_requests() {
-    let mut client = CoordinatorClient::default();
+    let mut client = CoordinatorClient::<()>::default();
     let mut out = Vec::new();
     client.submit(at(0), placement_request(1, 1.0), &mut out);
     client.submit(at(0), placement_request(2, 1.0), &mut out);
     client.handle_reply(None, PlacementReply::Grant(id(1), name("a"), None), &mut out);
     out.clear();
-    client.set_coordinator(at(50), Some(host("h2")), &mut out);
+    set_coordinator(&mut client, at(50), Some(host("h2")), &mut out);
     let describe = |update: &RequestUpdate| match update {
         RequestUpdate::Adopt(req, runner) => {
             Some(format!("adopt {} at {runner}", req.record.id.value()))
@@ -63,7 +63,7 @@
 
 #[test]
 fn grant_for_a_withdrawn_request_is_returned() {
-    let mut client = CoordinatorClient::default();
+    let mut client = CoordinatorClient::<()>::default();
     let mut out = Vec::new();
     client.submit(at(0), placement_request(1, 1.0), &mut out);
     client.withdraw(id(1), &mut out);
@@ -74,7 +74,7 @@
 
 #[test]
 fn requeued_request_can_be_dispatched_again() {
-    let mut client = CoordinatorClient::default();
+    let mut client = CoordinatorClient::<()>::default();
     let mut out = Vec::new();
     client.submit(at(0), placement_request(1, 1.0), &mut out);
     client.handle_reply(None, PlacementReply::Grant(id(1), name("a"), None), &mut out);
--- a/crates/core/tests/fleet/model/world/sessions.rs
+++ b/crates/core/tests/fleet/model/world/sessions.rs
@@ -2,6 +2,8 @@
 
 use comfreyway_core::{fleet::OpenOutcome, ids::HostId};
 
+use crate::support::set_coordinator;
+
 use super::{Session, ToCoordinator, ToHost, World};
 
 impl World {
@@ -22,7 +24,7 @@
         let (now, mut actions) = (self.now(), Vec::new());
         let host = &mut self.hosts[number];
         host.coordinator.local_host_joined(now, host.id.clone());
-        host.client.set_coordinator(now, None, &mut actions);
+        set_coordinator(&mut host.client, now, None, &mut actions);
         self.carry_out(number, actions);
     }
 
@@ -110,7 +112,7 @@
             return;
         }
         let (now, mut actions, mut replies) = (self.now(), Vec::new(), Vec::new());
-        self.hosts[from].client.set_coordinator(now, Some(coordinator), &mut actions);
+        set_coordinator(&mut self.hosts[from].client, now, Some(coordinator), &mut actions);
         self.carry_out(from, actions);
         let me = self.hosts[from].id.clone();
         self.hosts[from].coordinator.host_left(now, &me, &mut replies);
--- a/crates/core/tests/fleet/releases/fleet/hosts.rs
+++ b/crates/core/tests/fleet/releases/fleet/hosts.rs
@@ -8,7 +8,7 @@
 };
 use rand::{RngExt, rngs::StdRng};
 
-use crate::support::{self, at};
+use crate::support::{self, at, set_coordinator};
 
 use super::{COPIES, Change, Fleet, HOSTS, Node, STEP_MS, VERIFY_INTERVAL_MS, config};
 
@@ -121,7 +121,7 @@
             self.execute(to, Vec::new(), std::mem::take(&mut replies));
         }
         let Some(node) = &mut self.nodes[host] else { return };
-        node.client.set_coordinator(now, to_id, &mut actions);
+        set_coordinator(&mut node.client, now, to_id, &mut actions);
         self.execute(host, actions, Vec::new());
         if let Some(former) = former.or(Some(host)).filter(|former| Some(*former) != to) {
             self.leave_coordinator(former, &id);
--- a/crates/core/tests/fleet/runner_fleet/hosts.rs
+++ b/crates/core/tests/fleet/runner_fleet/hosts.rs
@@ -8,7 +8,7 @@
 };
 use rand::RngExt;
 
-use crate::support::at;
+use crate::support::{at, set_coordinator};
 
 use super::{Faults, Fleet, HOSTS, RunnerCut, SHARE_INTERVAL_MS, new_node};
 
@@ -126,7 +126,7 @@
         let (now, id) = (at(self.now_ms), self.nodes[host].id.clone());
         self.nodes[host].coordinator.local_host_joined(now, id.clone());
         let mut actions = Vec::new();
-        self.nodes[host].client.set_coordinator(now, None, &mut actions);
+        set_coordinator(&mut self.nodes[host].client, now, None, &mut actions);
         self.execute(host, actions, Vec::new());
         let mut replies = Vec::new();
         self.nodes[self.leader].coordinator.host_left(now, &id, &mut replies);
@@ -166,7 +166,7 @@
         self.leader = leader;
         self.cut.remove(&leader);
         let mut actions = Vec::new();
-        self.nodes[leader].client.set_coordinator(at(self.now_ms), None, &mut actions);
+        set_coordinator(&mut self.nodes[leader].client, at(self.now_ms), None, &mut actions);
         self.execute(leader, actions, Vec::new());
         let clients = (0..HOSTS).filter(|host| *host != leader && !self.cut.contains(host));
         clients.collect::<Vec<_>>().into_iter().for_each(|host| self.join(host));
@@ -193,7 +193,7 @@
         }
         let leader_id = leader.id.clone();
         self.execute(self.leader, Vec::new(), replies);
-        self.nodes[host].client.set_coordinator(now, Some(leader_id), &mut actions);
+        set_coordinator(&mut self.nodes[host].client, now, Some(leader_id), &mut actions);
         self.execute(host, actions, Vec::new());
         let mut replies = Vec::new();
         self.nodes[host].coordinator.host_left(now, &id, &mut replies);
--- a/crates/core/tests/fleet/streams.rs
+++ b/crates/core/tests/fleet/streams.rs
@@ -156,7 +156,7 @@
     #[case] granted: &str,
     #[case] goes_on: bool,
 ) {
-    let mut client = CoordinatorClient::default();
+    let mut client = CoordinatorClient::<()>::default();
     let binding = match goes_on {
         true => StreamBinding::continues(stream(), required.and_then(RunnerVersion::new)),
         false => StreamBinding::begins(stream()),
--- a/crates/core/tests/fleet/support.rs
+++ b/crates/core/tests/fleet/support.rs
@@ -4,8 +4,8 @@
 
 use comfreyway_core::{
     fleet::{
-        CallerLimits, FleetConfig, PlacementRequest, RetryPolicy, Route, RunnerEntry, RunnerKey,
-        RunnerVersion,
+        CallerLimits, ClientAction, CoordinatorClient, FleetConfig, PlacementRequest, RetryPolicy,
+        Route, RunnerEntry, RunnerKey, RunnerVersion,
     },
     ids::{HostId, RequestId, RunnerName, Tier},
     request::{RequestRecord, Target},
@@ -20,6 +20,25 @@
     HostId { name: name.parse().unwrap(), incarnation: 1 }
 }
 
+/// Switches a host to the coordinator of another one, or to its own.
+pub(crate) fn set_coordinator(
+    client: &mut CoordinatorClient,
+    now: MonoTime,
+    coordinator: Option<HostId>,
+    out: &mut Vec<ClientAction>,
+) {
+    if client.coordinator() == coordinator.as_ref() {
+        return;
+    }
+    match coordinator {
+        Some(host) => {
+            let session = client.dial(now, host, out);
+            assert!(client.session_opened(session, ()) && client.use_session(now, out));
+        }
+        None => drop(client.end_session(now, out)),
+    }
+}
+
 pub(crate) fn name(text: &str) -> RunnerName {
     text.parse().unwrap()
 }
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -176,6 +176,9 @@
     ClientHostDisconnected = "CF0536", Info, "client host disconnected";
     /// A session was closed because its send queue was full. Fields: host.
     SessionQueueFull = "CF0537", Warn, "session closed, its send queue is full";
+    /// A message for the coordinator found its session ended. Its requests are placed
+    /// again. Fields: host.
+    SessionEnded = "CF0540", Info, "session ended before a message was sent on it";
     /// The share of quotas, slots and retries that this coordinator uses changed:
     /// client hosts, with this one, as a fraction of the known hosts. `absent` of
     /// these have no session. Fields: clients, known, absent.
--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -40,6 +40,7 @@
 
 mod absent_hosts;
 mod coordination;
+mod coordinator_session;
 mod election;
 mod execute;
 mod quarantine;
@@ -51,6 +52,8 @@
 mod store_updates;
 mod stream_items;
 mod stream_versions;
+#[cfg(test)]
+mod tests;
 mod version_record;
 
 use self::{
@@ -65,11 +68,9 @@
 /// Interval of the log lines on the load of upstreams.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The session with this host's coordinator.
+/// An open session with another host that coordinates.
 struct CoordinatorSession {
-    host: HostId,
-    /// `None` until the session is up.
-    tx: Option<Sender<ToCoordinator>>,
+    tx: Sender<ToCoordinator>,
     relay: StoreRelay,
     /// The view that the last pong before the end of a sync verified.
     verified: Option<VerifiedView>,
@@ -77,6 +78,12 @@
     protocol: u8,
 }
 
+impl CoordinatorSession {
+    fn new(tx: Sender<ToCoordinator>) -> Self {
+        Self { tx, relay: StoreRelay::Off, verified: None, protocol: 0 }
+    }
+}
+
 /// A view of the store that a coordinator has verified as the newest.
 #[derive(Clone, Copy, Debug)]
 struct VerifiedView {
@@ -136,13 +143,12 @@
     session_tx: UnboundedSender<SessionEvent>,
     receivers: Option<EventReceivers>,
     directory: RunnerDirectory,
-    coordinator_client: CoordinatorClient,
+    coordinator_client: CoordinatorClient<CoordinatorSession>,
     coordinator: Coordinator,
     metrics: FleetMetrics,
     members: BTreeMap<HostName, Member>,
     own_entry: OwnEntry,
     search: CoordinatorSearch,
-    coordinator_session: Option<CoordinatorSession>,
     /// Sessions of the client hosts.
     clients: HostSessions<ClientSession>,
     decision_txs: HashMap<RequestId, UnboundedSender<RequestDecision>>,
@@ -216,7 +222,6 @@
             members: BTreeMap::new(),
             own_entry: OwnEntry::Pending,
             search: CoordinatorSearch::default(),
-            coordinator_session: None,
             clients: HostSessions::default(),
             decision_txs: HashMap::new(),
             mirror: StoreMirror::default(),
@@ -246,6 +251,43 @@
         self.host_state.clock.now()
     }
 
+    fn handle_worker_message(&mut self, message: WorkerMessage) {
+        let now = self.now();
+        let mut actions = Vec::new();
+        match message {
+            WorkerMessage::Submit(placement, decision_tx) => {
+                self.decision_txs.insert(placement.record.id, decision_tx);
+                self.coordinator_client.submit(now, *placement, &mut actions);
+            }
+            WorkerMessage::Withdraw(id) => {
+                self.decision_txs.remove(&id);
+                self.coordinator_client.withdraw(id, &mut actions);
+            }
+            WorkerMessage::Requeue(id, reason) => {
+                self.coordinator_client.requeue(id, reason, &mut actions)
+            }
+            WorkerMessage::FirstToken(id) => {
+                self.record_own_stream(id);
+                self.coordinator_client.first_token(id, &mut actions);
+            }
+            WorkerMessage::Ended(id, end) => {
+                self.decision_txs.remove(&id);
+                self.record_own_response(id, &end);
+                self.coordinator_client.ended(id, end, &mut actions);
+            }
+            WorkerMessage::RunnerNotice(notice) => self.handle_own_notice(now, notice),
+            WorkerMessage::RunnerLimit(report) => self.handle_own_limit(now, report),
+            WorkerMessage::RunnerLoad(runner, load) => self.handle_own_load(now, runner, load),
+        }
+        self.execute(actions, Vec::new());
+    }
+
+    /// Completes the handling of a message.
+    fn finish_message(&mut self, cx: &mut Context<Self>) {
+        self.leave_failed_session();
+        self.arm_timer(cx);
+    }
+
     /// Arms the timer for the next change that only time causes at the
     /// coordinator.
     fn arm_timer(&mut self, cx: &mut Context<Self>) {
@@ -262,7 +304,7 @@
             let mut replies = Vec::new();
             control.coordinator.tick(control.now(), &mut replies);
             control.execute(Vec::new(), replies);
-            control.arm_timer(cx);
+            control.finish_message(cx);
         });
         self.timer = Some((at, handle));
     }
@@ -279,8 +321,11 @@
             cx.add_stream(receive(receivers.rollouts));
         }
         self.start_feed();
-        self.use_own_coordinator();
-        cx.run_interval(CHECK_INTERVAL, Self::run_checks);
+        self.end_session();
+        cx.run_interval(CHECK_INTERVAL, |control, cx| {
+            control.run_checks();
+            control.finish_message(cx);
+        });
         cx.run_interval(STATUS_INTERVAL, |control, _| {
             if control.coordinator_client.coordinator().is_some() {
                 control.metrics.record_load(std::iter::empty());
@@ -306,35 +351,8 @@
 
 impl StreamHandler<WorkerMessage> for FleetControl {
     fn handle(&mut self, message: WorkerMessage, cx: &mut Self::Context) {
-        let now = self.now();
-        let mut actions = Vec::new();
-        match message {
-            WorkerMessage::Submit(placement, decision_tx) => {
-                self.decision_txs.insert(placement.record.id, decision_tx);
-                self.coordinator_client.submit(now, *placement, &mut actions);
-            }
-            WorkerMessage::Withdraw(id) => {
-                self.decision_txs.remove(&id);
-                self.coordinator_client.withdraw(id, &mut actions);
-            }
-            WorkerMessage::Requeue(id, reason) => {
-                self.coordinator_client.requeue(id, reason, &mut actions)
-            }
-            WorkerMessage::FirstToken(id) => {
-                self.record_own_stream(id);
-                self.coordinator_client.first_token(id, &mut actions);
-            }
-            WorkerMessage::Ended(id, end) => {
-                self.decision_txs.remove(&id);
-                self.record_own_response(id, &end);
-                self.coordinator_client.ended(id, end, &mut actions);
-            }
-            WorkerMessage::RunnerNotice(notice) => self.handle_own_notice(now, notice),
-            WorkerMessage::RunnerLimit(report) => self.handle_own_limit(now, report),
-            WorkerMessage::RunnerLoad(runner, load) => self.handle_own_load(now, runner, load),
-        }
-        self.execute(actions, Vec::new());
-        self.arm_timer(cx);
+        self.handle_worker_message(message);
+        self.finish_message(cx);
     }
 
     fn finished(&mut self, _: &mut Self::Context) {}
@@ -343,7 +361,7 @@
 impl StreamHandler<SessionEvent> for FleetControl {
     fn handle(&mut self, event: SessionEvent, cx: &mut Self::Context) {
         self.handle_session_event(event);
-        self.arm_timer(cx);
+        self.finish_message(cx);
     }
 
     fn finished(&mut self, _: &mut Self::Context) {}
@@ -354,15 +372,16 @@
         // Updates that this host's feed sent before it was stopped are still
         // valid.
         self.apply_update(update);
-        self.arm_timer(cx);
+        self.finish_message(cx);
     }
 
     fn finished(&mut self, _: &mut Self::Context) {}
 }
 
 impl StreamHandler<ReadStatus> for FleetControl {
-    fn handle(&mut self, (upstream, item): ReadStatus, _: &mut Self::Context) {
+    fn handle(&mut self, (upstream, item): ReadStatus, cx: &mut Self::Context) {
         self.apply_read_status(&upstream, item);
+        self.finish_message(cx);
     }
 
     fn finished(&mut self, _: &mut Self::Context) {}
@@ -379,9 +398,10 @@
 impl actix::Handler<BeginStop> for FleetControl {
     type Result = ();
 
-    fn handle(&mut self, _: BeginStop, _: &mut Self::Context) {
+    fn handle(&mut self, _: BeginStop, cx: &mut Self::Context) {
         self.stopping = true;
         self.notify_not_coordinator();
         self.choose_coordinator();
+        self.finish_message(cx);
     }
 }
--- a/crates/node/src/fleet/control/quarantine.rs
+++ b/crates/node/src/fleet/control/quarantine.rs
@@ -126,8 +126,7 @@
 
     /// Sends the next coordinator all that this host knows of suspects.
     pub(super) fn report_suspects(&mut self, host: &HostId) {
-        let session = self.coordinator_session.as_ref().filter(|session| session.host == *host);
-        let protocol = session.map_or(0, |session| session.protocol);
+        let protocol = self.coordinator_protocol();
         for records in messages_for(protocol, &self.known_suspects()) {
             self.send_to_coordinator(host, ToCoordinator::Suspects(records));
         }
--- a/crates/node/src/fleet/control/runner_limits.rs
+++ b/crates/node/src/fleet/control/runner_limits.rs
@@ -21,7 +21,7 @@
     /// Handles what a response to this host says of its runner's rate limit.
     pub(super) fn handle_own_limit(&mut self, now: MonoTime, report: LimitReport) {
         let coordinator = self.coordinator_client.coordinator().cloned();
-        match coordinator.filter(|host| self.understands_limits(host)) {
+        match coordinator.filter(|_| self.coordinator_protocol() >= PROTOCOL_LIMITS) {
             None => self.apply_limit(now, &report),
             Some(host) => {
                 let is_known = self.coordinator.limits().of(&report.key).is_some();
@@ -34,8 +34,7 @@
 
     /// Handles what a response to this host says of its runner's load.
     pub(super) fn handle_own_load(&mut self, now: MonoTime, runner: RunnerName, load: RunnerLoad) {
-        let session = self.coordinator_session.as_ref();
-        let protocol = session.map_or(0, |session| session.protocol);
+        let protocol = self.coordinator_protocol();
         match self.coordinator_client.coordinator().cloned() {
             None => self.coordinator.set_runner_load(now, &runner, load),
             Some(host) if protocol >= PROTOCOL_LOADS => {
@@ -71,7 +70,7 @@
 
     /// Sends the next coordinator all limits that this host knows.
     pub(super) fn report_limits(&mut self, host: &HostId) {
-        if !self.understands_limits(host) {
+        if self.coordinator_protocol() < PROTOCOL_LIMITS {
             return;
         }
         let now = self.now();
@@ -106,11 +105,6 @@
         }
     }
 
-    fn understands_limits(&self, coordinator: &HostId) -> bool {
-        let session = self.coordinator_session.as_ref().filter(|s| s.host == *coordinator);
-        session.is_some_and(|session| session.protocol >= PROTOCOL_LIMITS)
-    }
-
     fn update_limited_runners(&self) {
         let any = self.coordinator.limits().iter().next().is_some();
         self.host_state.set_limited_runners(any);
--- a/crates/node/src/fleet/control/store_relay.rs
+++ b/crates/node/src/fleet/control/store_relay.rs
@@ -84,17 +84,13 @@
         }
     }
 
-    pub(super) fn is_connected(&self) -> bool {
-        self.coordinator_session.as_ref().is_some_and(|session| session.tx.is_some())
-    }
-
     /// Starts this host's own feed if it has no session with another coordinator, or if
     /// the configuration is stale: a coordinator that is being connected to may be down,
     /// and only the store tells of other hosts.
     pub(super) fn start_feed_if_stale(&mut self) {
         let client = self.is_connected();
         let staleness = self.now().since(self.host_state.verified_at());
-        let is_alone = self.coordinator_session.is_none();
+        let is_alone = self.coordinator_client.session_host().is_none();
         if self.feed.is_none() && (is_alone || staleness > MAX_CONFIG_STALENESS) {
             if client {
                 log_event!(Event::StoreCalledDirectly, proof_ms = staleness.as_millis() as u64);
@@ -110,7 +106,8 @@
         let now = self.now();
         let stale = now.since(self.host_state.verified_at()) > MAX_COORDINATOR_STALENESS;
         let few_clients = 2 * (self.clients.len() + 1) <= self.members.len();
-        if stale && few_clients && self.coordinator_session.is_none() && !self.clients.is_empty() {
+        let is_alone = self.coordinator_client.session_host().is_none();
+        if stale && few_clients && is_alone && !self.clients.is_empty() {
             log_event!(Event::CoordinatorStoreUnreachable, host:% = self.me.id);
             self.search.leave_out(self.me.id.clone(), now + STALE_COORDINATOR_TIME);
             self.notify_not_coordinator();
@@ -118,9 +115,9 @@
         }
     }
 
-    /// Handles a pong: the coordinator knew all changes up to `revision`, and had
-    /// last verified that `staleness` before it responded to the ping of time
-    /// `sent`.
+    /// Handles a pong on the current session: the coordinator knew all changes up to
+    /// `revision`, and had last verified that `staleness` before it responded to the ping of
+    /// time `sent`.
     pub(super) fn handle_pong(
         &mut self,
         host: &HostId,
@@ -130,11 +127,6 @@
     ) {
         let known = self.mirror.revision();
         let own_staleness = self.now().since(self.host_state.verified_at());
-        let Some(session) =
-            self.coordinator_session.as_mut().filter(|session| session.host == *host)
-        else {
-            return;
-        };
         if staleness > MAX_COORDINATOR_STALENESS && own_staleness <= MAX_FRESH_STALENESS {
             log_event!(
                 Event::CoordinatorStoreUnreachable,
@@ -144,13 +136,9 @@
             self.search.leave_out(host.clone(), self.now() + STALE_COORDINATOR_TIME);
             return;
         }
+        self.use_coordinator(host);
+        let Some(session) = self.coordinator_client.session_mut() else { return };
         let relay = session.relay;
-        self.use_coordinator(host.clone());
-        let Some(session) =
-            self.coordinator_session.as_mut().filter(|session| session.host == *host)
-        else {
-            return;
-        };
         if relay != StoreRelay::Active {
             session.verified = Some(VerifiedView { revision, at: sent - staleness });
         }
@@ -175,7 +163,7 @@
     /// Handles the end of a sync: everything that the coordinator knew when it
     /// was requested has been sent.
     pub(super) fn finish_sync(&mut self, host: &HostId, end: &SyncEnd) {
-        if !self.is_relayed(host, self.mirror.can_finish_sync(end)) {
+        if !self.is_relayed(self.mirror.can_finish_sync(end)) {
             return;
         }
         let relay = if end.revision() >= self.mirror.revision() {
@@ -183,7 +171,7 @@
         } else {
             StoreRelay::Off
         };
-        let verified = self.coordinator_session.as_mut().and_then(|session| {
+        let verified = self.coordinator_client.session_mut().and_then(|session| {
             session.relay = relay;
             session.verified.take()
         });
@@ -200,21 +188,17 @@
         }
     }
 
-    pub(super) fn apply_relayed_changes(&mut self, host: &HostId, changes: ChangeSet) {
-        if self.is_relayed(host, self.mirror.can_apply(&changes)) {
+    pub(super) fn apply_relayed_changes(&mut self, changes: ChangeSet) {
+        if self.is_relayed(self.mirror.can_apply(&changes)) {
             let (events, revision) = changes.into_events();
             self.apply_update(FeedUpdate::Changes(events, revision));
         }
     }
 
-    /// Returns true if `host` relays the store's changes to this one and no
+    /// Returns true if the coordinator relays the store's changes to this host and no
     /// change is missing before the message. Turns the relay off on a gap.
-    fn is_relayed(&mut self, host: &HostId, contiguous: bool) -> bool {
-        let Some(session) =
-            self.coordinator_session.as_mut().filter(|session| session.host == *host)
-        else {
-            return false;
-        };
+    fn is_relayed(&mut self, contiguous: bool) -> bool {
+        let Some(session) = self.coordinator_client.session_mut() else { return false };
         if session.relay == StoreRelay::Active && !contiguous {
             session.relay = StoreRelay::Off;
         }
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -2,7 +2,6 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use actix::Context;
 use comfreyway_core::{
     fleet::{Member, RunnerChange, RunnerEntry},
     ids::{HostName, RunnerName, UpstreamName},
@@ -287,7 +286,7 @@
     }
 
     /// Runs the periodic checks.
-    pub(super) fn run_checks(&mut self, cx: &mut Context<Self>) {
+    pub(super) fn run_checks(&mut self) {
         let now = self.now();
         let mut changes = Vec::new();
         self.directory.tick(now, &mut changes);
@@ -305,7 +304,6 @@
         self.log_share();
         self.start_feed_if_stale();
         self.step_down_if_stale();
-        self.arm_timer(cx);
     }
 }
 
--- a/crates/node/src/fleet/control/stream_versions.rs
+++ b/crates/node/src/fleet/control/stream_versions.rs
@@ -52,8 +52,7 @@
 
     /// Sends the next coordinator all that this host knows of streams.
     pub(super) fn report_streams(&mut self, host: &HostId) {
-        let session = self.coordinator_session.as_ref().filter(|session| session.host == *host);
-        if session.is_none_or(|session| session.protocol < PROTOCOL_STREAMS) {
+        if self.coordinator_protocol() < PROTOCOL_STREAMS {
             return;
         }
         let records: Vec<_> = self.coordinator.known_streams(self.now()).collect();
--- a/crates/node/src/fleet/sessions.rs
+++ b/crates/node/src/fleet/sessions.rs
@@ -63,12 +63,12 @@
     FromHost(HostId, u64, ToCoordinator),
     /// A session with a client host has ended.
     HostDown(HostId, u64),
-    /// The session with the coordinator is up.
-    CoordinatorUp(HostId, Sender<ToCoordinator>),
-    /// A message from the coordinator.
-    FromCoordinator(HostId, ToHost),
-    /// The coordinator can't be reached, or the session with it has ended.
-    CoordinatorDown(HostId, SessionEnd),
+    /// The session of this number with a coordinator is up.
+    CoordinatorUp(HostId, u64, Sender<ToCoordinator>),
+    /// A message from a coordinator.
+    FromCoordinator(HostId, u64, ToHost),
+    /// A coordinator can't be reached, or the session of this number with it has ended.
+    CoordinatorDown(HostId, u64, SessionEnd),
     /// Whether a host that may become the coordinator responds.
     Probed(HostId, bool),
 }
@@ -159,22 +159,23 @@
     }
 }
 
-/// Connects to a coordinator and runs the session until it ends.
+/// Connects to a coordinator and runs the session of this number until it ends.
 pub(super) async fn dial(
     local: HostId,
     coordinator: Member,
+    session: u64,
     clock: Clock,
     events: UnboundedSender<SessionEvent>,
 ) {
     let host = coordinator.id.clone();
     let mut end = SessionEnd::Other;
-    if let Err(e) = run_coordinator_session(local, &coordinator, clock, &events).await {
+    if let Err(e) = run_coordinator_session(local, &coordinator, session, clock, &events).await {
         log_event!(Event::CoordinatorDisconnected, host:% = host, cause:% = e);
         if matches!(e, SessionError::Timeout) {
             end = SessionEnd::Silence;
         }
     }
-    if events.send(SessionEvent::CoordinatorDown(host, end)).is_err() {
+    if events.send(SessionEvent::CoordinatorDown(host, session, end)).is_err() {
         log::debug!("the control actor has ended; the end of a session is not reported");
     }
 }
@@ -182,6 +183,7 @@
 async fn run_coordinator_session(
     local: HostId,
     coordinator: &Member,
+    session: u64,
     clock: Clock,
     events: &UnboundedSender<SessionEvent>,
 ) -> Result<(), SessionError> {
@@ -189,14 +191,16 @@
     let mut socket =
         timeout(HANDSHAKE_TIMEOUT, connecting).await.map_err(|_| SessionError::Timeout)??;
     let (tx, mut queue) = channel(MAX_QUEUED_MESSAGES);
-    notify(events, SessionEvent::CoordinatorUp(coordinator.id.clone(), tx))?;
+    let host = &coordinator.id;
+    notify(events, SessionEvent::CoordinatorUp(host.clone(), session, tx))?;
     let mut pings = interval(PING_INTERVAL);
     let mut last_received = Instant::now();
     loop {
         tokio::select! {
             frame = socket.read() => {
                 last_received = Instant::now();
-                notify(events, SessionEvent::FromCoordinator(coordinator.id.clone(), frame?))?;
+                let message = SessionEvent::FromCoordinator(host.clone(), session, frame?);
+                notify(events, message)?;
             }
             message = queue.recv() => {
                 let message = message.ok_or(SessionError::Closed)?;
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod half_open;
 pub(crate) mod harness;
 mod hosts;
+mod lost_sessions;
 mod malformed_input;
 mod occupied_ports;
 mod planned_stop;
