Close sessions of clients that can't be told to choose another coordinator

What callers saw: requests at a client host were answered 503 time-limit for as long as its session with a former coordinator lasted (by reading; the regression test shows the state, not the calls).

Cause: a host that becomes a client of another one sends NotCoordinator to its own clients. One whose queue was full just then was left out, with a debug line. Its session went on: pings were answered, and its requests ignored, since they are thought to have been sent before NotCoordinator arrived.

Change: NotCoordinator goes through send_frame, which closes a session whose queue takes no message, logs CF0537 and discards the host's requests; the client sees the end and submits them elsewhere.

Test: a_client_that_can_not_be_told_to_leave_loses_its_session failed before, passes now.

--- a/crates/node/src/fleet/control/coordination.rs
+++ b/crates/node/src/fleet/control/coordination.rs
@@ -18,13 +18,13 @@
 use super::{ClientSession, FleetControl};
 
 impl FleetControl {
-    /// Notifies the client hosts to choose another coordinator.
-    pub(super) fn notify_not_coordinator(&self) {
+    /// Notifies the client hosts to choose another coordinator. The session of one that can't
+    /// be told is closed, or it would go on with this host, which ignores its requests.
+    pub(super) fn notify_not_coordinator(&mut self) {
         let Some(frame) = encode(&ToHost::NotCoordinator) else { return };
-        for (_, client) in self.clients.iter() {
-            if client.tx.try_send(frame.clone()).is_err() {
-                log::debug!("can't send NotCoordinator to a client host; its session will end");
-            }
+        let hosts: Vec<_> = self.clients.iter().map(|(host, _)| host.clone()).collect();
+        for host in hosts {
+            self.send_frame(&host, frame.clone());
         }
     }
 
--- a/crates/node/src/fleet/control/tests.rs
+++ b/crates/node/src/fleet/control/tests.rs
@@ -149,6 +149,18 @@
     assert_eq!(host.lost_requests(), BTreeSet::new());
 }
 
+/// A client that isn't told that this host no longer coordinates would go on with it: its
+/// pings are answered, and its requests are ignored.
+#[actix_rt::test]
+async fn a_client_that_can_not_be_told_to_leave_loses_its_session() {
+    let mut host = Host::new(true);
+    host.apply(Step::ClientUp(1));
+    (0..QUEUED_MESSAGES).for_each(|_| host.ping_from_client());
+    CLIENT_OF_ANOTHER.iter().for_each(|step| host.apply(*step));
+    assert!(host.control.is_client());
+    assert!(host.is_client_session_closed(), "the client still relies on this host");
+}
+
 impl Host {
     fn apply(&mut self, step: Step) {
         match step {
--- a/crates/node/src/fleet/control/tests/host.rs
+++ b/crates/node/src/fleet/control/tests/host.rs
@@ -194,6 +194,21 @@
         }
     }
 
+    /// Receives a ping on the latest session of a client.
+    pub(super) fn ping_from_client(&mut self) {
+        let Some((host, session, _)) = self.clients.last() else { return };
+        let event = SessionEvent::FromHost(host.clone(), *session, ToCoordinator::Ping(0));
+        self.control.handle_session_event(event);
+    }
+
+    /// Reads what is queued on the latest session of a client. Returns true if the actor has
+    /// closed it.
+    pub(super) fn is_client_session_closed(&mut self) -> bool {
+        let Some((.., queue)) = self.clients.last_mut() else { return true };
+        while queue.try_recv().is_ok() {}
+        queue.is_closed()
+    }
+
     pub(super) fn list(&mut self, other: usize) {
         let member = other_member(other);
         self.control.members.insert(member.id.name.clone(), member);
