--- a/crates/node/src/fleet/sessions.rs
+++ b/crates/node/src/fleet/sessions.rs
@@ -23,6 +23,9 @@
 
 use super::wire::{Frame, SessionError, SessionSocket, ToCoordinator, ToHost};
 
+#[cfg(test)]
+mod tests;
+
 /// Interval of heartbeats.
 const PING_INTERVAL: Duration = Duration::from_millis(200);
 
