--- a/crates/node/src/fleet/runner_stream.rs
+++ b/crates/node/src/fleet/runner_stream.rs
@@ -1,4 +1,5 @@
-//! Socket to a runner that limits the bytes received without progress, and checks heads.
+//! Socket to a runner that limits the bytes received without progress, and checks heads and
+//! the end of the connection.
 //!
 //! The HTTP parser accepts some input without end, such as leading zeros of a chunk
 //! size, and keeps its thread busy with it. The limit covers all of them.
@@ -16,6 +17,8 @@
     net::TcpStream,
 };
 
+use crate::tcp;
+
 use super::response_head::ResponseHead;
 
 /// Maximum number of bytes between two parts of a response; above the size to which
@@ -65,6 +68,25 @@
     pub(super) fn new(stream: TcpStream, progress: ReadProgress) -> Self {
         Self { stream, progress }
     }
+
+    /// Checks the end of the received bytes. A runner whose process ends closes its side, and
+    /// answers the rest of the request with a reset, which is not read after that end. A
+    /// response without a length would look complete.
+    fn check_end(&self) -> io::Result<()> {
+        let is_request_sent = match tcp::unacknowledged_bytes(&self.stream) {
+            Ok(bytes) => bytes == 0,
+            Err(e) => {
+                log::debug!("can't tell whether a runner has received its request: {e}");
+                true
+            }
+        };
+        // A reset discards the bytes that were to be sent.
+        if !is_request_sent || self.stream.take_error()?.is_some() {
+            let cause = "the connection ended before the request was received";
+            return Err(io::Error::new(io::ErrorKind::ConnectionReset, cause));
+        }
+        Ok(())
+    }
 }
 
 impl AsyncRead for RunnerStream {
@@ -74,8 +96,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
+        let has_room = buf.remaining() > 0;
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         match poll {
+            Poll::Ready(Ok(())) if has_room && buf.filled().len() == before => {
+                Poll::Ready(self.check_end())
+            }
             Poll::Ready(Ok(())) => Poll::Ready(self.progress.add(&buf.filled()[before..])),
             other => other,
         }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod capacity;
 mod cut;
 pub mod daemon;
+pub mod early_runner;
 pub mod engine;
 pub mod experiment;
 pub mod fleet_runner;
--- a/tests/testsuite/fleet/frozen_hosts.rs
+++ b/tests/testsuite/fleet/frozen_hosts.rs
@@ -9,20 +9,15 @@
 };
 
 use actix_rt::time::sleep;
-use comfreyway_testkit::daemon::{Signal, eventually, unused_address};
+use comfreyway_testkit::daemon::{Signal, eventually};
 use futures_util::future::join_all;
 use rstest::rstest;
-use serde_json::json;
 
-use crate::support::Daemon;
-
-use super::harness::{
-    DEADLINE, DESK_KEY, FleetHarness, ID, KEY, Response, call_with, runner_entry,
+use super::{
+    cut_off::{CutOff, ask},
+    harness::{FleetHarness, ID},
 };
 
-/// Requests on this path may run at most once.
-const PATH: &str = "/lookup/count/";
-
 /// Statuses that guarantee that the request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -74,70 +69,8 @@
     write!(stream, "HTTP/1.1 200 -\r\n{ID}: {id}\r\n{signature}: s\r\ncontent-length: 2\r\n\r\nok")
 }
 
-/// A host that knows that it can't connect to the runners, and others that don't know yet.
-struct CutOff {
-    near: Daemon,
-    others: Vec<Daemon>,
-    runners: [SocketAddr; 2],
-    _fleet: FleetHarness,
-}
-
-impl CutOff {
-    async fn new(others: usize) -> Self {
-        let fleet = FleetHarness::new();
-        let runners = [unused_address().unwrap(), unused_address().unwrap()];
-        for (number, address) in runners.iter().enumerate() {
-            let mut entry = runner_entry(*address, "survey", "ready");
-            entry["slots"] = json!(16);
-            fleet.store.put(&format!("servers/r{number}"), entry.to_string().as_bytes());
-        }
-        let settings = fleet.settings("h1").with_workers(1).with_limit("stop-limit", "3s");
-        let near = Daemon::start_ready(settings).await;
-        for attempt in 0.. {
-            if near.log().matches("event=CF0516").count() == runners.len() {
-                break;
-            }
-            ask(&near, &format!("early-{attempt}"), 400).await;
-        }
-        let mut hosts = Vec::new();
-        for number in 0..others {
-            hosts.push(fleet.start_host(&format!("other{number}")).await);
-        }
-        let known = || async {
-            let sessions = near.log().matches("event=CF0535").count();
-            (sessions >= others).then_some(())
-        };
-        eventually(known).await.expect("the other hosts have no session with the first");
-        Self { near, others: hosts, runners, _fleet: fleet }
-    }
-
-    /// Waits until a request has left for another host.
-    async fn sent(&self, id: &str) {
-        let line = format!("id={id} ");
-        let is_sent = || async {
-            let log = self.near.log();
-            let mut lines = log.lines().filter(|l| l.contains("event=CF0504"));
-            lines.any(|l| l.contains(&line)).then_some(())
-        };
-        eventually(is_sent).await.expect("the request is not dispatched");
-        sleep(SETTLE_TIME / 4).await;
-    }
-
-    fn start_runners(&self, work: Duration) -> [LateRunner; 2] {
-        self.runners.map(|address| LateRunner::start(address, work))
-    }
-
-    fn forwarded(&self, id: &str) -> usize {
-        let line = format!("id={id} ");
-        let log = self.near.log();
-        let lines = log.lines().filter(|l| l.contains("event=CF0515") && l.contains(&line));
-        lines.count()
-    }
-}
-
-async fn ask(host: &Daemon, id: &str, deadline_ms: u64) -> Response {
-    let deadline = deadline_ms.to_string();
-    call_with(host, id, PATH, &[(KEY, DESK_KEY), (DEADLINE, &deadline)], "body").await
+fn start_runners(hosts: &CutOff, work: Duration) -> [LateRunner; 2] {
+    hosts.runners.map(|address| LateRunner::start(address, work))
 }
 
 fn runs(runners: &[LateRunner], id: &str) -> usize {
@@ -164,7 +97,7 @@
     #[case] status: u16,
     #[case] min_runs: usize,
 ) {
-    let hosts = CutOff::new(1).await;
+    let hosts = CutOff::new(FleetHarness::new(), 1).await;
     let other = &hosts.others[0];
     other.signal(Signal::Stop).unwrap();
     let deadline_ms = if matches!(happens, While::DeadlinePasses) { 1_500 } else { 7_000 };
@@ -176,7 +109,7 @@
             While::OtherIsKilled => other.signal(Signal::Kill).unwrap(),
             While::Nothing | While::DeadlinePasses => {}
         }
-        let runners = hosts.start_runners(Duration::ZERO);
+        let runners = start_runners(&hosts, Duration::ZERO);
         if matches!(happens, While::Nothing) {
             other.signal(Signal::Continue).unwrap();
         }
@@ -196,12 +129,12 @@
 #[case::deadline_passes(false)]
 #[actix_rt::test]
 async fn a_request_that_runs_behind_a_frozen_host_counts_as_sent(#[case] is_killed: bool) {
-    let hosts = CutOff::new(2).await;
+    let hosts = CutOff::new(FleetHarness::new(), 2).await;
     hosts.others.iter().for_each(|host| host.signal(Signal::Stop).unwrap());
     let answered = ask(&hosts.near, "id-1", 3_000);
     let runs_meanwhile = async {
         hosts.sent("id-1").await;
-        let runners = hosts.start_runners(SETTLE_TIME);
+        let runners = start_runners(&hosts, SETTLE_TIME);
         hosts.others.iter().for_each(|host| host.signal(Signal::Continue).unwrap());
         let running = || async { (runs(&runners, "id-1") > 0).then_some(()) };
         eventually(running).await.expect("the request does not run");
@@ -220,14 +153,14 @@
 
 #[actix_rt::test]
 async fn a_host_that_was_frozen_past_the_deadline_does_not_report_a_sent_request_as_not_run() {
-    let hosts = CutOff::new(1).await;
+    let hosts = CutOff::new(FleetHarness::new(), 1).await;
     let other = &hosts.others[0];
     other.signal(Signal::Stop).unwrap();
     let answered = ask(&hosts.near, "id-1", 2_000);
     let freeze = async {
         hosts.sent("id-1").await;
         hosts.near.signal(Signal::Stop).unwrap();
-        let runners = hosts.start_runners(Duration::ZERO);
+        let runners = start_runners(&hosts, Duration::ZERO);
         other.signal(Signal::Continue).unwrap();
         let ran = || async { (runs(&runners, "id-1") > 0).then_some(()) };
         eventually(ran).await.expect("the request does not run");
@@ -243,7 +176,7 @@
 #[actix_rt::test]
 async fn requests_that_pass_frozen_and_killed_hosts_run_once_at_most() {
     const REQUESTS: usize = 60;
-    let hosts = CutOff::new(3).await;
+    let hosts = CutOff::new(FleetHarness::new(), 3).await;
     let ids: Vec<_> = (0..REQUESTS).map(|number| format!("id-{number}")).collect();
     hosts.others[0].signal(Signal::Stop).unwrap();
     let calls = ids.iter().enumerate().map(|(number, id)| {
@@ -254,7 +187,7 @@
         }
     });
     let faults = async {
-        let runners = hosts.start_runners(Duration::from_millis(150));
+        let runners = start_runners(&hosts, Duration::from_millis(150));
         for (host, signal) in [
             (1, Signal::Stop),
             (0, Signal::Continue),
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -8,6 +8,8 @@
 mod crashing_prompts;
 mod crashing_requests;
 mod crossing_grants;
+mod cut_off;
+mod early_responses;
 mod endless_responses;
 mod forwarding;
 mod frozen_hosts;
