--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -22,7 +22,7 @@
     response_memory::HeldBytes,
     runner_connections::{RunnerConnection, RunnerConnections, SendFailure},
 };
-use crate::upstream::{JsonScan, is_json, media_type};
+use crate::upstream::{JsonScan, is_final_status, is_json, media_type};
 
 use super::{
     admitted::AdmittedRequest,
@@ -159,6 +159,10 @@
         };
         return (Attempt::NotRun(reason), statements);
     }
+    if !is_final_status(status.as_u16()) {
+        log_unusable_response(request, runner, "the status is invalid", sent_at);
+        return (Attempt::Unknown(UnknownReason::UpstreamBroke), statements);
+    }
     if status.is_success() && !response.is_signed(request) {
         log_unusable_response(
             request,
--- a/crates/node/src/upstream/client.rs
+++ b/crates/node/src/upstream/client.rs
@@ -18,7 +18,8 @@
 use quick_error::quick_error;
 
 use super::{
-    Framing, OutboundRequest, connector::StrictConnector, end_to_end, is_reserved_on_responses,
+    Framing, OutboundRequest, connector::StrictConnector, end_to_end, is_final_status,
+    is_reserved_on_responses,
 };
 
 /// Time after which an idle connection is closed. Common servers close idle
@@ -170,7 +171,13 @@
             false => request.send_body(outbound.body.clone()),
         };
         match tokio::time::timeout(self.response_timeout, sending).await {
-            Ok(Ok(response)) => Ok(UpstreamResponse::new(&outbound.method, response)),
+            Ok(Ok(response)) if is_final_status(response.status().as_u16()) => {
+                Ok(UpstreamResponse::new(&outbound.method, response))
+            }
+            Ok(Ok(response)) => {
+                log::debug!("response of {address} with invalid status {}", response.status());
+                Err(SendFailure::Unknown(UnknownReason::UpstreamBroke))
+            }
             Ok(Err(error)) => Err(classify_error(&error)),
             Err(_) => Err(SendFailure::Unknown(UnknownReason::UpstreamTimeout)),
         }
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -17,6 +17,7 @@
 mod json_scan;
 mod media_type;
 mod outbound;
+mod status;
 mod strict_stream;
 mod usage;
 
@@ -28,5 +29,6 @@
     json_scan::JsonScan,
     media_type::{is_json, media_type},
     outbound::OutboundRequest,
+    status::is_final_status,
     usage::ResponseUsage,
 };
--- a/crates/node/tests/traffic/dispatch.rs
+++ b/crates/node/tests/traffic/dispatch.rs
@@ -113,6 +113,28 @@
     assert_eq!(upstream.requests().len(), 1);
 }
 
+/// A response with a status that HTTP doesn't define says nothing of its request.
+#[rstest]
+#[case::zero("000")]
+#[case::below_100("099")]
+#[case::above_599("600")]
+#[case::largest("999")]
+#[case::not_requested_upgrade("101")]
+#[case::two_digits("20")]
+#[case::four_digits("2000")]
+#[actix_rt::test]
+async fn a_response_with_an_invalid_status_is_unknown(#[case] status: &str) {
+    let head = "content-type: application/json\ncontent-length: 2\n";
+    let scripted = format!("HTTP/1.1 {status} -\n{head}\n{{}}");
+    let scripted = ScriptedResponse::new(&scripted, AfterResponse::Close);
+    let upstream = ScriptedUpstream::start(vec![scripted]).await;
+    let harness = Harness::start(upstream.address, false);
+    let response = harness.send(&request("GET /rack/1", &[WORKSPACE], "")).await;
+    assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+    assert!(response.contains("comfreyway-reason: upstream-broke\r\n"), "{response}");
+    assert_eq!(upstream.requests().len(), 1);
+}
+
 #[actix_rt::test]
 async fn whole_json_without_its_last_chunk_is_answered() {
     let scripted = "HTTP/1.1 200 OK\ncontent-type: application/json\ntransfer-encoding: chunked\n\n\
--- a/crates/testkit/src/early_runner.rs
+++ b/crates/testkit/src/early_runner.rs
@@ -34,6 +34,8 @@
     HalfClose(Duration),
     /// Reads the whole body and resets the connection.
     ResetAfterBody,
+    /// Reads the whole body and closes the connection.
+    CloseAfterBody,
 }
 
 /// The response, byte by byte.
@@ -136,6 +138,9 @@
             io::copy(&mut reader.take(length), &mut io::sink())?;
             reset(&stream)
         }
+        ConnectionEnd::CloseAfterBody => {
+            io::copy(&mut reader.take(length), &mut io::sink()).map(drop)
+        }
     }
 }
 
--- a/tests/testsuite/fleet/mod.rs
+++ b/tests/testsuite/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod half_open;
 pub(crate) mod harness;
 mod hosts;
+mod invalid_statuses;
 mod lost_sessions;
 mod malformed_input;
 mod occupied_ports;
