--- a/tests/testsuite/fleet/cut_off.rs
+++ b/tests/testsuite/fleet/cut_off.rs
@@ -65,6 +65,12 @@
         sleep(SENT_TIME).await;
     }
 
+    /// Waits until the log says that a request was sent through another host.
+    pub(super) async fn was_forwarded(&self, id: &str) {
+        let is_logged = || async { (self.forwarded(id) == 1).then_some(()) };
+        eventually(is_logged).await.expect("the request was not sent through another host");
+    }
+
     pub(super) fn forwarded(&self, id: &str) -> usize {
         let line = format!("id={id} ");
         let log = self.near.log();
--- a/tests/testsuite/fleet/early_responses.rs
+++ b/tests/testsuite/fleet/early_responses.rs
@@ -9,12 +9,11 @@
 };
 use rstest::rstest;
 use serde_json::{Value, json};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-};
 
-use crate::support::Daemon;
+use crate::support::{
+    Daemon,
+    raw::{exchange, is_whole, status},
+};
 
 use super::{
     cut_off::{CutOff, PATH},
@@ -42,35 +41,14 @@
 
 /// Sends a request with a body of this many bytes. Returns the whole response.
 async fn call(host: &Daemon, id: &str, body: usize) -> String {
-    let mut stream = TcpStream::connect(host.settings().callers).await.unwrap();
     let head = format!(
         "POST {PATH} HTTP/1.1\r\nhost: desk.example\r\n{ID}: {id}\r\n{KEY}: {DESK_KEY}\r\n\
          content-length: {body}\r\nconnection: close\r\n\r\n"
     );
-    stream.write_all(head.as_bytes()).await.unwrap();
     // Repeats of a request under which runners end would be refused.
     let mut sent = id.as_bytes().to_vec();
     sent.resize(body, b'x');
-    stream.write_all(&sent).await.unwrap();
-    let mut bytes = Vec::new();
-    // A response that is cut may end with a reset.
-    let _ = stream.read_to_end(&mut bytes).await;
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
-fn status(response: &str) -> &str {
-    response.split(' ').nth(1).unwrap_or_default()
-}
-
-/// Returns true if a caller takes the response for a whole one.
-fn is_whole(response: &str) -> bool {
-    let Some((head, body)) = response.split_once("\r\n\r\n") else { return false };
-    let head = head.to_ascii_lowercase();
-    let mut headers = head.lines().filter_map(|line| line.split_once(": "));
-    match headers.find(|(name, _)| *name == "content-length") {
-        Some((_, length)) => length.parse() == Ok(body.len()),
-        None => body.ends_with("0\r\n\r\n"),
-    }
+    exchange(host.settings().callers, &head, &sent).await
 }
 
 /// Responses that are cut.
@@ -186,7 +164,7 @@
         runners
     };
     let (response, _runners) = futures_util::join!(call(&hosts.near, "id-1", body), start_runners);
-    assert_eq!(hosts.forwarded("id-1"), 1, "the request did not go through the other host");
+    hosts.was_forwarded("id-1").await;
     assert!(!is_whole(&response) || status(&response) == "502", "{response}");
 }
 
--- a/tests/testsuite/fleet/invalid_statuses.rs
+++ b/tests/testsuite/fleet/invalid_statuses.rs
@@ -84,7 +84,7 @@
         runners
     };
     let (res, _runners) = futures_util::join!(ask(&hosts.near, "id-1", 7_000), start_runners);
-    assert_eq!(hosts.forwarded("id-1"), 1, "the request did not go through the other host");
+    hosts.was_forwarded("id-1").await;
     assert_eq!((res.status, res.reason().as_str()), (502, "upstream-broke"), "{res:?}");
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod config_change;
 mod config_distribution;
 mod config_fleet;
+mod early_responses;
 mod fleet;
 mod hosts;
 mod operator_workflow;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod daemon;
 mod fixture;
+pub(crate) mod raw;
 mod seed;
 
 pub(crate) use self::{
