Play the end of the host between, and share the start of runners behind it

A part of a response is not whole for the caller either if the other host is killed while the runner's response is still open (text and JSON without a length): 2 of 2 cases held, without a change. The tests that need a request to go through another host start the runners by one function of CutOff.

--- a/tests/testsuite/fleet/cut_off.rs
+++ b/tests/testsuite/fleet/cut_off.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use actix_rt::time::sleep;
-use comfreyway_testkit::daemon::{eventually, unused_address};
+use comfreyway_testkit::daemon::{Signal, eventually, unused_address};
 use serde_json::json;
 
 use crate::support::Daemon;
@@ -65,8 +65,22 @@
         sleep(SENT_TIME).await;
     }
 
+    /// Starts the runners once a request has left for the other host, which is frozen until
+    /// then: the first host would find runners that listen before, and use them itself.
+    pub(super) async fn start_runners<R, F>(&self, id: &str, start: F) -> [R; 2]
+    where
+        F: FnMut(SocketAddr) -> R,
+    {
+        self.others[0].signal(Signal::Stop).unwrap();
+        self.sent(id).await;
+        let runners = self.runners.map(start);
+        self.others[0].signal(Signal::Continue).unwrap();
+        self.was_forwarded(id).await;
+        runners
+    }
+
     /// Waits until the log says that a request was sent through another host.
-    pub(super) async fn was_forwarded(&self, id: &str) {
+    async fn was_forwarded(&self, id: &str) {
         let is_logged = || async { (self.forwarded(id) == 1).then_some(()) };
         eventually(is_logged).await.expect("the request was not sent through another host");
     }
--- a/tests/testsuite/fleet/early_responses.rs
+++ b/tests/testsuite/fleet/early_responses.rs
@@ -155,16 +155,35 @@
 ) {
     let hosts = CutOff::new(fleet(false), 1).await;
     let start = |address: SocketAddr| EarlyRunner::start(address, Cut::Text.response(end)).unwrap();
-    // The first host would find runners that listen before.
-    hosts.others[0].signal(Signal::Stop).unwrap();
-    let start_runners = async {
-        hosts.sent("id-1").await;
-        let runners = hosts.runners.map(start);
-        hosts.others[0].signal(Signal::Continue).unwrap();
+    let starting = hosts.start_runners("id-1", start);
+    let (response, _runners) = futures_util::join!(call(&hosts.near, "id-1", body), starting);
+    assert!(!is_whole(&response) || status(&response) == "502", "{response}");
+}
+
+/// The runner's response is still open when the host between ends.
+#[rstest]
+#[case::text("content-type: text/plain\r\n", b"a part of the answer")]
+#[case::json("content-type: application/json\r\n", br#"{"answers":[]}"#)]
+#[actix_rt::test]
+async fn a_part_of_a_response_is_not_delivered_as_whole_if_the_other_host_is_killed(
+    #[case] head: &str,
+    #[case] body: &[u8],
+) {
+    let hosts = CutOff::new(fleet(false), 1).await;
+    let response = EarlyResponse {
+        status_line: "HTTP/1.1 200",
+        head: head.to_owned(),
+        body: body.to_vec(),
+        end: ConnectionEnd::Reset(Duration::from_secs(5)),
+        ..EarlyResponse::default()
+    };
+    let start = |address: SocketAddr| EarlyRunner::start(address, response.clone()).unwrap();
+    let kill = async {
+        let runners = hosts.start_runners("id-1", start).await;
+        hosts.others[0].signal(Signal::Kill).unwrap();
         runners
     };
-    let (response, _runners) = futures_util::join!(call(&hosts.near, "id-1", body), start_runners);
-    hosts.was_forwarded("id-1").await;
+    let (response, _runners) = futures_util::join!(call(&hosts.near, "id-1", 100), kill);
     assert!(!is_whole(&response) || status(&response) == "502", "{response}");
 }
 
--- a/tests/testsuite/fleet/invalid_statuses.rs
+++ b/tests/testsuite/fleet/invalid_statuses.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use comfreyway_testkit::{
-    daemon::{Signal, unused_address},
+    daemon::unused_address,
     early_runner::{ConnectionEnd, EarlyResponse, EarlyRunner},
     fleet_runner::RunnerMode,
 };
@@ -75,16 +75,8 @@
     let hosts = CutOff::new(FleetHarness::new(), 1).await;
     let start =
         |address: SocketAddr| EarlyRunner::start(address, response(status_line, "")).unwrap();
-    // The first host would find runners that listen before.
-    hosts.others[0].signal(Signal::Stop).unwrap();
-    let start_runners = async {
-        hosts.sent("id-1").await;
-        let runners = hosts.runners.map(start);
-        hosts.others[0].signal(Signal::Continue).unwrap();
-        runners
-    };
-    let (res, _runners) = futures_util::join!(ask(&hosts.near, "id-1", 7_000), start_runners);
-    hosts.was_forwarded("id-1").await;
+    let starting = hosts.start_runners("id-1", start);
+    let (res, _runners) = futures_util::join!(ask(&hosts.near, "id-1", 7_000), starting);
     assert_eq!((res.status, res.reason().as_str()), (502, "upstream-broke"), "{res:?}");
 }
 
