--- a/crates/node/src/fleet/control/tests.rs
+++ b/crates/node/src/fleet/control/tests.rs
@@ -1,6 +1,6 @@
 //! Orders of the events of sessions, without a network.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use comfreyway_core::{fleet::RequestUpdate, ids::RequestId};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -80,8 +80,8 @@
 const CLIENT_OF_ANOTHER: [Step; 4] = [Step::Listed(0), Step::Resign, Step::Open, Step::Pong(0)];
 
 /// No order of events leaves a host that accepts requests and places none: after the ends of
-/// all sessions that have ended were told, and a periodic check after all pauses, each request is held by
-/// this host's own coordinator, has been decided, or was sent on the session in use.
+/// all sessions that have ended were told, and a periodic check after all pauses, each request is
+/// held by this host's own coordinator, has been decided, or was sent on the session in use.
 ///
 /// A host that was frozen found the queue of its session closed before it handled the end of
 /// the session, which it then ignored: it was ready and placed no request for good.
@@ -170,7 +170,7 @@
             Step::Open => self.open_session(),
             Step::Pong(session) => {
                 let revision = self.control.mirror.revision().0;
-                let pong = ToHost::Pong(0, revision, std::time::Duration::ZERO, 1, PROTOCOL);
+                let pong = ToHost::Pong(0, revision, Duration::ZERO, 1, PROTOCOL);
                 self.receive(session, pong);
             }
             Step::Reject(session) => self.reject(session),
