Tests: a request goes through another host once, checked after its response again

Cause: replaced two assertions that exactly one request had been forwarded, made after the response, by a wait for that count, and moved the wait to before the response.

--- a/tests/testsuite/fleet/early_responses.rs
+++ b/tests/testsuite/fleet/early_responses.rs
@@ -157,6 +157,7 @@
     let start = |address: SocketAddr| EarlyRunner::start(address, Cut::Text.response(end)).unwrap();
     let starting = hosts.start_runners("id-1", start);
     let (response, _runners) = futures_util::join!(call(&hosts.near, "id-1", body), starting);
+    assert_eq!(hosts.forwarded("id-1"), 1, "the request was forwarded again");
     assert!(!is_whole(&response) || status(&response) == "502", "{response}");
 }
 
@@ -184,6 +185,7 @@
         runners
     };
     let (response, _runners) = futures_util::join!(call(&hosts.near, "id-1", 100), kill);
+    assert_eq!(hosts.forwarded("id-1"), 1, "the request was forwarded again");
     assert!(!is_whole(&response) || status(&response) == "502", "{response}");
 }
 
--- a/tests/testsuite/fleet/invalid_statuses.rs
+++ b/tests/testsuite/fleet/invalid_statuses.rs
@@ -77,6 +77,7 @@
         |address: SocketAddr| EarlyRunner::start(address, response(status_line, "")).unwrap();
     let starting = hosts.start_runners("id-1", start);
     let (res, _runners) = futures_util::join!(ask(&hosts.near, "id-1", 7_000), starting);
+    assert_eq!(hosts.forwarded("id-1"), 1, "the request was forwarded again");
     assert_eq!((res.status, res.reason().as_str()), (502, "upstream-broke"), "{res:?}");
 }
 
