--- a/review/standin-3/kit.rs
+++ b/review/standin-3/kit.rs
@@ -23,6 +23,7 @@
 
 mod content_length;
 mod expected_version;
+mod last_tenant;
 mod late_part;
 mod stray_entry;
 
@@ -56,6 +57,7 @@
     let result = match scenario.as_str() {
         "content-length" => content_length::play(&case),
         "expected-version" => expected_version::play(&case),
+        "last-tenant" => last_tenant::play(&case),
         "late-part" => late_part::play(&case),
         "stray-entry" => stray_entry::play(&case),
         other => Err(format!("no scenario {other}").into()),
