--- a/review/standin-3/kit.rs
+++ b/review/standin-3/kit.rs
@@ -10,7 +10,7 @@
     collections::{BTreeMap, BTreeSet},
     env, fs,
     io::{BufRead, BufReader, Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio, exit},
     sync::{
@@ -21,10 +21,9 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-mod content_length;
-mod expected_version;
 mod last_tenant;
 mod late_part;
+mod lost_record;
 mod stray_entry;
 
 /// Time after which a case ends all that it started, whatever happens.
@@ -55,10 +54,9 @@
         exit(2);
     });
     let result = match scenario.as_str() {
-        "content-length" => content_length::play(&case),
-        "expected-version" => expected_version::play(&case),
         "last-tenant" => last_tenant::play(&case),
         "late-part" => late_part::play(&case),
+        "lost-record" => lost_record::play(&case),
         "stray-entry" => stray_entry::play(&case),
         other => Err(format!("no scenario {other}").into()),
     };
@@ -190,8 +188,9 @@
 
 impl Host {
     fn new(name: &str, site: &'static Site) -> Result<Self, Failure> {
-        let (callers, operators, peers, forward) =
-            (free_address()?, free_address()?, free_address()?, free_address()?);
+        let ip = next_loopback_ip();
+        let (callers, operators) = (free_address(ip)?, free_address(ip)?);
+        let (peers, forward) = (free_address(ip)?, free_address(ip)?);
         Ok(Self { name: name.to_owned(), site, callers, operators, peers, forward })
     }
 
@@ -204,7 +203,7 @@
         fields.insert("nodeName", self.name.clone());
         fields.insert("listen.front", self.callers.to_string());
         fields.insert("listen.readiness", self.operators.to_string());
-        fields.insert("ip", "127.0.0.1".to_owned());
+        fields.insert("ip", self.peers.ip().to_string());
         fields.insert("internalPorts.0", self.peers.port().to_string());
         fields.insert("internalPorts.1", self.forward.port().to_string());
         fields.insert("platform.address", store.to_string());
@@ -233,11 +232,20 @@
     text
 }
 
-/// Returns a loopback address that no process listens on. Ports are not given twice.
-fn free_address() -> Result<SocketAddr, Failure> {
+/// Returns a loopback address of this process for its next host: connections of other processes
+/// and of other hosts can't have its ports.
+fn next_loopback_ip() -> Ipv4Addr {
+    static HOSTS: AtomicUsize = AtomicUsize::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let host = HOSTS.fetch_add(1, Ordering::SeqCst);
+    Ipv4Addr::new(127, 64 + high % 128, low, 10 + host as u8)
+}
+
+/// Returns an address with a port that no process listens on. Ports are not given twice.
+fn free_address(ip: Ipv4Addr) -> Result<SocketAddr, Failure> {
     static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     loop {
-        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let address = TcpListener::bind((ip, 0))?.local_addr()?;
         if GIVEN.lock().unwrap().insert(address.port()) {
             return Ok(address);
         }
@@ -805,13 +813,6 @@
 // ---------------------------------------------------------------------------------------------
 // Runners.
 
-/// How a runner frames its streams.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Framing {
-    Chunked,
-    Length,
-}
-
 /// What a runner is and how it answers.
 #[derive(Clone, Debug)]
 struct RunnerSettings {
@@ -824,11 +825,8 @@
     events: u64,
     /// Time between two events, or until a plain answer.
     gap: Duration,
-    framing: Framing,
-    /// Text of each event of a stream that it began.
+    /// Text of each event.
     text: &'static str,
-    /// Text of each event of a stream that it goes on with.
-    rest: &'static str,
 }
 
 fn unix_ms() -> u64 {
@@ -903,10 +901,6 @@
         }
     }
 
-    fn running(&self) -> usize {
-        self.runs.lock().unwrap().len()
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut out) = stream.try_clone() else { return };
@@ -951,33 +945,19 @@
             return out.write_all(head.as_bytes());
         }
         let after = req.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-        let text = if after > 0 { settings.rest } else { settings.text };
-        let event = |number: u64| format!("id: {number}\ndata: {text} {number}\n\n");
+        let event = |number: u64| format!("id: {number}\ndata: {} {number}\n\n", settings.text);
         let numbers = after + 1..=settings.events;
-        let framing = match settings.framing {
-            Framing::Chunked => "transfer-encoding: chunked\r\n".to_owned(),
-            Framing::Length => {
-                let length: usize = numbers.clone().map(|number| event(number).len()).sum();
-                format!("content-length: {length}\r\n")
-            }
-        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{common}{signature}content-type: text/event-stream\r\n{framing}\r\n"
+            "HTTP/1.1 200 OK\r\n{common}{signature}content-type: text/event-stream\r\n\
+             transfer-encoding: chunked\r\n\r\n"
         );
         out.write_all(head.as_bytes())?;
         for number in numbers {
             thread::sleep(settings.gap);
             let event = event(number);
-            let bytes = match settings.framing {
-                Framing::Chunked => format!("{:x}\r\n{event}\r\n", event.len()),
-                Framing::Length => event,
-            };
-            out.write_all(bytes.as_bytes())?;
-        }
-        match settings.framing {
-            Framing::Chunked => out.write_all(b"0\r\n\r\n"),
-            Framing::Length => Ok(()),
+            out.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
+        out.write_all(b"0\r\n\r\n")
     }
 }
 
--- a/review/standin-3/last_tenant.rs
+++ b/review/standin-3/last_tenant.rs
@@ -31,9 +31,7 @@
             weights: 1,
             events: 0,
             gap: Duration::from_millis(10),
-            framing: Framing::Length,
             text: "",
-            rest: "",
         })?;
         store.put(&runner.key(), &runner.entry("ready"));
         runners.push(runner);
--- a/review/standin-3/late_part.rs
+++ b/review/standin-3/late_part.rs
@@ -53,9 +53,7 @@
             weights: 1,
             events: 10,
             gap: Duration::from_millis(20),
-            framing: Framing::Chunked,
             text: "a piece",
-            rest: "a piece",
         })?;
         store.put(&runner.key(), &runner.entry("ready"));
         runners.push(runner);
--- a/review/standin-3/stray_entry.rs
+++ b/review/standin-3/stray_entry.rs
@@ -24,9 +24,7 @@
             weights: 1,
             events,
             gap: Duration::from_millis(40),
-            framing: Framing::Chunked,
             text: "a piece",
-            rest: "a piece",
         })?;
         store.put(&runner.key(), &runner.entry("ready"));
         runners.push(runner);
