Review case 13: the record of versions is not written again after a drill

Rule: ORDER: more than two streams hold events from runners of two software versions of one service.

What is shown: after the store came back from a copy without the record of versions, no host writes it again; hosts that start later, while the runners are replaced, join streams of two versions.

How: `review/13/run.sh`, five times; `TROUBLE=0 review/13/run.sh` once, without the drill.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/release/comfreywayd ] && [ -x target/review-3/kit ] || exit 2
-exec target/review-3/kit expected-version "$folder"
+exec target/review-3/kit lost-record "$folder"
