Review: stand-ins of the cases 11 to 15 write heartbeats, and crashed runners refuse

What is shown: a second reading of the claims found the first stand-ins unsound. A runner now writes its entry every 1.2 s, states the time at which it really started, and closes its port when it crashes; requests of case 15 have paths of their own; case 12 sends what the site's sheet says (20 a second, 60 ms of work), and its stray entry comes from a moment that isn't chosen and lasts until the next heartbeat.

--- a/review/standin-3/kit.rs
+++ b/review/standin-3/kit.rs
@@ -525,6 +525,17 @@
         self.state.changed.notify_all();
     }
 
+    /// Writes a key if its value changes and the store isn't away.
+    fn put_if_other(&self, key: &str, value: &str) {
+        let value = base64(value.as_bytes());
+        let mut keys = self.state.keys.lock().unwrap();
+        let is_same = keys.items.get(key).is_some_and(|item| item.value == value);
+        if !is_same && !self.state.is_away.load(Ordering::SeqCst) {
+            keys.put(key, value, 0);
+            self.state.changed.notify_all();
+        }
+    }
+
     fn delete(&self, key: &str) {
         self.state.keys.lock().unwrap().delete(key);
         self.state.changed.notify_all();
@@ -813,6 +824,9 @@
 // ---------------------------------------------------------------------------------------------
 // Runners.
 
+/// `heartbeatMs`: time between two writes of a runner's entry.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
 /// What a runner is and how it answers.
 #[derive(Clone, Debug)]
 struct RunnerSettings {
@@ -843,6 +857,7 @@
     runs: Arc<Mutex<Vec<String>>>,
     arrivals: Arc<AtomicUsize>,
     is_down: Arc<AtomicBool>,
+    has_left: Arc<AtomicBool>,
     /// Unix millisecond of its start.
     born: Arc<AtomicU64>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
@@ -857,26 +872,67 @@
             runs: Arc::default(),
             arrivals: Arc::default(),
             is_down: Arc::default(),
+            has_left: Arc::default(),
             born: Arc::new(AtomicU64::new(unix_ms())),
             connections: Arc::default(),
         };
         let serving = runner.clone();
+        thread::spawn(move || serving.accept(listener));
+        Ok(runner)
+    }
+
+    /// Accepts connections. While the runner is down its port is closed.
+    fn accept(&self, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            let is_down = self.is_down.load(Ordering::SeqCst);
+            if is_down {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(self.address).ok();
+            }
+            let accepted = listener.as_ref().and_then(|listener| {
+                listener.set_nonblocking(true).ok()?;
+                listener.accept().ok()
+            });
+            let Some((stream, _)) = accepted else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            self.connections.lock().unwrap().extend(stream.try_clone());
+            let runner = self.clone();
+            thread::spawn(move || runner.serve(stream));
+        }
+    }
+
+    /// Writes its entry, and again with each heartbeat, until it leaves. While it is down it
+    /// writes nothing.
+    fn register(&self, store: &Store) {
+        store.put(&self.key(), &self.entry("ready"));
+        let (runner, store) = (self.clone(), store.clone());
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if serving.is_down.load(Ordering::SeqCst) {
-                    continue;
+            loop {
+                thread::sleep(HEARTBEAT);
+                if runner.has_left.load(Ordering::SeqCst) {
+                    return;
+                }
+                if !runner.is_down.load(Ordering::SeqCst) {
+                    store.put_if_other(&runner.key(), &runner.entry("ready"));
                 }
-                serving.connections.lock().unwrap().extend(stream.try_clone());
-                let runner = serving.clone();
-                thread::spawn(move || runner.serve(stream));
             }
         });
-        Ok(runner)
+    }
+
+    /// Leaves without a report: its entry is removed, and it goes on serving.
+    fn leave(&self, store: &Store) {
+        self.has_left.store(true, Ordering::SeqCst);
+        store.delete(&self.key());
     }
 
     /// Starts again under the same id, as a new run.
     fn start_again(&self) {
-        self.born.fetch_add(1_000, Ordering::SeqCst);
+        self.born.store(unix_ms(), Ordering::SeqCst);
         self.is_down.store(false, Ordering::SeqCst);
     }
 
@@ -893,7 +949,7 @@
         format!("servers/{}", self.settings.name)
     }
 
-    /// Crashes: all connections end, and new ones are closed.
+    /// Crashes: all connections end, and new ones are refused.
     fn crash(&self) {
         self.is_down.store(true, Ordering::SeqCst);
         for stream in self.connections.lock().unwrap().drain(..) {
--- a/review/standin-3/last_tenant.rs
+++ b/review/standin-3/last_tenant.rs
@@ -33,7 +33,7 @@
             gap: Duration::from_millis(10),
             text: "",
         })?;
-        store.put(&runner.key(), &runner.entry("ready"));
+        runner.register(&store);
         runners.push(runner);
     }
     let hosts = [
@@ -65,7 +65,7 @@
     if held != REQUESTS || guessed != 0 {
         return Err("the keys don't work before the change".into());
     }
-    // Without trouble another tenant stays.
+    // Without trouble another tenant takes its place.
     let left = if case.trouble { String::new() } else { tenant("union") };
     store.put("op/config", &config(2, &left));
     case.note(&format!("version 2 takes the tenant and its key away; tenants: [{left}]"));
--- a/review/standin-3/late_part.rs
+++ b/review/standin-3/late_part.rs
@@ -55,7 +55,7 @@
             gap: Duration::from_millis(20),
             text: "a piece",
         })?;
-        store.put(&runner.key(), &runner.entry("ready"));
+        runner.register(&store);
         runners.push(runner);
     }
     let hosts = [
@@ -80,7 +80,7 @@
     while began.elapsed() < CALM + TROUBLED {
         number += 1;
         let is_deadly = case.trouble && number % ONE_IN == 0 && Instant::now() > trouble_at;
-        let (id, call) = call("/report/x", number, 6_000);
+        let (id, call) = call(&format!("/report/{number}"), number, 6_000);
         let mut parts: Vec<_> =
             (0..PARTS - 1).map(|part| format!("{:x}:20", 0x1000 + part)).collect();
         if is_deadly {
@@ -117,7 +117,7 @@
         }
         for (_, at) in down.extract_if(.., |(since, _)| since.elapsed() > DOWN) {
             runners[at].start_again();
-            store.put(&runners[at].key(), &runners[at].entry("ready"));
+            store.put_if_other(&runners[at].key(), &runners[at].entry("ready"));
         }
     }
     let mut sent = Vec::new();
--- a/review/standin-3/lost_record.rs
+++ b/review/standin-3/lost_record.rs
@@ -1,5 +1,5 @@
-//! The store comes back from a copy that lacks the record of versions. Later all hosts lose
-//! power while the runners are replaced by those of another version.
+//! The store comes back from a copy that lacks the record of versions. Later all hosts are
+//! killed while the runners are replaced by those of another version.
 
 use super::*;
 
@@ -29,11 +29,8 @@
         runners.into_iter().collect()
     };
     let old = start(["i-a", "i-b"], "v1")?;
-    let write = |runners: &[Runner], state: &str| {
-        runners.iter().for_each(|runner| store.put(&runner.key(), &runner.entry(state)));
-    };
     store.put("op/config", &config);
-    write(&old, "ready");
+    old.iter().for_each(|runner| runner.register(&store));
     let copy = store.copy();
     let hosts = [
         Host::new("edge-1", AYAQ_EXIT)?,
@@ -58,8 +55,7 @@
         case.note("the store is back from a copy that is some seconds old, in a new era");
         thread::sleep(Duration::from_millis(500));
         store.put("op/config", &config);
-        write(&old, "ready");
-        case.note("the operator and the runners have written again");
+        case.note("the operator has written again, and the runners do so with their heartbeats");
     }
     thread::sleep(Duration::from_secs(10));
     case.note(&format!("10 s later, the store has the record of versions: {}", store.has(RECORD)));
@@ -72,12 +68,12 @@
     }
     thread::sleep(Duration::from_millis(2_000));
     case.end_daemons();
-    case.note("all hosts lose power");
+    case.note("the processes of all hosts are killed");
     let new = start(["i-c", "i-d"], "v2")?;
-    write(&new, "ready");
+    new.iter().for_each(|runner| runner.register(&store));
     thread::sleep(Duration::from_millis(300));
     // These never report that they drain: their entries are removed, and they serve for a while.
-    old.iter().for_each(|runner| store.delete(&runner.key()));
+    old.iter().for_each(|runner| runner.leave(&store));
     case.note("runners of v2 serve, and the entries of those of v1 are removed");
     let leaving = old.clone();
     thread::spawn(move || {
--- a/review/standin-3/stray_entry.rs
+++ b/review/standin-3/stray_entry.rs
@@ -3,7 +3,16 @@
 
 use super::*;
 
-const REQUESTS: usize = 60;
+const REQUESTS: usize = 100;
+
+/// Time between two requests, and of one at the plain service, as in the site's sheet.
+const GAP: Duration = Duration::from_millis(50);
+const WORK: Duration = Duration::from_millis(60);
+
+/// Writes of the other writer, and the time between them. The runner writes its own entry again
+/// with each heartbeat.
+const STRAY_WRITES: usize = 3;
+const STRAY_INTERVAL: Duration = Duration::from_millis(1_700);
 
 /// Returns true if the rule was broken.
 pub(super) fn play(case: &Case) -> Result<bool, Failure> {
@@ -23,10 +32,10 @@
             version: "v1",
             weights: 1,
             events,
-            gap: Duration::from_millis(40),
+            gap: WORK,
             text: "a piece",
         })?;
-        store.put(&runner.key(), &runner.entry("ready"));
+        runner.register(&store);
         runners.push(runner);
     }
     let hosts = [
@@ -49,9 +58,17 @@
             runners[2].address
         );
         case.note(&format!("another writer puts {}: {entry}", runners[2].key()));
-        store.put(&runners[2].key(), &entry);
+        let (store, key) = (store.clone(), runners[2].key());
+        // At any moment between two heartbeats.
+        let phase = Duration::from_millis(unix_ms() * 7_919 % HEARTBEAT.as_millis() as u64);
+        thread::spawn(move || {
+            thread::sleep(phase);
+            for _ in 0..STRAY_WRITES {
+                store.put(&key, &entry);
+                thread::sleep(STRAY_INTERVAL);
+            }
+        });
     }
-    thread::sleep(Duration::from_secs(3));
     let foreign = play_requests(case, &hosts, &runners, 10_000)?;
     Ok(foreign > 0)
 }
@@ -69,7 +86,7 @@
         let (id, call) = call("/count/x", first + number, 5_000);
         let to = hosts[number % hosts.len()].callers;
         callers.push(thread::spawn(move || (id, call.send(to).unwrap_or_default())));
-        thread::sleep(Duration::from_millis(3));
+        thread::sleep(GAP);
     }
     let (mut foreign, mut served) = (0, 0);
     for caller in callers {
