Write the record of versions whenever the store lacks it

Cause: the record of versions was written when the versions that serve differ from the record that the host had read last. That value stood for what the store has as well, and stayed when a listing lacked the record, when its key was deleted, and when another writer put unreadable bytes there. The record was never written again, as long as the same versions served. Hosts that start then take the one version that they see for the only one.

Ruled out: that the era goes unnoticed (CF0546 is logged), and that the write fails (no CF0547). A deletion alone, without a new era, shows the same, and a runner of another version ends it.

Change: what the store has is taken from the mirror, which listings, changes and deletions keep up to date on every host. What the host knows stays with its coordinator. The record is written whenever the two differ, also by the next coordinator.

Result: six of eight cases of testsuite fleet::versions::lost_records fail on the code before (no record within 10 s; 200 in place of 503 for the stream) and pass now, with the 21 others of fleet::versions.

--- a/crates/node/src/fleet/control.rs
+++ b/crates/node/src/fleet/control.rs
@@ -59,7 +59,6 @@
 use self::{
     absent_hosts::AbsentHosts, election::OwnEntry, quarantine::QuarantineItem,
     rollback::MissingHosts, rollouts::AllRolloutItems, stream_items::UnstoredStreams,
-    version_record::VersionRecord,
 };
 
 /// Interval of the periodic checks.
@@ -159,8 +158,8 @@
     absent_hosts: AbsentHosts,
     /// Client hosts that keep copies of what this coordinator knows of streams.
     copy_holders: Vec<HostId>,
-    /// The store's record of the versions that serve side by side.
-    version_record: VersionRecord,
+    /// Retention of the store's record of versions, as this host last read it.
+    recorded_retention: Duration,
     /// When this host last wrote that record.
     version_record_written: Option<MonoTime>,
     /// The store's items of suspects.
@@ -229,7 +228,7 @@
             missing_hosts: MissingHosts::default(),
             absent_hosts: AbsentHosts::default(),
             copy_holders: Vec::new(),
-            version_record: VersionRecord::default(),
+            recorded_retention: Duration::ZERO,
             version_record_written: None,
             quarantine_items: BTreeMap::new(),
             quarantine_written: None,
--- a/crates/node/src/fleet/control/store_updates.rs
+++ b/crates/node/src/fleet/control/store_updates.rs
@@ -86,7 +86,7 @@
         }
         let has_config = config.is_some();
         if let Some(item) = items.iter().find(|item| item.key == keys.versions) {
-            self.apply_version_record(item);
+            self.learn_version_record(item);
         }
         self.apply_quarantine_items(&items);
         let runners = items.iter().filter(|item| item.key.starts_with(keys.runners));
@@ -110,7 +110,7 @@
             self.apply_config(item);
         }
         if let Some(item) = items.iter().find(|item| item.key == keys.versions) {
-            self.apply_version_record(item);
+            self.learn_version_record(item);
         }
         self.quarantine_items.clear();
         self.apply_quarantine_items(items);
@@ -160,7 +160,7 @@
         } else if let KvEvent::Put(item) = event
             && item.key == keys.versions
         {
-            self.apply_version_record(item);
+            self.learn_version_record(item);
         } else if let KvEvent::Put(item) = event {
             self.apply_quarantine_items(std::slice::from_ref(item));
         } else if let KvEvent::Delete { key, .. } = event {
--- a/crates/node/src/fleet/control/version_record.rs
+++ b/crates/node/src/fleet/control/version_record.rs
@@ -5,6 +5,11 @@
 //! version were replaced by those of another. The coordinator therefore keeps the versions
 //! in the store, a single one too. The write has no condition: coordinators that don't
 //! know of each other read each other's versions and write all of them.
+//!
+//! What a host knows of versions and what the store has of them are two things: the store
+//! loses a record that it came back without, or that another writer deleted or replaced.
+//! Only the mirror says what the store has, and the record is written whenever that is
+//! not what the coordinator knows.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -34,7 +39,7 @@
 
 /// Versions of each upstream that may have begun a stream.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub(super) struct VersionRecord {
+struct VersionRecord {
     /// Time for which streams may be taken up again, in milliseconds; zero from hosts of
     /// earlier versions.
     #[serde(default)]
@@ -77,8 +82,8 @@
 }
 
 impl FleetControl {
-    /// Applies the store's record.
-    pub(super) fn apply_version_record(&mut self, item: &Versioned) {
+    /// Learns the versions and the retention of the store's record.
+    pub(super) fn learn_version_record(&mut self, item: &Versioned) {
         let record = match serde_json::from_slice::<VersionRecord>(&item.value) {
             Ok(record) => record,
             Err(e) => {
@@ -89,6 +94,7 @@
         let (now, unix_ms) = (self.now(), unix_ms());
         // The versions without a time of their own are kept for this long.
         let retention = Duration::from_millis(record.retention_ms);
+        self.recorded_retention = retention;
         self.coordinator.set_recorded_retention(now, retention);
         for (upstream, versions) in &record.upstreams {
             for RecordedVersion { version, gone_ms, keep_until_ms } in versions {
@@ -106,25 +112,30 @@
                 self.coordinator.version_reported(now, upstream, version, gone_for, time_left);
             }
         }
-        self.version_record = record;
     }
 
-    /// Writes the record if other versions serve than it says.
+    /// Returns the record that the store has, empty if it has none that can be read.
+    fn stored_version_record(&self) -> VersionRecord {
+        let item = self.mirror.get(self.format.keys.versions);
+        let record = item.and_then(|item| serde_json::from_slice(&item.value).ok());
+        record.unwrap_or_default()
+    }
+
+    /// Writes the record if the store has another one, or none.
     pub(super) fn update_version_record(&mut self) {
         let now = self.now();
         if self.coordinator_client.coordinator().is_some() {
             // Another host keeps the record. If this one takes over, it does not know which
             // streams that was for.
-            let retention = Duration::from_millis(self.version_record.retention_ms);
-            self.coordinator.set_recorded_retention(now, retention);
+            self.coordinator.set_recorded_retention(now, self.recorded_retention);
             return;
         }
         if self.mirror.revision().0 == 0 {
             return;
         }
         let record = self.current_versions(now);
-        let former = &self.version_record;
-        if record.states() == former.states() && record.retention_ms == former.retention_ms {
+        let stored = self.stored_version_record();
+        if record.states() == stored.states() && record.retention_ms == stored.retention_ms {
             return;
         }
         // While all hosts start, each coordinates itself for a moment and sees the same.
@@ -132,8 +143,8 @@
         if !record.is_mixed() && 2 * basis.clients <= basis.known {
             return;
         }
-        let adds_version = !record.versions().is_subset(&former.versions());
-        let is_urgent = adds_version || record.retention_ms > former.retention_ms;
+        let adds_version = !record.versions().is_subset(&stored.versions());
+        let is_urgent = adds_version || record.retention_ms > stored.retention_ms;
         let interval = if is_urgent { MIN_ADDITION_INTERVAL } else { MIN_WRITE_INTERVAL };
         if self.version_record_written.is_some_and(|at| now.since(at) < interval) {
             return;
--- a/tests/testsuite/fleet/versions.rs
+++ b/tests/testsuite/fleet/versions.rs
@@ -1,6 +1,7 @@
 //! Streams while runners of several software versions serve side by side.
 
 mod clocks;
+mod lost_records;
 mod retention;
 
 use std::time::Duration;
