Write versions of streams again after an older copy of the store

Cause: as with the record of versions, what had been written counted as stored. The coordinator writes each stream once, and the items of a lost era weren't written again. Their lease was kept, too: its id may be another host's lease in the new era.

Change: the first check in a new era writes all streams that the coordinator knows, which a coordinator that takes over later does as well. A lease is used only in the era that granted it, and a write that crossed the change of the era counts as failed.

--- a/crates/node/src/fleet/control/rollback.rs
+++ b/crates/node/src/fleet/control/rollback.rs
@@ -58,6 +58,7 @@
         self.store_era = revision.era();
         let known = self.mirror.revision();
         if known.0 == 0 {
+            self.unstored_streams.enter_era(self.store_era);
             return;
         }
         log_event!(Event::StoreRolledBack, era = revision.era(), known:% = known);
--- a/crates/node/src/fleet/control/stream_items.rs
+++ b/crates/node/src/fleet/control/stream_items.rs
@@ -5,6 +5,9 @@
 //! refused while several can have begun it. So the coordinator writes the new ones to the
 //! store, some at a time, under leases that end when no caller takes them up any more. Only
 //! hosts that start read them; they aren't relayed.
+//!
+//! A store that comes back from an older copy has lost the items and their leases. The
+//! coordinator then writes all streams that it knows again.
 
 use std::{
     cell::{Cell, RefCell},
@@ -86,6 +89,9 @@
 struct SharedLease {
     id: LeaseId,
     ends_at: MonoTime,
+    /// Era of the store in which it was granted. In a later one the same id may be
+    /// another lease.
+    era: u64,
 }
 
 impl SharedLease {
@@ -103,6 +109,8 @@
     lease: Rc<Cell<Option<SharedLease>>>,
     written: Option<MonoTime>,
     items: u64,
+    /// Era of the store that has what was written.
+    era: u64,
 }
 
 impl UnstoredStreams {
@@ -113,6 +121,11 @@
     pub(super) fn clear(&self) {
         self.records.borrow_mut().clear();
     }
+
+    /// Sets the era of the store. Returns true if the store may have lost what was written.
+    pub(super) fn enter_era(&mut self, era: u64) -> bool {
+        std::mem::replace(&mut self.era, era) < era
+    }
 }
 
 impl FleetControl {
@@ -179,16 +192,15 @@
         let retention = batch.iter().map(|record| record.retention).max().unwrap_or_default();
         let shared = retention.mul_f64(LEASE_FRACTION);
         // A lease that was granted for streams of a shorter retention ends too early.
-        let lease = unstored.lease.get().filter(|lease| lease.covers(now, retention));
+        let era = self.store.era();
+        let lease = unstored.lease.get();
+        let lease = lease.filter(|lease| lease.era == era && lease.covers(now, retention));
         let ttl = (retention + shared).max(MIN_LEASE);
         let (unstored, store) = (unstored.clone(), self.store.clone());
         unstored.is_writing.set(true);
         actix_rt::spawn(async move {
-            match write(&*store, &key, value, lease.map(|lease| lease.id), ttl).await {
-                Ok(id) => {
-                    let granted = SharedLease { id, ends_at: now + ttl };
-                    unstored.lease.set(lease.or(Some(granted)));
-                }
+            match write(&*store, &key, value, lease, now, ttl).await {
+                Ok(lease) => unstored.lease.set(Some(lease)),
                 Err(e) => {
                     log_event!(Event::VersionRecordNotWritten, cause:% = e);
                     unstored.lease.set(None);
@@ -200,18 +212,25 @@
     }
 }
 
-/// Writes an item under a lease, a new one if none is given.
+/// Writes an item under a lease, a new one of this time to live if none is given.
 async fn write(
     store: &dyn Store,
     key: &str,
     value: Vec<u8>,
-    lease: Option<LeaseId>,
+    lease: Option<SharedLease>,
+    now: MonoTime,
     ttl: Duration,
-) -> Result<LeaseId, StoreError> {
+) -> Result<SharedLease, StoreError> {
     let lease = match lease {
         Some(lease) => lease,
-        None => store.grant_lease(ttl).await?,
+        None => {
+            let id = store.grant_lease(ttl).await?;
+            SharedLease { id, ends_at: now + ttl, era: store.era() }
+        }
     };
-    store.put(key, value, Some(lease)).await?;
-    Ok(lease)
+    store.put(key, value, Some(lease.id)).await?;
+    match store.era() == lease.era {
+        true => Ok(lease),
+        false => Err(StoreError::NotDone("the store came back from an older copy".to_owned())),
+    }
 }
--- a/crates/node/src/fleet/control/stream_versions.rs
+++ b/crates/node/src/fleet/control/stream_versions.rs
@@ -84,7 +84,9 @@
         if is_mixed && !is_client && self.mirror.revision().0 > 0 {
             self.unstored_streams.add(&new);
             // Not at the start: what this host knows of a mixture is in the store.
-            if self.was_mixed.replace(true) == Some(false) {
+            let begins = self.was_mixed.replace(true) == Some(false);
+            let is_lost = self.unstored_streams.enter_era(self.store_era);
+            if begins || is_lost {
                 let known: Vec<_> = self.coordinator.known_streams(now).collect();
                 self.unstored_streams.clear();
                 self.unstored_streams.add(&known);
--- a/tests/testsuite/fleet/versions/lost_records.rs
+++ b/tests/testsuite/fleet/versions/lost_records.rs
@@ -1,16 +1,23 @@
 //! What the store has of versions and streams, after it has lost that.
 
-use comfreyway_testkit::{daemon::Signal, fleet_runner::RunnerMode, store::StoreCopy};
+use comfreyway_testkit::{
+    daemon::{Signal, eventually},
+    fleet_runner::RunnerMode,
+    store::StoreCopy,
+};
 use rstest::rstest;
 
 use crate::support::Daemon;
 
 use super::{
     super::harness::{FleetHarness, configuration},
-    EVENTS, RECORD, begin_broken, continued, take_up, wait_for_line, wait_for_record,
-    wait_until_known,
+    EVENTS, RECORD, begin_broken, continued, remaining_events, take_up, wait_for_line,
+    wait_for_record, wait_until_known,
 };
 
+/// Prefix of the store's items of streams.
+const STREAMS: &str = "comfreyway/streams/";
+
 /// How the store loses the record of versions.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Loss {
@@ -124,3 +131,34 @@
     assert_eq!((response.status, response.reason()), (503, "version-unknown".to_owned()));
     assert_eq!(continued(&other), 0);
 }
+
+/// Waits until the store has a stream's version.
+async fn wait_for_stream(fleet: &FleetHarness) {
+    let stored = || async { (!fleet.store.list(STREAMS).is_empty()).then_some(()) };
+    eventually(stored).await.expect("the store has no item of streams");
+}
+
+/// The coordinator wrote each stream once, under a lease of the store's former era.
+#[actix_rt::test]
+async fn versions_of_streams_are_written_again_after_the_store_lost_them() {
+    let fleet = FleetHarness::new();
+    let first = fleet.start_version("dala", "e1", "v1", RunnerMode::Whole);
+    let copy = fleet.store.copy();
+    let host = fleet.start_host("h1").await;
+    begin_broken(&host, "began", &first).await;
+    let other = fleet.start_version("dala", "e2", "v2", RunnerMode::Whole);
+    wait_for_stream(&fleet).await;
+    fleet.store.restore(copy);
+    assert!(fleet.store.list(STREAMS).is_empty());
+    fleet.put_version(&other, "dala", "v2");
+    wait_for_line(&host, "event=CF0546 era=2").await;
+    wait_for_stream(&fleet).await;
+    kill(host).await;
+    let resumed = continued(&first);
+    let host = fleet.start_host("h2").await;
+    wait_until_known(&host, &first).await;
+    wait_until_known(&host, &other).await;
+    let response = take_up(&host, "again", "began").await;
+    assert_eq!(response.body, Some(remaining_events()));
+    assert_eq!((continued(&first) - resumed, continued(&other)), (1, 0));
+}
