--- a/tests/testsuite/fleet/crashing_prompts.rs
+++ b/tests/testsuite/fleet/crashing_prompts.rs
@@ -89,6 +89,7 @@
 async fn a_quarantine_in_the_store_holds_for_hosts_that_start_until_operators_lift_it() {
     let fleet = FleetHarness::new();
     let runner = fleet.start_version("dala", "e1", "v1", RunnerMode::Stream(EVENTS));
+    let copy = fleet.store.copy();
     let item = r#"{"runs":[{"name":"e0","born_ms":null}]}"#;
     fleet.store.put("comfreyway/quarantine/bad0", item.as_bytes());
     let host = fleet.start_host("h1").await;
@@ -97,12 +98,14 @@
     assert_eq!(runner.arrivals(), 0);
     assert_eq!(call_with_part(&host, "id-2", "5e").await, (200, String::new()));
 
-    fleet.store.delete("comfreyway/quarantine/bad0");
     let is_back = || async {
         let keys = fleet.store.keys();
         keys.with_store(|keys, now| keys.get("comfreyway/quarantine/bad0", now))
     };
+    fleet.store.delete("comfreyway/quarantine/bad0");
     eventually(is_back).await.expect("the host writes the item again");
+    fleet.store.restore(copy);
+    eventually(is_back).await.expect("the host writes the item again after an older copy");
     assert_eq!(call_with_part(&host, "id-3", "bad0").await, refused);
 
     fleet.store.put("comfreyway/quarantine/bad0", br#"{"allowed":true}"#);
--- a/tests/testsuite/fleet/rollouts.rs
+++ b/tests/testsuite/fleet/rollouts.rs
@@ -114,6 +114,21 @@
     assert_eq!(play.new.arrivals(), new);
 }
 
+/// The store comes back from a copy that has the order and no verdict.
+#[actix_rt::test]
+async fn a_verdict_that_the_store_lost_is_written_again() {
+    let play = RolloutFleet::new(RunnerMode::Fails);
+    let host = play.start_host("h1").await;
+    play.order();
+    let copy = play.fleet.store.copy();
+    play.call_until(&host, "rolled_back").await;
+    let new = play.new.arrivals();
+    play.fleet.store.restore(copy);
+    assert_eq!(play.status(), Value::Null);
+    play.call_until(&host, "rolled_back").await;
+    assert_eq!(play.new.arrivals(), new);
+}
+
 /// The operators have repaired the version and order it again.
 #[actix_rt::test]
 async fn an_order_given_again_starts_anew() {
