Require API keys also when no workspace is left

Cause: whether keys are required was derived from the workspaces that a configuration adds, so that an empty list counted as none. The users' page asks for keys "if the configuration contains `tenants`".

Ruled out: that hosts go on with the former version (CF0511 names the new one), and that the revoked key stays known (one that was never known runs as well). With a workspace that stays without keys, the key is refused.

The embedded design refuses each workspace that is not configured, by reading.

--- a/crates/core/src/fleet/config.rs
+++ b/crates/core/src/fleet/config.rs
@@ -179,7 +179,8 @@
     pub upstreams: BTreeMap<UpstreamName, UpstreamConfig>,
     /// Limits on what callers send.
     pub limits: CallerLimits,
-    /// True if callers need an API key on routes that are not public.
+    /// True if callers need an API key on routes that are not public, also while no workspace
+    /// has one.
     pub keys_required: bool,
     routes: BTreeMap<String, Vec<Route>>,
     workspaces: BTreeMap<WorkspaceName, Workspace>,
@@ -218,6 +219,31 @@
         self
     }
 
+    /// Requires API keys on routes that are not public. Without a workspace none is accepted.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use comfreyway_core::fleet::{CallerLimits, FleetConfig};
+    ///
+    /// let limits = CallerLimits {
+    ///     max_head_bytes: 16 << 10,
+    ///     max_body_bytes: 4 << 20,
+    ///     read_timeout: Duration::from_secs(3),
+    ///     idle_timeout: Duration::from_secs(15),
+    /// };
+    /// let config = FleetConfig::new(1, 1, limits).with_required_keys();
+    /// assert!(config.keys_required);
+    /// assert!(config.workspace_of("any key").is_none());
+    /// ```
+    #[must_use]
+    pub fn with_required_keys(mut self) -> Self {
+        self.keys_required = true;
+        self
+    }
+
     /// Adds a workspace with its API keys, which are required from then on.
     #[must_use]
     pub fn with_workspace<I>(mut self, workspace: Workspace, keys: I) -> Self
--- a/tests/testsuite/fleet/configuration.rs
+++ b/tests/testsuite/fleet/configuration.rs
@@ -5,7 +5,8 @@
     fleet_runner::RunnerMode,
     store::{StoreFaults, StoreOutage},
 };
-use serde_json::json;
+use rstest::rstest;
+use serde_json::{Value, json};
 
 use crate::support::Daemon;
 
@@ -61,6 +62,51 @@
     assert_eq!(call_with(&host, "id-3", "/lookup/", &new, "").await.status, 404);
 }
 
+/// Whether keys are required was decided from the number of workspaces, so the last one took
+/// the check of keys away with it: its revoked key, any other one and none were let in.
+#[rstest]
+#[case::no_workspace(json!([]))]
+#[case::workspace_without_keys(json!([{ "name": "desk", "apiKeys": [] }]))]
+#[case::keys_missing(json!([{ "name": "desk" }]))]
+#[actix_rt::test]
+async fn a_revoked_key_is_refused_also_if_no_key_is_left(#[case] tenants: Value) {
+    let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
+    let mut hosts = vec![fleet.start_host("h1").await, fleet.start_host("h2").await];
+    for host in &hosts {
+        assert_eq!(call(host, "id-1", "/lookup/").await.status, 200);
+    }
+    let mut revoked = configuration(2);
+    revoked["tenants"] = tenants;
+    fleet.put_configuration(revoked);
+    for host in &hosts {
+        let log = || async { host.log().contains("CF0511 version=2").then_some(()) };
+        eventually(log).await.expect("the new version did not come into force");
+    }
+    hosts.push(fleet.start_host("h3").await);
+    let runs = fleet.runners[0].runs().len();
+    for host in &hosts {
+        for (number, key) in [Some(DESK_KEY), Some("guessed"), None].into_iter().enumerate() {
+            let headers: Vec<_> = key.iter().map(|key| (KEY, *key)).collect();
+            let response = call_with(host, &format!("id-{number}"), "/lookup/", &headers, "").await;
+            let got = (response.status, response.reason());
+            assert_eq!(got, (401, "unknown-key".to_owned()), "{key:?}");
+        }
+    }
+    assert_eq!(fleet.runners[0].runs().len(), runs);
+    // Public routes need no key.
+    assert_eq!(call_with(&hosts[0], "id-4", "/open/", &[], "").await.status, 200);
+}
+
+#[actix_rt::test]
+async fn a_configuration_that_lists_no_workspaces_needs_no_keys() {
+    let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
+    let mut open = configuration(2);
+    open.as_object_mut().unwrap().remove("tenants");
+    fleet.put_configuration(open);
+    let host = fleet.start_host("h1").await;
+    assert_eq!(call_with(&host, "id-1", "/lookup/", &[], "").await.status, 200);
+}
+
 #[actix_rt::test]
 async fn keys_are_accepted_only_while_the_configuration_is_verified_as_current() {
     let fleet = FleetHarness::new().with_runner("survey", "r1", RunnerMode::Whole);
