--- a/tests/testsuite/fleet/crashing_prompts.rs
+++ b/tests/testsuite/fleet/crashing_prompts.rs
@@ -8,6 +8,7 @@
 
 use actix_rt::time::sleep;
 use comfreyway_testkit::{daemon::eventually, fleet_runner::RunnerMode};
+use rstest::rstest;
 
 use crate::support::Daemon;
 
@@ -19,8 +20,36 @@
     harness::{DESK_KEY, FleetHarness, KEY, PARTS, call_with, events},
 };
 
-/// The part that crashes runners.
-const CRASHING_PART: &str = "bad0";
+/// How prompts are made of parts.
+#[derive(Clone, Copy, Debug)]
+enum Prompts {
+    /// Of four parts, the crashing one third.
+    Short,
+    /// As short ones, with IDs of 32 digits that differ in the middle.
+    LongIds,
+}
+
+impl Prompts {
+    /// Returns the part that crashes runners, and the one in its place in sound prompts.
+    fn parts(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Short => ("bad0", "5e"),
+            Self::LongIds => {
+                ("5e5e5e5e5e5e5e5ebad0bad0bad0bad0", "5e5e5e5e5e5e5e5e0000bad0bad0bad0")
+            }
+        }
+    }
+
+    /// Returns the parts of a prompt, of which only the last belongs to it alone.
+    fn header(self, part: &str, number: u32) -> String {
+        let caller = number % 2;
+        match self {
+            Self::Short | Self::LongIds => {
+                format!("a1:60,b{caller}:300,{part}:200,{number:x}:90")
+            }
+        }
+    }
+}
 
 /// Number of events of a whole stream.
 const EVENTS: u64 = 6;
@@ -28,23 +57,31 @@
 /// Crashes of which the users know, before they count what still reaches runners.
 const KNOWN_CRASHES: usize = 5;
 
-const ENGINES: RunnerSet = RunnerSet {
-    upstream: "dala",
-    size: 6,
-    mode: RunnerMode::Stream(EVENTS),
-    work_time: Duration::ZERO,
-    trigger: CrashTrigger::Part(CRASHING_PART),
-};
+fn engines(crashing_part: &'static str) -> RunnerSet {
+    RunnerSet {
+        upstream: "dala",
+        size: 6,
+        mode: RunnerMode::Stream(EVENTS),
+        work_time: Duration::ZERO,
+        trigger: CrashTrigger::Part(crashing_part),
+    }
+}
 
 /// Pause of a caller between two requests.
 const CALLER_PAUSE: Duration = Duration::from_millis(40);
 
 /// Sends requests with the crashing part, no two alike, or sound ones that share their
 /// caller and their other parts.
-async fn send_requests(host: Rc<Daemon>, name: String, calls: Option<Rc<RefCell<Vec<SoundCall>>>>) {
+async fn send_requests(
+    host: Rc<Daemon>,
+    name: String,
+    prompts: Prompts,
+    calls: Option<Rc<RefCell<Vec<SoundCall>>>>,
+) {
+    let (crashing, sound) = prompts.parts();
     for number in 0.. {
-        let second = if calls.is_some() { "5e" } else { CRASHING_PART };
-        let parts = format!("a1:60,b{}:300,{second}:200,{number:x}:90", number % 2);
+        let part = if calls.is_some() { sound } else { crashing };
+        let parts = prompts.header(part, number);
         let (id, sent_at) = (format!("{name}-{number}"), Instant::now());
         let headers = [(KEY, DESK_KEY), (PARTS, &*parts)];
         let response = call_with(&host, &id, "/report/", &headers, &id).await;
@@ -56,17 +93,22 @@
     }
 }
 
+/// Parts with an ID of more than 16 digits were not read, so they went on crashing runners.
+#[rstest]
+#[case::short(Prompts::Short)]
+#[case::long_ids(Prompts::LongIds)]
 #[actix_rt::test]
-async fn prompts_with_a_part_that_crashes_runners_stop_reaching_them() {
-    let mut fleet = CrashingFleet::new(ENGINES);
+async fn prompts_with_a_part_that_crashes_runners_stop_reaching_them(#[case] prompts: Prompts) {
+    let mut fleet = CrashingFleet::new(engines(prompts.parts().0));
     let hosts =
         [Rc::new(fleet.fleet.start_host("h1").await), Rc::new(fleet.fleet.start_host("h2").await)];
     let calls = Rc::new(RefCell::new(Vec::new()));
     let mut callers = Vec::new();
     for (number, host) in hosts.iter().enumerate() {
         let (crashing, sound) = (format!("crashing-{number}"), format!("sound-{number}"));
-        callers.push(actix_rt::spawn(send_requests(host.clone(), crashing, None)));
-        callers.push(actix_rt::spawn(send_requests(host.clone(), sound, Some(calls.clone()))));
+        let calls = Some(calls.clone());
+        callers.push(actix_rt::spawn(send_requests(host.clone(), crashing, prompts, None)));
+        callers.push(actix_rt::spawn(send_requests(host.clone(), sound, prompts, calls)));
     }
     fleet.run(KNOWN_CRASHES, 3 * CONTACT_TIME).await;
     callers.iter().for_each(|caller| caller.abort());
