Gather evidence on all parts of long prompts

Runners crash for as long as such requests come, and sound requests break with them.

Cause: the parser read the first 32 parts of the header and dropped the others. Ruled out: that evidence is gathered and lost; the place alone decides. The bound kept something else small: each part of a request that broke got evidence of its own, with a copy of all the request's parts, and of 4,096 suspects those with the fewest breaks gave way first, so one prompt of the longest head would have pushed out all others, and the deadly part too.

Change: all parts are read. Prompts of up to 32 parts are treated as before. Of a longer one each part is noted with the runs that broke under it. Evidence follows for those that were in several prompts that broke, most first, 32 of a prompt at a time: what crashes runners is in all of them. What comes again is noted anew, so parts that don't can't push it out. Suspects of a request are shared and looked up (SuspectList) where they were copied and searched. Placing remembers 32 beginnings of a prompt and 16 for each doubling of its parts.

The tests of core quarantine build SuspectList where they built vectors; what they ask is unchanged.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -13,9 +13,9 @@
 
 use comfreyway_core::{
     fleet::{
-        Coordinator, PlacementReply, PlacementRequest, QuotaTolerance, RequestContent,
-        RequestDigest, RequestUpdate, RetryBudgetLimits, RunnerChange, RunnerDirectory,
-        RunnerEntry, RunnerKey, RunnerVersion,
+        Coordinator, PlacementReply, PlacementRequest, PromptPart, Quarantine, QuotaTolerance,
+        RequestContent, RequestDigest, RequestUpdate, RetryBudgetLimits, RunnerChange,
+        RunnerDirectory, RunnerEntry, RunnerKey, RunnerVersion, SuspectList, SuspectRun,
     },
     ids::{HostId, RequestId, Tier},
     request::{DispatchEnd, RequestRecord, Target, Usage},
@@ -33,6 +33,10 @@
 const DIGESTS: u64 = 10_000;
 const BODY_BYTES: [usize; 3] = [500, 16 << 10, 100 << 10];
 const PROMPT_TOKENS: u32 = 3_000;
+/// Parts of a prompt: as before there were long ones, and as many as fit into a head of 16 KiB.
+const PARTS: [u64; 3] = [2, 32, 3_500];
+/// Requests that a runner breaks as it crashes.
+const BROKEN: u64 = 5;
 /// Time between two requests.
 const REQUEST_INTERVAL: Duration = Duration::from_micros(700);
 
@@ -47,6 +51,8 @@
     /// Granted requests, the oldest first.
     in_progress: VecDeque<(HostId, RequestId)>,
     digests: Vec<RequestDigest>,
+    /// Number of parts of each prompt, all of its own.
+    parts: u64,
 }
 
 impl Fleet {
@@ -60,7 +66,7 @@
         coordinator.apply_runner_changes(now, &changes, &mut Vec::new());
         let digests = (0..DIGESTS).map(digest).collect();
         let in_progress = VecDeque::new();
-        let mut fleet = Self { coordinator, now, last_id: 0, in_progress, digests };
+        let mut fleet = Self { coordinator, now, last_id: 0, in_progress, digests, parts: 0 };
         for _ in 0..runners * SLOTS as usize + waiting {
             fleet.arrive();
         }
@@ -92,7 +98,7 @@
         let req = PlacementRequest {
             record,
             upstream: "dala".parse().unwrap_or_else(|_| unreachable!()),
-            parts: Vec::new(),
+            parts: parts_of(self.last_id as u64, self.parts).collect(),
             digest: self.digests.get(self.last_id as usize % DIGESTS as usize).copied(),
             cost: 1.0,
             time_limit: Duration::from_secs(7_200),
@@ -141,6 +147,11 @@
     }
 }
 
+/// Parts that no other request has.
+fn parts_of(request: u64, count: u64) -> impl Iterator<Item = PromptPart> {
+    (0..count).map(move |number| PromptPart(request << 16 | number))
+}
+
 fn digest(number: u64) -> RequestDigest {
     RequestDigest::new(&RequestContent {
         workspace: None,
@@ -190,6 +201,44 @@
     group.finish();
 }
 
+/// Cost of a request by the parts of its prompt, and of a crash that breaks several.
+fn bench_parts(c: &mut Criterion) {
+    let mut group = c.benchmark_group("fleet_parts");
+    group.sample_size(10).measurement_time(Duration::from_secs(1));
+    group.warm_up_time(Duration::from_millis(300));
+    for parts in PARTS {
+        let mut fleet = Fleet::new(RUNNERS[0], WAITING[1]);
+        fleet.parts = parts;
+        group.bench_function(BenchmarkId::new("request", parts), |b| b.iter(|| fleet.cycle()));
+        let (mut quarantine, mut crashes) = (Quarantine::default(), 0);
+        group.bench_function(BenchmarkId::new("crash", parts), |b| {
+            b.iter(|| {
+                crashes += 1;
+                crash(&mut quarantine, crashes, parts);
+            });
+        });
+    }
+    group.finish();
+}
+
+/// A runner crashes, and breaks requests of which each has a crashing part and others of its
+/// own.
+fn crash(quarantine: &mut Quarantine, number: u64, parts: u64) {
+    let runner = RunnerKey { name: name(number as usize), started_ms: Some(1) };
+    let at = MonoTime::from_millis(number * 1_000);
+    for request in 0..BROKEN {
+        let own = parts_of(number * BROKEN + request, parts - 1);
+        let crashing = PromptPart(u64::MAX - number % DIGESTS);
+        let suspects = SuspectList::new(own.chain([crashing]), None);
+        let (runner, ended_at) = (runner.clone(), at + Duration::from_millis(100));
+        let run = SuspectRun { runner, suspects, granted_at: at, begun_at: None, ended_at };
+        quarantine.broke(&run);
+    }
+    quarantine.run_ended(&runner);
+    quarantine.decide();
+    black_box(quarantine.take_changed());
+}
+
 /// Measures the start of all hosts at once: each host lists the runners, and one
 /// coordinator gets all other hosts as clients, one after the other.
 fn bench_start(c: &mut Criterion) {
@@ -257,6 +306,7 @@
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     bench_request(&mut criterion);
+    bench_parts(&mut criterion);
     bench_start(&mut criterion);
     bench_digest(&mut criterion);
     criterion.final_summary();
--- a/crates/core/src/fleet/client.rs
+++ b/crates/core/src/fleet/client.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Coordinator, PlacementReply, PlacementRequest, RequestUpdate, RunnerVersion, StreamRecord,
-    Suspect, coordinator::QUARANTINE_RETRY_AFTER,
+    SuspectList, coordinator::QUARANTINE_RETRY_AFTER,
 };
 
 mod link;
@@ -285,7 +285,7 @@
 
     /// Returns what a request may crash its runner with.
     #[must_use]
-    pub fn suspects(&self, id: RequestId) -> Vec<Suspect> {
+    pub fn suspects(&self, id: RequestId) -> SuspectList {
         self.open.get(&id).map(|open| open.req.suspects()).unwrap_or_default()
     }
 
--- a/crates/core/src/fleet/coordinator/requests.rs
+++ b/crates/core/src/fleet/coordinator/requests.rs
@@ -6,7 +6,7 @@
 use crate::{
     fleet::{
         DispatchFailure, PlacementReply, PlacementRequest, RunnerVersion, StreamBinding,
-        StreamRecord, Suspect, SuspectState,
+        StreamRecord, SuspectList, SuspectState,
     },
     ids::{HostId, RequestId, RunnerName, UpstreamName, WorkspaceName},
     outcome::{NotRunReason, RetryReason},
@@ -36,7 +36,7 @@
     pub(super) reserved: bool,
     pub(super) stream: Option<StreamBinding>,
     /// What it may crash its runner with.
-    pub(super) suspects: Vec<Suspect>,
+    pub(super) suspects: SuspectList,
     /// The runner it was granted, and when; zero if by another coordinator.
     pub(super) dispatch: Option<(RunnerName, MonoTime)>,
     /// When its first token or byte was reported.
@@ -218,7 +218,7 @@
             granted,
             reserved: false,
             stream: None,
-            suspects: Vec::new(),
+            suspects: SuspectList::default(),
             dispatch: None,
             begun_at: None,
             held: false,
--- a/crates/core/src/fleet/coordinator/suspects.rs
+++ b/crates/core/src/fleet/coordinator/suspects.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     fleet::{
-        PlacementReply, Quarantine, RecordSource, RunnerChange, RunnerKey, Suspect, SuspectRecord,
-        SuspectRun, SuspectState,
+        PlacementReply, Quarantine, RecordSource, RunnerChange, RunnerKey, Suspect, SuspectList,
+        SuspectRecord, SuspectRun, SuspectState,
     },
     ids::HostId,
     request::DispatchEnd,
@@ -63,7 +63,7 @@
     pub fn record_own_response(
         &mut self,
         now: MonoTime,
-        suspects: &[Suspect],
+        suspects: &SuspectList,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
         self.quarantine.completed(suspects);
--- a/crates/core/src/fleet/coordinator/trials.rs
+++ b/crates/core/src/fleet/coordinator/trials.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use crate::{
-    fleet::{PlacementReply, Suspect, SuspectState},
+    fleet::{PlacementReply, Suspect, SuspectList, SuspectState},
     ids::{HostId, RequestId, UpstreamName},
     outcome::NotRunReason,
     time::MonoTime,
@@ -29,7 +29,7 @@
         &self,
         now: MonoTime,
         upstream: &UpstreamName,
-        suspects: &[Suspect],
+        suspects: &SuspectList,
     ) -> Result<Admission, NotRunReason> {
         if let Some(reason) = self.quarantine.refusal(suspects) {
             return Err(reason);
@@ -48,7 +48,7 @@
     }
 
     /// Returns true if the upstream can spare the runner that a trial may crash.
-    fn may_try(&self, now: MonoTime, upstream: &UpstreamName, suspects: &[Suspect]) -> bool {
+    fn may_try(&self, now: MonoTime, upstream: &UpstreamName, suspects: &SuspectList) -> bool {
         let state = self.upstreams.get(upstream);
         state.is_none_or(|state| state.scheduler.can_spare_runner(now))
             || now.since(self.quarantine.last_break(suspects)) >= LAST_RUNNER_DELAY
@@ -57,8 +57,8 @@
     /// Adds an open request to the trials of its suspects.
     pub(super) fn join_trials(&mut self, id: RequestId) {
         let Some(open) = self.open.get(&id) else { return };
-        for suspect in &open.suspects {
-            if let Some(members) = self.trials.get_mut(suspect) {
+        for suspect in open.suspects.found_in(&self.trials) {
+            if let Some(members) = self.trials.get_mut(&suspect) {
                 members.insert(id);
             }
         }
@@ -66,13 +66,14 @@
 
     /// Returns true if a request that is not held has one of these suspects, of those that
     /// are tried. A whole request is tried alone at its upstream.
-    fn is_tried(&self, upstream: &UpstreamName, suspects: &[Suspect]) -> bool {
+    fn is_tried(&self, upstream: &UpstreamName, suspects: &SuspectList) -> bool {
         let is_request = |suspect: &Suspect| matches!(suspect, Suspect::Request(_));
         let is_started = |id: &RequestId| self.open.get(id).is_some_and(|open| !open.held);
         let is_here = |id: &RequestId| {
             self.open.get(id).is_some_and(|open| !open.held && open.upstream == *upstream)
         };
-        let mut tried = suspects.iter().filter_map(|suspect| self.trials.get_key_value(suspect));
+        let tried = suspects.found_in(&self.trials);
+        let mut tried = tried.iter().filter_map(|suspect| self.trials.get_key_value(suspect));
         tried.any(|(suspect, members)| {
             let mut others = self.trials.iter().filter(|(other, _)| is_request(other));
             members.iter().any(is_started)
@@ -108,11 +109,7 @@
             SuspectState::Free => {
                 for id in self.trials.remove(&suspect).into_iter().flatten() {
                     let is_free = |open: &HostRequest| {
-                        open.held
-                            && !open
-                                .suspects
-                                .iter()
-                                .any(|suspect| self.trials.contains_key(suspect))
+                        open.held && open.suspects.found_in(&self.trials).is_empty()
                     };
                     if self.open.get(&id).is_some_and(is_free) {
                         self.start_trial(now, id, out);
@@ -126,7 +123,7 @@
                 }
             }
             SuspectState::Trial | SuspectState::Stopped => {
-                let open = self.open.iter().filter(|(_, open)| open.suspects.contains(&suspect));
+                let open = self.open.iter().filter(|(_, open)| open.suspects.contains(suspect));
                 let members = open.map(|(id, _)| *id).collect::<BTreeSet<_>>();
                 self.trials.insert(suspect, members);
                 for id in self.waiting_with(suspect) {
@@ -139,7 +136,7 @@
     /// Returns the requests with this suspect that are not granted.
     fn waiting_with(&self, suspect: Suspect) -> Vec<RequestId> {
         let open = self.open.iter();
-        let waiting = open.filter(|(_, open)| !open.granted && open.suspects.contains(&suspect));
+        let waiting = open.filter(|(_, open)| !open.granted && open.suspects.contains(suspect));
         waiting.map(|(id, _)| *id).collect()
     }
 
@@ -150,7 +147,7 @@
         id: RequestId,
         out: &mut Vec<(HostId, PlacementReply)>,
     ) {
-        let suspects = self.open.get(&id).map(|open| &open.suspects[..]);
+        let suspects = self.open.get(&id).map(|open| &open.suspects);
         let reason = suspects.and_then(|suspects| self.quarantine.refusal(suspects));
         let (Some(reason), Some(open)) = (reason, self.remove_open(now, id)) else { return };
         out.push((open.host, PlacementReply::Refuse(id, reason, QUARANTINE_RETRY_AFTER)));
@@ -170,7 +167,7 @@
     /// Holds a request that waits again if one of its suspects is tried. Returns true if so.
     pub(super) fn hold_for_trial(&mut self, id: RequestId) -> bool {
         let Some(open) = self.open.get_mut(&id) else { return false };
-        open.held = open.suspects.iter().any(|suspect| self.trials.contains_key(suspect));
+        open.held = !open.suspects.found_in(&self.trials).is_empty();
         open.held
     }
 
@@ -180,11 +177,12 @@
             .trials
             .iter()
             .filter(|(suspect, _)| self.quarantine.state(**suspect) == SuspectState::Trial);
-        let candidates = tried.flat_map(|(_, members)| members).filter_map(|id| {
+        let ids: BTreeSet<_> = tried.flat_map(|(_, members)| members).collect();
+        let candidates = ids.into_iter().filter_map(|id| {
             let open = self.open.get(id).filter(|open| open.held)?;
             let admission = self.admit_suspects(now, &open.upstream, &open.suspects);
-            let tried = open.suspects.iter().filter(|suspect| self.trials.contains_key(suspect));
-            (admission == Ok(Admission::Start)).then(|| (tried.count(), *id))
+            let tried = || open.suspects.found_in(&self.trials).len();
+            (admission == Ok(Admission::Start)).then(|| (tried(), *id))
         });
         candidates.min().map(|(_, id)| id)
     }
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -13,7 +13,7 @@
     request::{DispatchEnd, RequestRecord},
 };
 
-use super::{PromptPart, RequestDigest, RunnerVersion, StreamBinding, Suspect};
+use super::{PromptPart, RequestDigest, RunnerVersion, StreamBinding, SuspectList};
 
 /// A request that needs a runner.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -67,9 +67,8 @@
 
     /// Returns what the request may crash its runner with.
     #[must_use]
-    pub fn suspects(&self) -> Vec<Suspect> {
-        let parts = self.parts.iter().copied().map(Suspect::Part);
-        parts.chain(self.digest.map(Suspect::Request)).collect()
+    pub fn suspects(&self) -> SuspectList {
+        SuspectList::new(self.parts.iter().copied(), self.digest)
     }
 }
 
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -54,6 +54,7 @@
 mod stream_retention;
 mod stream_versions;
 mod suspect;
+mod suspect_list;
 mod version_history;
 
 pub use self::{
@@ -89,5 +90,6 @@
     stream_retention::{StreamRetention, stream_retention},
     stream_versions::StreamVersions,
     suspect::{InvalidSuspect, Suspect},
+    suspect_list::SuspectList,
     version_history::{GoneVersion, VersionHistory},
 };
--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -18,6 +18,7 @@
 //!   cut off. As many crashes as [`CrashLimits`] allows quarantine a suspect. Those don't
 //!   count that another request of the run explains better.
 
+mod candidates;
 mod evidence;
 mod limits;
 mod recent;
@@ -30,11 +31,11 @@
 
 use crate::{outcome::NotRunReason, time::MonoTime};
 
-use super::{RunnerKey, Suspect};
+use super::{RunnerKey, Suspect, SuspectList};
 
 pub use self::records::{RecordSource, SuspectRecord};
 
-use self::{evidence::Evidence, limits::CrashLimits, recent::RecentSet};
+use self::{candidates::Candidates, evidence::Evidence, limits::CrashLimits, recent::RecentSet};
 
 /// Number of breaks from which on requests with a suspect are tried one at a time.
 const TRIAL_BREAKS: usize = 2;
@@ -54,6 +55,10 @@
 /// it does.
 const BEGIN_TIME: Duration = Duration::from_secs(1);
 
+/// Maximum number of parts of one prompt for which evidence is gathered, or which a complete
+/// response is known to have had.
+const MAX_TRACKED_PARTS: usize = 32;
+
 /// Maximum number of suspects of each kind that are remembered.
 const MAX_SUSPECTS: usize = 4_096;
 
@@ -75,8 +80,8 @@
 pub struct SuspectRun {
     /// The run.
     pub runner: RunnerKey,
-    /// What it may crash the run with. Parts of its prompt are in order.
-    pub suspects: Vec<Suspect>,
+    /// What it may crash the run with.
+    pub suspects: SuspectList,
     /// When the request was granted.
     pub granted_at: MonoTime,
     /// When its first token or byte was reported.
@@ -109,7 +114,7 @@
 ///     let runner = RunnerKey { name: format!("r{second}").parse().unwrap(), started_ms: None };
 ///     let (granted_at, ended_at) =
 ///         (MonoTime::from_millis(second * 1_000 + 1), MonoTime::from_millis(second * 1_000 + 90));
-///     let (suspects, begun_at) = (vec![suspect], None);
+///     let (suspects, begun_at) = ([suspect].into(), None);
 ///     let run = SuspectRun { runner, suspects, granted_at, begun_at, ended_at };
 ///     quarantine.broke(&run);
 ///     quarantine.run_ended(&run.runner);
@@ -122,6 +127,8 @@
     /// Time of the last tick.
     now: MonoTime,
     evidence: BTreeMap<Suspect, Evidence>,
+    /// Parts of long prompts for which no evidence is gathered yet.
+    candidates: Candidates,
     /// Quarantined suspects, with the runs that ended under them.
     quarantined: BTreeMap<Suspect, Vec<RunnerKey>>,
     /// Suspects that operators allowed again.
@@ -171,25 +178,28 @@
 
     /// Returns how a request with these suspects may start.
     #[must_use]
-    pub fn state_of(&self, suspects: &[Suspect]) -> SuspectState {
-        let is_empty = self.evidence.is_empty() && self.quarantined.is_empty();
-        let suspects = suspects.iter().filter(|_| !is_empty);
-        suspects.map(|suspect| self.state(*suspect)).max().unwrap_or(SuspectState::Free)
+    pub fn state_of(&self, suspects: &SuspectList) -> SuspectState {
+        if !suspects.found_in(&self.quarantined).is_empty() {
+            return SuspectState::Quarantined;
+        }
+        let states = suspects.found_in(&self.evidence).into_iter().map(|s| self.state(s));
+        states.max().unwrap_or(SuspectState::Free)
     }
 
     /// Returns when a response to a request with one of these suspects broke last, of
     /// those that count.
     #[must_use]
-    pub fn last_break(&self, suspects: &[Suspect]) -> MonoTime {
+    pub fn last_break(&self, suspects: &SuspectList) -> MonoTime {
+        let suspects = suspects.found_in(&self.evidence);
         let evidence = suspects.iter().filter_map(|suspect| self.evidence.get(suspect));
         evidence.map(Evidence::last_break).max().unwrap_or(MonoTime::ZERO)
     }
 
     /// Returns why a request with these suspects is refused, if one is quarantined.
     #[must_use]
-    pub fn refusal(&self, suspects: &[Suspect]) -> Option<NotRunReason> {
-        let quarantined = suspects.iter().filter(|suspect| self.quarantined.contains_key(suspect));
-        let reasons = quarantined.map(|suspect| match suspect {
+    pub fn refusal(&self, suspects: &SuspectList) -> Option<NotRunReason> {
+        let quarantined = suspects.found_in(&self.quarantined);
+        let reasons = quarantined.into_iter().map(|suspect| match suspect {
             Suspect::Part(_) => NotRunReason::PromptQuarantined,
             Suspect::Request(_) => NotRunReason::RequestQuarantined,
         });
@@ -209,11 +219,14 @@
     }
 
     /// Records a complete response.
-    pub fn completed(&mut self, suspects: &[Suspect]) {
-        for suspect in suspects {
-            self.clear(*suspect);
-            self.sound.insert(*suspect);
-            self.proven.insert(*suspect);
+    pub fn completed(&mut self, suspects: &SuspectList) {
+        for (suspect, position) in suspects.iter() {
+            let is_part = matches!(suspect, Suspect::Part(_));
+            // Parts far back in a long prompt are hardly shared, and many.
+            if self.clear(suspect) || !is_part || position < MAX_TRACKED_PARTS {
+                self.sound.insert(suspect);
+                self.proven.insert(suspect);
+            }
         }
     }
 
--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -2,16 +2,18 @@
 
 use std::{
     collections::{BTreeSet, btree_map::Entry},
+    sync::Arc,
     time::Duration,
 };
 
 use crate::{
-    fleet::{RunnerKey, Suspect},
+    fleet::{PromptPart, RunnerKey, Suspect, SuspectList},
     time::MonoTime,
 };
 
 use super::{
-    CRASH_SPREAD, CrashLimits, MAX_SUSPECTS, Quarantine, RecordSource, SuspectRun, SuspectState,
+    CRASH_SPREAD, CrashLimits, MAX_SUSPECTS, MAX_TRACKED_PARTS, Quarantine, RecordSource,
+    SuspectRun, SuspectState, TRIAL_BREAKS,
 };
 
 /// Maximum number of runs that are remembered of one suspect.
@@ -29,7 +31,7 @@
     /// True if the run is known to have ended.
     pub(super) confirmed: bool,
     /// Suspects of the request; none if another host reported it.
-    pub(super) suspects: Vec<Suspect>,
+    pub(super) suspects: SuspectList,
     /// Other runs that broke at about the same time.
     others: Vec<RunnerKey>,
     /// True if it was copied from another coordinator of this host or of a client.
@@ -74,7 +76,7 @@
             runner: runner.clone(),
             at: now,
             confirmed,
-            suspects: Vec::new(),
+            suspects: SuspectList::default(),
             others: Vec::new(),
             is_copied: source != RecordSource::Store,
         });
@@ -134,39 +136,109 @@
     pub(super) fn count_break(&mut self, run: &SuspectRun) {
         self.unconfirmed.insert(run.runner.clone(), run.ended_at);
         let others = self.record_recent_break(run);
-        let is_part = |suspect: &&Suspect| matches!(suspect, Suspect::Part(_));
-        let mut parts = run.suspects.iter().filter(is_part);
-        let all_sound = parts.all(|part| self.sound.contains(part));
-        for (position, suspect) in run.suspects.iter().enumerate() {
-            let was_sound = self.sound.remove(suspect);
-            if let Some(runs) = self.quarantined.get_mut(suspect) {
+        let mut parts = run.suspects.parts();
+        let all_sound = parts.all(|part| self.sound.contains(&Suspect::Part(part)));
+        let mut suspected = Vec::new();
+        for (suspect, position) in run.suspects.iter() {
+            let is_part = matches!(suspect, Suspect::Part(_));
+            let was_sound = self.sound.remove(&suspect);
+            if let Some(runs) = self.quarantined.get_mut(&suspect) {
                 // Requests that were on their way explain what they broke, too.
                 if runs.len() < MAX_RUNS && !runs.contains(&run.runner) {
                     runs.push(run.runner.clone());
                 }
                 continue;
             }
-            if is_part(&suspect) && was_sound && !all_sound {
+            if is_part && was_sound && !all_sound {
                 continue;
             }
-            if !is_part(&suspect) && run.outlived_begin() {
-                self.clear(*suspect);
+            if !is_part && run.outlived_begin() {
+                self.clear(suspect);
                 continue;
             }
-            if self.evidence_of(*suspect, position).add(run, &others) {
-                self.changed.insert(*suspect);
+            suspected.push((suspect, position));
+        }
+        for (suspect, position) in self.tracked(run, suspected) {
+            if self.evidence_of(suspect, position).add(run, &others) {
+                self.changed.insert(suspect);
             }
         }
     }
 
-    /// Clears a suspect of all that is known against it.
-    pub(super) fn clear(&mut self, suspect: Suspect) {
+    /// Returns the suspects of a break for which evidence is gathered. All parts of a long
+    /// prompt are noted. Those that were in several that broke follow, the ones in most of them
+    /// first, as long as few parts of this prompt were in as many.
+    fn tracked(
+        &mut self,
+        run: &SuspectRun,
+        mut suspected: Vec<(Suspect, usize)>,
+    ) -> Vec<(Suspect, usize)> {
+        let is_long = run.suspects.parts().len() > MAX_TRACKED_PARTS;
+        let noted = Arc::new(run.clone());
+        let (mut repeated, mut tracked) = (Vec::new(), Vec::new());
+        suspected.retain(|(suspect, position)| {
+            let Suspect::Part(part) = *suspect else { return true };
+            if !is_long {
+                return true;
+            }
+            if let Some(evidence) = self.evidence.get(suspect) {
+                let is_known = evidence.runs.contains(&run.runner);
+                tracked.push(evidence.runs.len() + usize::from(!is_known));
+                return true;
+            }
+            let runs = self.candidates.note(part, &noted);
+            if runs >= TRIAL_BREAKS {
+                repeated.push((runs, *position, part));
+            }
+            false
+        });
+        repeated.sort_unstable_by(|one, other| other.cmp(one));
+        for (runs, position, part) in repeated {
+            if tracked.iter().filter(|known| **known >= runs).count() >= MAX_TRACKED_PARTS {
+                break;
+            }
+            tracked.push(runs);
+            suspected.push((Suspect::Part(part), position));
+        }
+        for (suspect, position) in &suspected {
+            if let Suspect::Part(part) = *suspect {
+                self.track(part, *position);
+            }
+        }
+        suspected
+    }
+
+    /// Turns what was noted of a part into evidence, if its runs may have crashed.
+    fn track(&mut self, part: PromptPart, position: usize) {
+        let suspect = Suspect::Part(part);
+        for run in self.candidates.take(part) {
+            let has_ended = self.ended.contains(&run.runner);
+            if !has_ended && !self.unconfirmed.contains_key(&run.runner) {
+                continue;
+            }
+            let evidence = self.evidence_of(suspect, position);
+            if evidence.add(&run, &[]) {
+                if has_ended {
+                    evidence.confirm(&run.runner);
+                }
+                self.changed.insert(suspect);
+            }
+        }
+    }
+
+    /// Clears a suspect of all that is known against it. Returns true if anything was.
+    pub(super) fn clear(&mut self, suspect: Suspect) -> bool {
+        let was_noted = match suspect {
+            Suspect::Part(part) => !self.candidates.take(part).is_empty(),
+            Suspect::Request(_) => false,
+        };
         let is_shared = self.state(suspect) != SuspectState::Free;
-        let Some(evidence) = self.evidence.remove(&suspect) else { return };
+        let Some(evidence) = self.evidence.remove(&suspect) else { return was_noted };
         self.changed.insert(suspect);
         if is_shared {
             self.add_cleared(suspect, evidence.runs);
         }
+        true
     }
 
     /// Returns the other runs that broke a moment ago, and adds this one to their breaks.
@@ -255,7 +327,7 @@
         {
             return true;
         }
-        let is_other = |other: &Suspect| *other != suspect && !broken.suspects.contains(other);
+        let is_other = |other: &Suspect| *other != suspect && !broken.suspects.contains(*other);
         let all = self.evidence.iter().map(|(suspect, s)| (suspect, s.runs.len(), &s.runs));
         let mut more = all.filter(|(other, count, _)| is_other(other) && *count >= min_runs);
         more.any(|(.., runs)| runs.contains(runner))
@@ -295,6 +367,9 @@
 
     pub(super) fn insert_quarantined(&mut self, suspect: Suspect, runs: Vec<RunnerKey>) {
         self.evidence.remove(&suspect);
+        if let Suspect::Part(part) = suspect {
+            self.candidates.take(part);
+        }
         if let Entry::Vacant(entry) = self.quarantined.entry(suspect) {
             entry.insert(runs);
             self.changed.insert(suspect);
@@ -308,7 +383,7 @@
         let is_request = matches!(cause, Suspect::Request(_));
         for (suspect, evidence) in &mut self.evidence {
             let mut breaks = evidence.breaks.iter();
-            let is_own = is_request && breaks.any(|broken| broken.suspects.contains(&cause));
+            let is_own = is_request && breaks.any(|broken| broken.suspects.contains(cause));
             if is_own || !evidence.runs.is_subset(runs) {
                 continue;
             }
@@ -318,5 +393,6 @@
             evidence.breaks.truncate(if is_alike { max - 1 } else { 0 });
         }
         self.evidence.retain(|_, evidence| !evidence.breaks.is_empty());
+        self.candidates.explain(cause, runs);
     }
 }
--- a/crates/core/src/fleet/quarantine/records.rs
+++ b/crates/core/src/fleet/quarantine/records.rs
@@ -139,6 +139,9 @@
         if self.allowed.len() < MAX_SUSPECTS {
             self.allowed.insert(suspect);
         }
+        if let Suspect::Part(part) = suspect {
+            self.candidates.take(part);
+        }
         self.evidence.remove(&suspect);
         self.quarantined.remove(&suspect);
         self.changed.insert(suspect);
--- a/crates/core/tests/fleet/main.rs
+++ b/crates/core/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod directory;
 mod floors;
 mod hosts;
+mod long_prompts;
 mod model;
 mod quarantine;
 mod quota_changes;
--- a/crates/core/tests/fleet/quarantine.rs
+++ b/crates/core/tests/fleet/quarantine.rs
@@ -132,7 +132,7 @@
 fn run(number: u64, granted_ms: u64) -> SuspectRun {
     let runner = RunnerKey { name: name(&format!("r{number}")), started_ms: Some(1) };
     let (granted_at, ended_at) = (at(granted_ms), at(granted_ms + 100));
-    SuspectRun { runner, suspects: vec![PART], granted_at, begun_at: None, ended_at }
+    SuspectRun { runner, suspects: [PART].into(), granted_at, begun_at: None, ended_at }
 }
 
 fn crash(quarantine: &mut Quarantine, number: u64) {
@@ -161,7 +161,7 @@
 #[test]
 fn a_complete_response_clears_its_parts() {
     let mut quarantine = crashed(3);
-    quarantine.completed(&[PART]);
+    quarantine.completed(&[PART].into());
     crash(&mut quarantine, 4);
     assert_eq!(quarantine.state(PART), SuspectState::Free);
 }
@@ -247,7 +247,7 @@
 fn older_records_bring_back_no_breaks_that_a_complete_response_has_cleared() {
     let older = crashed(4).record(PART);
     let mut quarantine = crashed(4);
-    quarantine.completed(&[PART]);
+    quarantine.completed(&[PART].into());
     let cleared = quarantine.record(PART);
     assert!(cleared.adds_to(Some(&older)) && !older.adds_to(Some(&cleared)));
     quarantine.learn(at(20_000), &older, RecordSource::Store);
@@ -260,7 +260,7 @@
 
 fn broke(quarantine: &mut Quarantine, runner: u64, ended_ms: u64, body: u64) {
     let request = Suspect::Request(digest(body));
-    let run = SuspectRun { suspects: vec![request], ..run(runner, ended_ms - 100) };
+    let run = SuspectRun { suspects: [request].into(), ..run(runner, ended_ms - 100) };
     quarantine.broke(&run);
 }
 
@@ -294,6 +294,11 @@
     let request = Suspect::Request(digest(7));
     assert_eq!(quarantine.state(request), SuspectState::Trial);
     let (begun_at, ended_at) = (Some(at(4_000)), at(5_000));
-    quarantine.broke(&SuspectRun { suspects: vec![request], begun_at, ended_at, ..run(3, 3_900) });
+    quarantine.broke(&SuspectRun {
+        suspects: [request].into(),
+        begun_at,
+        ended_at,
+        ..run(3, 3_900)
+    });
     assert_eq!(quarantine.state(request), SuspectState::Free);
 }
--- a/crates/node/src/events/mod.rs
+++ b/crates/node/src/events/mod.rs
@@ -39,6 +39,20 @@
     }
 }
 
+/// Displays this many of the values, as [`List`] does, and the number of the others.
+pub(crate) struct ListStart<'a, T>(pub(crate) &'a [T], pub(crate) usize);
+
+impl<T> std::fmt::Display for ListStart<'_, T>
+where
+    T: std::fmt::Display,
+{
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (shown, others) = self.0.split_at(self.1.min(self.0.len()));
+        List(shown).fmt(f)?;
+        if others.is_empty() { Ok(()) } else { write!(f, ",+{}", others.len()) }
+    }
+}
+
 /// Logs an event with key-value fields, as in
 /// `log_event!(Event::RequestUnknown, id:% = id, reason = reason.as_str())`.
 macro_rules! log_event {
--- a/crates/node/src/fleet/proxy/attempt.rs
+++ b/crates/node/src/fleet/proxy/attempt.rs
@@ -16,7 +16,7 @@
 };
 use tokio::time::{Instant, timeout_at};
 
-use crate::events::{Event, List, Optional, log_event};
+use crate::events::{Event, ListStart, Optional, log_event};
 use crate::fleet::{
     platform_format::header,
     response_memory::HeldBytes,
@@ -34,6 +34,9 @@
 /// Maximum time for which a runner is left alone at its own request.
 const MAX_REST: Duration = Duration::from_secs(3_600);
 
+/// Maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 32;
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Result of an attempt, up to the response head.
@@ -96,7 +99,7 @@
         left_ms = request.deadline.saturating_duration_since(sent_at).as_millis() as u64,
         after:% = Optional(after),
         resumes = request.resumes.as_deref().unwrap_or("none"),
-        parts:% = List(&request.placement.parts),
+        parts:% = ListStart(&request.placement.parts, MAX_LOGGED_PARTS),
         digest:% = Optional(request.placement.digest)
     );
     let mut is_forwarded = false;
--- a/crates/node/src/fleet/proxy/placement.rs
+++ b/crates/node/src/fleet/proxy/placement.rs
@@ -18,6 +18,10 @@
 /// milliseconds.
 const MIN_BEGINNING_TOKENS: u32 = 256;
 
+/// Number of parts of a prompt from which on not every beginning is remembered. Each doubling
+/// adds half as many beginnings, since a head may name thousands of parts.
+const DENSE_PARTS: usize = 32;
+
 /// What is known of a request when it is submitted.
 pub(super) struct PlacementInput<'a> {
     pub(super) id: RequestId,
@@ -102,12 +106,23 @@
 fn beginnings(parts: &[SizedPart]) -> Vec<(BlockHash, u32)> {
     let mut hasher = blake3::Hasher::new();
     let mut tokens = 0_u32;
-    let all = parts.iter().map(|sized| {
+    let mut beginnings = Vec::new();
+    for (count, sized) in (1..).zip(parts) {
         hasher.update(&sized.part.0.to_be_bytes());
         tokens = tokens.saturating_add(sized.tokens);
+        if tokens < MIN_BEGINNING_TOKENS || !is_remembered(count) {
+            continue;
+        }
         let hash = hasher.finalize();
         let (halves, _) = hash.as_bytes().as_chunks::<8>();
-        (BlockHash(u64::from_be_bytes(halves[0])), tokens)
-    });
-    all.filter(|(_, tokens)| *tokens >= MIN_BEGINNING_TOKENS).collect()
+        beginnings.push((BlockHash(u64::from_be_bytes(halves[0])), tokens));
+    }
+    beginnings
+}
+
+/// Returns true if the beginning of this many parts is remembered. Depends on nothing else, so
+/// that prompts with the same beginning remember the same ones.
+fn is_remembered(count: usize) -> bool {
+    let doublings = (2 * count / DENSE_PARTS).max(1).ilog2();
+    count.is_multiple_of(1 << doublings)
 }
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -181,13 +181,24 @@
     to: SocketAddr,
     path: &'static str,
     count: usize,
+) -> Vec<Option<TcpStream>> {
+    send_requests_with(to, path, count, |_| String::new()).await
+}
+
+/// Sends a request with more lines in its head on each of `count` connections and reads nothing.
+pub(crate) async fn send_requests_with(
+    to: SocketAddr,
+    path: &'static str,
+    count: usize,
+    lines: fn(usize) -> String,
 ) -> Vec<Option<TcpStream>> {
     let clients = (0..count).map(|number| {
         spawn(async move {
             let mut stream = connect(to).await?;
+            let lines = lines(number);
             let head = format!(
                 "POST {path} HTTP/1.1\r\nhost: desk.example\r\n{ID}: unread-{number}\r\n\
-                 {KEY}: {DESK_KEY}\r\ncontent-length: 0\r\n\r\n"
+                 {KEY}: {DESK_KEY}\r\n{lines}content-length: 0\r\n\r\n"
             );
             write_until(&mut stream, head.as_bytes(), Instant::now() + SENDING_TIME).await;
             Some(stream)
--- a/tests/testsuite/fleet/beginnings.rs
+++ b/tests/testsuite/fleet/beginnings.rs
@@ -21,6 +21,19 @@
     #[case] memory: u32,
     #[case] expected: &[&str],
 ) {
+    let runners = runners_of_two_prompts(shares, memory, "5c1e:8000").await;
+    assert_eq!(runners, expected);
+}
+
+/// A long conversation, most of which is in its later parts: these were not read.
+#[actix_rt::test]
+async fn a_prompt_of_many_parts_goes_where_its_beginning_is_held() {
+    let parts: Vec<_> = (0..40).map(|part| format!("c{part:x}:{}", part / 32 * 1_000)).collect();
+    assert_eq!(runners_of_two_prompts(true, 600_000, &parts.join(",")).await, ["e1", "e1"]);
+}
+
+/// Sends two requests that share these parts. Returns the runners that responded.
+async fn runners_of_two_prompts(shares: bool, memory: u32, shared: &str) -> Vec<String> {
     let fleet = FleetHarness::new()
         .with_runner("dala", "e1", RunnerMode::Stream(EVENTS))
         .with_runner("dala", "e2", RunnerMode::Stream(EVENTS));
@@ -33,11 +46,11 @@
     let mut runners = Vec::new();
     for number in 0..2 {
         let id = format!("id-{number}");
-        let parts = format!("5c1e:8000,{number}:100");
+        let parts = format!("{shared},{number}:100");
         let headers = [(KEY, DESK_KEY), (PARTS, &*parts), (USAGE, "8100,60")];
         let response = call_with(&host, &id, "/tags/", &headers, "question").await;
         assert_eq!(response.status, 200);
         runners.push(response.headers["x-comfreyway-runner-signature"].clone());
     }
-    assert_eq!(runners, expected);
+    runners
 }
--- a/tests/testsuite/fleet/crashing_prompts.rs
+++ b/tests/testsuite/fleet/crashing_prompts.rs
@@ -25,6 +25,8 @@
 enum Prompts {
     /// Of four parts, the crashing one third.
     Short,
+    /// Of this many parts, of which two follow the crashing one.
+    Long(u32),
     /// As short ones, with IDs of 32 digits that differ in the middle.
     LongIds,
 }
@@ -33,7 +35,7 @@
     /// Returns the part that crashes runners, and the one in its place in sound prompts.
     fn parts(self) -> (&'static str, &'static str) {
         match self {
-            Self::Short => ("bad0", "5e"),
+            Self::Short | Self::Long(_) => ("bad0", "5e"),
             Self::LongIds => {
                 ("5e5e5e5e5e5e5e5ebad0bad0bad0bad0", "5e5e5e5e5e5e5e5e0000bad0bad0bad0")
             }
@@ -47,6 +49,10 @@
             Self::Short | Self::LongIds => {
                 format!("a1:60,b{caller}:300,{part}:200,{number:x}:90")
             }
+            Self::Long(parts) => {
+                let shared = (3..parts).map(|shared| format!("c{shared:x}:9,")).collect::<String>();
+                format!("{shared}{part}:200,b{caller}:300,{number:x}:90")
+            }
         }
     }
 }
@@ -93,9 +99,12 @@
     }
 }
 
-/// Parts with an ID of more than 16 digits were not read, so they went on crashing runners.
+/// Parts behind the 32nd, and those with an ID of more than 16 digits, were not read, so they
+/// went on crashing runners.
 #[rstest]
 #[case::short(Prompts::Short)]
+#[case::many_parts(Prompts::Long(40))]
+#[case::longest_header(Prompts::Long(1_800))]
 #[case::long_ids(Prompts::LongIds)]
 #[actix_rt::test]
 async fn prompts_with_a_part_that_crashes_runners_stop_reaching_them(#[case] prompts: Prompts) {
