Read the parts of prompts from all lines of their header

Cause: only the first line of the header was read, and only as ASCII text; else the prompt counted as one without parts. Runners get the header as the caller sent it.

Change: the lines of a list are joined, and other bytes make an ID of their own.

Result: both cases of a_quarantined_part_is_found_in_each_line_of_the_header fail on the code before (the request reaches a runner) and pass now.

--- a/crates/node/src/fleet/proxy/handler.rs
+++ b/crates/node/src/fleet/proxy/handler.rs
@@ -318,7 +318,8 @@
         };
         let usage =
             text(header_names.token_usage).and_then(|value| (self.format.read_usage)(value));
-        let parts = text(header_names.prompt_parts).map(self.format.read_parts);
+        let parts = list_value(&head.headers, header_names.prompt_parts);
+        let parts = parts.map(|parts| (self.format.read_parts)(&parts));
         let id = self.new_request_id();
         let last_event = text(header_names.last_event_id).map(str::trim);
         let takes_up = last_event.is_some_and(|last| !last.is_empty() && last != NO_EVENT);
@@ -391,6 +392,14 @@
     }
 }
 
+/// Returns the value of a header that is a list. It may come in several lines, and what is
+/// no text in it doesn't hide the rest.
+fn list_value(headers: &HeaderMap, name: &'static str) -> Option<String> {
+    let lines = headers.get_all(header(name)).iter();
+    let lines: Vec<_> = lines.map(|line| String::from_utf8_lossy(line.as_bytes())).collect();
+    (!lines.is_empty()).then(|| lines.join(","))
+}
+
 /// Returns the host that the caller named, in lower case and without its port.
 fn requested_host(headers: &HeaderMap, uri: &Uri) -> Option<String> {
     let host = headers.get(HOST).and_then(|value| value.to_str().ok()).or_else(|| uri.host())?;
--- a/tests/testsuite/fleet/crashing_prompts.rs
+++ b/tests/testsuite/fleet/crashing_prompts.rs
@@ -6,9 +6,10 @@
     time::{Duration, Instant},
 };
 
-use actix_rt::time::sleep;
+use actix_rt::{net::TcpStream, time::sleep};
 use comfreyway_testkit::{daemon::eventually, fleet_runner::RunnerMode};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use crate::support::Daemon;
 
@@ -17,7 +18,7 @@
         ALLOWED_ARRIVALS, CONTACT_TIME, CrashTrigger, CrashingFleet, RunnerSet, SoundCall,
         served_after,
     },
-    harness::{DESK_KEY, FleetHarness, KEY, PARTS, call_with, events},
+    harness::{DESK_KEY, FleetHarness, ID, KEY, PARTS, call_with, events},
 };
 
 /// How prompts are made of parts.
@@ -166,3 +167,28 @@
     };
     eventually(is_allowed).await.expect("the part is allowed again");
 }
+
+/// A list may stand in several lines of the head, of which only the first was read, and only if
+/// it was ASCII.
+#[rstest]
+#[case::later_line(&["a1:60", "bad0:200,1:90"])]
+#[case::beside_other_bytes(&["a1:60,\u{e9}:2,bad0:200,1:90"])]
+#[actix_rt::test]
+async fn a_quarantined_part_is_found_in_each_line_of_the_header(#[case] lines: &[&str]) {
+    let fleet = FleetHarness::new();
+    let runner = fleet.start_version("dala", "e1", "v1", RunnerMode::Stream(EVENTS));
+    let item = br#"{"runs":[{"name":"e0","born_ms":null}]}"#;
+    fleet.store.put("comfreyway/quarantine/bad0", item);
+    let host = fleet.start_host("h1").await;
+    let lines: String = lines.iter().map(|line| format!("{PARTS}: {line}\r\n")).collect();
+    let head = format!(
+        "POST /report/ HTTP/1.1\r\nhost: desk.example\r\n{ID}: raw\r\n{KEY}: {DESK_KEY}\r\n\
+         {lines}content-length: 0\r\nconnection: close\r\n\r\n"
+    );
+    let mut stream = TcpStream::connect(host.settings().callers).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.unwrap();
+    assert!(response.contains("prompt-quarantined"), "{response}");
+    assert_eq!(runner.arrivals(), 0);
+}
