--- a/crates/core/src/fleet/quarantine/evidence.rs
+++ b/crates/core/src/fleet/quarantine/evidence.rs
@@ -158,7 +158,7 @@
             }
             suspected.push((suspect, position));
         }
-        for (suspect, position) in self.tracked(run, suspected) {
+        for (suspect, position) in self.select_suspects(run, suspected) {
             if self.evidence_of(suspect, position).add(run, &others) {
                 self.changed.insert(suspect);
             }
@@ -168,14 +168,15 @@
     /// Returns the suspects of a break for which evidence is gathered. All parts of a long
     /// prompt are noted. Those that were in several that broke follow, the ones in most of them
     /// first, as long as few parts of this prompt were in as many.
-    fn tracked(
+    fn select_suspects(
         &mut self,
         run: &SuspectRun,
         mut suspected: Vec<(Suspect, usize)>,
     ) -> Vec<(Suspect, usize)> {
         let is_long = run.suspects.parts().len() > MAX_TRACKED_PARTS;
         let noted = Arc::new(run.clone());
-        let (mut repeated, mut tracked) = (Vec::new(), Vec::new());
+        // Numbers of runs of the parts with evidence, and the other repeated parts.
+        let (mut tracked, mut repeated) = (Vec::new(), Vec::new());
         suspected.retain(|(suspect, position)| {
             let Suspect::Part(part) = *suspect else { return true };
             if !is_long {
@@ -202,14 +203,14 @@
         }
         for (suspect, position) in &suspected {
             if let Suspect::Part(part) = *suspect {
-                self.track(part, *position);
+                self.promote_candidate(part, *position);
             }
         }
         suspected
     }
 
     /// Turns what was noted of a part into evidence, if its runs may have crashed.
-    fn track(&mut self, part: PromptPart, position: usize) {
+    fn promote_candidate(&mut self, part: PromptPart, position: usize) {
         let suspect = Suspect::Part(part);
         for run in self.candidates.take(part) {
             let has_ended = self.ended.contains(&run.runner);
