Share the take-up after a replacement between tests of versions

Two tests replaced the runners while no host was up and asked for the refusal, line by line the same. Comments say what is, not how a bound was found.

--- a/crates/core/benches/fleet.rs
+++ b/crates/core/benches/fleet.rs
@@ -33,7 +33,8 @@
 const DIGESTS: u64 = 10_000;
 const BODY_BYTES: [usize; 3] = [500, 16 << 10, 100 << 10];
 const PROMPT_TOKENS: u32 = 3_000;
-/// Parts of a prompt: as before there were long ones, and as many as fit into a head of 16 KiB.
+/// Parts of a prompt: of a short one, of the longest that isn't narrowed down, and as many as
+/// fit into a head of 16 KiB.
 const PARTS: [u64; 3] = [2, 32, 3_500];
 /// Requests that a runner breaks as it crashes.
 const BROKEN: u64 = 5;
--- a/crates/core/src/fleet/quarantine/candidates.rs
+++ b/crates/core/src/fleet/quarantine/candidates.rs
@@ -17,8 +17,7 @@
 
 use super::{CrashLimits, SuspectRun, evidence::MAX_RUNS};
 
-/// Number of parts in a generation, at some 100 bytes each; two are kept. A runner that
-/// crashes may break a dozen prompts of the longest heads.
+/// Maximum number of parts in a generation, at some 100 bytes each. Two generations are kept.
 const GENERATION: usize = 65_536;
 
 /// The parts that were noted last, each with the runs that broke under it.
--- a/crates/core/src/fleet/suspect_list.rs
+++ b/crates/core/src/fleet/suspect_list.rs
@@ -89,6 +89,7 @@
     }
 }
 
+/// Creates the list of a request from its parts, in the order of the prompt, and its digest.
 impl<const N: usize> From<[Suspect; N]> for SuspectList {
     fn from(suspects: [Suspect; N]) -> Self {
         let parts = suspects.iter().filter_map(|suspect| match suspect {
--- a/tests/testsuite/fleet/versions.rs
+++ b/tests/testsuite/fleet/versions.rs
@@ -86,6 +86,19 @@
     panic!("no record of {versions:?}");
 }
 
+/// Replaces the runner of v1 by one of v2 while no host is up. A host that starts then refuses
+/// the stream that began at v1.
+async fn take_up_after_replacement(fleet: &FleetHarness) -> (Daemon, FleetRunner) {
+    fleet.store.delete("servers/e1");
+    let other = fleet.start_version("dala", "e2", "v2", RunnerMode::Stream(EVENTS));
+    let host = fleet.start_host("h2").await;
+    wait_until_known(&host, &other).await;
+    let response = take_up(&host, "again", "began").await;
+    assert_eq!((response.status, response.reason()), (503, "version-unknown".to_owned()));
+    assert_eq!(continued(&other), 0);
+    (host, other)
+}
+
 /// Runners without requests are used in the order of their names.
 #[rstest]
 #[case::none_of_that_version(None, None)]
@@ -251,13 +264,7 @@
     begin_broken(&host, "began", &first).await;
     wait_for_record(&fleet, &["v1"]).await;
     drop(host);
-    fleet.store.delete("servers/e1");
-    let other = fleet.start_version("dala", "e2", "v2", RunnerMode::Stream(EVENTS));
-    let host = fleet.start_host("h2").await;
-    wait_until_known(&host, &other).await;
-    let response = take_up(&host, "again", "began").await;
-    assert_eq!((response.status, response.reason()), (503, "version-unknown".to_owned()));
-    assert_eq!(continued(&other), 0);
+    let (host, _other) = take_up_after_replacement(&fleet).await;
     // New streams begin at the new version all the same.
     assert_eq!(call(&host, "new", "/report/").await.status, 200);
 }
--- a/tests/testsuite/fleet/versions/lost_records.rs
+++ b/tests/testsuite/fleet/versions/lost_records.rs
@@ -11,8 +11,8 @@
 
 use super::{
     super::harness::{FleetHarness, configuration},
-    EVENTS, RECORD, begin_broken, continued, remaining_events, take_up, wait_for_line,
-    wait_for_record, wait_until_known,
+    RECORD, begin_broken, continued, remaining_events, take_up, take_up_after_replacement,
+    wait_for_line, wait_for_record, wait_until_known,
 };
 
 /// Prefix of the store's items of streams.
@@ -123,13 +123,7 @@
     wait_for_record(&fleet, &["v1"]).await;
     begin_broken(&host, "began", &first).await;
     kill(host).await;
-    fleet.store.delete("servers/e1");
-    let other = fleet.start_version("dala", "e2", "v2", RunnerMode::Stream(EVENTS));
-    let host = fleet.start_host("h2").await;
-    wait_until_known(&host, &other).await;
-    let response = take_up(&host, "again", "began").await;
-    assert_eq!((response.status, response.reason()), (503, "version-unknown".to_owned()));
-    assert_eq!(continued(&other), 0);
+    take_up_after_replacement(&fleet).await;
 }
 
 /// Waits until the store has a stream's version.
