Discard noted breaks that were no crashes

Found by reading the change again; nothing was seen at callers. A sound part of long prompts could be tried, and in the end refused, for breaks of connections at runners that crashed later for other reasons.

Cause: evidence of a break is discarded when its run responds, leaves as planned, or is still listed six seconds later. What is noted of a long prompt was only compared with the runs that have ended once it became evidence, when such a run may have ended after all.

Change: noted runs are discarded where breaks are.

Result: the three cases of a_break_that_was_no_crash_does_not_become_one_later fail on the code before (Trial in place of Free) and pass now, with the 19 others of core fleet long_prompts. Prompts of up to 32 parts note nothing, so nothing changes for them.

--- a/crates/core/src/fleet/quarantine.rs
+++ b/crates/core/src/fleet/quarantine.rs
@@ -289,6 +289,7 @@
     fn discard_breaks(&mut self, runner: &RunnerKey) {
         if self.unconfirmed.remove(runner).is_some() {
             self.retain_breaks(|broken| broken.confirmed || broken.runner != *runner);
+            self.candidates.retain_runs(|noted| noted != runner);
         }
     }
 
@@ -306,6 +307,9 @@
         self.unconfirmed.retain(|_, at| may_end(*at));
         if self.unconfirmed.len() < before {
             self.retain_breaks(|broken| broken.confirmed || may_end(broken.at));
+            let (unconfirmed, ended) = (&self.unconfirmed, &self.ended);
+            self.candidates
+                .retain_runs(|noted| unconfirmed.contains_key(noted) || ended.contains(noted));
         }
     }
 
--- a/crates/core/src/fleet/quarantine/candidates.rs
+++ b/crates/core/src/fleet/quarantine/candidates.rs
@@ -48,6 +48,19 @@
         runs.unwrap_or_default()
     }
 
+    /// Discards the runs for which `keep` returns false.
+    pub(super) fn retain_runs<F>(&mut self, keep: F)
+    where
+        F: Fn(&RunnerKey) -> bool,
+    {
+        let retain = |_: &PromptPart, runs: &mut Vec<Arc<SuspectRun>>| {
+            runs.retain(|run| keep(&run.runner));
+            !runs.is_empty()
+        };
+        self.newer.retain(retain);
+        self.older.retain(retain);
+    }
+
     /// Discards the runs of parts of which a quarantined suspect explains all. As for
     /// evidence, one that broke as often may be the cause as well.
     pub(super) fn explain(&mut self, cause: Suspect, explained: &BTreeSet<RunnerKey>) {
--- a/crates/core/tests/fleet/long_prompts.rs
+++ b/crates/core/tests/fleet/long_prompts.rs
@@ -166,3 +166,29 @@
     let shared = quarantine.known_suspects().count();
     assert!((1..=MAX_SHARED).contains(&shared), "{shared}");
 }
+
+/// A break at a run that went on responding stayed noted, and became a crash once the run ended
+/// for another reason.
+#[rstest]
+#[case::responded(|q: &mut Quarantine, number, runner: &RunnerKey| {
+    q.run_responded(at(1_000 * number + 500), runner);
+})]
+#[case::still_listed(|q: &mut Quarantine, number, _: &RunnerKey| {
+    q.tick(at(1_000 * number + 9_000), at(1_000 * number + 9_000));
+})]
+#[case::left_as_planned(|q: &mut Quarantine, _, runner: &RunnerKey| q.run_left(runner))]
+fn a_break_that_was_no_crash_does_not_become_one_later(
+    #[case] then: fn(&mut Quarantine, u64, &RunnerKey),
+) {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=MAX_CRASHES {
+        let run = run(number, crashing(number, number, 39, 40));
+        quarantine.broke(&run);
+        then(&mut quarantine, number, &run.runner);
+    }
+    for number in 1..=MAX_CRASHES {
+        crash(&mut quarantine, number, [suspects(100 + number, parts_of(100 + number, 40))]);
+    }
+    crash(&mut quarantine, 11, [crashing(11, 11, 39, 40)]);
+    assert_eq!(state(&quarantine), SuspectState::Free);
+}
